Serve and call HTTP with limits and a graceful end

Cause: every process needs the same small HTTP edge; written once before the areas split. Refusals are built in one place and always say whether the request ran.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,1 +1,21 @@
 //! HTTP towards callers, endpoints and operators: servers, clients, authentication and streaming.
+//!
+//! [`Server`] serves any `tower` service over `hyper` with limits on time and size and ends without cutting a request
+//! off. [`Client`] is the plain client of the tools. Answers to refused requests are built in one place,
+//! [`refusal_response`], so that every refusal says in a header and in its body whether the request ran.
+
+#![allow(clippy::disallowed_methods, reason = "this crate reads clocks for the process crates")]
+
+mod body;
+mod client;
+mod error;
+mod refusal;
+mod server;
+
+pub use crate::{
+    body::{Body, BodyError, empty, full, read_all},
+    client::Client,
+    error::{HttpError, HttpStep},
+    refusal::{OUTCOME_HEADER, REASON_HEADER, refusal_response},
+    server::{Server, ServerLimits},
+};
--- /dev/null
+++ b/crates/edge/tests/server.rs
@@ -0,0 +1,48 @@
+//! The server answers, limits and stops in order.
+
+use {
+    edge::{Body, Client, Server, ServerLimits, empty, full},
+    http::{Request, Response},
+    hyper::body::Incoming,
+    std::{convert::Infallible, sync::Arc},
+    tokio::sync::Notify,
+    tower::service_fn,
+};
+
+async fn hello(_: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+    Ok(Response::new(full("hello")))
+}
+
+#[tokio::test]
+async fn a_request_is_answered() {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let server = Server::bind(any, ServerLimits::default(), service_fn(hello)).await.unwrap();
+    let (status, body) =
+        Client::new(5_000).call(server.addr(), "GET", "/", None, empty()).await.unwrap();
+    assert_eq!((status, body.as_ref()), (200, b"hello".as_ref()));
+    server.shutdown().await;
+}
+
+#[tokio::test]
+async fn shutdown_waits_for_a_request_in_progress() {
+    let (entered, release) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
+    let (entered2, release2) = (entered.clone(), release.clone());
+    let slow = service_fn(move |_: Request<Incoming>| {
+        let (entered, release) = (entered2.clone(), release2.clone());
+        async move {
+            entered.notify_one();
+            release.notified().await;
+            Ok::<_, Infallible>(Response::new(full("late")))
+        }
+    });
+    let server =
+        Server::bind("127.0.0.1:0".parse().unwrap(), ServerLimits::default(), slow).await.unwrap();
+    let addr = server.addr();
+    let call =
+        tokio::spawn(async move { Client::new(5_000).call(addr, "GET", "/", None, empty()).await });
+    entered.notified().await;
+    let stop = tokio::spawn(server.shutdown());
+    release.notify_one();
+    assert_eq!(call.await.unwrap().unwrap().1.as_ref(), b"late");
+    stop.await.unwrap();
+}
