--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -2,7 +2,10 @@
 
 use {
     derive_more::{Debug, Display, Error},
-    std::{io::Error as IoError, path::PathBuf},
+    std::{
+        io::Error as IoError,
+        path::{Path, PathBuf},
+    },
 };
 
 /// What was being done when a data folder failed.
@@ -62,3 +65,13 @@
         reason: &'static str,
     },
 }
+
+impl StoreError {
+    pub(crate) fn io(step: StoreStep, path: &Path) -> impl FnOnce(IoError) -> StoreError {
+        move |source| StoreError::Io { step, path: path.to_owned(), source }
+    }
+
+    pub(crate) fn corrupt(path: &Path, offset: u64, reason: &'static str) -> StoreError {
+        StoreError::Corrupt { path: path.to_owned(), offset, reason }
+    }
+}
--- /dev/null
+++ b/crates/store/tests/folder.rs
@@ -0,0 +1,121 @@
+//! Damaged and shared folders, on real files.
+
+use {
+    rstest::rstest,
+    std::{fs, path::Path},
+    store::{Contents, RealDisk, Store, StoreError},
+    tempfile::{TempDir, tempdir},
+};
+
+/// Three records, each synced alone, over two segments.
+fn filled() -> TempDir {
+    let folder = tempdir().unwrap();
+    let (mut store, contents) = Store::open(RealDisk, folder.path()).unwrap();
+    assert_eq!(contents, Contents::default());
+    store.set_limit(1);
+    store.set_meta(b"meta").unwrap();
+    for index in 1..=3 {
+        store.append(index, format!("record {index}").as_bytes()).unwrap();
+        store.sync().unwrap();
+    }
+    folder
+}
+
+fn open(folder: &Path) -> Result<Contents, StoreError> {
+    Store::open(RealDisk, folder).map(|it| it.1)
+}
+
+fn edit<F>(path: &Path, edit: F)
+where
+    F: FnOnce(&mut Vec<u8>),
+{
+    let mut bytes = fs::read(path).unwrap();
+    edit(&mut bytes);
+    fs::write(path, bytes).unwrap();
+}
+
+fn segment(folder: &TempDir, number: u64) -> std::path::PathBuf {
+    folder.path().join(format!("log-{number:016x}"))
+}
+
+#[test]
+fn a_folder_comes_back_whole() {
+    let contents = open(filled().path()).unwrap();
+    assert_eq!(contents.meta.as_deref(), Some(&b"meta"[..]));
+    let indexes: Vec<_> = contents.records.iter().map(|it| it.0).collect();
+    assert_eq!(indexes, [1, 2, 3]);
+}
+
+#[test]
+fn a_torn_tail_is_cut_and_writing_goes_on() {
+    let folder = filled();
+    edit(&segment(&folder, 3), |it| it.truncate(it.len() - 2));
+    {
+        let (mut store, contents) = Store::open(RealDisk, folder.path()).unwrap();
+        assert_eq!(contents.records.len(), 2);
+        store.append(3, b"again").unwrap();
+        store.sync().unwrap();
+    }
+    assert_eq!(open(folder.path()).unwrap().records[2].1, b"again");
+}
+
+#[rstest]
+#[case::flipped(2, |it: &mut Vec<u8>| it[70] ^= 1)]
+#[case::cut(2, |it: &mut Vec<u8>| it.truncate(it.len() - 1))]
+#[case::emptied(1, |it: &mut Vec<u8>| it.clear())]
+fn a_damaged_middle_is_refused_by_name(#[case] number: u64, #[case] damage: fn(&mut Vec<u8>)) {
+    let folder = filled();
+    edit(&segment(&folder, number), damage);
+    let err = open(folder.path()).unwrap_err();
+    let StoreError::Corrupt { .. } = &err else { panic!("{err}") };
+    let text = err.to_string();
+    assert!(text.contains("log-") && text.contains("at byte"), "{text}");
+    assert!(text.contains("move the data folder aside"), "{text}");
+}
+
+#[test]
+fn damage_before_a_synced_frame_is_refused_in_the_last_segment_too() {
+    let folder = tempdir().unwrap();
+    let (mut store, _) = Store::open(RealDisk, folder.path()).unwrap();
+    store.set_meta(b"meta").unwrap();
+    for index in 1..=3 {
+        store.append(index, b"record").unwrap();
+        store.sync().unwrap();
+    }
+    drop(store);
+    edit(&segment(&folder, 1), |it| it[40] ^= 1);
+    let err = open(folder.path()).unwrap_err();
+    assert!(matches!(err, StoreError::Corrupt { offset: 37, .. }), "{err}");
+}
+
+#[rstest]
+#[case::last("log-0000000000000003")]
+#[case::middle("log-0000000000000002")]
+#[case::metadata("meta")]
+fn a_missing_file_is_refused(#[case] name: &str) {
+    let folder = filled();
+    fs::remove_file(folder.path().join(name)).unwrap();
+    let err = open(folder.path()).unwrap_err();
+    assert!(matches!(err, StoreError::Corrupt { .. }), "{err}");
+}
+
+#[test]
+fn a_missing_snapshot_is_refused() {
+    let folder = filled();
+    {
+        let (mut store, _) = Store::open(RealDisk, folder.path()).unwrap();
+        store.set_snapshot(3, b"state").unwrap();
+        store.compact(3).unwrap();
+    }
+    assert_eq!(open(folder.path()).unwrap().snapshot, Some((3, b"state".to_vec())));
+    fs::remove_file(folder.path().join("snapshot")).unwrap();
+    let err = open(folder.path()).unwrap_err();
+    assert!(matches!(err, StoreError::Corrupt { .. }), "{err}");
+}
+
+#[test]
+fn two_processes_cannot_share_a_folder() {
+    let folder = filled();
+    let (_store, _) = Store::open(RealDisk, folder.path()).unwrap();
+    assert!(matches!(open(folder.path()), Err(StoreError::Locked { .. })));
+}
