Run the consensus over real files and streams

Cause: jf-control needs the group itself, not a stand-in for one. Change: one task owns the consensus, one blocking thread the data folder (one sync for all that waits), one task a peer sends and replaces a connection on which nothing comes back for an election timeout. The replica with the lowest address founds, once all others say that they never took part; all others join. A leader of too few voters to survive a loss does not count as leading. Ruled out: ids or a founding flag in the settings; a flag left in place would found a second group after a lost disk.

--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -160,6 +160,14 @@
         self.log.members()
     }
 
+    /// The latest membership that it knows to be committed.
+    pub fn committed_members(&self) -> &Members {
+        if self.log.members_index() <= self.commit {
+            return self.log.members();
+        }
+        self.log.members_at(self.commit)
+    }
+
     /// Who leads, as far as it knows.
     pub fn leader(&self) -> Option<ReplicaId> {
         self.leader
--- a/crates/quorum/src/lead.rs
+++ b/crates/quorum/src/lead.rs
@@ -106,8 +106,7 @@
         };
         let new = self.commit < lead.first;
         let leased = self.lease_until(now).is_some_and(|it| now < it);
-        let voters = self.log.members().voters().count();
-        if voters < self.config.voters || !(new || leased) {
+        if !self.has_voters() || !(new || leased) {
             actions.push(Action::Refused);
             return;
         }
--- a/crates/quorum/src/lease.rs
+++ b/crates/quorum/src/lease.rs
@@ -11,8 +11,13 @@
 
 impl Core {
     /// The term that this replica leads and until when nobody else can, if it leads, knows everything that earlier
-    /// leaders committed, and its lease has not ended.
+    /// leaders committed, its lease has not ended, and there are enough voters to take commands.
     pub fn leading(&self, now: Time) -> Option<(Term, Time)> {
+        self.leased(now).filter(|_| self.has_voters())
+    }
+
+    /// As [`Core::leading`], but in a group that may still be too small.
+    pub(crate) fn leased(&self, now: Time) -> Option<(Term, Time)> {
         let Role::Leader(lead) = &self.role else { return None };
         let until = self.lease_until(now)?;
         (self.commit >= lead.first && now < until).then_some((self.hard.term, until))
@@ -30,7 +35,7 @@
     /// Answers the reads that a lease or a later heartbeat round covers.
     pub(crate) fn settle_reads(&mut self, now: Time, actions: &mut Actions) {
         let start = self.lease_start(now);
-        let leading = self.leading(now).is_some();
+        let leading = self.leased(now).is_some();
         let index = self.commit;
         let Role::Leader(lead) = &mut self.role else { return };
         if index < lead.first {
@@ -55,6 +60,10 @@
         self.log.members().reached(|it| if it == self.id { now } else { acked(it) })
     }
 
+    pub(crate) fn has_voters(&self) -> bool {
+        self.log.members().voters().count() >= self.config.voters
+    }
+
     pub(crate) fn lease_until(&self, now: Time) -> Option<Time> {
         let start = self.lease_start(now);
         (start > Time::default()).then(|| start + self.config.lease)
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -30,7 +30,7 @@
 
     /// Starts the next change if the one before is committed and this replica is known to lead.
     pub(crate) fn change_members(&mut self, now: Time, actions: &mut Actions) {
-        if self.log.members_index() > self.commit || self.leading(now).is_none() {
+        if self.log.members_index() > self.commit || self.leased(now).is_none() {
             return;
         }
         let Some(members) = self.next_members(now) else { return };
--- a/crates/replica/src/config.rs
+++ b/crates/replica/src/config.rs
@@ -2,6 +2,8 @@
 
 use {
     derive_more::{Debug, Display, Error},
+    model::MILLISECOND,
+    quorum::Config,
     std::{net::SocketAddr, path::PathBuf},
 };
 
@@ -58,6 +60,20 @@
         }
     }
 
+    /// Returns the settings of the consensus.
+    pub(crate) fn consensus(&self) -> Config {
+        let mut config = Config::default();
+        // The setters of this type refuse what that one refuses.
+        let _ = config.set_timeouts(
+            self.heartbeat_ms * MILLISECOND,
+            self.election_ms * MILLISECOND,
+            self.drift_percent,
+        );
+        let replicas = self.peers.len() + 1;
+        config.set_voters(replicas / 2 + 1);
+        config
+    }
+
     /// Sets the heartbeat interval and the shortest election timeout, in milliseconds.
     ///
     /// # Errors
--- a/crates/replica/src/error.rs
+++ b/crates/replica/src/error.rs
@@ -16,6 +16,9 @@
     /// The snapshot in the data folder is not one of this machine's.
     #[display("open replica: {_0}")]
     Restore(RestoreError),
+    /// The runtime is shutting down.
+    #[display("open replica: cancelled")]
+    Cancelled,
 }
 
 /// A command has no reply.
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -3,55 +3,48 @@
 use {
     crate::{
         config::ReplicaConfig,
+        disk,
+        driver::{Call, Driver, Input},
         error::{OpenError, ProposeError},
+        journal::Journal,
         machine::Machine,
+        serve,
+        shared::{LeaderView, Progress, Shared},
     },
-    derive_more::Debug,
-    model::{ReplicaId, Term, Time},
-    parking_lot::Mutex,
+    bytes::Bytes,
+    model::ReplicaId,
+    quorum::{Action, Core},
     std::{net::SocketAddr, sync::Arc},
-    tokio::sync::watch,
+    store::RealDisk,
+    tokio::{
+        sync::{mpsc, oneshot, watch},
+        task,
+    },
     wire::{Clock, Dialer, Stream},
 };
 
-/// A leadership that holds.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct LeaderView {
-    /// The term that this replica leads.
-    pub term: Term,
-    /// Until when no other replica can lead, unless the lease is renewed.
-    pub lease_until: Time,
-}
+/// Calls that wait for the driver; more wait in [`Replica::propose`].
+const MAX_CALLS: usize = 8_192;
 
-/// How far a replica is.
-#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
-pub struct Progress {
-    /// The index of the last command applied here.
-    pub applied: u64,
-    /// The term that this replica leads, if it does.
-    pub leading: Option<Term>,
-    /// The replica that leads, as far as this one knows.
-    pub leader: Option<ReplicaId>,
-}
+/// Messages and disk answers that wait for the driver; more wait in the streams.
+const MAX_INPUTS: usize = 1_024;
 
-/// A running replica; clones are handles to the same one.
+/// A running replica; clones are handles to the same one, which stops when the last is dropped.
 pub struct Replica<M> {
     shared: Arc<Shared<M>>,
+    calls: mpsc::Sender<Call>,
+    inputs: mpsc::Sender<Input>,
+    peers: Arc<[SocketAddr]>,
 }
 
-struct Shared<M> {
-    config: ReplicaConfig,
-    clock: Clock,
-    machine: Mutex<M>,
-    progress: watch::Sender<Progress>,
-}
-
-const ONLY: ReplicaId = ReplicaId(1);
-const LEASE_MICROS: u64 = 900_000;
-
 impl<M> Clone for Replica<M> {
     fn clone(&self) -> Replica<M> {
-        Replica { shared: self.shared.clone() }
+        Replica {
+            shared: self.shared.clone(),
+            calls: self.calls.clone(),
+            inputs: self.inputs.clone(),
+            peers: self.peers.clone(),
+        }
     }
 }
 
@@ -61,30 +54,60 @@
 {
     /// Opens the data folder, replays it into `machine` and starts to take part in the group.
     ///
+    /// The state comes back as far as the last snapshot; what follows it is applied once a leader has said how much
+    /// of it is committed.
+    ///
     /// # Errors
     ///
     /// The data folder is in use or damaged, or its snapshot is not one of this machine's.
+    ///
+    /// # Panics
+    ///
+    /// If called outside of a `tokio` runtime.
     pub async fn open(
         config: ReplicaConfig,
         machine: M,
         dialer: Dialer,
         clock: Clock,
     ) -> Result<Replica<M>, OpenError> {
-        let _ = dialer;
-        let progress = Progress { applied: 0, leading: Some(Term(1)), leader: Some(ONLY) };
-        let (progress, _) = watch::channel(progress);
-        let shared = Shared { config, clock, machine: Mutex::new(machine), progress };
-        Ok(Replica { shared: Arc::new(shared) })
+        let folder = config.folder.clone();
+        let fresh = ReplicaId(rand::random_range(1..=u64::MAX));
+        let opened = task::spawn_blocking(move || Journal::open(RealDisk, &folder, fresh)).await;
+        let (journal, durable) = opened.map_err(|_| OpenError::Cancelled)??;
+        let id = journal.id();
+        let now = clock.now();
+        let (core, actions) = Core::open(now, config.consensus(), id, durable, rand::random());
+        let shared = Arc::new(Shared::new(id, clock, machine));
+        for action in actions {
+            if let Action::Restore(snapshot) = action {
+                let mut state = shared.state.write();
+                state.machine.restore(&snapshot.data)?;
+                state.applied = snapshot.index;
+            }
+        }
+        tracing::info!("replica: {id} opened at {}, last entry {}", core.commit(), core.last());
+        let (calls, from_handles) = mpsc::channel(MAX_CALLS);
+        let (inputs, from_tasks) = mpsc::channel(MAX_INPUTS);
+        let disk = disk::spawn(journal, inputs.clone(), config.batching);
+        let peers = config.peers.clone().into();
+        let driver = Driver::new(config, core, shared.clone(), disk, dialer, inputs.clone());
+        task::spawn(driver.run(from_handles, from_tasks));
+        Ok(Replica { shared, calls, inputs, peers })
     }
 
     /// This replica's id, drawn when its data folder was made.
     pub fn id(&self) -> ReplicaId {
-        ONLY
+        self.shared.id
     }
 
     /// Where a replica of the group listens.
     pub fn addr_of(&self, id: ReplicaId) -> Option<SocketAddr> {
-        (id == ONLY).then_some(self.shared.config.addr)
+        self.shared.view.lock().members.get(id).map(|it| it.addr)
+    }
+
+    /// Whether a replica counts towards a quorum, by the latest membership that this one knows to be committed.
+    pub fn is_voter(&self, id: ReplicaId) -> bool {
+        self.shared.view.lock().members.is_voter(id)
     }
 
     /// Commits a command and returns the machine's reply to it.
@@ -93,11 +116,12 @@
     ///
     /// This replica does not lead, or lost its lead before the outcome was known.
     pub async fn propose(&self, command: Vec<u8>) -> Result<Vec<u8>, ProposeError> {
-        let mut machine = self.shared.machine.lock();
-        let index = self.shared.progress.borrow().applied + 1;
-        let reply = machine.apply(index, &command);
-        self.shared.progress.send_modify(|it| it.applied = index);
-        Ok(reply)
+        let (reply, answer) = oneshot::channel();
+        let call = Call::Propose { command: Bytes::from(command), reply };
+        if self.calls.send(call).await.is_err() {
+            return Err(ProposeError::NotLeader { leader: None });
+        }
+        answer.await.unwrap_or(Err(ProposeError::Unknown))
     }
 
     /// Returns once this replica is known to lead and has applied all that was committed: what [`Replica::with`]
@@ -107,7 +131,11 @@
     ///
     /// This replica does not lead, or lost its lead meanwhile.
     pub async fn read(&self) -> Result<(), ProposeError> {
-        Ok(())
+        let (reply, answer) = oneshot::channel();
+        if self.calls.send(Call::Read { reply }).await.is_err() {
+            return Err(ProposeError::NotLeader { leader: None });
+        }
+        answer.await.unwrap_or(Err(ProposeError::Unknown))
     }
 
     /// Gives access to the machine's state as applied here, however old it is; holds off the next command meanwhile.
@@ -115,14 +143,14 @@
     where
         F: FnOnce(&M) -> R,
     {
-        read(&self.shared.machine.lock())
+        read(&self.shared.state.read().machine)
     }
 
     /// Returns the leadership if this replica leads, has applied all that earlier leaders committed, and its lease
     /// has not ended.
     pub fn leading(&self) -> Option<LeaderView> {
-        let lease_until = self.shared.clock.now() + LEASE_MICROS;
-        Some(LeaderView { term: Term(1), lease_until })
+        let lease = self.shared.view.lock().lease;
+        lease.filter(|it| self.shared.clock.now() < it.lease_until)
     }
 
     /// The replica that leads, as far as this one knows.
@@ -136,10 +164,19 @@
     }
 
     /// Takes over a stream that another replica opened for [`wire::msg::REPLICA_PATH`].
+    ///
+    /// # Panics
+    ///
+    /// If called outside of a `tokio` runtime.
     pub fn incoming(&self, stream: Stream) {
-        drop(stream);
+        task::spawn(serve::receive(stream, self.peers.clone(), self.inputs.clone()));
     }
 
     /// Stops taking part, syncs what was written, and releases the data folder.
-    pub async fn shutdown(&self) {}
+    pub async fn shutdown(&self) {
+        let (reply, answer) = oneshot::channel();
+        if self.calls.send(Call::Shutdown { reply }).await.is_ok() {
+            let _ = answer.await;
+        }
+    }
 }
--- /dev/null
+++ b/crates/replica/src/serve.rs
@@ -0,0 +1,36 @@
+//! Receiving from another replica.
+
+use {
+    crate::{driver::Input, link::Frame},
+    std::{net::SocketAddr, sync::Arc},
+    tokio::sync::mpsc,
+    wire::Stream,
+};
+
+/// Hands the frames of a stream to the driver until the stream or the driver ends; frames that claim to come from
+/// somewhere else than the known replicas are dropped.
+pub(crate) async fn receive(stream: Stream, peers: Arc<[SocketAddr]>, inputs: mpsc::Sender<Input>) {
+    // The sending half stays: dropping it would reset the stream.
+    let (_send, mut recv) = stream.split();
+    loop {
+        let frame = tokio::select! {
+            frame = recv.recv::<Frame>() => frame,
+            () = inputs.closed() => return,
+        };
+        match frame {
+            Ok(Some(frame)) if peers.contains(&frame.from) => {
+                if inputs.send(Input::Frame(frame)).await.is_err() {
+                    return;
+                }
+            }
+            Ok(Some(frame)) => {
+                tracing::warn!("replica: dropped a message of unknown replica {}", frame.from);
+            }
+            Ok(None) => return,
+            Err(err) => {
+                tracing::debug!("replica: receiving failed: {err}");
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/replica/src/shared.rs
@@ -0,0 +1,95 @@
+//! What the handles of a replica share with the task that drives it.
+
+use {
+    crate::machine::Machine,
+    derive_more::Debug,
+    model::{ReplicaId, Term, Time},
+    parking_lot::{Mutex, RwLock},
+    quorum::{Core, Members},
+    tokio::sync::watch,
+    wire::Clock,
+};
+
+/// A leadership that holds.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct LeaderView {
+    /// The term that this replica leads.
+    pub term: Term,
+    /// Until when no other replica can lead, unless the lease is renewed.
+    pub lease_until: Time,
+}
+
+/// How far a replica is.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+pub struct Progress {
+    /// The index of the last command applied here.
+    pub applied: u64,
+    /// The term that this replica leads, if it does; up to a heartbeat interval late, unlike
+    /// [`crate::Replica::leading`].
+    pub leading: Option<Term>,
+    /// The replica that leads, as far as this one knows.
+    pub leader: Option<ReplicaId>,
+    /// Whether this replica has stopped for good: it was shut down, or its disk or its machine failed.
+    pub stopped: bool,
+}
+
+/// Shared tables. Lock order: `state` before `view`; neither is held across an await.
+pub(crate) struct Shared<M> {
+    pub(crate) id: ReplicaId,
+    pub(crate) clock: Clock,
+    pub(crate) state: RwLock<State<M>>,
+    pub(crate) view: Mutex<View>,
+    pub(crate) progress: watch::Sender<Progress>,
+}
+
+/// The machine and the index that it is at.
+pub(crate) struct State<M> {
+    pub(crate) machine: M,
+    pub(crate) applied: u64,
+}
+
+/// What the consensus last said.
+#[derive(Default)]
+pub(crate) struct View {
+    pub(crate) lease: Option<LeaderView>,
+    pub(crate) members: Members,
+}
+
+impl<M> Shared<M>
+where
+    M: Machine,
+{
+    pub(crate) fn new(id: ReplicaId, clock: Clock, machine: M) -> Shared<M> {
+        Shared {
+            id,
+            clock,
+            state: RwLock::new(State { machine, applied: 0 }),
+            view: Mutex::default(),
+            progress: watch::Sender::default(),
+        }
+    }
+
+    /// Makes the lease and the membership known; before anything that another leader could follow from is sent.
+    pub(crate) fn publish(&self, now: Time, core: &Core) {
+        let lease = core.leading(now);
+        let mut view = self.view.lock();
+        view.lease = lease.map(|(term, lease_until)| LeaderView { term, lease_until });
+        if view.members != *core.committed_members() {
+            view.members = core.committed_members().clone();
+        }
+    }
+
+    /// Wakes those who watch, if anything changed.
+    pub(crate) fn notify(&self, now: Time, core: &Core) {
+        let applied = self.state.read().applied;
+        let leading = core.leading(now).map(|it| it.0);
+        let new = Progress { applied, leading, leader: core.leader(), stopped: false };
+        self.progress.send_if_modified(|it| std::mem::replace(it, new) != new);
+    }
+
+    pub(crate) fn stop(&self) {
+        self.view.lock().lease = None;
+        let applied = self.state.read().applied;
+        self.progress.send_replace(Progress { applied, stopped: true, ..Progress::default() });
+    }
+}
--- /dev/null
+++ b/crates/replica/tests/group/mod.rs
@@ -0,0 +1,165 @@
+//! Three replicas in one process, over loopback and real files.
+
+use {
+    replica::{Machine, Progress, Replica, ReplicaConfig, RestoreError},
+    std::{
+        net::SocketAddr,
+        path::PathBuf,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tempfile::TempDir,
+    tokio::time::timeout,
+    wire::{Class, Clock, Dialer, Listener, Traffic},
+};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Keeps every command.
+#[derive(Default)]
+pub(crate) struct Journal(pub(crate) Vec<Vec<u8>>);
+
+impl Machine for Journal {
+    fn apply(&mut self, _: u64, command: &[u8]) -> Vec<u8> {
+        self.0.push(command.to_vec());
+        self.0.len().to_string().into_bytes()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.0.join(&b' ')
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        let words = snapshot.split(|it| *it == b' ').filter(|it| !it.is_empty());
+        self.0 = words.map(<[u8]>::to_vec).collect();
+        Ok(())
+    }
+}
+
+type Slot = Arc<Mutex<Option<Replica<Journal>>>>;
+
+/// Hosts whose listeners outlive their replicas.
+pub(crate) struct Group {
+    pub(crate) folders: Vec<TempDir>,
+    pub(crate) addrs: Vec<SocketAddr>,
+    slots: Vec<Slot>,
+    snapshot: u64,
+}
+
+pub(crate) async fn within<F>(future: F) -> F::Output
+where
+    F: Future,
+{
+    timeout(LIMIT, future).await.expect("in time")
+}
+
+impl Group {
+    /// Binds `count` hosts and opens a replica on each; a snapshot is taken every so many bytes.
+    pub(crate) async fn start(count: usize, snapshot: u64) -> Group {
+        let mut group =
+            Group { folders: Vec::new(), addrs: Vec::new(), slots: Vec::new(), snapshot };
+        for _ in 0..count {
+            let any = "127.0.0.1:0".parse().unwrap();
+            let listener = Listener::bind(any, None, Traffic::default()).await.unwrap();
+            group.addrs.push(listener.addr());
+            group.folders.push(tempfile::tempdir().unwrap());
+            let slot = Slot::default();
+            group.slots.push(slot.clone());
+            tokio::spawn(serve(listener, slot));
+        }
+        for at in 0..count {
+            group.open(at).await;
+        }
+        group
+    }
+
+    pub(crate) fn config(&self, at: usize) -> ReplicaConfig {
+        let peers = self.addrs.iter().copied().filter(|it| *it != self.addrs[at]).collect();
+        let folder: PathBuf = self.folders[at].path().join("data");
+        let mut config = ReplicaConfig::new(folder, self.addrs[at], peers);
+        config.set_timeouts(50, 600).unwrap();
+        config.set_snapshot(self.snapshot);
+        config
+    }
+
+    pub(crate) async fn open(&self, at: usize) -> Replica<Journal> {
+        let dialer = Dialer { identity: None, traffic: Traffic::default(), class: Class::Control };
+        let machine = Journal::default();
+        let opened = Replica::open(self.config(at), machine, dialer, Clock::start()).await;
+        let replica = opened.unwrap();
+        *self.slots[at].lock().unwrap() = Some(replica.clone());
+        replica
+    }
+
+    pub(crate) fn get(&self, at: usize) -> Replica<Journal> {
+        self.slots[at].lock().unwrap().clone().expect("open")
+    }
+
+    pub(crate) async fn stop(&self, at: usize) {
+        let replica = self.slots[at].lock().unwrap().take();
+        replica.expect("open").shutdown().await;
+    }
+
+    /// Empties the disk of a stopped replica.
+    pub(crate) fn lose_disk(&self, at: usize) {
+        std::fs::remove_dir_all(self.folders[at].path().join("data")).unwrap();
+    }
+
+    /// Waits until one of the open replicas leads.
+    pub(crate) async fn leader(&self) -> usize {
+        let open: Vec<_> = (0..self.slots.len())
+            .filter_map(|it| Some((it, self.slots[it].lock().unwrap().clone()?)))
+            .collect();
+        let lead = open
+            .iter()
+            .map(|(at, replica)| Box::pin(wait(*at, replica, |it| it.leading.is_some())));
+        within(select(lead.collect())).await
+    }
+
+    /// Waits until the leader has committed that all open replicas vote, and returns it.
+    pub(crate) async fn whole(&self) -> usize {
+        let at = self.leader().await;
+        let leader = self.get(at);
+        let open = self.slots.iter().filter_map(|it| it.lock().unwrap().clone());
+        let ids: Vec<_> = open.map(|it| it.id()).collect();
+        let all = |_: &Progress| ids.iter().all(|it| leader.is_voter(*it));
+        within(wait(at, &leader, all)).await
+    }
+
+    /// Waits until a replica has applied this many commands.
+    pub(crate) async fn applied(&self, at: usize, commands: usize) {
+        let replica = self.get(at);
+        let mut progress = replica.subscribe();
+        let has = |_: &Progress| replica.with(|it| it.0.len()) >= commands;
+        within(progress.wait_for(has)).await.unwrap();
+    }
+}
+
+async fn serve(mut listener: Listener, slot: Slot) {
+    while let Some(incoming) = listener.accept().await {
+        let replica = slot.lock().unwrap().clone();
+        if let Some(replica) = replica {
+            replica.incoming(incoming.stream);
+        }
+    }
+}
+
+pub(crate) async fn wait<F>(at: usize, replica: &Replica<Journal>, until: F) -> usize
+where
+    F: Fn(&Progress) -> bool,
+{
+    replica.subscribe().wait_for(until).await.unwrap();
+    at
+}
+
+/// Returns the result of the future that is ready first.
+async fn select<F>(mut futures: Vec<F>) -> F::Output
+where
+    F: Future + Unpin,
+{
+    std::future::poll_fn(|cx| {
+        let mut ready = futures.iter_mut().map(|it| std::pin::Pin::new(it).poll(cx));
+        ready.find(|it| it.is_ready()).unwrap_or(std::task::Poll::Pending)
+    })
+    .await
+}
