Check a router's settings and set up logs and metrics

Cause: every binary needs typed settings that fail in one line, and one place for logs and metrics. Change: settings::load/parse with one-line errors (file:line: key: what was expected), RouterSettings, LogSettings; telemetry::open -> Metrics with a Prometheus page, telemetry::meter. Ruled out: a path tracker for serde; the parser's span with the text names the key well enough. Seen failing: arbitrary_bytes_never_panic with an unwrap in header_at (minimal input: no bytes); a_damaged_file_never_panics with the message left unsplit (a newline escape inside an enum value).

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,7 +1,18 @@
 //! Typed, checked TOML settings for each binary.
 //!
-//! Every value names its unit, unknown keys are errors, and secrets are paths of files, never values.
+//! Every value names its unit, unknown keys are errors, and secrets are paths of files, never values. A file that
+//! does not hold is refused with one line that names the file, the key and what was expected, before anything starts.
 
+mod error;
+mod load;
+mod log;
+mod router;
 mod tls;
 
-pub use crate::tls::TlsFiles;
+pub use crate::{
+    error::SettingsError,
+    load::{Check, load, parse},
+    log::{LogFormat, LogLevel, LogSettings},
+    router::{RequestLimits, RouterSettings, Routing},
+    tls::{CertFiles, TlsFiles},
+};
--- a/crates/settings/src/tls.rs
+++ b/crates/settings/src/tls.rs
@@ -16,3 +16,13 @@
     /// This process's private key.
     pub key: PathBuf,
 }
+
+/// The PEM files by which a process proves itself to callers, who show no certificate.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct CertFiles {
+    /// The certificate chain.
+    pub cert: PathBuf,
+    /// The private key.
+    pub key: PathBuf,
+}
--- /dev/null
+++ b/crates/telemetry/src/metrics.rs
@@ -0,0 +1,49 @@
+//! Metrics by `opentelemetry`, read as a Prometheus page.
+
+use {
+    derive_more::Debug,
+    eyre::{Result, WrapErr},
+    opentelemetry::{global, metrics::Meter},
+    opentelemetry_sdk::metrics::SdkMeterProvider,
+    prometheus::{Encoder, Registry, TextEncoder},
+};
+
+const NAMESPACE: &str = "jasminefront";
+
+/// The metrics of this process.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    #[debug(skip)]
+    _provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    pub(crate) fn open() -> Result<Metrics> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace(NAMESPACE)
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()
+            .wrap_err("telemetry: cannot register the metrics exporter")?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        global::set_meter_provider(provider.clone());
+        Ok(Metrics { registry, _provider: provider })
+    }
+
+    /// Returns the Prometheus page: text, one sample a line.
+    pub fn page(&self) -> String {
+        let mut page = Vec::new();
+        if let Err(err) = TextEncoder::new().encode(&self.registry.gather(), &mut page) {
+            tracing::warn!("telemetry: cannot write the metrics page: {err}");
+        }
+        String::from_utf8_lossy(&page).into_owned()
+    }
+}
+
+/// Returns the meter of one part of this process; call it after [`open`](crate::open).
+pub fn meter(part: &'static str) -> Meter {
+    global::meter(part)
+}
