Serve plans, feeds and claims from one control replica (adds Digest::parse to model)

Cause: routers and the operator tool need a control process before the replicated log exists. Change: the state machines of intent and ledger, and jf-control with the admin API, the feed and the ledger's calls; the state is kept in memory by one replica behind a small module (log.rs) that the replicated log will replace, and the roster is every router heard of in the last 3 s (roster.rs), to be replaced by the member crate. Ruled out: a whole configuration on every reconnect; a router whose revision and digest are in the chain gets deltas. Result: 4 tests of crates/control/tests/replica.rs over sockets pass. No property tests yet.

--- /dev/null
+++ b/crates/control/src/admin.rs
@@ -0,0 +1,120 @@
+//! The admin HTTP API for operators.
+
+use {
+    crate::{
+        command::{Command, Output},
+        control::Shared,
+        reply::{self, Fault},
+        status,
+    },
+    edge::{Body, full, read_all},
+    http::{Method, Request, Response, StatusCode, header},
+    hyper::body::Incoming,
+    intent::{Action, Document, Operation, PlanId},
+    model::{Digest, Name, OperationId},
+    std::{convert::Infallible, sync::Arc, time::Duration},
+};
+
+/// The longest document, in bytes.
+const MAX_DOCUMENT_BYTES: usize = 16 << 20;
+
+/// How long a document may stall on its way.
+const STALL_LIMIT: Duration = Duration::from_millis(10_000);
+
+/// The longest operation id, in bytes.
+const MAX_ID_BYTES: usize = 128;
+
+/// The header that carries the operation id.
+const OPERATION_HEADER: &str = "operation-id";
+
+type Answered = Result<Response<Body>, Fault>;
+
+/// Answers one request.
+pub(crate) async fn serve(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let answered = match (request.method(), request.uri().path()) {
+        (&Method::GET, "/health") => Ok(Response::new(full("ok\n"))),
+        (&Method::GET, "/ready") => Ok(ready(&shared)),
+        _ => operate(&shared, request).await,
+    };
+    Ok(answered.unwrap_or_else(reply::fault))
+}
+
+fn ready(shared: &Shared) -> Response<Body> {
+    match shared.log.leader() {
+        Some(_) => Response::new(full("ready\n")),
+        None => reply::fault(Fault::NoQuorum),
+    }
+}
+
+async fn operate(shared: &Shared, request: Request<Incoming>) -> Answered {
+    let operator = operator(shared, &request)?;
+    if !shared.log.leads() {
+        return Err(not_leader(shared));
+    }
+    let path = request.uri().path().to_owned();
+    let steps: Vec<_> = path.trim_start_matches('/').split('/').collect();
+    match (request.method(), steps.as_slice()) {
+        (&Method::GET, ["v1", "status"]) => {
+            Ok(reply::json(StatusCode::OK, &status::status(shared)))
+        }
+        (&Method::GET, ["v1", "audit"]) => Ok(reply::json(StatusCode::OK, &status::audit(shared))),
+        (&Method::POST, ["v1", "plans"]) => {
+            let id = operation_id(&request)?;
+            let action = document(request).await?;
+            propose(shared, id, operator, action).await
+        }
+        (&Method::POST, ["v1", "plans", plan, "confirm"]) => {
+            let id = operation_id(&request)?;
+            let plan = PlanId::parse(plan).ok_or(Fault::Path)?;
+            propose(shared, id, operator, Action::Confirm { plan }).await
+        }
+        (&Method::POST, ["v1", "endpoints", endpoint, "drain"]) => {
+            let id = operation_id(&request)?;
+            let endpoint = Name::from(*endpoint);
+            propose(shared, id, operator, Action::Drain { endpoint }).await
+        }
+        _ => Err(Fault::Path),
+    }
+}
+
+fn not_leader(shared: &Shared) -> Fault {
+    Fault::NotLeader(shared.log.leader().map(|it| it.admin))
+}
+
+fn operator(shared: &Shared, request: &Request<Incoming>) -> Result<Name, Fault> {
+    let value = request.headers().get(header::AUTHORIZATION);
+    let token = value.and_then(|it| it.to_str().ok()?.strip_prefix("Bearer "));
+    let found = token.and_then(|it| shared.operators.find(it.trim()));
+    found.cloned().ok_or(Fault::Unauthorized)
+}
+
+fn operation_id(request: &Request<Incoming>) -> Result<OperationId, Fault> {
+    let value = request.headers().get(OPERATION_HEADER).and_then(|it| it.to_str().ok());
+    let id = value.filter(|it| (1..=MAX_ID_BYTES).contains(&it.len()));
+    id.map(|it| OperationId(it.into())).ok_or(Fault::OperationId)
+}
+
+/// Reads a document; one that cannot be read is still proposed, so that its refusal is audited.
+async fn document(request: Request<Incoming>) -> Result<Action, Fault> {
+    let read = read_all(request.into_body(), MAX_DOCUMENT_BYTES, STALL_LIMIT).await;
+    let bytes = read.map_err(Fault::Body)?;
+    let text = str::from_utf8(&bytes).map_err(|it| it.to_string());
+    Ok(match text.and_then(Document::parse) {
+        Ok(document) => Action::Plan(document),
+        Err(message) => Action::Malformed { message: message.into(), text: Digest::of(&bytes) },
+    })
+}
+
+async fn propose(shared: &Shared, id: OperationId, operator: Name, action: Action) -> Answered {
+    let live = shared.fleet.lock().live(shared.clock.now()).into();
+    let (at_ms, weights) = (shared.wall_ms(), shared.weights());
+    let operation = Operation { id, operator, at_ms, action, live, weights };
+    match shared.log.propose(Command::Operation(Box::new(operation))).await {
+        Ok(Output::Answer(it)) => Ok(reply::answer(&it)),
+        Ok(_) => Err(Fault::NoQuorum),
+        Err(crate::log::NotCommitted::NotLeader) => Err(not_leader(shared)),
+    }
+}
--- /dev/null
+++ b/crates/control/src/command.rs
@@ -0,0 +1,59 @@
+//! What goes through the replicated log.
+
+use {
+    derive_more::Debug,
+    intent::{Answer, Operation},
+    ledger::{Call, Reply},
+    model::{Digest, Domain, HostName, Roster, RouterId},
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// One entry of the replicated log.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
+pub enum Command {
+    /// An operator's request.
+    Operation(Box<Operation>),
+    /// A router process asks for its id.
+    Register {
+        /// Its host.
+        host: HostName,
+        /// The random number of the process.
+        process: u64,
+        /// Where other routers reach it.
+        addr: SocketAddr,
+        /// Its failure domain.
+        domain: Domain,
+    },
+    /// The next roster.
+    Roster(Roster),
+    /// A call of the ledger.
+    Ledger {
+        /// When the leader took it, in milliseconds since 1970.
+        at_ms: u64,
+        /// The call.
+        call: Call,
+    },
+    /// A fingerprint of requests that crash endpoints.
+    Quarantine {
+        /// When the leader took it, in milliseconds since 1970.
+        at_ms: u64,
+        /// The fingerprint.
+        fingerprint: Digest,
+    },
+}
+
+/// What a command led to.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
+pub enum Output {
+    /// The answer to an operator.
+    Answer(Answer),
+    /// The id of a router process.
+    Router(RouterId),
+    /// Whether a roster was taken: it must follow the one in force.
+    Roster(bool),
+    /// The reply of the ledger.
+    Ledger(Reply),
+    /// A fingerprint is quarantined.
+    Quarantined,
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,33 @@
+//! A control replica: the replicated state behind an admin API for operators and feeds for routers.
+//!
+//! [`State`] is the whole replicated state; one match in it applies each [`Command`]. Everything that is acknowledged
+//! was committed first. The rest is thin: sockets, timers, and tables of what routers last reported, which the leader
+//! alone holds and which a new leader fills anew.
+//!
+//! Lock order: the state before the fleet; no lock is held across an await.
+
+#![allow(
+    clippy::disallowed_methods,
+    reason = "this process reads the clocks for its state machines"
+)]
+
+mod admin;
+mod claims;
+mod command;
+mod control;
+mod feed;
+mod fleet;
+mod log;
+mod operators;
+mod quarantine;
+mod reply;
+mod roster;
+mod routers;
+mod state;
+mod status;
+
+pub use crate::{
+    command::{Command, Output},
+    control::Control,
+    state::State,
+};
--- /dev/null
+++ b/crates/control/tests/replica.rs
@@ -0,0 +1,234 @@
+//! One real replica over sockets: plan, confirm, feeds, refusals.
+
+use {
+    control::Control,
+    edge::{Client, full},
+    http::Request,
+    http_body_util::BodyExt,
+    ledger::{Call, ClaimKey, RecordedAnswer, Reply, Step},
+    model::{Config, Digest, Domain, HostName, RequestId, Revision, RouterId, ServiceId, TeamId},
+    serde_json::Value,
+    settings::{ControlSettings, WeightLimits},
+    std::{fs, sync::Arc},
+    tempfile::TempDir,
+    wire::{
+        Class, Dialer, Peer, Stream, Traffic,
+        msg::{FEED_PATH, FromControl, LEDGER_PATH, ToControl},
+    },
+};
+
+const TOKEN: &str = "secret-of-alice";
+
+const INTENT: &str = r#"
+[[team]]
+name = "inspection"
+tokens = ["sha256:0101010101010101010101010101010101010101010101010101010101010101"]
+rate-per-second = 200
+running = 100
+queued = 50
+[[service]]
+name = "auditstore"
+kind = "plain"
+bound-permille = 1250
+minimum = 1
+claim-ms = 86400000
+[[endpoint]]
+name = "auditstore-1"
+service = "auditstore"
+addr = "127.0.0.1:7101"
+domain = "prg-a"
+fencing = "checked"
+"#;
+
+struct Bench {
+    control: Control,
+    client: Client,
+    _data: TempDir,
+}
+
+impl Bench {
+    async fn open() -> Bench {
+        let data = tempfile::tempdir().unwrap();
+        let operators = data.path().join("operators.toml");
+        let token = Digest::of(TOKEN.as_bytes());
+        let text = format!("[[operator]]\nname = \"alice\"\ntoken = \"sha256:{token}\"\n");
+        fs::write(&operators, text).unwrap();
+        let any = "127.0.0.1:0".parse().unwrap();
+        let settings = ControlSettings {
+            host: HostName("c1".into()),
+            domain: Domain("prg-a".into()),
+            replica: 1.into(),
+            data: data.path().join("data"),
+            inner: any,
+            admin: any,
+            peers: Vec::new(),
+            operators,
+            tls_inner: None,
+            weights: WeightLimits::default(),
+        };
+        let control = Control::spawn(settings).await.unwrap();
+        Bench { control, client: Client::new(5_000), _data: data }
+    }
+
+    async fn post(&self, path: &str, operation: &str, body: &str) -> (u16, Value) {
+        self.call("POST", path, operation, body, TOKEN).await
+    }
+
+    async fn get(&self, path: &str) -> Value {
+        let (status, value) = self.call("GET", path, "none", "", TOKEN).await;
+        assert_eq!(status, 200, "{value}");
+        value
+    }
+
+    async fn call(
+        &self,
+        method: &str,
+        path: &str,
+        operation: &str,
+        body: &str,
+        token: &str,
+    ) -> (u16, Value) {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("operation-id", operation)
+            .header("authorization", format!("Bearer {token}"))
+            .body(full(body.to_owned()))
+            .unwrap();
+        let response = self.client.send(self.control.admin(), request).await.unwrap();
+        let status = response.status().as_u16();
+        let bytes = response.into_body().collect().await.unwrap().to_bytes();
+        (status, serde_json::from_slice(&bytes).unwrap())
+    }
+
+    async fn plan_and_confirm(&self) {
+        let (status, planned) = self.post("/v1/plans", "op-plan", INTENT).await;
+        assert_eq!(status, 200, "{planned}");
+        let path = format!("/v1/plans/{}/confirm", planned["plan"].as_str().unwrap());
+        let (status, confirmed) = self.post(&path, "op-confirm", "").await;
+        assert_eq!((status, confirmed["revision"].as_u64()), (200, Some(1)), "{confirmed}");
+    }
+
+    async fn stream(&self, path: &str) -> Stream {
+        let dialer = Dialer { identity: None, traffic: Traffic::default(), class: Class::Control };
+        Peer::new(self.control.inner(), dialer).open(path).await.unwrap()
+    }
+
+    async fn feed(&self) -> (Stream, RouterId) {
+        let mut stream = self.stream(FEED_PATH).await;
+        let hello = ToControl::Hello {
+            host: HostName("e1".into()),
+            process: 7,
+            addr: "127.0.0.1:9".parse().unwrap(),
+            domain: Domain("prg-a".into()),
+            revision: Revision(0),
+            digest: Digest::default(),
+        };
+        stream.send.send(&hello).await.unwrap();
+        let FromControl::Welcome { router } = next(&mut stream).await else { panic!("no welcome") };
+        (stream, router)
+    }
+
+    async fn ledger(&self, call: &Call) -> Reply {
+        let mut stream = self.stream(LEDGER_PATH).await;
+        stream.send.send(call).await.unwrap();
+        stream.recv.recv().await.unwrap().unwrap()
+    }
+}
+
+async fn next(stream: &mut Stream) -> FromControl {
+    stream.recv.recv().await.unwrap().unwrap()
+}
+
+async fn heartbeat(stream: &mut Stream, seq: u64) {
+    let beat = ToControl::Heartbeat {
+        seq,
+        revision: Revision(0),
+        epoch: 0.into(),
+        leaving: false,
+        sums: Default::default(),
+    };
+    stream.send.send(&beat).await.unwrap();
+}
+
+/// Sends heartbeats until the router is in the roster.
+async fn join(stream: &mut Stream, router: RouterId) {
+    heartbeat(stream, 1).await;
+    loop {
+        if let FromControl::Roster(roster) = next(stream).await
+            && roster.get(router).is_some()
+        {
+            return;
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_confirmed_plan_reaches_a_router_as_a_delta() {
+    let bench = Bench::open().await;
+    let (mut feed, router) = bench.feed().await;
+    let FromControl::Config(config) = next(&mut feed).await else { panic!("no configuration") };
+    let mut config = Config::clone(&config);
+    join(&mut feed, router).await;
+    bench.plan_and_confirm().await;
+    let delta = loop {
+        if let FromControl::Delta(delta) = next(&mut feed).await {
+            break delta;
+        }
+    };
+    config.apply(&delta).unwrap();
+    assert_eq!(config.revision, Revision(1));
+    assert_eq!(config.endpoints.len(), 1);
+    let status = bench.get("/v1/status").await;
+    assert_eq!((&status["revision"], &status["behind"]), (&1.into(), &1.into()), "{status}");
+    bench.control.shutdown().await;
+}
+
+#[tokio::test]
+async fn a_refused_intent_changes_nothing_and_is_audited() {
+    let bench = Bench::open().await;
+    bench.plan_and_confirm().await;
+    let wrong = INTENT.replace("service = \"auditstore\"", "service = \"nowhere\"");
+    let (status, refused) = bench.post("/v1/plans", "op-2", &wrong).await;
+    assert_eq!(status, 422, "{refused}");
+    assert_eq!(refused["error"]["aggregate"], "endpoint auditstore-1");
+    assert_eq!(refused["error"]["rule"], "unknown-service");
+    assert_eq!(bench.post("/v1/plans", "op-3", "[[team").await.0, 400);
+    assert_eq!(bench.post("/v1/plans/plan-9/confirm", "op-4", "").await.0, 404);
+    assert_eq!(bench.post("/v1/endpoints/auditstore-1/drain", "op-5", "").await.0, 422);
+    assert_eq!(bench.get("/v1/status").await["revision"], 1);
+    let audit = bench.get("/v1/audit").await;
+    let records = audit["records"].as_array().unwrap();
+    assert_eq!(records.len(), 6, "{audit}");
+    assert!(records[2]["event"].as_str().unwrap().starts_with("refused: endpoint auditstore-1"));
+    assert_eq!(records[2]["operator"], "alice");
+    bench.control.shutdown().await;
+}
+
+#[tokio::test]
+async fn an_unknown_operator_is_refused() {
+    let bench = Bench::open().await;
+    let (status, _) = bench.call("POST", "/v1/plans", "op-1", INTENT, "guess").await;
+    assert_eq!(status, 401);
+    assert_eq!(bench.get("/v1/audit").await["records"], Value::Array(Vec::new()));
+    bench.control.shutdown().await;
+}
+
+#[tokio::test]
+async fn a_claimed_key_is_answered_from_the_ledger() {
+    let bench = Bench::open().await;
+    bench.plan_and_confirm().await;
+    let (mut feed, router) = bench.feed().await;
+    let key = ClaimKey::new(TeamId(1), ServiceId(1), b"evidence-1");
+    let claim = Step::Claim { request: Digest::of(b"body") };
+    let call = |id: u128, step: Step| Call { key, router, id: RequestId(id), step };
+    assert_eq!(bench.ledger(&call(1, claim.clone())).await, Reply::NotLive);
+    join(&mut feed, router).await;
+    assert_eq!(bench.ledger(&call(1, claim.clone())).await, Reply::Granted);
+    assert_eq!(bench.ledger(&call(2, claim.clone())).await, Reply::InProgress);
+    let answer = Arc::new(RecordedAnswer::new(201, [], "stored".into()));
+    let done = Step::Done { answer: answer.clone() };
+    assert_eq!(bench.ledger(&call(1, done)).await, Reply::Noted);
+    assert_eq!(bench.ledger(&call(3, claim)).await, Reply::Recorded(answer));
+    bench.control.shutdown().await;
+}
--- /dev/null
+++ b/crates/ledger/src/shard.rs
@@ -0,0 +1,176 @@
+//! The claims of one part of the key space.
+//!
+//! Shards share nothing, so that they can be spread over several groups of replicas.
+
+use {
+    crate::{
+        call::{Reply, Step},
+        claim::{Claim, ClaimKey, ClaimState},
+    },
+    derive_more::Debug,
+    model::{Digest, RequestId, RouterId},
+    serde::{Deserialize, Serialize},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// The most claims in a shard.
+const MAX_CLAIMS: usize = 1 << 18;
+
+/// How many expired claims are dropped with each call.
+const EXPIRE_BATCH: usize = 8;
+
+/// Claims by key, with the indexes to expire them and to find those of a lost router.
+#[derive(Clone, PartialEq, Eq, Default, Serialize, Deserialize, Debug)]
+pub(crate) struct Shard {
+    claims: BTreeMap<ClaimKey, Claim>,
+    expiry: BTreeSet<(u64, ClaimKey)>,
+    held: BTreeSet<(RouterId, ClaimKey)>,
+}
+
+/// Who calls, and when.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Caller {
+    /// The router.
+    pub(crate) router: RouterId,
+    /// The claim's own number.
+    pub(crate) id: RequestId,
+    /// Whether the router is in the roster.
+    pub(crate) live: bool,
+    /// The present, in milliseconds since 1970.
+    pub(crate) now_ms: u64,
+    /// How long claims are kept, in milliseconds.
+    pub(crate) keep_ms: u64,
+}
+
+impl Shard {
+    /// How many claims there are.
+    pub(crate) fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Carries out a call.
+    pub(crate) fn call(&mut self, caller: Caller, key: &ClaimKey, step: &Step) -> Reply {
+        self.expire(caller);
+        match step {
+            Step::Claim { request } => self.claim(caller, key, *request),
+            Step::Dispatched { endpoint } => {
+                self.advance(caller, key, ClaimState::Dispatched(*endpoint))
+            }
+            Step::Done { answer } if !answer.fits() => Reply::TooLarge,
+            Step::Done { answer } => self.advance(caller, key, ClaimState::Done(answer.clone())),
+            Step::Release => self.release(caller, key),
+            Step::Unknown => self.advance(caller, key, ClaimState::Unknown),
+        }
+    }
+
+    /// Turns the claims that a router holds into unknown ones.
+    pub(crate) fn lose(&mut self, router: RouterId) {
+        let range = (router, ClaimKey::default())..;
+        let own = self.held.range(range).take_while(|it| it.0 == router);
+        let keys: Vec<_> = own.map(|it| it.1).collect();
+        keys.iter().for_each(|it| self.set(it, ClaimState::Unknown));
+    }
+
+    fn claim(&mut self, caller: Caller, key: &ClaimKey, request: Digest) -> Reply {
+        if !caller.live {
+            return Reply::NotLive;
+        }
+        let Some(claim) = self.claims.get(key) else { return self.grant(caller, key, request) };
+        let own = claim.router == caller.router && claim.id == caller.id;
+        match &claim.state {
+            // The same number was released: this is a late copy of a call that its router gave up.
+            ClaimState::Released if own => Reply::NotHolder,
+            ClaimState::Released => self.grant(caller, key, request),
+            _ if claim.request != request => Reply::Mismatch,
+            ClaimState::Done(answer) => Reply::Recorded(answer.clone()),
+            ClaimState::Unknown => Reply::Unknown,
+            ClaimState::Claimed if own => Reply::Granted,
+            ClaimState::Claimed | ClaimState::Dispatched(_) => Reply::InProgress,
+        }
+    }
+
+    fn grant(&mut self, caller: Caller, key: &ClaimKey, request: Digest) -> Reply {
+        if self.claims.len() >= MAX_CLAIMS && !self.claims.contains_key(key) {
+            return Reply::Full;
+        }
+        self.put(caller, key, request, ClaimState::Claimed);
+        Reply::Granted
+    }
+
+    /// Moves a claim on that the caller holds.
+    fn advance(&mut self, caller: Caller, key: &ClaimKey, next: ClaimState) -> Reply {
+        let Some(claim) = self.claims.get(key) else { return Reply::NotHolder };
+        if claim.router != caller.router || claim.id != caller.id {
+            return Reply::NotHolder;
+        }
+        match (&claim.state, &next) {
+            (ClaimState::Unknown, _) => Reply::Unknown,
+            (ClaimState::Done(answer), _) => Reply::Recorded(answer.clone()),
+            (ClaimState::Released, _) => Reply::NotHolder,
+            (ClaimState::Claimed | ClaimState::Dispatched(_), _) => {
+                self.set(key, next);
+                Reply::Noted
+            }
+        }
+    }
+
+    /// Gives a claim back; one that has not arrived yet is barred, as its router will not use it.
+    fn release(&mut self, caller: Caller, key: &ClaimKey) -> Reply {
+        if self.claims.contains_key(key) {
+            return self.advance(caller, key, ClaimState::Released);
+        }
+        if self.claims.len() >= MAX_CLAIMS {
+            return Reply::Full;
+        }
+        self.put(caller, key, Digest::default(), ClaimState::Released);
+        Reply::Noted
+    }
+
+    fn put(&mut self, caller: Caller, key: &ClaimKey, request: Digest, state: ClaimState) {
+        self.remove(key);
+        let expires_ms = caller.now_ms.saturating_add(caller.keep_ms);
+        let claim = Claim { request, router: caller.router, id: caller.id, expires_ms, state };
+        self.expiry.insert((expires_ms, *key));
+        if claim.is_held() {
+            self.held.insert((claim.router, *key));
+        }
+        self.claims.insert(*key, claim);
+    }
+
+    fn set(&mut self, key: &ClaimKey, state: ClaimState) {
+        let Some(claim) = self.claims.get_mut(key) else { return };
+        claim.state = state;
+        if !claim.is_held() {
+            self.held.remove(&(claim.router, *key));
+        }
+    }
+
+    fn remove(&mut self, key: &ClaimKey) {
+        let Some(claim) = self.claims.remove(key) else { return };
+        self.expiry.remove(&(claim.expires_ms, *key));
+        self.held.remove(&(claim.router, *key));
+    }
+
+    /// Drops claims whose deadline passed; a request that may still run becomes unknown and is kept once more.
+    fn expire(&mut self, caller: Caller) {
+        for _ in 0..EXPIRE_BATCH {
+            let Some((expires_ms, key)) = self.expiry.first().copied() else { return };
+            if expires_ms > caller.now_ms {
+                return;
+            }
+            if !self.claims.get(&key).is_some_and(Claim::is_held) {
+                self.remove(&key);
+                continue;
+            }
+            self.set(&key, ClaimState::Unknown);
+            self.postpone(&key, caller.now_ms.saturating_add(caller.keep_ms));
+        }
+    }
+
+    fn postpone(&mut self, key: &ClaimKey, expires_ms: u64) {
+        let Some(claim) = self.claims.get_mut(key) else { return };
+        self.expiry.remove(&(claim.expires_ms, *key));
+        claim.expires_ms = expires_ms;
+        self.expiry.insert((expires_ms, *key));
+    }
+}
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -152,6 +152,13 @@
 pub struct Digest(pub [u8; 32]);
 
 impl Digest {
+    /// Reads `sha256:` followed by 64 hexadecimal digits.
+    pub fn parse(text: &str) -> Option<Digest> {
+        let mut bytes = [0; 32];
+        hex::decode_to_slice(text.strip_prefix("sha256:")?, &mut bytes).ok()?;
+        Some(Digest(bytes))
+    }
+
     /// Returns the digest of `bytes`.
     pub fn of(bytes: &[u8]) -> Digest {
         use sha2::Digest as _;
