Put jf-control on the replica crate

Change: log.rs wraps replica::Replica<State>; reads of status and audit pass Replica::read first. Settings name addresses only, no replica id, as ids are drawn by the data folder. ControlSettings uses the shared loader.

--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -4,6 +4,7 @@
     crate::{
         command::{Command, Output},
         control::Shared,
+        log::NotCommitted,
         reply::{self, Fault},
         status,
     },
@@ -31,9 +32,10 @@
 
 /// Answers one request.
 pub(crate) async fn serve(
-    shared: Arc<Shared>,
+    shared: Option<Arc<Shared>>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
+    let Some(shared) = shared else { return Ok(reply::fault(Fault::NotLeader(None))) };
     let answered = match (request.method(), request.uri().path()) {
         (&Method::GET, "/health") => Ok(Response::new(full("ok\n"))),
         (&Method::GET, "/ready") => Ok(ready(&shared)),
@@ -58,9 +60,13 @@
     let steps: Vec<_> = path.trim_start_matches('/').split('/').collect();
     match (request.method(), steps.as_slice()) {
         (&Method::GET, ["v1", "status"]) => {
+            current(shared).await?;
             Ok(reply::json(StatusCode::OK, &status::status(shared)))
         }
-        (&Method::GET, ["v1", "audit"]) => Ok(reply::json(StatusCode::OK, &status::audit(shared))),
+        (&Method::GET, ["v1", "audit"]) => {
+            current(shared).await?;
+            Ok(reply::json(StatusCode::OK, &status::audit(shared)))
+        }
         (&Method::POST, ["v1", "plans"]) => {
             let id = operation_id(&request)?;
             let action = document(request).await?;
@@ -112,9 +118,21 @@
     let live = shared.fleet.lock().live(shared.clock.now()).into();
     let (at_ms, weights) = (shared.wall_ms(), shared.weights());
     let operation = Operation { id, operator, at_ms, action, live, weights };
-    match shared.log.propose(Command::Operation(Box::new(operation))).await {
-        Ok(Output::Answer(it)) => Ok(reply::answer(&it)),
-        Ok(_) => Err(Fault::NoQuorum),
-        Err(crate::log::NotCommitted::NotLeader) => Err(not_leader(shared)),
+    let proposed = shared.log.propose(&Command::Operation(Box::new(operation))).await;
+    match proposed.map_err(|it| not_committed(shared, it))? {
+        Output::Answer(it) => Ok(reply::answer(&it)),
+        _ => Err(Fault::NoQuorum),
+    }
+}
+
+/// Makes sure that what is read next is current.
+async fn current(shared: &Shared) -> Result<(), Fault> {
+    shared.log.read().await.map_err(|it| not_committed(shared, it))
+}
+
+fn not_committed(shared: &Shared, cause: NotCommitted) -> Fault {
+    match cause {
+        NotCommitted::NotLeader => not_leader(shared),
+        NotCommitted::Unknown => Fault::NoQuorum,
     }
 }
--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -4,6 +4,7 @@
     crate::{
         command::{Command, Output},
         control::Shared,
+        log::NotCommitted,
     },
     ledger::{Call, Reply},
     std::{sync::Arc, time::Duration},
@@ -25,14 +26,11 @@
 }
 
 async fn carry_out(shared: &Shared, call: Call) -> Reply {
-    if !shared.log.leads() {
-        return Reply::NotLeader { leader: shared.log.leader().map(|it| it.inner) };
-    }
     let command = Command::Ledger { at_ms: shared.wall_ms(), call };
-    match shared.log.propose(command).await {
+    match shared.log.propose(&command).await {
         Ok(Output::Ledger(reply)) => reply,
-        Ok(_) => Reply::NoQuorum,
-        Err(crate::log::NotCommitted::NotLeader) => {
+        Ok(_) | Err(NotCommitted::Unknown) => Reply::NoQuorum,
+        Err(NotCommitted::NotLeader) => {
             Reply::NotLeader { leader: shared.log.leader().map(|it| it.inner) }
         }
     }
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -56,4 +56,6 @@
     Ledger(Reply),
     /// A fingerprint is quarantined.
     Quarantined,
+    /// The command cannot be decoded; nothing was done.
+    Malformed,
 }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -4,7 +4,7 @@
     crate::{
         admin, claims, feed,
         fleet::Fleet,
-        log::{LeaderAddr, Log},
+        log::{Log, ReplicaAddr},
         operators::Operators,
         roster,
     },
@@ -15,12 +15,12 @@
     settings::ControlSettings,
     std::{
         net::SocketAddr,
-        sync::Arc,
+        sync::{Arc, OnceLock},
         time::{SystemTime, UNIX_EPOCH},
     },
     tokio::task::JoinHandle,
     tower::service_fn,
-    wire::{Clock, Identity, Incoming, Listener, Traffic, msg},
+    wire::{Class, Clock, Dialer, Identity, Incoming, Listener, Traffic, msg},
 };
 
 /// What all tasks of the process share.
@@ -51,18 +51,17 @@
         let operators = Operators::open(&settings.operators)?;
         let identity = settings.tls_inner.as_ref().map(Identity::open).transpose();
         let identity = identity.map_err(|it| eyre!("control: read keys: {it}"))?;
-        let traffic = Traffic::default();
-        let listener = Listener::bind(settings.inner, identity, traffic.clone()).await?;
+        let (traffic, clock) = (Traffic::default(), Clock::start());
+        let listener = Listener::bind(settings.inner, identity.clone(), traffic.clone()).await?;
         let inner = listener.addr();
-        let shared = Arc::new(Shared {
-            log: Log::open(LeaderAddr { inner, admin: settings.admin }),
-            settings,
-            operators,
-            fleet: Mutex::default(),
-            clock: Clock::start(),
-            traffic,
-        });
-        let server = serve_admin(&shared).await?;
+        let slot: Arc<OnceLock<Arc<Shared>>> = Arc::default();
+        let server = serve_admin(settings.admin, slot.clone()).await?;
+        let own = ReplicaAddr { inner, admin: server.addr() };
+        let dialer = Dialer { identity, traffic: traffic.clone(), class: Class::Control };
+        let log = Log::open(&settings, own, dialer, clock).await?;
+        let fleet = Mutex::default();
+        let shared = Arc::new(Shared { settings, operators, log, fleet, clock, traffic });
+        slot.get_or_init(|| shared.clone());
         let tasks = vec![
             tokio::spawn(accept(shared.clone(), listener)),
             tokio::spawn(roster::run(shared.clone())),
@@ -84,7 +83,7 @@
     /// Ends the replica once operators have their answers.
     pub async fn shutdown(self) {
         self.server.shutdown().await;
-        self.shared.log.stop();
+        self.shared.log.shutdown().await;
         self.tasks.iter().for_each(JoinHandle::abort);
     }
 }
@@ -102,9 +101,9 @@
     }
 }
 
-async fn serve_admin(shared: &Arc<Shared>) -> Result<Server> {
-    let (addr, shared) = (shared.settings.admin, shared.clone());
-    let service = service_fn(move |request| admin::serve(shared.clone(), request));
+/// Binds the admin address; until the slot is filled, requests are refused.
+async fn serve_admin(addr: SocketAddr, slot: Arc<OnceLock<Arc<Shared>>>) -> Result<Server> {
+    let service = service_fn(move |request| admin::serve(slot.get().cloned(), request));
     Ok(Server::bind(addr, ServerLimits::default(), service).await?)
 }
 
@@ -119,6 +118,7 @@
     let ended = match incoming.path.as_str() {
         msg::FEED_PATH => feed::serve(shared, incoming.stream).await,
         msg::LEDGER_PATH => claims::serve(shared, incoming.stream).await,
+        msg::REPLICA_PATH => return shared.log.incoming(incoming.stream),
         path => return tracing::warn!("control: {peer} asks for unknown {path}"),
     };
     if let Err(err) = ended {
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -9,6 +9,7 @@
         state::State,
     },
     model::{Config, Digest, Epoch, Revision, RouterId},
+    replica::Progress,
     std::{sync::Arc, time::Duration},
     tokio::{sync::watch, time::timeout},
     wire::{
@@ -51,7 +52,7 @@
     }
 }
 
-async fn changed(changes: &mut watch::Receiver<u64>) {
+async fn changed(changes: &mut watch::Receiver<Progress>) {
     if changes.changed().await.is_err() {
         std::future::pending::<()>().await;
     }
@@ -85,7 +86,7 @@
             return None;
         }
         let register = Command::Register { host, process, addr, domain };
-        let registered = shared.log.propose(register).await;
+        let registered = shared.log.propose(&register).await;
         let Ok(Output::Router(router)) = registered else { return None };
         // A router that is ahead of this replica must not be taken back.
         let behind = shared.log.with(|it| it.intents.config().revision < revision);
@@ -153,7 +154,7 @@
             ToControl::Quarantine { fingerprint } => {
                 let at_ms = self.shared.wall_ms();
                 let command = Command::Quarantine { at_ms, fingerprint };
-                if let Err(err) = self.shared.log.propose(command).await {
+                if let Err(err) = self.shared.log.propose(&command).await {
                     tracing::warn!("control: quarantine not committed: {err}");
                 }
                 Ok(())
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -1,6 +1,14 @@
 //! The `jf-control` binary.
 
-use {control::Control, eyre::Result};
+use {
+    control::Control,
+    eyre::Result,
+    settings::ControlSettings,
+    tokio::signal::{
+        ctrl_c,
+        unix::{SignalKind, signal},
+    },
+};
 
 mod flags {
     #![allow(missing_docs, unreachable_pub, reason = "the macro writes these items")]
@@ -19,9 +27,19 @@
 #[tokio::main]
 async fn main() -> Result<()> {
     let flags = flags::JfControl::from_env_or_exit();
-    let text = std::fs::read_to_string(&flags.settings)?;
-    let control = Control::spawn(toml::from_str(&text)?).await?;
-    tokio::signal::ctrl_c().await?;
+    let settings: ControlSettings = settings::load(&flags.settings)?;
+    let _metrics = telemetry::open(&settings.log)?;
+    let control = Control::spawn(settings).await?;
+    stopped().await?;
     control.shutdown().await;
     Ok(())
 }
+
+/// Returns when the process is told to stop.
+async fn stopped() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        interrupted = ctrl_c() => Ok(interrupted?),
+        _ = terminate.recv() => Ok(()),
+    }
+}
--- a/crates/control/src/roster.rs
+++ b/crates/control/src/roster.rs
@@ -1,7 +1,7 @@
 //! Which routers are in the roster: those that were heard of lately.
 
 use {
-    crate::{control::Shared, fleet::Fleet, state::State},
+    crate::{command::Command, control::Shared, fleet::Fleet, state::State},
     model::{Roster, RouterEntry, RouterState, SECOND, Time},
     std::{sync::Arc, time::Duration},
     tokio::time::interval,
@@ -25,7 +25,7 @@
             continue;
         }
         let Some(next) = shared.next_roster() else { continue };
-        if let Err(err) = shared.log.propose(crate::command::Command::Roster(next)).await {
+        if let Err(err) = shared.log.propose(&Command::Roster(next)).await {
             tracing::warn!("control: roster not committed: {err}");
         }
     }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -8,13 +8,14 @@
     },
     bincode::{
         config::standard,
-        error::{DecodeError, EncodeError},
+        error::DecodeError,
         serde::{decode_from_slice, encode_to_vec},
     },
     derive_more::Debug,
     intent::Intents,
     ledger::{Call, Ledger, Reply},
     model::{Roster, RouterId, RouterState},
+    replica::{Machine, RestoreError},
     serde::{Deserialize, Serialize},
 };
 
@@ -29,8 +30,8 @@
 }
 
 impl State {
-    /// Applies a committed command.
-    pub fn apply(&mut self, command: Command) -> Output {
+    /// Carries out a committed command.
+    pub fn execute(&mut self, command: Command) -> Output {
         match command {
             Command::Operation(it) => Output::Answer(self.intents.apply(&it)),
             Command::Register { host, process, addr, domain } => {
@@ -45,24 +46,6 @@
         }
     }
 
-    /// Encodes the whole state.
-    ///
-    /// # Errors
-    ///
-    /// The state cannot be encoded.
-    pub fn snapshot(&self) -> Result<Vec<u8>, EncodeError> {
-        encode_to_vec(self, standard())
-    }
-
-    /// Reads a state that [`State::snapshot`] wrote.
-    ///
-    /// # Errors
-    ///
-    /// The bytes are no such state.
-    pub fn restore(bytes: &[u8]) -> Result<State, DecodeError> {
-        decode_from_slice(bytes, standard()).map(|(state, _)| state)
-    }
-
     /// Takes the roster that follows the one in force; claims of routers that it lost become unknown.
     fn replace_roster(&mut self, next: Roster) -> bool {
         if next.epoch != self.roster.epoch.next() {
@@ -83,6 +66,27 @@
     }
 }
 
+impl Machine for State {
+    fn apply(&mut self, _: u64, command: &[u8]) -> Vec<u8> {
+        let decoded = decode_from_slice(command, standard());
+        let output = match decoded {
+            Ok((command, _)) => self.execute(command),
+            Err(_) => Output::Malformed,
+        };
+        encode_to_vec(output, standard()).unwrap_or_default()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        encode_to_vec(self, standard()).unwrap_or_default()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        let failed = |it: DecodeError| RestoreError { reason: it.to_string() };
+        *self = decode_from_slice(snapshot, standard()).map_err(failed)?.0;
+        Ok(())
+    }
+}
+
 fn is_present(roster: &Roster, router: RouterId) -> bool {
     roster.get(router).is_some_and(|it| it.state != RouterState::Missing)
 }
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -12,7 +12,6 @@
 #[derive(Serialize)]
 pub(crate) struct Status {
     leader: Option<SocketAddr>,
-    replica: u64,
     revision: u64,
     digest: String,
     epoch: u64,
@@ -86,7 +85,6 @@
         let routers = routers(state, &fleet, now);
         Status {
             leader: shared.log.leader().map(|it| it.admin),
-            replica: shared.settings.replica.0,
             revision: config.revision.0,
             digest: config.digest.to_string(),
             epoch: state.roster.epoch.0,
--- a/crates/control/tests/replica.rs
+++ b/crates/control/tests/replica.rs
@@ -8,7 +8,7 @@
     ledger::{Call, ClaimKey, RecordedAnswer, Reply, Step},
     model::{Config, Digest, Domain, HostName, RequestId, Revision, RouterId, ServiceId, TeamId},
     serde_json::Value,
-    settings::{ControlSettings, WeightLimits},
+    settings::{ControlSettings, LogSettings, WeightLimits},
     std::{fs, sync::Arc},
     tempfile::TempDir,
     wire::{
@@ -57,7 +57,6 @@
         let settings = ControlSettings {
             host: HostName("c1".into()),
             domain: Domain("prg-a".into()),
-            replica: 1.into(),
             data: data.path().join("data"),
             inner: any,
             admin: any,
@@ -65,6 +64,7 @@
             operators,
             tls_inner: None,
             weights: WeightLimits::default(),
+            log: LogSettings::default(),
         };
         let control = Control::spawn(settings).await.unwrap();
         Bench { control, client: Client::new(5_000), _data: data }
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -1,18 +1,17 @@
 //! The settings of a control replica.
 
 use {
-    crate::TlsFiles,
-    model::{Domain, HostName, ReplicaId},
+    crate::{load::Check, log::LogSettings, tls::TlsFiles},
+    derive_more::Debug,
+    model::{Domain, HostName},
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, path::PathBuf},
+    std::{collections::BTreeSet, net::SocketAddr, path::PathBuf},
 };
 
 /// Another control replica.
 #[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct ControlPeer {
-    /// Its id.
-    pub id: ReplicaId,
     /// Where replicas and routers reach it.
     pub inner: SocketAddr,
     /// Where operators reach it.
@@ -43,8 +42,6 @@
     pub host: HostName,
     /// Its failure domain.
     pub domain: Domain,
-    /// The id of this replica.
-    pub replica: ReplicaId,
     /// The folder that holds all of its state.
     pub data: PathBuf,
     /// Where replicas and routers connect.
@@ -61,4 +58,25 @@
     /// What the weight store allows.
     #[serde(default)]
     pub weights: WeightLimits,
+    /// How this process logs.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+impl Check for ControlSettings {
+    fn check(&self) -> Result<(), (&'static str, String)> {
+        let rule = |key, held: bool, expected: &str| {
+            if held { Ok(()) } else { Err((key, expected.to_owned())) }
+        };
+        let inner: BTreeSet<_> = self.peers.iter().map(|it| it.inner).collect();
+        let admin: BTreeSet<_> = self.peers.iter().map(|it| it.admin).collect();
+        let count = self.peers.len();
+        rule("host", !self.host.0.is_empty(), "expected a name, found an empty one")?;
+        rule("domain", !self.domain.0.is_empty(), "expected a name, found an empty one")?;
+        rule("inner", !inner.contains(&self.inner), "expected an address that no peer has")?;
+        rule("admin", !admin.contains(&self.admin), "expected an address that no peer has")?;
+        rule("peer", inner.len() == count && admin.len() == count, "expected each address once")?;
+        rule("weights.rate-bytes", self.weights.rate_bytes > 0, "expected at least 1")?;
+        rule("weights.image-bytes", self.weights.image_bytes > 0, "expected at least 1")
+    }
 }
