--- /dev/null
+++ b/crates/settings/src/control.rs
@@ -0,0 +1,82 @@
+//! The settings of a control replica.
+
+use {
+    crate::{load::Check, log::LogSettings, tls::TlsFiles},
+    derive_more::Debug,
+    model::{Domain, HostName},
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeSet, net::SocketAddr, path::PathBuf},
+};
+
+/// Another control replica.
+#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct ControlPeer {
+    /// Where replicas and routers reach it.
+    pub inner: SocketAddr,
+    /// Where operators reach it.
+    pub admin: SocketAddr,
+}
+
+/// The limits of the weight store, by which loading times are told and loads are spaced.
+#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
+#[serde(rename_all = "kebab-case", default, deny_unknown_fields)]
+pub struct WeightLimits {
+    /// The bytes of one image; default 16 GiB.
+    pub image_bytes: u64,
+    /// The bytes a second that the store gives to the whole fleet; default 1 GiB.
+    pub rate_bytes: u64,
+}
+
+impl Default for WeightLimits {
+    fn default() -> WeightLimits {
+        WeightLimits { image_bytes: 16 << 30, rate_bytes: 1 << 30 }
+    }
+}
+
+/// The settings of a control replica.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct ControlSettings {
+    /// The platform's name for this host.
+    pub host: HostName,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// The folder that holds all of its state.
+    pub data: PathBuf,
+    /// Where replicas and routers connect.
+    pub inner: SocketAddr,
+    /// Where operators connect.
+    pub admin: SocketAddr,
+    /// The other replicas; none: this replica alone is the quorum.
+    #[serde(default, rename = "peer")]
+    pub peers: Vec<ControlPeer>,
+    /// The TOML file of operators: `[[operator]]` tables with `name` and `token = "sha256:..."`.
+    pub operators: PathBuf,
+    /// Keys between the system's own processes; without them these connections are in the clear.
+    pub tls_inner: Option<TlsFiles>,
+    /// What the weight store allows.
+    #[serde(default)]
+    pub weights: WeightLimits,
+    /// How this process logs.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+impl Check for ControlSettings {
+    fn check(&self) -> Result<(), (&'static str, String)> {
+        let rule = |key, held: bool, expected: &str| {
+            if held { Ok(()) } else { Err((key, expected.to_owned())) }
+        };
+        let inner: BTreeSet<_> = self.peers.iter().map(|it| it.inner).collect();
+        let admin: BTreeSet<_> = self.peers.iter().map(|it| it.admin).collect();
+        let count = self.peers.len();
+        rule("host", !self.host.0.is_empty(), "expected a name, found an empty one")?;
+        rule("domain", !self.domain.0.is_empty(), "expected a name, found an empty one")?;
+        rule("inner", !inner.contains(&self.inner), "expected an address that no peer has")?;
+        rule("admin", !admin.contains(&self.admin), "expected an address that no peer has")?;
+        rule("peer", inner.len() == count && admin.len() == count, "expected each address once")?;
+        rule("weights.rate-bytes", self.weights.rate_bytes > 0, "expected at least 1")?;
+        rule("weights.image-bytes", self.weights.image_bytes > 0, "expected at least 1")
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every value names its unit, unknown keys are errors, and secrets are paths of files, never values. A file that
 //! does not hold is refused with one line that names the file, the key and what was expected, before anything starts.
 
+mod control;
 mod error;
 mod load;
 mod log;
@@ -10,6 +11,7 @@
 mod tls;
 
 pub use crate::{
+    control::{ControlPeer, ControlSettings, WeightLimits},
     error::SettingsError,
     load::{Check, load, parse},
     log::{LogFormat, LogLevel, LogSettings},
