Add first machines for attempts, queues and endpoint connections

Cause: the request path needs its decisions and an endpoint client that knows whether a byte of an attempt left. Change: retry (Attempts, Budget, Suspects, Isolation), admission (TeamLimits, FairQueue), edge (EndpointClient over low-level HTTP/1.1 connections, tokens, caller TLS, accepting that can stop while all slots are taken).

--- /dev/null
+++ b/crates/admission/src/limits.rs
@@ -0,0 +1,123 @@
+//! The limits of teams at one entry router.
+
+use {
+    derive_more::Debug,
+    model::{Limits, MILLISECOND, Reason, Refusal, SECOND, TeamId, Time},
+    std::collections::HashMap,
+};
+
+/// Requests that a team's bucket holds at the least: a burst is no breach of a rate.
+const BURST_REQUESTS: u64 = 8;
+
+/// Parts of one request that buckets count in, so that a small share is not rounded to nothing.
+const REQUEST: u64 = 1_000_000;
+
+/// After so many microseconds a caller over the running limit may come back.
+const RUNNING_PAUSE: u64 = SECOND / 2;
+
+/// This router's share of what teams may use over the fleet.
+///
+/// A fleet-wide limit is divided over the live routers. Shares of a rate are fractions and add up to the limit, plus
+/// a burst of 8 requests a router; shares of a running count are rounded up to one.
+#[derive(Clone, Debug)]
+pub struct TeamLimits {
+    routers: u64,
+    teams: HashMap<TeamId, Usage>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Usage {
+    tokens: u64,
+    filled: Time,
+    running: u32,
+}
+
+impl TeamLimits {
+    /// Returns full buckets for a fleet of so many live routers.
+    pub fn new(routers: u32) -> TeamLimits {
+        TeamLimits { routers: u64::from(routers.max(1)), teams: HashMap::new() }
+    }
+
+    /// Takes the number of live routers from a new roster.
+    pub fn set_routers(&mut self, routers: u32) {
+        self.routers = u64::from(routers.max(1));
+    }
+
+    /// Counts a request of a team in; [`TeamLimits::end`] counts it out.
+    ///
+    /// # Errors
+    ///
+    /// The team is over its rate or its running count: the refusal says when a request would pass.
+    pub fn begin(&mut self, now: Time, team: TeamId, limits: &Limits) -> Result<(), Refusal> {
+        let (share, routers) = (u64::from(limits.rate), self.routers);
+        let depth = depth(share, routers);
+        let most = u64::from(limits.running).div_ceil(routers);
+        let full = Usage { tokens: depth, filled: now, running: 0 };
+        let usage = self.teams.entry(team).or_insert(full);
+        usage.fill(now, share, routers, depth);
+        if u64::from(usage.running) >= most {
+            return Err(refusal(RUNNING_PAUSE));
+        }
+        if usage.tokens < REQUEST {
+            return Err(refusal(usage.wait(share, routers)));
+        }
+        usage.tokens -= REQUEST;
+        usage.running += 1;
+        Ok(())
+    }
+
+    /// Counts a request of a team out.
+    pub fn end(&mut self, team: TeamId) {
+        if let Some(usage) = self.teams.get_mut(&team) {
+            usage.running = usage.running.saturating_sub(1);
+        }
+    }
+
+    /// How many requests of a team run through this router.
+    pub fn running(&self, team: TeamId) -> u32 {
+        self.teams.get(&team).map_or(0, |it| it.running)
+    }
+
+    /// Forgets teams that run nothing and whose buckets were last used before `idle`.
+    pub fn forget(&mut self, idle: Time) {
+        self.teams.retain(|_, it| it.running > 0 || it.filled >= idle);
+    }
+
+    /// How many teams are remembered.
+    pub fn teams(&self) -> usize {
+        self.teams.len()
+    }
+}
+
+impl Usage {
+    fn fill(&mut self, now: Time, rate: u64, routers: u64, depth: u64) {
+        let micros = u128::from(now.since(self.filled));
+        // One request a second is one part a microsecond.
+        let earned = micros * u128::from(rate) / u128::from(routers);
+        if earned == 0 {
+            return;
+        }
+        let earned = u64::try_from(earned).unwrap_or(u64::MAX);
+        self.tokens = self.tokens.saturating_add(earned).min(depth);
+        self.filled = now;
+    }
+
+    /// Microseconds until the next request passes.
+    fn wait(&self, rate: u64, routers: u64) -> u64 {
+        let lacking = REQUEST - self.tokens;
+        match rate {
+            0 => 0,
+            _ => (lacking * routers).div_ceil(rate),
+        }
+    }
+}
+
+/// The depth of a bucket: a second of the share, and not less than the least burst.
+fn depth(rate: u64, routers: u64) -> u64 {
+    if rate == 0 { 0 } else { (rate * REQUEST / routers).max(BURST_REQUESTS * REQUEST) }
+}
+
+fn refusal(micros: u64) -> Refusal {
+    let retry_ms = u32::try_from(micros.div_ceil(MILLISECOND)).unwrap_or(u32::MAX);
+    Refusal::not_run(Reason::TeamLimit, retry_ms)
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,16 +6,25 @@
 
 #![allow(clippy::disallowed_methods, reason = "this crate reads clocks for the process crates")]
 
+mod auth;
 mod body;
 mod client;
+mod endpoint;
 mod error;
 mod refusal;
 mod server;
+mod tls;
 
 pub use crate::{
+    auth::Tokens,
     body::{Body, BodyError, empty, full, read_all},
     client::Client,
+    endpoint::{
+        EndpointClient, EndpointError, EndpointEvent, EndpointLimits, EndpointRequest,
+        EndpointStream, Fault,
+    },
     error::{HttpError, HttpStep},
     refusal::{OUTCOME_HEADER, REASON_HEADER, refusal_response},
     server::{Server, ServerLimits},
+    tls::CallerTls,
 };
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -4,6 +4,7 @@
     crate::{
         body::Body,
         error::{HttpError, HttpStep},
+        tls::CallerTls,
     },
     http::{Request, Response},
     hyper::body::Incoming,
@@ -17,10 +18,11 @@
     },
     std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
+        io::{AsyncRead, AsyncWrite},
         net::{TcpListener, TcpStream},
-        sync::{Notify, Semaphore},
+        sync::{Notify, OwnedSemaphorePermit, Semaphore},
         task::JoinHandle,
-        time::sleep,
+        time::{sleep, timeout},
     },
     tower::Service,
 };
@@ -32,7 +34,7 @@
     pub connections: usize,
     /// Bytes of headers a request.
     pub header_bytes: usize,
-    /// Milliseconds that the headers of a request may take.
+    /// Milliseconds that a TLS handshake, and then the headers of a request, may take.
     pub header_ms: u64,
 }
 
@@ -42,6 +44,9 @@
     }
 }
 
+/// How long accepting rests after an error, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
 /// A running HTTP server.
 pub struct Server {
     addr: SocketAddr,
@@ -60,6 +65,28 @@
         limits: ServerLimits,
         service: S,
     ) -> Result<Server, HttpError>
+    where
+        S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible, Future = F>
+            + Clone
+            + Send
+            + Sync
+            + 'static,
+        F: Future<Output = Result<Response<Body>, Infallible>> + Send + 'static,
+    {
+        Server::bind_with(addr, limits, None, service).await
+    }
+
+    /// As [`Server::bind`], over TLS if `tls` is given.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub async fn bind_with<S, F>(
+        addr: SocketAddr,
+        limits: ServerLimits,
+        tls: Option<CallerTls>,
+        service: S,
+    ) -> Result<Server, HttpError>
     where
         S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible, Future = F>
             + Clone
@@ -72,7 +99,7 @@
             TcpListener::bind(addr).await.map_err(|it| HttpError::new(HttpStep::Bind, addr, it))?;
         let addr = listener.local_addr().map_err(|it| HttpError::new(HttpStep::Bind, addr, it))?;
         let stop = Arc::new(Notify::new());
-        let task = tokio::spawn(accept_all(listener, limits, service, stop.clone()));
+        let task = tokio::spawn(accept_all(listener, limits, tls, service, stop.clone()));
         Ok(Server { addr, stop, task })
     }
 
@@ -91,6 +118,7 @@
 async fn accept_all<S, F>(
     listener: TcpListener,
     limits: ServerLimits,
+    tls: Option<CallerTls>,
     service: S,
     stop: Arc<Notify>,
 ) where
@@ -104,19 +132,18 @@
     let graceful = GracefulShutdown::new();
     let slots = Arc::new(Semaphore::new(limits.connections));
     loop {
-        let Ok(slot) = slots.clone().acquire_owned().await else { return };
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = accept(&listener, &slots) => accepted,
             () = stop.notified() => break,
         };
-        let Ok((socket, _)) = accepted else {
-            sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        let _ = socket.set_nodelay(true);
+        let Some((socket, slot)) = accepted else { continue };
         let (service, watcher) = (service.clone(), graceful.watcher());
+        let tls = tls.clone();
         tokio::spawn(async move {
-            serve(socket, limits, service, watcher).await;
+            match tls {
+                None => serve(socket, limits, service, watcher).await,
+                Some(tls) => serve_tls(socket, limits, tls, service, watcher).await,
+            }
             drop(slot);
         });
     }
@@ -124,8 +151,49 @@
     graceful.shutdown().await;
 }
 
-async fn serve<S, F>(socket: TcpStream, limits: ServerLimits, service: S, watcher: Watcher)
+/// Takes the next connection once there is a slot for it.
+async fn accept(
+    listener: &TcpListener,
+    slots: &Arc<Semaphore>,
+) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+    let slot = slots.clone().acquire_owned().await.ok()?;
+    match listener.accept().await {
+        Ok((socket, _)) => {
+            let _ = socket.set_nodelay(true);
+            Some((socket, slot))
+        }
+        Err(err) => {
+            tracing::warn!("edge: accepting: {err}");
+            sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
+
+async fn serve_tls<S, F>(
+    socket: TcpStream,
+    limits: ServerLimits,
+    tls: CallerTls,
+    service: S,
+    watcher: Watcher,
+) where
+    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible, Future = F>
+        + Clone
+        + Send
+        + 'static,
+    F: Future<Output = Result<Response<Body>, Infallible>> + Send + 'static,
+{
+    let limit = Duration::from_millis(limits.header_ms);
+    match timeout(limit, tls.acceptor().accept(socket)).await {
+        Ok(Ok(stream)) => serve(stream, limits, service, watcher).await,
+        Ok(Err(err)) => tracing::debug!("edge: TLS handshake: {err}"),
+        Err(_) => tracing::debug!("edge: TLS handshake took too long"),
+    }
+}
+
+async fn serve<T, S, F>(io: T, limits: ServerLimits, service: S, watcher: Watcher)
 where
+    T: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible, Future = F>
         + Clone
         + Send
@@ -139,9 +207,8 @@
         .header_read_timeout(Duration::from_millis(limits.header_ms))
         .max_buf_size(limits.header_bytes.max(8 << 10));
     builder.http2().timer(TokioTimer::new()).max_header_list_size(limits.header_bytes as u32);
-    let conn = builder
-        .serve_connection(TokioIo::new(socket), TowerToHyperService::new(service))
-        .into_owned();
+    let conn =
+        builder.serve_connection(TokioIo::new(io), TowerToHyperService::new(service)).into_owned();
     if let Err(err) = watcher.watch(conn).await {
         tracing::debug!("edge: connection ended: {err}");
     }
--- /dev/null
+++ b/crates/retry/src/attempts.rs
@@ -0,0 +1,409 @@
+//! The attempts at one request.
+
+use {
+    crate::{
+        answer::{Answer, Fit},
+        budget::Budget,
+        event::{Action, Actions, Admission, Event, Limits, Reply, Spec},
+    },
+    bytes::Bytes,
+    derive_more::Debug,
+    model::{AttemptNo, EndpointId, Epoch, MILLISECOND, Outcome, Reason, Refusal, Time},
+    smallvec::SmallVec,
+};
+
+/// Deaths of different endpoints under one request before it is quarantined.
+const STRIKES: usize = 2;
+
+/// One request at its entry router, from the first forward to its last byte.
+#[derive(Clone, Debug)]
+pub struct Attempts {
+    spec: Spec,
+    limits: Limits,
+    state: State,
+    last: AttemptNo,
+    answer: Answer,
+    /// The worst that earlier attempts may have done; the attempt in flight is not in it.
+    outcome: Outcome,
+    strikes: SmallVec<[EndpointId; 2]>,
+    /// Where a refused request is tried next, in order.
+    spill: SmallVec<[EndpointId; 4]>,
+    /// Every attempt that was sent and not answered to its end.
+    open: SmallVec<[(AttemptNo, EndpointId); 2]>,
+    hops: u32,
+    retries: u32,
+    epoch: Epoch,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum State {
+    /// The last attempt is with an owner.
+    Sent { endpoint: EndpointId, admission: Admission },
+    /// The endpoint is asked again at the deadline, or when the roster changes.
+    Paused { endpoint: EndpointId, admission: Admission, until: Time },
+    /// The final answer was given.
+    Over,
+}
+
+impl Attempts {
+    /// Returns a request and the first forward, which counts in the budget as a first attempt.
+    pub fn start(
+        now: Time,
+        spec: Spec,
+        limits: Limits,
+        epoch: Epoch,
+        budget: &Budget,
+    ) -> (Attempts, Actions) {
+        budget.earn();
+        let mut attempts = Attempts {
+            spec,
+            limits,
+            state: State::Over,
+            last: AttemptNo(0),
+            answer: Answer::default(),
+            outcome: Outcome::NotRun,
+            strikes: SmallVec::new(),
+            spill: SmallVec::new(),
+            open: SmallVec::new(),
+            hops: 0,
+            retries: 0,
+            epoch,
+        };
+        let mut actions = Actions::new();
+        match attempts.spec.candidates.first().copied() {
+            Some(home) => attempts.forward(home, Admission::Home, &mut actions),
+            None => attempts.give_up(now, Reason::Unavailable, &mut actions),
+        }
+        (attempts, actions)
+    }
+
+    /// The endpoints that died while running the request.
+    pub fn strikes(&self) -> &[EndpointId] {
+        &self.strikes
+    }
+
+    /// Whether the final answer was given.
+    pub fn is_over(&self) -> bool {
+        self.state == State::Over
+    }
+
+    /// Whether the caller has the head of the answer.
+    pub fn has_begun(&self) -> bool {
+        self.answer.begun()
+    }
+
+    /// Takes what happened and returns what to do.
+    pub fn handle(&mut self, now: Time, event: Event, budget: &Budget) -> Actions {
+        let mut actions = Actions::new();
+        match event {
+            Event::Reply { attempt, reply } => {
+                self.reply(now, attempt, reply, budget, &mut actions);
+            }
+            Event::Unreachable { attempt } => {
+                if self.is_current(attempt) {
+                    self.close(attempt);
+                    self.pause(now, &mut actions);
+                }
+            }
+            Event::Lost { attempt } => {
+                if self.is_current(attempt) {
+                    self.outcome = self.outcome.max(Outcome::Unknown);
+                    self.fail(now, Reason::EndpointFailed, budget, &mut actions);
+                }
+            }
+            Event::Roster { epoch } => self.roster(now, epoch, &mut actions),
+            Event::Gone => self.gone(&mut actions),
+            Event::Tick => self.tick(now, &mut actions),
+        }
+        actions
+    }
+
+    fn is_current(&self, attempt: AttemptNo) -> bool {
+        attempt == self.last && matches!(self.state, State::Sent { .. })
+    }
+
+    fn reply(
+        &mut self,
+        now: Time,
+        attempt: AttemptNo,
+        reply: Reply,
+        budget: &Budget,
+        actions: &mut Actions,
+    ) {
+        if !self.is_current(attempt) {
+            return self.late(attempt, &reply, actions);
+        }
+        match reply {
+            Reply::Moved { epoch } => {
+                self.close(attempt);
+                self.moved(now, epoch, actions);
+            }
+            Reply::Elsewhere { endpoints } => {
+                self.close(attempt);
+                self.elsewhere(now, endpoints, actions);
+            }
+            Reply::Refused(refusal) => {
+                self.close(attempt);
+                self.outcome = self.outcome.max(refusal.outcome);
+                self.refused(now, refusal, actions);
+            }
+            Reply::Head { status } => self.head(now, status, budget, actions),
+            Reply::Chunk { offset, bytes } => self.chunk(now, offset, bytes, budget, actions),
+            Reply::End { length } => self.end(now, length, budget, actions),
+            Reply::Broken { refusal, died } => {
+                self.close(attempt);
+                self.broken(now, refusal, died, budget, actions);
+            }
+        }
+    }
+
+    /// Drops a frame of an older attempt; one that still runs is cancelled once more.
+    fn late(&mut self, attempt: AttemptNo, reply: &Reply, actions: &mut Actions) {
+        let Some(&(_, endpoint)) = self.open.iter().find(|it| it.0 == attempt) else { return };
+        match reply {
+            Reply::Head { .. } | Reply::Chunk { .. } => {
+                actions.push(Action::Cancel { attempt, endpoint });
+            }
+            _ => {}
+        }
+        self.close(attempt);
+    }
+
+    fn close(&mut self, attempt: AttemptNo) {
+        self.open.retain(|it| it.0 != attempt);
+    }
+
+    fn moved(&mut self, now: Time, epoch: Epoch, actions: &mut Actions) {
+        let State::Sent { endpoint, admission } = self.state else { return };
+        self.hops += 1;
+        if self.hops > self.limits.hops * 2 {
+            return self.give_up(now, Reason::Unavailable, actions);
+        }
+        if epoch > self.epoch || self.hops > self.limits.hops {
+            self.wait(now, endpoint, admission, actions);
+        } else {
+            self.forward(endpoint, admission, actions);
+        }
+    }
+
+    fn elsewhere(
+        &mut self,
+        now: Time,
+        endpoints: SmallVec<[EndpointId; 4]>,
+        actions: &mut Actions,
+    ) {
+        let State::Sent { endpoint, admission } = self.state else { return };
+        self.hops += 1;
+        if admission == Admission::Home {
+            self.spill = endpoints;
+            self.spill.retain(|it| *it != endpoint && !self.strikes.contains(it));
+            self.spill.reverse();
+        }
+        if self.hops > self.limits.hops * 2 {
+            return self.give_up(now, Reason::Overloaded, actions);
+        }
+        if self.hops <= self.limits.hops
+            && let Some(next) = self.spill.pop()
+        {
+            return self.forward(next, Admission::Spill, actions);
+        }
+        match self.home() {
+            Some(home) => self.forward(home, Admission::Wait, actions),
+            None => self.give_up(now, Reason::Unavailable, actions),
+        }
+    }
+
+    /// A spilled attempt that is refused goes on to the next place; any other refusal is final.
+    fn refused(&mut self, now: Time, refusal: Refusal, actions: &mut Actions) {
+        let State::Sent { admission, .. } = self.state else { return };
+        let spilled = admission == Admission::Spill && refusal.outcome == Outcome::NotRun;
+        if spilled && matches!(refusal.reason, Reason::Overloaded | Reason::Unavailable) {
+            return self.elsewhere(now, SmallVec::new(), actions);
+        }
+        self.finish_with(refusal, actions);
+    }
+
+    fn head(&mut self, now: Time, status: u16, budget: &Budget, actions: &mut Actions) {
+        match self.answer.head(status) {
+            Some(true) => actions.push(Action::Head { status }),
+            Some(false) => {}
+            None => self.contradiction(now, budget, actions),
+        }
+    }
+
+    fn chunk(
+        &mut self,
+        now: Time,
+        offset: u64,
+        bytes: Bytes,
+        budget: &Budget,
+        actions: &mut Actions,
+    ) {
+        match self.answer.part(offset, bytes) {
+            Fit::Next(fresh) if fresh.is_empty() => {}
+            Fit::Next(fresh) => actions.push(Action::Deliver(fresh)),
+            Fit::Gap => self.contradiction(now, budget, actions),
+        }
+    }
+
+    fn end(&mut self, now: Time, length: u64, budget: &Budget, actions: &mut Actions) {
+        if !self.answer.begun() || length != self.answer.length() {
+            return self.contradiction(now, budget, actions);
+        }
+        self.close(self.last);
+        self.cancel_open(actions);
+        self.state = State::Over;
+        actions.push(Action::Finish);
+    }
+
+    /// The attempt's frames do not fit what the caller has: it is broken off and tried again.
+    fn contradiction(&mut self, now: Time, budget: &Budget, actions: &mut Actions) {
+        self.outcome = self.outcome.max(Outcome::Unknown);
+        self.fail(now, Reason::EndpointFailed, budget, actions);
+    }
+
+    fn broken(
+        &mut self,
+        now: Time,
+        refusal: Refusal,
+        died: bool,
+        budget: &Budget,
+        actions: &mut Actions,
+    ) {
+        let State::Sent { endpoint, .. } = self.state else { return };
+        self.outcome = self.outcome.max(refusal.outcome);
+        if died && refusal.outcome != Outcome::NotRun && !self.strikes.contains(&endpoint) {
+            self.strikes.push(endpoint);
+        }
+        if self.strikes.len() >= STRIKES {
+            actions.push(Action::Quarantine);
+            return self.give_up(now, Reason::Quarantined, actions);
+        }
+        self.fail(now, refusal.reason, budget, actions);
+    }
+
+    /// Tries again after a failure, where that is allowed.
+    fn fail(&mut self, now: Time, reason: Reason, budget: &Budget, actions: &mut Actions) {
+        self.retries += 1;
+        let allowed = self.may_repeat() && self.retries <= self.limits.retries;
+        if !allowed || now >= self.spec.deadline || !budget.spend() {
+            return self.give_up(now, reason, actions);
+        }
+        let Some(home) = self.home() else { return self.give_up(now, reason, actions) };
+        self.cancel_open(actions);
+        self.spill.clear();
+        self.forward(home, Admission::Home, actions);
+    }
+
+    /// Whether another attempt cannot double the work or the answer.
+    fn may_repeat(&self) -> bool {
+        let harmless = self.spec.idempotent || self.outcome == Outcome::NotRun;
+        harmless && (!self.answer.begun() || self.spec.resumable)
+    }
+
+    /// The owner of the endpoint could not be reached: another candidate, or the same one later.
+    fn pause(&mut self, now: Time, actions: &mut Actions) {
+        let State::Sent { endpoint, .. } = self.state else { return };
+        self.hops += 1;
+        if self.hops > self.limits.hops * 2 {
+            return self.give_up(now, Reason::Unavailable, actions);
+        }
+        let at = self.spec.candidates.iter().position(|it| *it == endpoint);
+        let next = at.map_or(0, |it| it + 1);
+        let open = |it: &&EndpointId| !self.strikes.contains(*it);
+        match self.spec.candidates[next..].iter().find(open).copied() {
+            Some(next) => self.forward(next, Admission::Home, actions),
+            None => match self.home() {
+                Some(home) => self.wait(now, home, Admission::Home, actions),
+                None => self.give_up(now, Reason::Unavailable, actions),
+            },
+        }
+    }
+
+    fn wait(
+        &mut self,
+        now: Time,
+        endpoint: EndpointId,
+        admission: Admission,
+        actions: &mut Actions,
+    ) {
+        let until = (now + self.limits.pause).min(self.spec.deadline);
+        self.state = State::Paused { endpoint, admission, until };
+        actions.push(Action::Wait(until));
+    }
+
+    fn roster(&mut self, now: Time, epoch: Epoch, actions: &mut Actions) {
+        if epoch <= self.epoch {
+            return;
+        }
+        self.epoch = epoch;
+        if let State::Paused { endpoint, admission, .. } = self.state
+            && now < self.spec.deadline
+        {
+            self.forward(endpoint, admission, actions);
+        }
+    }
+
+    fn gone(&mut self, actions: &mut Actions) {
+        self.cancel_open(actions);
+        self.state = State::Over;
+    }
+
+    fn tick(&mut self, now: Time, actions: &mut Actions) {
+        if self.is_over() {
+            return;
+        }
+        if now >= self.spec.deadline {
+            return self.give_up(now, Reason::Deadline, actions);
+        }
+        match self.state {
+            State::Paused { endpoint, admission, until } if now >= until => {
+                self.forward(endpoint, admission, actions);
+            }
+            State::Paused { until, .. } => actions.push(Action::Wait(until)),
+            State::Sent { .. } => actions.push(Action::Wait(self.spec.deadline)),
+            State::Over => {}
+        }
+    }
+
+    /// The first candidate that did not die under this request.
+    fn home(&self) -> Option<EndpointId> {
+        self.spec.candidates.iter().find(|it| !self.strikes.contains(*it)).copied()
+    }
+
+    fn forward(&mut self, endpoint: EndpointId, admission: Admission, actions: &mut Actions) {
+        self.last = self.last.next();
+        self.open.push((self.last, endpoint));
+        self.state = State::Sent { endpoint, admission };
+        let (attempt, offset) = (self.last, self.answer.length());
+        actions.push(Action::Forward { endpoint, attempt, offset, admission });
+        actions.push(Action::Wait(self.spec.deadline));
+    }
+
+    fn cancel_open(&mut self, actions: &mut Actions) {
+        let cancel = |&(attempt, endpoint): &(_, _)| Action::Cancel { attempt, endpoint };
+        actions.extend(self.open.iter().map(cancel));
+    }
+
+    fn give_up(&mut self, now: Time, reason: Reason, actions: &mut Actions) {
+        let _ = now;
+        let retry_ms = match reason {
+            Reason::Quarantined => 0,
+            _ => (self.limits.comeback / MILLISECOND) as u32,
+        };
+        self.finish_with(Refusal { outcome: self.outcome, reason, retry_ms }, actions);
+    }
+
+    /// Gives the final answer; an attempt that was not answered to its end may have run.
+    fn finish_with(&mut self, refusal: Refusal, actions: &mut Actions) {
+        if !self.open.is_empty() {
+            self.outcome = self.outcome.max(Outcome::Unknown);
+        }
+        let outcome = self.outcome.max(refusal.outcome);
+        let refusal = Refusal { outcome, ..refusal };
+        self.cancel_open(actions);
+        self.state = State::Over;
+        let begun = self.answer.begun();
+        actions.push(if begun { Action::Abort(refusal) } else { Action::Answer(refusal) });
+    }
+}
