Add a stand-in engine, plain service, host list and weight store

Cause: the whole path needs something to route to, over published protocols, whose answers can be checked byte for byte. Change: crate standin with bin jf-standin; many endpoints a process, each with its own port; batching, prefix cache, priorities, cancel, resume, KV export and import, late events with gaps, lagging load, orders with fencing, faults. A crashed endpoint holds its port without listening, so that connections are refused and the port is not lost. Seen failing: every_job_gets_its_answer with the batch one job too large and with a resume one byte off; a_cache_holds_whole_prefixes_within_its_capacity with eviction 8 tokens late and with skip_while for take_while.

--- /dev/null
+++ b/crates/standin/src/cache.rs
@@ -0,0 +1,67 @@
+//! A prompt cache in limited memory: least recently used prefixes go first.
+
+use {
+    crate::chat::Link,
+    std::collections::{BTreeMap, HashMap},
+};
+
+/// Prefixes by their chain hash. A link is held only while all links before it are.
+#[derive(Clone, Debug, Default)]
+pub struct PrefixCache {
+    capacity: u64,
+    used: u64,
+    clock: u64,
+    links: HashMap<u64, Entry>,
+    order: BTreeMap<u64, u64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    tokens: u32,
+    tick: u64,
+}
+
+impl PrefixCache {
+    /// Returns an empty cache for `capacity` tokens.
+    pub fn new(capacity: u64) -> PrefixCache {
+        PrefixCache { capacity, ..PrefixCache::default() }
+    }
+
+    /// Returns the tokens held.
+    pub fn used(&self) -> u64 {
+        self.used
+    }
+
+    /// Returns the tokens of the longest held prefix of `chain`.
+    pub fn cached(&self, chain: &[Link]) -> u32 {
+        let held = chain.iter().take_while(|(hash, _)| self.links.contains_key(hash));
+        held.map(|(_, tokens)| *tokens).sum()
+    }
+
+    /// Holds `chain` and returns the tokens evicted for it.
+    pub fn store(&mut self, chain: &[Link]) -> u64 {
+        // The last link gets the oldest tick, so that a prefix outlives what builds on it.
+        chain.iter().rev().for_each(|it| self.touch(*it));
+        self.evict()
+    }
+
+    fn touch(&mut self, (hash, tokens): Link) {
+        self.clock += 1;
+        let entry = Entry { tokens, tick: self.clock };
+        match self.links.insert(hash, entry) {
+            Some(old) => drop(self.order.remove(&old.tick)),
+            None => self.used += u64::from(tokens),
+        }
+        self.order.insert(self.clock, hash);
+    }
+
+    fn evict(&mut self) -> u64 {
+        let before = self.used;
+        while self.used > self.capacity {
+            let Some((_, hash)) = self.order.pop_first() else { break };
+            let Some(entry) = self.links.remove(&hash) else { break };
+            self.used -= u64::from(entry.tokens);
+        }
+        before - self.used
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,304 @@
+//! One stand-in engine: batches, caches, reports and obeys.
+
+use {
+    crate::{
+        answer::Answer,
+        batch::{Batch, BatchLimits, Emission, Job, JobId},
+        cache::PrefixCache,
+        chat::{ChatRequest, Link, chain},
+        events::{Event, EventKind, Events},
+        fault::Line,
+        lag::Lagged,
+        orders::{Carried, ImageState, Order, OrderRequest},
+        routes,
+        serve::{Endpoint, Handler},
+        settings::EngineSettings,
+    },
+    bytes::Bytes,
+    edge::{Body, Client, empty},
+    eyre::Result,
+    http::{Request, Response},
+    hyper::body::Incoming,
+    model::{Fence, Image, Name},
+    parking_lot::{Mutex, MutexGuard},
+    serde::Serialize,
+    std::{
+        collections::{HashMap, VecDeque},
+        sync::{Arc, Weak},
+        time::Duration,
+    },
+    tokio::{
+        sync::{
+            Notify,
+            mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+        },
+        time::{MissedTickBehavior, interval, sleep},
+    },
+};
+
+const REMEMBERED_REQUESTS: usize = 20_000;
+const WEIGHTS_INTERVAL: Duration = Duration::from_millis(200);
+
+/// What `GET /load` reports.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(crate) struct Load {
+    /// Tokens still to compute.
+    pub(crate) work: u64,
+    /// Jobs, waiting ones included.
+    pub(crate) running: usize,
+    /// Prompt tokens of all requests that were begun.
+    pub(crate) prompt_tokens: u64,
+    /// How many of these were held.
+    pub(crate) cached_tokens: u64,
+}
+
+/// A stand-in engine.
+pub struct Engine {
+    pub(crate) settings: EngineSettings,
+    line: Line,
+    wake: Notify,
+    state: Mutex<State>,
+}
+
+pub(crate) struct State {
+    batch: Batch,
+    pub(crate) cache: PrefixCache,
+    pub(crate) load: Lagged<Load>,
+    totals: Load,
+    events: Events,
+    pub(crate) carried: Carried,
+    outputs: HashMap<JobId, UnboundedSender<Bytes>>,
+    chains: Remembered,
+}
+
+/// The prefixes of the latest requests, for export.
+#[derive(Default)]
+struct Remembered {
+    chains: HashMap<String, Vec<Link>>,
+    order: VecDeque<String>,
+}
+
+impl Engine {
+    /// Starts it.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub fn bind(settings: &EngineSettings) -> Result<Endpoint> {
+        let engine = Arc::new(Engine {
+            line: Line::new(),
+            wake: Notify::new(),
+            state: Mutex::new(State::new(settings)),
+            settings: settings.clone(),
+        });
+        tokio::spawn(run(Arc::downgrade(&engine)));
+        Endpoint::bind(settings.listen, engine)
+    }
+
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock()
+    }
+
+    /// Queues a request and returns where its bytes arrive.
+    pub(crate) fn submit(
+        &self,
+        chat: &ChatRequest,
+        request: &str,
+        attempt: u32,
+        priority: u8,
+        offset: u64,
+    ) -> UnboundedReceiver<Bytes> {
+        let poison = chat.messages.iter().any(|it| it.content.contains(&self.settings.poison));
+        let answer = Answer::new(chat, request);
+        let chain = chain(&chat.model, &chat.messages);
+        let job =
+            Job { request: request.to_owned(), attempt, priority, answer, chain, offset, poison };
+        let (sender, receiver) = unbounded_channel();
+        self.state().submit(job, sender);
+        self.wake.notify_one();
+        receiver
+    }
+
+    /// Takes an order and begins to carry it out.
+    pub(crate) fn order(self: &Arc<Self>, request: &OrderRequest) -> Result<(), Fence> {
+        self.state().carried.order(request)?;
+        if let Order::Load(image) = &request.order {
+            tokio::spawn(load_image(self.clone(), image.clone().into()));
+        }
+        Ok(())
+    }
+
+    /// Computes a step; returns false if there was nothing to do.
+    fn step(&self) -> bool {
+        let mut state = self.state();
+        if state.batch.is_idle() {
+            return false;
+        }
+        let crashed = state.step();
+        drop(state);
+        if crashed {
+            tracing::info!("standin: {} crashed on a request", self.settings.name);
+            self.line.crash(self.settings.restart_ms, 0);
+            self.crashed();
+        }
+        true
+    }
+}
+
+impl State {
+    fn new(settings: &EngineSettings) -> State {
+        let limits = BatchLimits { jobs: settings.batch_jobs, prefill: settings.prefill_tokens };
+        let images: Vec<Image> = settings.images.iter().map(|it| it.clone().into()).collect();
+        State {
+            batch: Batch::new(limits),
+            cache: PrefixCache::new(settings.cache_tokens),
+            load: Lagged::new(settings.load_lag_ms, Load::default()),
+            totals: Load::default(),
+            events: Events::new(settings.event_delay_ms, settings.event_gap),
+            carried: Carried::new(settings.fencing, &images),
+            outputs: HashMap::new(),
+            chains: Remembered::default(),
+        }
+    }
+
+    fn submit(&mut self, job: Job, sender: UnboundedSender<Bytes>) {
+        self.totals.prompt_tokens += u64::from(job.answer.prompt());
+        self.totals.cached_tokens += u64::from(self.cache.cached(&job.chain));
+        self.chains.insert(job.request.clone(), job.chain.clone());
+        let id = self.batch.submit(job);
+        self.outputs.insert(id, sender);
+        self.report();
+    }
+
+    /// Computes a step; returns whether it crashed the engine.
+    fn step(&mut self) -> bool {
+        let gone: Vec<JobId> =
+            self.outputs.iter().filter(|(_, it)| it.is_closed()).map(|(id, _)| *id).collect();
+        gone.iter().for_each(|it| self.cancel(*it));
+        for emission in self.batch.step(&mut self.cache) {
+            match emission {
+                Emission::Bytes { job, bytes } => self.send(job, bytes.into()),
+                Emission::Done { job, request, stored, evicted } => {
+                    self.send(job, Bytes::new());
+                    self.outputs.remove(&job);
+                    self.events.push(EventKind::Stored, &request, stored);
+                    if evicted > 0 {
+                        self.events.push(EventKind::Evicted, &request, evicted);
+                    }
+                }
+                Emission::Crash => return true,
+            }
+        }
+        self.report();
+        false
+    }
+
+    fn send(&mut self, job: JobId, bytes: Bytes) {
+        if let Some(output) = self.outputs.get(&job) {
+            let _ = output.send(bytes);
+        }
+    }
+
+    fn cancel(&mut self, job: JobId) {
+        self.outputs.remove(&job);
+        self.batch.cancel(job);
+    }
+
+    pub(crate) fn cancel_request(&mut self, request: &str, attempt: Option<u32>) -> usize {
+        let cancelled = self.batch.cancel_request(request, attempt);
+        cancelled.iter().for_each(|it| drop(self.outputs.remove(it)));
+        self.report();
+        cancelled.len()
+    }
+
+    pub(crate) fn events_after(&self, after: u64) -> Vec<Event> {
+        self.events.after(after)
+    }
+
+    pub(crate) fn images(&self) -> Vec<(&Image, ImageState)> {
+        self.carried.images().collect()
+    }
+
+    pub(crate) fn role(&self) -> &Name {
+        self.carried.role()
+    }
+
+    pub(crate) fn chain_of(&self, request: &str) -> Option<&Vec<Link>> {
+        self.chains.chains.get(request)
+    }
+
+    fn report(&mut self) {
+        let load = Load { work: self.batch.work(), running: self.batch.len(), ..self.totals };
+        self.load.set(load);
+    }
+
+    /// Forgets all but the fencing number and the images.
+    fn crash(&mut self, settings: &EngineSettings) {
+        self.batch.clear();
+        self.outputs.clear();
+        self.cache = PrefixCache::new(settings.cache_tokens);
+        self.chains = Remembered::default();
+        self.report();
+    }
+}
+
+impl Remembered {
+    fn insert(&mut self, request: String, chain: Vec<Link>) {
+        self.order.push_back(request.clone());
+        self.chains.insert(request, chain);
+        if self.order.len() > REMEMBERED_REQUESTS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.chains.remove(&oldest);
+        }
+    }
+}
+
+impl Handler for Engine {
+    fn line(&self) -> &Line {
+        &self.line
+    }
+
+    fn crashed(&self) {
+        self.state().crash(&self.settings);
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        routes::answer(self, request).await
+    }
+}
+
+/// Computes steps while the engine is there.
+async fn run(engine: Weak<Engine>) {
+    let Some(first) = engine.upgrade() else { return };
+    let mut ticks = interval(Duration::from_micros(first.settings.step_us));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    drop(first);
+    loop {
+        ticks.tick().await;
+        let Some(engine) = engine.upgrade() else { return };
+        engine.line.thawed().await;
+        if !engine.step() {
+            engine.wake.notified().await;
+            ticks.reset();
+        }
+        let extra = engine.line.factor().saturating_sub(1);
+        if extra > 0 {
+            sleep(Duration::from_micros(engine.settings.step_us) * extra).await;
+        }
+    }
+}
+
+/// Loads an image, from the weight store if there is one.
+async fn load_image(engine: Arc<Engine>, image: Image) {
+    if let Some(store) = engine.settings.weight_store {
+        let client = Client::new(2_000);
+        let path = format!("/weights/{image}").replace(['+', '@'], "-");
+        while !matches!(client.call(store, "GET", &path, None, empty()).await, Ok((200, _))) {
+            sleep(WEIGHTS_INTERVAL).await;
+        }
+    }
+    sleep(Duration::from_millis(engine.settings.image_load_ms)).await;
+    engine.state().carried.loaded(&image);
+    tracing::info!("standin: {} loaded {image}", engine.settings.name);
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,43 @@
+//! The project's own stand-in for what it routes to: engines, plain services, the host list and the weight store.
+//!
+//! It speaks the protocols written down in docs/ENDPOINT-PROTOCOL.md, for development and tests only. Many endpoints
+//! run in one process, each on its own port; a crash drops one endpoint's connections and refuses new ones for a
+//! while, and leaves the others alone. [`Answer`] is the text that an engine must give, so that a load tool can check
+//! every byte.
+
+#![allow(clippy::disallowed_methods, reason = "a stand-in keeps its own time")]
+
+mod answer;
+mod batch;
+mod cache;
+mod chat;
+mod engine;
+mod events;
+mod fault;
+mod gate;
+mod host_list;
+mod lag;
+mod orders;
+mod plain;
+mod reply;
+mod routes;
+mod serve;
+mod settings;
+mod weight_store;
+
+pub use crate::{
+    answer::{Answer, WORD_BYTES},
+    batch::{Batch, BatchLimits, Emission, Job, JobId},
+    cache::PrefixCache,
+    chat::{ChatRequest, Link, Message, chain},
+    engine::Engine,
+    fault::Fault,
+    host_list::HostList,
+    plain::Plain,
+    serve::Endpoint,
+    settings::{
+        EngineSettings, HostListSettings, ListedHost, PlainSettings, StandinSettings,
+        WeightStoreSettings,
+    },
+    weight_store::WeightStore,
+};
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,3 +1,62 @@
-//! The `jf-standin` binary.
+//! The `jf-standin` binary: runs stand-in endpoints until it is told to end.
 
-fn main() {}
+use {
+    eyre::{Result, WrapErr},
+    standin::{Endpoint, Engine, HostList, Plain, StandinSettings, WeightStore},
+    std::process::exit,
+    tokio::signal::unix::{SignalKind, signal},
+};
+
+mod flags {
+    #![allow(missing_docs, reason = "the macro takes doc comments as help texts")]
+
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Stand-in engines, plain services, host list and weight store, for development and tests.
+        cmd jf-standin {
+            /// The TOML settings.
+            optional settings: PathBuf
+            /// Prints the version.
+            optional --version
+        }
+    }
+}
+
+fn main() -> Result<()> {
+    let flags = flags::JfStandin::from_env_or_exit();
+    if flags.version {
+        println!("jf-standin {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let Some(file) = flags.settings else {
+        eprintln!("jf-standin: settings: expected a file");
+        exit(2);
+    };
+    let settings: StandinSettings = settings::load(&file).unwrap_or_else(|it| {
+        eprintln!("jf-standin: {it}");
+        exit(2);
+    });
+    telemetry::open(&settings.log)?;
+    let runtime = tokio::runtime::Runtime::new().wrap_err("standin: cannot start")?;
+    runtime.block_on(run(&settings))
+}
+
+async fn run(settings: &StandinSettings) -> Result<()> {
+    let endpoints = bind(settings)?;
+    println!("jf-standin: {} ports ready", endpoints.len());
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("standin: no signals")?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    Ok(())
+}
+
+fn bind(settings: &StandinSettings) -> Result<Vec<Endpoint>> {
+    let engines = settings.engine.iter().map(Engine::bind);
+    let plain = settings.plain.iter().map(Plain::bind);
+    let hosts = settings.host_list.iter().map(HostList::bind);
+    let weights = settings.weight_store.iter().map(WeightStore::bind);
+    engines.chain(plain).chain(hosts).chain(weights).collect()
+}
--- /dev/null
+++ b/crates/standin/src/plain.rs
@@ -0,0 +1,147 @@
+//! A plain service that counts how often each key ran.
+
+use {
+    crate::{
+        fault::Line,
+        lag::Lagged,
+        reply::{json, read},
+        serve::{Endpoint, Handler},
+        settings::PlainSettings,
+    },
+    edge::Body,
+    eyre::Result,
+    http::{Request, Response, StatusCode},
+    hyper::body::Incoming,
+    model::{Name, hash64},
+    parking_lot::Mutex,
+    serde::Serialize,
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// A stand-in plain service.
+pub struct Plain {
+    name: Name,
+    line: Line,
+    call: Duration,
+    state: Mutex<State>,
+}
+
+struct State {
+    total: u64,
+    counts: BTreeMap<String, u64>,
+    running: u64,
+    load: Lagged<u64>,
+}
+
+/// What a call is answered; the same for all calls with the same method, path, key and body.
+#[derive(Serialize)]
+struct Echo<'a> {
+    method: &'a str,
+    path: &'a str,
+    key: &'a str,
+    bytes: usize,
+    digest: String,
+}
+
+impl Plain {
+    /// Starts it. Counts outlive crashes, as a data base would.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub fn bind(settings: &PlainSettings) -> Result<Endpoint> {
+        let load = Lagged::new(settings.load_lag_ms, 0);
+        let state = State { total: 0, counts: BTreeMap::new(), running: 0, load };
+        let plain = Plain {
+            name: settings.name.clone(),
+            line: Line::new(),
+            call: Duration::from_millis(settings.call_ms),
+            state: Mutex::new(state),
+        };
+        Endpoint::bind(settings.listen, Arc::new(plain))
+    }
+
+    fn counts(&self) -> Response<Body> {
+        let state = self.state.lock();
+        let text = serde_json::json!({ "total": state.total, "keys": state.counts });
+        json(StatusCode::OK, &text)
+    }
+
+    fn load(&self, now: bool) -> Response<Body> {
+        let state = self.state.lock();
+        let (work, age_ms) = if now { (state.running, 0) } else { state.load.get() };
+        json(
+            StatusCode::OK,
+            &serde_json::json!({ "work": work, "running": work, "age_ms": age_ms }),
+        )
+    }
+
+    async fn call(&self, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let body = match read(body).await {
+            Ok(body) => body,
+            Err(refused) => return refused.into(),
+        };
+        let _running = Running::begin(self);
+        sleep(self.call * self.line.factor()).await;
+        let key = head.headers.get("idempotency-key").and_then(|it| it.to_str().ok());
+        self.count(key);
+        let echo = Echo {
+            method: head.method.as_str(),
+            path: head.uri.path(),
+            key: key.unwrap_or(""),
+            bytes: body.len(),
+            digest: format!("{:016x}", hash64(&body)),
+        };
+        tracing::debug!("standin: {} ran {} {}", self.name, echo.method, echo.path);
+        json(StatusCode::OK, &echo)
+    }
+
+    fn count(&self, key: Option<&str>) {
+        let mut state = self.state.lock();
+        state.total += 1;
+        if let Some(key) = key {
+            *state.counts.entry(key.to_owned()).or_default() += 1;
+        }
+    }
+}
+
+/// Counts a call while it runs.
+struct Running<'a>(&'a Plain);
+
+impl Running<'_> {
+    fn begin(plain: &Plain) -> Running<'_> {
+        plain.state.lock().change(1);
+        Running(plain)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.state.lock().change(-1);
+    }
+}
+
+impl State {
+    fn change(&mut self, by: i64) {
+        self.running = self.running.saturating_add_signed(by);
+        self.load.set(self.running);
+    }
+}
+
+impl Handler for Plain {
+    fn line(&self) -> &Line {
+        &self.line
+    }
+
+    fn crashed(&self) {}
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        match request.uri().path() {
+            "/counts" => self.counts(),
+            "/load" => self.load(request.uri().query() == Some("now")),
+            _ => self.call(request).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/plain.rs
@@ -0,0 +1,27 @@
+//! A stand-in plain service counts how often each key ran.
+
+use {
+    edge::{Client, empty, full},
+    http::Request,
+    standin::{Plain, PlainSettings},
+};
+
+#[tokio::test]
+async fn each_run_of_a_key_is_counted() {
+    let settings = PlainSettings {
+        name: "p1".into(),
+        listen: "127.0.0.1:0".parse().unwrap(),
+        call_ms: 0,
+        load_lag_ms: 0,
+    };
+    let plain = Plain::bind(&settings).unwrap();
+    let client = Client::new(5_000);
+    for _ in 0..2 {
+        let request = Request::post("/evidence").header("idempotency-key", "k1");
+        let request = request.body(full("photo")).unwrap();
+        assert_eq!(client.send(plain.addr(), request).await.unwrap().status(), 200);
+    }
+    let (_, body) = client.call(plain.addr(), "GET", "/counts", None, empty()).await.unwrap();
+    let counts: serde_json::Value = serde_json::from_slice(&body).unwrap();
+    assert_eq!(counts, serde_json::json!({ "total": 2, "keys": { "k1": 2 } }));
+}
