Drive control's roster by the member rules

Cause: control kept a trivial roster (heard within 3 s), under which a router cut off could still hold a lease while its endpoints were given away. Change: the leader's Members decides, heartbeats carry busy and held work, grants carry the settled epoch and what others still run, and older rosters stay in the state while a missing router may act by them. The control test joined with a single heartbeat; admission now needs answered heartbeats in a row, so it sends one after each answer until listed.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -6,7 +6,7 @@
         fleet::Fleet,
         log::{Log, ReplicaAddr},
         operators::Operators,
-        roster,
+        roster::{self, Membership},
     },
     edge::{Server, ServerLimits},
     eyre::{Result, eyre},
@@ -29,6 +29,7 @@
     pub(crate) operators: Operators,
     pub(crate) log: Log,
     pub(crate) fleet: Mutex<Fleet>,
+    pub(crate) membership: Mutex<Option<Membership>>,
     pub(crate) clock: Clock,
     pub(crate) traffic: Traffic,
 }
@@ -59,8 +60,9 @@
         let own = ReplicaAddr { inner, admin: server.addr() };
         let dialer = Dialer { identity, traffic: traffic.clone(), class: Class::Control };
         let log = Log::open(&settings, own, dialer, clock).await?;
-        let fleet = Mutex::default();
-        let shared = Arc::new(Shared { settings, operators, log, fleet, clock, traffic });
+        let (fleet, membership) = (Mutex::default(), Mutex::default());
+        let shared =
+            Arc::new(Shared { settings, operators, log, fleet, membership, clock, traffic });
         slot.get_or_init(|| shared.clone());
         let tasks = vec![
             tokio::spawn(accept(shared.clone(), listener)),
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -5,9 +5,9 @@
         command::{Command, Output},
         control::Shared,
         fleet::Report,
-        roster::LEASE_MS,
         state::State,
     },
+    member::Beat,
     model::{Config, Digest, Epoch, Revision, RouterId},
     replica::Progress,
     std::{sync::Arc, time::Duration},
@@ -85,9 +85,12 @@
         if !shared.log.leads() {
             return None;
         }
-        let register = Command::Register { host, process, addr, domain };
+        let register =
+            Command::Register { host: host.clone(), process, addr, domain: domain.clone() };
         let registered = shared.log.propose(&register).await;
         let Ok(Output::Router(router)) = registered else { return None };
+        let now = shared.clock.now();
+        shared.members(|it| it.hello(now, router, host, addr, domain))?;
         // A router that is ahead of this replica must not be taken back.
         let behind = shared.log.with(|it| it.intents.config().revision < revision);
         let config = revision != Revision(0);
@@ -109,10 +112,7 @@
         let now_ms = shared.wall_ms();
         shared.log.with(|state| {
             let mut news = self.config_news(state);
-            if self.epoch != Some(state.roster.epoch) {
-                self.epoch = Some(state.roster.epoch);
-                news.push(FromControl::Roster(state.roster.clone()));
-            }
+            news.extend(self.roster_news(state));
             for entry in state.quarantine.after(self.quarantined) {
                 let expires_ms = entry.expires_ms.saturating_sub(now_ms).min(u32::MAX.into());
                 self.quarantined = entry.number;
@@ -125,6 +125,17 @@
         })
     }
 
+    /// Returns the roster in force, and to a router that had none before it also the older ones.
+    fn roster_news(&mut self, state: &State) -> Vec<FromControl> {
+        let current = state.rosters.current();
+        if self.epoch == Some(current.epoch) {
+            return Vec::new();
+        }
+        let first = self.epoch.replace(current.epoch).is_none();
+        let past = state.rosters.past().filter(|_| first).cloned();
+        [current.clone()].into_iter().chain(past).map(FromControl::Roster).collect()
+    }
+
     /// Returns the deltas that the router lacks, or the whole configuration if they are no longer kept.
     fn config_news(&mut self, state: &State) -> Vec<FromControl> {
         let config: &Arc<Config> = state.intents.config();
@@ -141,15 +152,11 @@
         match message {
             ToControl::Hello { .. } => Ok(()),
             ToControl::Heartbeat { .. } if !self.shared.log.leads() => Ok(()),
-            ToControl::Heartbeat { seq, revision, epoch, leaving, sums } => {
-                let now = self.shared.clock.now();
-                let report = Report { heard: now, revision, epoch, leaving, sums };
-                let means = {
-                    let mut fleet = self.shared.fleet.lock();
-                    fleet.report(self.router, report);
-                    fleet.means(now)
-                };
-                send.send(&FromControl::Granted { seq, lease_ms: LEASE_MS, means }).await
+            ToControl::Heartbeat { seq, revision, epoch, leaving, busy, sums, held } => {
+                let report =
+                    Report { heard: self.shared.clock.now(), revision, epoch, leaving, sums };
+                let beat = Beat { seq, epoch, leaving, busy, held };
+                self.heartbeat(report, beat, send).await
             }
             ToControl::Quarantine { fingerprint } => {
                 let at_ms = self.shared.wall_ms();
@@ -161,4 +168,24 @@
             }
         }
     }
+
+    /// Answers a heartbeat, unless this replica no longer leads or the router must introduce itself again.
+    async fn heartbeat(
+        &self,
+        report: Report,
+        beat: Beat,
+        send: &mut SendHalf,
+    ) -> Result<(), WireError> {
+        let now = report.heard;
+        let reply = self.shared.members(|it| it.heartbeat(now, self.router, beat));
+        let Some(Some(reply)) = reply else { return Ok(()) };
+        let means = {
+            let mut fleet = self.shared.fleet.lock();
+            fleet.report(self.router, report);
+            fleet.means(now)
+        };
+        let (seq, lease_ms, settled) = (reply.seq, reply.lease_ms, reply.settled);
+        let held = reply.held.into_iter().collect();
+        send.send(&FromControl::Granted { seq, lease_ms, settled, held, means }).await
+    }
 }
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -53,7 +53,7 @@
     }
 
     /// Returns the loads of all services.
-    pub(crate) fn means(&self, now: Time) -> SmallVec<[Mean; 4]> {
+    pub(crate) fn means(&self, now: Time) -> SmallVec<[Mean; 2]> {
         let mut sums: BTreeMap<ServiceId, Vec<LoadSum>> = BTreeMap::new();
         let fresh = self.reports.values().filter(|it| now.since(it.heard) < REPORT_LIFE);
         for sum in fresh.flat_map(|it| &it.sums) {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,6 +22,7 @@
 mod quarantine;
 mod reply;
 mod roster;
+mod rosters;
 mod routers;
 mod state;
 mod status;
--- a/crates/control/src/roster.rs
+++ b/crates/control/src/roster.rs
@@ -1,30 +1,34 @@
-//! Which routers are in the roster: those that were heard of lately.
+//! Which routers are in the roster: the members that the leader hears, by the rules of the `member` crate.
 
 use {
-    crate::{command::Command, control::Shared, fleet::Fleet, state::State},
-    model::{Roster, RouterEntry, RouterState, SECOND, Time},
+    crate::{command::Command, control::Shared},
+    member::{Members, Timing},
+    model::{Roster, SECOND, Term},
     std::{sync::Arc, time::Duration},
     tokio::time::interval,
 };
 
-/// How long a lease runs from the heartbeat that renewed it, in milliseconds.
-pub(crate) const LEASE_MS: u32 = 3_000;
-
-/// How long a router stays in the roster without a heartbeat, in microseconds.
-const SILENCE: u64 = 3 * SECOND;
-
 /// How often the roster is looked at.
 const TICK: Duration = Duration::from_millis(100);
 
+/// How long a router's last report is kept, in microseconds.
+const REPORT_LIFE: u64 = 60 * SECOND;
+
+/// What one leadership knows of the routers.
+#[derive(Debug)]
+pub(crate) struct Membership {
+    term: Term,
+    members: Members,
+}
+
 /// Keeps the roster up to date while this replica leads.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let mut ticks = interval(TICK);
     loop {
         ticks.tick().await;
-        if !shared.log.leads() {
-            continue;
-        }
-        let Some(next) = shared.next_roster() else { continue };
+        let now = shared.clock.now();
+        shared.fleet.lock().forget(now.before(REPORT_LIFE));
+        let Some(Some(next)) = shared.members(|it| it.tick(now)) else { continue };
         if let Err(err) = shared.log.propose(&Command::Roster(next)).await {
             tracing::warn!("control: roster not committed: {err}");
         }
@@ -32,27 +36,25 @@
 }
 
 impl Shared {
-    fn next_roster(&self) -> Option<Roster> {
-        let now = self.clock.now();
-        let wanted = self.log.with(|state| {
-            let mut fleet = self.fleet.lock();
-            fleet.forget(now.before(SILENCE));
-            entries(state, &fleet, now)
-        });
-        self.log.with(|state| {
-            let epoch = state.roster.epoch.next();
-            (*state.roster.routers != *wanted).then(|| Roster { epoch, routers: wanted.into() })
-        })
+    /// Asks the members of this leadership; nothing if this replica does not lead.
+    ///
+    /// A new leadership begins with the committed roster and knows nothing of what its predecessors heard.
+    pub(crate) fn members<R, F>(&self, ask: F) -> Option<R>
+    where
+        F: FnOnce(&mut Members) -> R,
+    {
+        let mut membership = self.membership.lock();
+        let Some(leader) = self.log.leading() else {
+            *membership = None;
+            return None;
+        };
+        let roster: Roster = self.log.with(|it| it.rosters.current().clone());
+        if membership.as_ref().is_none_or(|it| it.term != leader.term) {
+            let members = Members::new(self.clock.now(), roster.clone(), Timing::default());
+            *membership = Some(Membership { term: leader.term, members });
+        }
+        let members = &mut membership.as_mut()?.members;
+        members.committed(roster);
+        Some(ask(members))
     }
 }
-
-fn entries(state: &State, fleet: &Fleet, now: Time) -> Vec<RouterEntry> {
-    let heard = fleet.reports().iter().filter(|(_, it)| now.since(it.heard) < SILENCE);
-    let entry = |(id, report): (&model::RouterId, &crate::fleet::Report)| {
-        let info = state.routers.get(*id)?;
-        let state = if report.leaving { RouterState::Leaving } else { RouterState::Live };
-        let acked = model::Epoch(0);
-        Some(RouterEntry { id: *id, addr: info.addr, domain: info.domain.clone(), state, acked })
-    };
-    heard.filter_map(entry).collect()
-}
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -4,6 +4,7 @@
     crate::{
         command::{Command, Output},
         quarantine::Quarantine,
+        rosters::Rosters,
         routers::{RouterInfo, Routers},
     },
     bincode::{
@@ -24,7 +25,7 @@
 pub struct State {
     pub(crate) intents: Intents,
     pub(crate) routers: Routers,
-    pub(crate) roster: Roster,
+    pub(crate) rosters: Rosters,
     pub(crate) ledger: Ledger,
     pub(crate) quarantine: Quarantine,
 }
@@ -48,13 +49,13 @@
 
     /// Takes the roster that follows the one in force; claims of routers that it lost become unknown.
     fn replace_roster(&mut self, next: Roster) -> bool {
-        if next.epoch != self.roster.epoch.next() {
+        let lost = |it: &&model::RouterEntry| !is_present(&next, it.id);
+        let before = self.rosters.current().routers.clone();
+        let lost: Vec<_> = before.iter().filter(lost).map(|it| it.id).collect();
+        if !self.rosters.replace(next) {
             return false;
         }
-        let lost = |it: &&model::RouterEntry| !is_present(&next, it.id);
-        let lost: Vec<_> = self.roster.routers.iter().filter(lost).map(|it| it.id).collect();
         lost.into_iter().for_each(|it| self.ledger.lose(it));
-        self.roster = next;
         true
     }
 
@@ -62,7 +63,7 @@
         let (key, router) = (call.key(), call.router());
         let service = self.intents.config().services.get(&key.service);
         let Some(service) = service else { return Reply::NoService };
-        self.ledger.apply(at_ms, service.claim_ms, is_present(&self.roster, router), call)
+        self.ledger.apply(at_ms, service.claim_ms, is_present(self.rosters.current(), router), call)
     }
 }
 
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -87,7 +87,7 @@
             leader: shared.log.leader().map(|it| it.admin),
             revision: config.revision.0,
             digest: config.digest.to_string(),
-            epoch: state.roster.epoch.0,
+            epoch: state.rosters.current().epoch.0,
             behind: routers.iter().filter(|it| it.behind).count(),
             routers,
             services: services(state, &fleet, now),
@@ -130,7 +130,7 @@
             silent_ms: report.map(|it| now.since(it.heard) / MILLISECOND),
         }
     };
-    state.roster.routers.iter().map(router).collect()
+    state.rosters.current().routers.iter().map(router).collect()
 }
 
 fn services(state: &State, fleet: &Fleet, now: Time) -> Vec<ServiceStatus> {
--- a/crates/control/tests/replica.rs
+++ b/crates/control/tests/replica.rs
@@ -146,19 +146,21 @@
         revision: Revision(0),
         epoch: 0.into(),
         leaving: false,
+        busy: false,
         sums: Default::default(),
+        held: Default::default(),
     };
     stream.send.send(&beat).await.unwrap();
 }
 
-/// Sends heartbeats until the router is in the roster.
+/// Sends a heartbeat after each answer, until the router is in the roster.
 async fn join(stream: &mut Stream, router: RouterId) {
     heartbeat(stream, 1).await;
     loop {
-        if let FromControl::Roster(roster) = next(stream).await
-            && roster.get(router).is_some()
-        {
-            return;
+        match next(stream).await {
+            FromControl::Granted { seq, .. } => heartbeat(stream, seq + 1).await,
+            FromControl::Roster(roster) if roster.get(router).is_some() => return,
+            _ => {}
         }
     }
 }
--- /dev/null
+++ b/crates/router/src/admin.rs
@@ -0,0 +1,34 @@
+//! The admin page of a router: health, readiness and metrics.
+
+use {
+    crate::shared::Shared,
+    edge::{Body, full},
+    http::{Request, Response, StatusCode},
+    hyper::body::Incoming,
+    std::{convert::Infallible, sync::Arc},
+};
+
+/// Answers one admin request.
+pub(crate) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+    let (status, text) = match request.uri().path() {
+        "/health" => (StatusCode::OK, "ok\n".to_owned()),
+        "/ready" => ready(&shared),
+        "/metrics" => (StatusCode::OK, shared.metrics.page(&shared)),
+        _ => (StatusCode::NOT_FOUND, "no such page\n".to_owned()),
+    };
+    let mut response = Response::new(full(text));
+    *response.status_mut() = status;
+    Ok(response)
+}
+
+/// A draining router is healthy but not ready; so is one that has no configuration yet.
+fn ready(shared: &Shared) -> (StatusCode, String) {
+    if shared.is_leaving() {
+        return (StatusCode::SERVICE_UNAVAILABLE, "draining\n".to_owned());
+    }
+    let view = shared.view();
+    if view.config.revision.0 == 0 || view.roster.epoch.0 == 0 {
+        return (StatusCode::SERVICE_UNAVAILABLE, "waiting for control\n".to_owned());
+    }
+    (StatusCode::OK, format!("ready at {} {}\n", view.config.revision, view.roster.epoch))
+}
--- /dev/null
+++ b/crates/router/src/call.rs
@@ -0,0 +1,179 @@
+//! A caller's request, understood: who calls, what for, and how it is placed.
+
+use {
+    crate::view::View,
+    bytes::Bytes,
+    http::{HeaderMap, Method, request::Parts},
+    model::{
+        ChatKey, Digest, Image, Name, Reason, RequestId, ServiceId, ServiceKind, Team, Time, Work, chat_key, hash64, mix2,
+    },
+    serde::Deserialize,
+    serde_json::value::RawValue,
+    std::{borrow::Cow, sync::Arc},
+    wire::msg::Header,
+};
+
+/// The path of model calls.
+const CHAT_PATH: &str = "/v1/chat/completions";
+
+/// The prefix of calls to plain services: `/s/{service}/{path}`.
+const PLAIN_PREFIX: &str = "/s/";
+
+/// The header by which a caller names its chat.
+const CHAT_HEADER: &str = "jasminefront-chat";
+
+/// The header that marks a call as not repeatable.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// The longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 256;
+
+/// Bytes of a prompt that count as one token.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// Tokens that an answer is taken to have when the caller sets no limit.
+const DEFAULT_TOKENS: u64 = 256;
+
+/// The most tokens that a caller may ask for.
+const MAX_TOKENS: u64 = 1 << 20;
+
+/// Headers that an endpoint gets from the caller.
+const PASSED_ON: [&str; 4] = ["content-type", "accept", "accept-encoding", KEY_HEADER];
+
+/// A request that passed the entry checks.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) request: RequestId,
+    pub(crate) team: Arc<Team>,
+    pub(crate) service: ServiceId,
+    pub(crate) image: Option<Image>,
+    pub(crate) chat: ChatKey,
+    pub(crate) cost: Work,
+    pub(crate) idempotent: bool,
+    /// The key under which the ledger keeps the call.
+    pub(crate) key: Option<Name>,
+    pub(crate) fingerprint: Digest,
+    pub(crate) deadline: Time,
+    pub(crate) method: Name,
+    pub(crate) path: Name,
+    pub(crate) headers: Vec<Header>,
+    pub(crate) body: Bytes,
+}
+
+#[derive(Deserialize)]
+struct ChatBody<'a> {
+    #[serde(borrow)]
+    model: Cow<'a, str>,
+    #[serde(borrow)]
+    messages: Vec<&'a RawValue>,
+    max_tokens: Option<u64>,
+    max_completion_tokens: Option<u64>,
+}
+
+/// What a path and a body say about where a call goes.
+struct Target {
+    service: ServiceId,
+    image: Option<Image>,
+    path: Name,
+    chat: ChatKey,
+    cost: Work,
+    idempotent: bool,
+}
+
+impl Call {
+    /// Understands a request of `team`.
+    ///
+    /// # Errors
+    ///
+    /// The reason why it is refused, with a short text for the caller.
+    pub(crate) fn new(
+        view: &View,
+        team: Arc<Team>,
+        parts: &Parts,
+        body: Bytes,
+        request: RequestId,
+        deadline: Time,
+    ) -> Result<Call, (Reason, &'static str)> {
+        let key = key(&parts.headers)?;
+        let target = if parts.uri.path() == CHAT_PATH {
+            chat_target(view, &team, parts, &body)?
+        } else {
+            plain_target(view, &team, parts, key.as_ref(), request)?
+        };
+        if !team.services.is_empty() && !team.services.contains(&target.service) {
+            return Err((Reason::NotFound, "no such service for this team"));
+        }
+        let fingerprint = fingerprint(&team, &target, &body);
+        let Target { service, image, path, chat, cost, idempotent } = target;
+        let key = key.filter(|_| !idempotent);
+        let (method, headers) = (parts.method.as_str().into(), passed_on(&parts.headers));
+        Ok(Call { request, team, service, image, chat, cost, idempotent, key, fingerprint, deadline, method, path, headers, body })
+    }
+}
+
+fn chat_target(view: &View, team: &Team, parts: &Parts, body: &Bytes) -> Result<Target, (Reason, &'static str)> {
+    if parts.method != Method::POST {
+        return Err((Reason::BadRequest, "chat completions are posted"));
+    }
+    let parsed: ChatBody<'_> =
+        serde_json::from_slice(body).map_err(|_| (Reason::BadRequest, "body needs model and messages"))?;
+    let (service, image) = view.model(&parsed.model).ok_or((Reason::NotFound, "no such model"))?.clone();
+    let tokens = parsed.max_completion_tokens.or(parsed.max_tokens).unwrap_or(DEFAULT_TOKENS);
+    if tokens > MAX_TOKENS {
+        return Err((Reason::BadRequest, "max_tokens is too large"));
+    }
+    let chat = match parts.headers.get(CHAT_HEADER).and_then(|it| it.to_str().ok()) {
+        Some(chat) => chat_key(team.id, chat),
+        None => opening(team, &parsed),
+    };
+    let cost = Work(body.len() as u64 / BYTES_PER_TOKEN + tokens);
+    let path = CHAT_PATH.into();
+    Ok(Target { service, image: Some(image), path, chat, cost, idempotent: true })
+}
+
+/// Places a chat that has no name by how it opens: its first two messages do not change as it grows.
+fn opening(team: &Team, body: &ChatBody<'_>) -> ChatKey {
+    let hash = body.messages.iter().take(2).fold(0, |hash, it| mix2(hash, hash64(it.get().as_bytes())));
+    ChatKey(mix2(u64::from(team.id.0), hash))
+}
+
+fn plain_target(
+    view: &View,
+    team: &Team,
+    parts: &Parts,
+    key: Option<&Name>,
+    request: RequestId,
+) -> Result<Target, (Reason, &'static str)> {
+    let rest = parts.uri.path().strip_prefix(PLAIN_PREFIX).ok_or((Reason::NotFound, "no such path"))?;
+    let (name, tail) = rest.split_once('/').unwrap_or((rest, ""));
+    let service = view.plain(name).ok_or((Reason::NotFound, "no such service"))?;
+    debug_assert_eq!(service.kind, ServiceKind::Plain);
+    let query = parts.uri.query().map(|it| format!("?{it}")).unwrap_or_default();
+    let chat = match key {
+        Some(key) => chat_key(team.id, key),
+        None => ChatKey(mix2(request.0 as u64, (request.0 >> 64) as u64)),
+    };
+    let idempotent = matches!(parts.method, Method::GET | Method::HEAD | Method::OPTIONS);
+    let path = format!("/{tail}{query}").into();
+    Ok(Target { service: service.id, image: None, path, chat, cost: Work(1), idempotent })
+}
+
+fn key(headers: &HeaderMap) -> Result<Option<Name>, (Reason, &'static str)> {
+    let Some(value) = headers.get(KEY_HEADER) else { return Ok(None) };
+    let text = value.to_str().map_err(|_| (Reason::BadRequest, "idempotency key is not text"))?;
+    if text.is_empty() || text.len() > MAX_KEY_BYTES {
+        return Err((Reason::BadRequest, "idempotency key is empty or too long"));
+    }
+    Ok(Some(text.into()))
+}
+
+fn passed_on(headers: &HeaderMap) -> Vec<Header> {
+    let wanted = PASSED_ON.iter().filter_map(|name| Some((*name, headers.get(*name)?)));
+    wanted.map(|(name, value)| Header { name: name.into(), value: Bytes::copy_from_slice(value.as_bytes()) }).collect()
+}
+
+/// Identifies requests that would crash the same engines: the same team, model and body.
+fn fingerprint(team: &Team, target: &Target, body: &Bytes) -> Digest {
+    let place = format!("{}/{}/{:?}/{}", team.id, target.service, target.image, target.path);
+    Digest::of(place.as_bytes()).chain(body)
+}
--- /dev/null
+++ b/crates/router/src/feed.rs
@@ -0,0 +1,178 @@
+//! The one control connection of a router: configuration, rosters and the lease.
+//!
+//! Invariants: the revision and the epoch in force never go down; a configuration is taken whole or by a delta that
+//! chains to the one in force; a replica that offers less than what is in force is stale and is left.
+
+use {
+    crate::shared::Shared,
+    eyre::{Result, WrapErr, bail, ensure},
+    model::{Config, Delta, MILLISECOND, Roster, SECOND},
+    rand::Rng,
+    std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::time::{MissedTickBehavior, interval, sleep, timeout},
+    wire::{
+        Class, Dialer, Peer, RecvHalf, SendHalf,
+        msg::{FEED_PATH, FromControl, ToControl},
+    },
+};
+
+/// Microseconds between heartbeats.
+const HEARTBEAT_US: u64 = SECOND;
+
+/// Milliseconds without any frame after which a replica is given up.
+const SILENCE_LIMIT_MS: u64 = 3_000;
+
+/// Milliseconds to wait before the replicas are tried again, at most; the wait is random below it.
+const BACKOFF_MS: u64 = 400;
+
+/// Keeps a feed to the leading control replica for the life of the process.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut candidates: VecDeque<SocketAddr> = shared.settings.control.iter().copied().collect();
+    while let Some(addr) = candidates.pop_front() {
+        candidates.push_back(addr);
+        match follow(&shared, addr).await {
+            Ok(Some(leader)) => prefer(&mut candidates, leader),
+            Ok(None) => {}
+            Err(err) => tracing::info!("feed: replica {addr} left: {err:#}"),
+        }
+        let wait = rand::rng().random_range(10..BACKOFF_MS);
+        sleep(Duration::from_millis(wait)).await;
+    }
+}
+
+fn prefer(candidates: &mut VecDeque<SocketAddr>, leader: SocketAddr) {
+    if let Some(at) = candidates.iter().position(|it| *it == leader) {
+        candidates.swap(0, at);
+    }
+}
+
+/// Follows one replica until it fails; returns the leader that it names if it does not lead.
+async fn follow(shared: &Arc<Shared>, addr: SocketAddr) -> Result<Option<SocketAddr>> {
+    let dialer = Dialer { class: Class::Control, ..shared.dialer.clone() };
+    let peer = Peer::new(addr, dialer);
+    let (mut send, mut recv) = peer.open(FEED_PATH).await?.split();
+    send.send(&hello(shared)).await?;
+    shared.lease.lock().disconnected();
+    let session = Session { shared };
+    let mut beats = interval(Duration::from_micros(HEARTBEAT_US));
+    beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut welcomed = false;
+    loop {
+        tokio::select! {
+            frame = next(&mut recv) => match frame? {
+                FromControl::NotLeader { leader } => return Ok(leader),
+                FromControl::Welcome { router } => {
+                    ensure!(shared.welcome(router), "replica gave this process a second id, {router}");
+                    welcomed = true;
+                }
+                frame => {
+                    let changed = session.take(frame)?;
+                    if changed {
+                        session.beat(&mut send).await?;
+                    }
+                }
+            },
+            _ = beats.tick(), if welcomed => session.beat(&mut send).await?,
+            () = shared.leaving.notified(), if welcomed => session.beat(&mut send).await?,
+        }
+    }
+}
+
+async fn next(recv: &mut RecvHalf) -> Result<FromControl> {
+    let frame = timeout(Duration::from_millis(SILENCE_LIMIT_MS), recv.recv()).await;
+    let frame = frame.wrap_err("replica is silent")??;
+    match frame {
+        Some(frame) => Ok(frame),
+        None => bail!("replica ended the feed"),
+    }
+}
+
+fn hello(shared: &Shared) -> ToControl {
+    let view = shared.view();
+    ToControl::Hello {
+        host: shared.settings.host.clone(),
+        process: shared.process,
+        addr: shared.inner,
+        domain: shared.settings.domain.clone(),
+        revision: view.config.revision,
+        digest: view.config.digest,
+    }
+}
+
+/// One feed.
+struct Session<'a> {
+    shared: &'a Arc<Shared>,
+}
+
+impl Session<'_> {
+    /// Sends a heartbeat, unless the one before is still unanswered.
+    async fn beat(&self, send: &mut SendHalf) -> Result<()> {
+        let now = self.shared.clock.now();
+        let Some(seq) = self.shared.lease.lock().beat(now) else { return Ok(()) };
+        let view = self.shared.view();
+        let heartbeat = ToControl::Heartbeat {
+            seq,
+            revision: view.config.revision,
+            epoch: view.roster.epoch,
+            leaving: self.shared.is_leaving(),
+            sums: self.shared.sums(now),
+        };
+        send.send(&heartbeat).await?;
+        for fingerprint in self.shared.take_crashers() {
+            send.send(&ToControl::Quarantine { fingerprint }).await?;
+        }
+        Ok(())
+    }
+
+    /// Takes one frame; returns whether a revision or roster came into force, which control is told at once.
+    fn take(&self, frame: FromControl) -> Result<bool> {
+        match frame {
+            FromControl::Config(config) => self.config(config),
+            FromControl::Delta(delta) => self.delta(&delta),
+            FromControl::Roster(roster) => self.roster(roster),
+            FromControl::Granted { seq, lease_ms, means } => {
+                if self.shared.lease.lock().answered(seq, lease_ms) {
+                    self.shared.means(&means);
+                }
+                Ok(false)
+            }
+            FromControl::Quarantined { fingerprint, expires_ms } => {
+                let until = self.shared.clock.now() + u64::from(expires_ms) * MILLISECOND;
+                self.shared.quarantine(fingerprint, until);
+                Ok(false)
+            }
+            FromControl::NotLeader { .. } | FromControl::Welcome { .. } => Ok(false),
+        }
+    }
+
+    fn config(&self, config: Arc<Config>) -> Result<bool> {
+        let current = self.shared.view().config.clone();
+        ensure!(config.revision >= current.revision, "replica is behind: it has {}", config.revision);
+        if config.revision == current.revision {
+            ensure!(config.digest == current.digest, "replica holds another {}", config.revision);
+            return Ok(false);
+        }
+        self.shared.install_config(config);
+        Ok(true)
+    }
+
+    fn delta(&self, delta: &Delta) -> Result<bool> {
+        let mut config = Config::clone(&self.shared.view().config);
+        if delta.base < config.revision {
+            return Ok(false);
+        }
+        config.apply(delta)?;
+        self.shared.install_config(Arc::new(config));
+        Ok(true)
+    }
+
+    fn roster(&self, roster: Roster) -> Result<bool> {
+        let epoch = self.shared.view().roster.epoch;
+        ensure!(roster.epoch >= epoch, "replica is behind: it has {}", roster.epoch);
+        if roster.epoch == epoch {
+            return Ok(false);
+        }
+        self.shared.install_roster(roster);
+        Ok(true)
+    }
+}
--- /dev/null
+++ b/crates/router/src/flags.rs
@@ -0,0 +1,13 @@
+//! The command line of `jf-router`.
+
+#![allow(missing_docs, reason = "the macro takes doc comments as help texts")]
+
+xflags::xflags! {
+    /// Routes requests of callers to endpoints.
+    cmd jf-router {
+        /// Prints the version.
+        optional --version
+        /// The settings file.
+        optional settings: std::path::PathBuf
+    }
+}
--- /dev/null
+++ b/crates/router/src/handoff.rs
@@ -0,0 +1,134 @@
+//! Handing a request to the owner of an endpoint, in this process or in another, and reading its answer.
+
+use {
+    crate::{owner, shared::Shared},
+    model::RouterId,
+    std::{net::SocketAddr, sync::Arc},
+    tokio::{sync::mpsc, task::AbortHandle},
+    wire::{
+        Incoming, Peer, Stream, WireError,
+        msg::{FORWARD_PATH, Forward, ForwardReply},
+    },
+};
+
+/// Frames that may wait between an owner and an entry router.
+pub(crate) const FRAMES: usize = 64;
+
+/// What the entry router sees of an attempt.
+#[derive(Debug)]
+pub(crate) enum Answer {
+    /// A frame of the owner.
+    Frame(ForwardReply),
+    /// The owner could not be reached: no whole request reached it.
+    Unreachable,
+    /// The owner was reached and then lost.
+    Lost,
+}
+
+/// An attempt in progress; dropping it cancels the attempt.
+pub(crate) struct Handoff {
+    answers: mpsc::Receiver<Answer>,
+    task: AbortHandle,
+}
+
+impl Handoff {
+    /// Hands `forward` to `router`.
+    pub(crate) fn spawn(shared: &Arc<Shared>, router: RouterId, addr: SocketAddr, forward: Forward) -> Handoff {
+        let (sender, answers) = mpsc::channel(FRAMES);
+        let task = if shared.is_me(router) {
+            tokio::spawn(local(shared.clone(), forward, sender))
+        } else {
+            tokio::spawn(remote(shared.peer(addr), forward, sender))
+        };
+        Handoff { answers, task: task.abort_handle() }
+    }
+
+    /// Returns the next answer; [`Answer::Lost`] if there is none.
+    pub(crate) async fn next(&mut self) -> Answer {
+        self.answers.recv().await.unwrap_or(Answer::Lost)
+    }
+}
+
+impl Drop for Handoff {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn local(shared: Arc<Shared>, forward: Forward, sender: mpsc::Sender<Answer>) {
+    let (frames, mut replies) = mpsc::channel(FRAMES);
+    let serve = owner::serve(shared, forward, frames);
+    let pump = async {
+        while let Some(reply) = replies.recv().await {
+            if sender.send(Answer::Frame(reply)).await.is_err() {
+                return;
+            }
+        }
+    };
+    tokio::join!(serve, pump);
+}
+
+async fn remote(peer: Peer, forward: Forward, sender: mpsc::Sender<Answer>) {
+    let stream = match send(&peer, &forward).await {
+        Ok(stream) => stream,
+        Err(err) => {
+            tracing::info!("router: owner not reached: {err}");
+            let _ = sender.send(Answer::Unreachable).await;
+            return;
+        }
+    };
+    let mut recv = stream.recv;
+    loop {
+        let answer = match recv.recv().await {
+            Ok(Some(frame)) => Answer::Frame(frame),
+            Ok(None) => return,
+            Err(err) => {
+                tracing::info!("router: owner lost: {err}");
+                Answer::Lost
+            }
+        };
+        let lost = matches!(answer, Answer::Lost);
+        if sender.send(answer).await.is_err() || lost {
+            return;
+        }
+    }
+}
+
+/// Sends the whole request; after an error the owner has at most a part of it, which it cannot decode.
+async fn send(peer: &Peer, forward: &Forward) -> Result<Stream, WireError> {
+    let mut stream = peer.open(FORWARD_PATH).await?;
+    stream.send.send(forward).await?;
+    Ok(stream)
+}
+
+/// Serves a request that another router handed over.
+pub(crate) async fn accept(shared: Arc<Shared>, incoming: Incoming) {
+    let peer = incoming.peer;
+    let (mut send, mut recv) = incoming.stream.split();
+    let forward = match recv.recv::<Forward>().await {
+        Ok(Some(forward)) => forward,
+        Ok(None) => return,
+        Err(err) => {
+            tracing::warn!("router: bad request from {peer}: {err}");
+            return;
+        }
+    };
+    let (frames, mut replies) = mpsc::channel(FRAMES);
+    let serve = owner::serve(shared, forward, frames);
+    let pump = async move {
+        while let Some(reply) = replies.recv().await {
+            if send.send(&reply).await.is_err() {
+                return;
+            }
+        }
+        send.finish();
+    };
+    // The other end sends nothing more: an end of its half is its reset, which cancels the attempt.
+    let gone = async move {
+        let _ = recv.recv::<Forward>().await;
+    };
+    tokio::select! {
+        _ = async { tokio::join!(serve, pump) } => {}
+        () = gone => tracing::debug!("router: attempt cancelled by {peer}"),
+    }
+}
--- /dev/null
+++ b/crates/router/src/probe.rs
@@ -0,0 +1,123 @@
+//! Asking owned endpoints for their load and their cache events.
+//!
+//! Only the owner of an endpoint asks, so the traffic of probes does not grow with the number of routers. Reports lag
+//! and events have gaps; both only correct what the owner counted itself.
+
+use {
+    crate::shared::Shared,
+    edge::{Client, HttpError, empty},
+    model::{EndpointId, RequestId, ServiceKind, Time, Work},
+    serde::{Deserialize, de::DeserializeOwned},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        task::JoinSet,
+        time::{MissedTickBehavior, interval},
+    },
+};
+
+/// Milliseconds between probes of one endpoint.
+const PROBE_MS: u64 = 1_000;
+
+/// Milliseconds after which a probe is given up.
+const PROBE_LIMIT_MS: u64 = 800;
+
+/// An endpoint's own word on its load.
+#[derive(Deserialize)]
+struct LoadReport {
+    work: u64,
+    #[serde(default)]
+    age_ms: u64,
+}
+
+/// One cache event of an engine.
+#[derive(Deserialize)]
+struct EventReport {
+    seq: u64,
+    kind: EventKind,
+    request: String,
+    #[serde(default)]
+    tokens: u64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum EventKind {
+    Stored,
+    Evicted,
+}
+
+/// What one probe brought.
+struct Probe {
+    endpoint: EndpointId,
+    asked: Time,
+    load: Result<LoadReport, ()>,
+    events: Vec<EventReport>,
+}
+
+/// Probes the owned endpoints for the life of the process.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let client = Client::new(PROBE_LIMIT_MS);
+    let mut seen: HashMap<EndpointId, u64> = HashMap::new();
+    let mut ticks = interval(Duration::from_millis(PROBE_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let mut probes = JoinSet::new();
+        for (endpoint, addr, kind) in owned(&shared) {
+            let after = (kind == ServiceKind::Model).then(|| seen.get(&endpoint).copied().unwrap_or(0));
+            let (client, asked) = (client.clone(), shared.clock.now());
+            probes.spawn(async move { probe(&client, endpoint, addr, asked, after).await });
+        }
+        while let Some(Ok(probe)) = probes.join_next().await {
+            take(&shared, &mut seen, probe);
+        }
+    }
+}
+
+fn owned(shared: &Shared) -> Vec<(EndpointId, SocketAddr, ServiceKind)> {
+    let view = shared.view();
+    let mine = view.config.endpoints.values().filter(|it| shared.owns(&view, it.id));
+    let kind = |service| view.config.services.get(&service).map_or(ServiceKind::Plain, |it| it.kind);
+    mine.map(|it| (it.id, it.addr, kind(it.service))).collect()
+}
+
+async fn probe(client: &Client, endpoint: EndpointId, addr: SocketAddr, asked: Time, after: Option<u64>) -> Probe {
+    let load = get(client, addr, "/load").await.map_err(|_| ());
+    let events = match after {
+        Some(after) => get(client, addr, &format!("/events?after={after}")).await.unwrap_or_default(),
+        None => Vec::new(),
+    };
+    Probe { endpoint, asked, load, events }
+}
+
+async fn get<T>(client: &Client, addr: SocketAddr, path: &str) -> Result<T, ProbeError>
+where
+    T: DeserializeOwned,
+{
+    let (status, body) = client.call(addr, "GET", path, None, empty()).await?;
+    if status != 200 {
+        return Err(ProbeError::Status);
+    }
+    Ok(serde_json::from_slice(&body)?)
+}
+
+#[derive(derive_more::From)]
+enum ProbeError {
+    Http(#[allow(dead_code, reason = "for a debugger")] HttpError),
+    Json(#[allow(dead_code, reason = "for a debugger")] serde_json::Error),
+    Status,
+}
+
+fn take(shared: &Shared, seen: &mut HashMap<EndpointId, u64>, probe: Probe) {
+    if let Ok(load) = &probe.load {
+        let at = probe.asked.before(load.age_ms * model::MILLISECOND);
+        shared.report(probe.endpoint, at, Work(load.work));
+    }
+    for event in probe.events {
+        let last = seen.entry(probe.endpoint).or_default();
+        *last = (*last).max(event.seq);
+        let Ok(request) = u128::from_str_radix(&event.request, 16) else { continue };
+        let stored = (event.kind == EventKind::Stored).then_some(event.tokens);
+        shared.cache_event(probe.endpoint, RequestId(request), stored);
+    }
+}
--- /dev/null
+++ b/crates/router/src/view.rs
@@ -0,0 +1,110 @@
+//! What a router holds of the fleet: one immutable view, replaced as a whole.
+//!
+//! Everything that a request needs to be placed is computed when a configuration or a roster arrives, never on the
+//! path of a request. A request takes one view and keeps it for one attempt.
+
+use {
+    member::Owners,
+    model::{Config, Digest, Endpoint, EndpointId, EndpointState, Image, Name, Roster, RouterId, Service, ServiceId, ServiceKind, Team, TeamId},
+    placement::Homes,
+    std::{collections::HashMap, net::SocketAddr, sync::Arc},
+};
+
+/// One consistent picture of the fleet.
+pub struct View {
+    /// The configuration in force.
+    pub config: Arc<Config>,
+    /// The roster in force.
+    pub roster: Roster,
+    /// Who owns which endpoint.
+    pub owners: Owners,
+    tokens: HashMap<Digest, TeamId>,
+    models: HashMap<Name, (ServiceId, Image)>,
+    homes: HashMap<(ServiceId, Option<Image>), Arc<Homes>>,
+}
+
+impl View {
+    /// Computes the view of a configuration and a roster.
+    pub fn new(config: Arc<Config>, roster: Roster) -> View {
+        let owners = Owners::compute(&roster, &config);
+        let tokens = tokens(&config);
+        let models = models(&config);
+        let homes = homes(&config);
+        View { config, roster, owners, tokens, models, homes }
+    }
+
+    /// Returns the team that a token's digest belongs to.
+    pub fn team(&self, token: &Digest) -> Option<&Arc<Team>> {
+        self.config.teams.get(self.tokens.get(token)?)
+    }
+
+    /// Returns the service and the image that a caller's model name stands for.
+    pub fn model(&self, name: &str) -> Option<&(ServiceId, Image)> {
+        self.models.get(name)
+    }
+
+    /// Returns a plain service by its name.
+    pub fn plain(&self, name: &str) -> Option<&Arc<Service>> {
+        self.config.services.values().find(|it| it.kind == ServiceKind::Plain && &*it.name == name)
+    }
+
+    /// Returns the endpoints that carry an image of a service, ready to be ordered for a chat.
+    pub fn homes(&self, service: ServiceId, image: &Option<Image>) -> Option<&Arc<Homes>> {
+        self.homes.get(&(service, image.clone()))
+    }
+
+    /// Returns an endpoint.
+    pub fn endpoint(&self, id: EndpointId) -> Option<&Arc<Endpoint>> {
+        self.config.endpoints.get(&id)
+    }
+
+    /// Returns where a router listens for other routers.
+    pub fn addr(&self, router: RouterId) -> Option<SocketAddr> {
+        self.roster.get(router).map(|it| it.addr)
+    }
+}
+
+fn tokens(config: &Config) -> HashMap<Digest, TeamId> {
+    let teams = config.teams.values();
+    teams.flat_map(|team| team.tokens.iter().map(|token| (*token, team.id))).collect()
+}
+
+/// Maps each name that a caller may use to an image: `model`, `model@version`, `model+adapter`,
+/// `model+adapter@version`. A name without a version stands for the highest version that is carried.
+fn models(config: &Config) -> HashMap<Name, (ServiceId, Image)> {
+    let mut models: HashMap<Name, (ServiceId, Image)> = HashMap::new();
+    for endpoint in config.endpoints.values().filter(|it| it.state == EndpointState::Active) {
+        for image in &endpoint.images {
+            let bare = image_name(image);
+            let entry = (endpoint.service, image.clone());
+            models.insert(format!("{bare}@{}", image.version).into(), entry.clone());
+            let latest = models.entry(bare).or_insert_with(|| entry.clone());
+            if latest.1.version < image.version {
+                *latest = entry;
+            }
+        }
+    }
+    models
+}
+
+fn image_name(image: &Image) -> Name {
+    if image.adapter.is_empty() { image.model.clone() } else { format!("{}+{}", image.model, image.adapter).into() }
+}
+
+fn homes(config: &Config) -> HashMap<(ServiceId, Option<Image>), Arc<Homes>> {
+    let mut keys: Vec<(ServiceId, Option<Image>)> = Vec::new();
+    for endpoint in config.endpoints.values() {
+        let images = endpoint.images.iter().map(|it| (endpoint.service, Some(it.clone())));
+        keys.extend(images);
+        if endpoint.images.is_empty() {
+            keys.push((endpoint.service, None));
+        }
+    }
+    keys.sort();
+    keys.dedup();
+    let build = |(service, image): (ServiceId, Option<Image>)| {
+        let homes = Homes::new(config, service, image.as_ref());
+        ((service, image), Arc::new(homes))
+    };
+    keys.into_iter().map(build).collect()
+}
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -190,8 +190,12 @@
         epoch: Epoch,
         /// Whether the router is shutting down.
         leaving: bool,
+        /// Whether it still runs anything.
+        busy: bool,
         /// The loads of the endpoints that it owns.
         sums: SmallVec<[LoadSum; 4]>,
+        /// The work that it still runs on endpoints that it does not own.
+        held: SmallVec<[(EndpointId, Work); 4]>,
     },
     /// Requests that crashed two endpoints.
     Quarantine {
@@ -223,10 +227,14 @@
     Granted {
         /// Which one.
         seq: u64,
-        /// The lease runs until so many milliseconds after that heartbeat was sent.
+        /// The lease runs until so many milliseconds after that heartbeat was sent; zero: it is not renewed.
         lease_ms: u32,
+        /// No router acts by an older roster than this one, but for missing ones; zero: unknown.
+        settled: Epoch,
+        /// With `settled`: the work that others still run on endpoints that this router owns.
+        held: SmallVec<[(EndpointId, Work); 2]>,
         /// The loads of all services.
-        means: SmallVec<[Mean; 4]>,
+        means: SmallVec<[Mean; 2]>,
     },
     /// Fingerprints to refuse.
     Quarantined {
