Route a request by way of the endpoint's owner

Cause: there was no path from a caller to an endpoint. Change: the router drives the decision machines over sockets: entry checks, attempts, hand-off to the owner over h2, admission at the owner, the exchange with the endpoint, claims for calls that must run at most once, the control feed and probes. One table of owned state under one lock, so that placement, queue and quarantine of an endpoint see one state.

--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -9,7 +9,10 @@
 };
 
 /// Answers one admin request.
-pub(crate) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+pub(crate) async fn answer(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
     let (status, text) = match request.uri().path() {
         "/health" => (StatusCode::OK, "ok\n".to_owned()),
         "/ready" => ready(&shared),
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -5,7 +5,8 @@
     bytes::Bytes,
     http::{HeaderMap, Method, request::Parts},
     model::{
-        ChatKey, Digest, Image, Name, Reason, RequestId, ServiceId, ServiceKind, Team, Time, Work, chat_key, hash64, mix2,
+        ChatKey, Digest, Image, Name, Reason, RequestId, ServiceId, ServiceKind, Team, Time, Work,
+        chat_key, hash64, mix2,
     },
     serde::Deserialize,
     serde_json::value::RawValue,
@@ -49,6 +50,7 @@
     pub(crate) image: Option<Image>,
     pub(crate) chat: ChatKey,
     pub(crate) cost: Work,
+    pub(crate) prompt: u32,
     pub(crate) idempotent: bool,
     /// The key under which the ledger keeps the call.
     pub(crate) key: Option<Name>,
@@ -77,6 +79,7 @@
     path: Name,
     chat: ChatKey,
     cost: Work,
+    prompt: u32,
     idempotent: bool,
 }
 
@@ -104,20 +107,42 @@
             return Err((Reason::NotFound, "no such service for this team"));
         }
         let fingerprint = fingerprint(&team, &target, &body);
-        let Target { service, image, path, chat, cost, idempotent } = target;
+        let Target { service, image, path, chat, cost, prompt, idempotent } = target;
         let key = key.filter(|_| !idempotent);
         let (method, headers) = (parts.method.as_str().into(), passed_on(&parts.headers));
-        Ok(Call { request, team, service, image, chat, cost, idempotent, key, fingerprint, deadline, method, path, headers, body })
+        Ok(Call {
+            request,
+            team,
+            service,
+            image,
+            chat,
+            cost,
+            prompt,
+            idempotent,
+            key,
+            fingerprint,
+            deadline,
+            method,
+            path,
+            headers,
+            body,
+        })
     }
 }
 
-fn chat_target(view: &View, team: &Team, parts: &Parts, body: &Bytes) -> Result<Target, (Reason, &'static str)> {
+fn chat_target(
+    view: &View,
+    team: &Team,
+    parts: &Parts,
+    body: &Bytes,
+) -> Result<Target, (Reason, &'static str)> {
     if parts.method != Method::POST {
         return Err((Reason::BadRequest, "chat completions are posted"));
     }
-    let parsed: ChatBody<'_> =
-        serde_json::from_slice(body).map_err(|_| (Reason::BadRequest, "body needs model and messages"))?;
-    let (service, image) = view.model(&parsed.model).ok_or((Reason::NotFound, "no such model"))?.clone();
+    let parsed: ChatBody<'_> = serde_json::from_slice(body)
+        .map_err(|_| (Reason::BadRequest, "body needs model and messages"))?;
+    let (service, image) =
+        view.model(&parsed.model).ok_or((Reason::NotFound, "no such model"))?.clone();
     let tokens = parsed.max_completion_tokens.or(parsed.max_tokens).unwrap_or(DEFAULT_TOKENS);
     if tokens > MAX_TOKENS {
         return Err((Reason::BadRequest, "max_tokens is too large"));
@@ -126,14 +151,16 @@
         Some(chat) => chat_key(team.id, chat),
         None => opening(team, &parsed),
     };
-    let cost = Work(body.len() as u64 / BYTES_PER_TOKEN + tokens);
-    let path = CHAT_PATH.into();
-    Ok(Target { service, image: Some(image), path, chat, cost, idempotent: true })
+    let prompt = body.len() as u64 / BYTES_PER_TOKEN;
+    let cost = Work(prompt + tokens);
+    let (path, prompt) = (CHAT_PATH.into(), prompt as u32);
+    Ok(Target { service, image: Some(image), path, chat, cost, prompt, idempotent: true })
 }
 
 /// Places a chat that has no name by how it opens: its first two messages do not change as it grows.
 fn opening(team: &Team, body: &ChatBody<'_>) -> ChatKey {
-    let hash = body.messages.iter().take(2).fold(0, |hash, it| mix2(hash, hash64(it.get().as_bytes())));
+    let hash =
+        body.messages.iter().take(2).fold(0, |hash, it| mix2(hash, hash64(it.get().as_bytes())));
     ChatKey(mix2(u64::from(team.id.0), hash))
 }
 
@@ -144,7 +171,8 @@
     key: Option<&Name>,
     request: RequestId,
 ) -> Result<Target, (Reason, &'static str)> {
-    let rest = parts.uri.path().strip_prefix(PLAIN_PREFIX).ok_or((Reason::NotFound, "no such path"))?;
+    let rest =
+        parts.uri.path().strip_prefix(PLAIN_PREFIX).ok_or((Reason::NotFound, "no such path"))?;
     let (name, tail) = rest.split_once('/').unwrap_or((rest, ""));
     let service = view.plain(name).ok_or((Reason::NotFound, "no such service"))?;
     debug_assert_eq!(service.kind, ServiceKind::Plain);
@@ -155,7 +183,15 @@
     };
     let idempotent = matches!(parts.method, Method::GET | Method::HEAD | Method::OPTIONS);
     let path = format!("/{tail}{query}").into();
-    Ok(Target { service: service.id, image: None, path, chat, cost: Work(1), idempotent })
+    Ok(Target {
+        service: service.id,
+        image: None,
+        path,
+        chat,
+        cost: Work(1),
+        prompt: 0,
+        idempotent,
+    })
 }
 
 fn key(headers: &HeaderMap) -> Result<Option<Name>, (Reason, &'static str)> {
@@ -169,7 +205,12 @@
 
 fn passed_on(headers: &HeaderMap) -> Vec<Header> {
     let wanted = PASSED_ON.iter().filter_map(|name| Some((*name, headers.get(*name)?)));
-    wanted.map(|(name, value)| Header { name: name.into(), value: Bytes::copy_from_slice(value.as_bytes()) }).collect()
+    wanted
+        .map(|(name, value)| Header {
+            name: name.into(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
 }
 
 /// Identifies requests that would crash the same engines: the same team, model and body.
--- a/crates/router/src/drive.rs
+++ b/crates/router/src/drive.rs
@@ -60,7 +60,11 @@
         Drive::new(shared, call, head).run().await;
         drop(busy);
     });
-    begun.await.unwrap_or(Err(Refusal { outcome: Outcome::Unknown, reason: Reason::EndpointFailed, retry_ms: 1_000 }))
+    begun.await.unwrap_or(Err(Refusal {
+        outcome: Outcome::Unknown,
+        reason: Reason::EndpointFailed,
+        retry_ms: 1_000,
+    }))
 }
 
 /// Whom the driver answers.
@@ -94,11 +98,24 @@
 }
 
 impl Drive {
-    fn new(shared: Arc<Shared>, call: Arc<Call>, head: oneshot::Sender<Result<Head, Refusal>>) -> Drive {
+    fn new(
+        shared: Arc<Shared>,
+        call: Arc<Call>,
+        head: oneshot::Sender<Result<Head, Refusal>>,
+    ) -> Drive {
         let epoch = shared.view().roster.epoch;
         let caller = Caller::Waiting(head);
         let unreached = SmallVec::new();
-        Drive { shared, call, caller, current: None, unreached, epoch, headers: Vec::new(), wait: Time::NEVER }
+        Drive {
+            shared,
+            call,
+            caller,
+            current: None,
+            unreached,
+            epoch,
+            headers: Vec::new(),
+            wait: Time::NEVER,
+        }
     }
 
     async fn run(mut self) {
@@ -130,7 +147,8 @@
             deadline: call.deadline,
             candidates: candidates(&self.shared, &view, call),
         };
-        Attempts::start(self.shared.clock.now(), spec, Limits::default(), &self.shared.budget)
+        let (now, epoch) = (self.shared.clock.now(), view.roster.epoch);
+        Attempts::start(now, spec, Limits::default(), epoch, &self.shared.budget)
     }
 
     /// Translates what the owner answered.
@@ -191,7 +209,10 @@
                 Action::Abort(refusal) => self.finish(Part::Abort(refusal)).await,
                 Action::Answer(refusal) => self.answer(refusal),
                 Action::Cancel { attempt, .. } => self.cancel(attempt),
-                Action::Quarantine => self.shared.crashed(self.call.fingerprint),
+                Action::Quarantine => {
+                    let now = self.shared.clock.now();
+                    self.shared.owned.lock().crashed(now, self.call.fingerprint);
+                }
                 Action::Wait(at) => self.wait = at,
             }
         }
@@ -251,6 +272,8 @@
             chat: call.chat,
             image: call.image.clone(),
             cost: call.cost,
+            prompt: call.prompt,
+            priority: call.team.priority,
             admit: match admission {
                 Admission::Home => Admit::Home,
                 Admission::Spill => Admit::Spill,
@@ -269,7 +292,9 @@
     }
 
     fn head(&mut self, status: u16) {
-        let Caller::Waiting(head) = std::mem::replace(&mut self.caller, Caller::Done) else { return };
+        let Caller::Waiting(head) = std::mem::replace(&mut self.caller, Caller::Done) else {
+            return;
+        };
         let (sender, body) = mpsc::channel(PARTS);
         let endpoint = self.current.as_ref().map_or(EndpointId(0), |it| it.endpoint);
         let headers = std::mem::take(&mut self.headers);
@@ -324,5 +349,5 @@
 /// Where a call may run, the home first, by the routing of this router.
 fn candidates(shared: &Shared, view: &View, call: &Call) -> SmallVec<[EndpointId; 8]> {
     let Some(homes) = view.homes(call.service, &call.image) else { return SmallVec::new() };
-    shared.choose(view, call, homes, CANDIDATES)
+    shared.choose(call, homes, CANDIDATES)
 }
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -35,14 +35,14 @@
 /// Parts of an answer that may wait in the caller's connection.
 const PARTS: usize = 8;
 
-/// When a caller may come back to another router after this one drains, in milliseconds.
-const DRAINING_RETRY_MS: u32 = 100;
-
 /// A refusal with a text for the caller.
 type Refused = (Refusal, &'static str);
 
 /// Answers one request of a caller.
-pub(crate) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+pub(crate) async fn answer(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
     let id = RequestId(random());
     let mut response = match take(&shared, request, id).await {
         Ok(response) => response,
@@ -60,20 +60,27 @@
     Ok(response)
 }
 
-async fn take(shared: &Arc<Shared>, request: Request<Incoming>, id: RequestId) -> Result<Response<Body>, Refused> {
-    if shared.is_leaving() {
-        return Err((Refusal::not_run(Reason::Draining, DRAINING_RETRY_MS), "this router is shutting down"));
-    }
+async fn take(
+    shared: &Arc<Shared>,
+    request: Request<Incoming>,
+    id: RequestId,
+) -> Result<Response<Body>, Refused> {
     let view = shared.view();
     let team = authenticate(&view, request.headers())?;
     let (parts, body) = request.into_parts();
     let deadline = deadline(shared, &parts.headers)?;
     let limit = shared.settings.limits.body_bytes;
-    let body = read_all(body, limit, BODY_STALL).await.map_err(|it| refused(it, "body is too large or broke off"))?;
+    let body = read_all(body, limit, BODY_STALL)
+        .await
+        .map_err(|it| refused(it, "body is too large or broke off"))?;
     let permit = Permit::take(shared, &team)?;
-    let call = Call::new(&view, team, &parts, body, id, deadline).map_err(|(reason, text)| refused(reason, text))?;
+    let call = Call::new(&view, team, &parts, body, id, deadline)
+        .map_err(|(reason, text)| refused(reason, text))?;
     if let Some(retry_ms) = shared.quarantined(call.fingerprint) {
-        return Err((Refusal::not_run(Reason::Quarantined, retry_ms), "this request crashed endpoints"));
+        return Err((
+            Refusal::not_run(Reason::Quarantined, retry_ms),
+            "this request crashed endpoints",
+        ));
     }
     shared.metrics.started();
     let call = Arc::new(call);
@@ -91,7 +98,9 @@
 
 fn authenticate(view: &View, headers: &HeaderMap) -> Result<Arc<Team>, Refused> {
     let value = headers.get(header::AUTHORIZATION).and_then(|it| it.to_str().ok());
-    let token = value.and_then(|it| it.strip_prefix("Bearer ")).ok_or(refused(Reason::Unauthorized, "no bearer token"))?;
+    let token = value
+        .and_then(|it| it.strip_prefix("Bearer "))
+        .ok_or(refused(Reason::Unauthorized, "no bearer token"))?;
     // The table is searched by digest, so the time of the search says nothing about the token.
     let team = view.team(&Digest::of(token.trim().as_bytes()));
     team.cloned().ok_or(refused(Reason::Unauthorized, "unknown token"))
@@ -150,7 +159,10 @@
 }
 
 /// Passes the body on; returns the refusal if it breaks off.
-async fn pump(body: &mut mpsc::Receiver<Part>, sender: &mut http_body_util::channel::Sender<Bytes, BodyError>) -> Option<Refusal> {
+async fn pump(
+    body: &mut mpsc::Receiver<Part>,
+    sender: &mut http_body_util::channel::Sender<Bytes, BodyError>,
+) -> Option<Refusal> {
     loop {
         match body.recv().await {
             Some(Part::Bytes(bytes)) => {
@@ -159,7 +171,13 @@
             }
             Some(Part::End) => return None,
             Some(Part::Abort(refusal)) => return Some(refusal),
-            None => return Some(Refusal { outcome: model::Outcome::Unknown, reason: Reason::EndpointFailed, retry_ms: 0 }),
+            None => {
+                return Some(Refusal {
+                    outcome: model::Outcome::Unknown,
+                    reason: Reason::EndpointFailed,
+                    retry_ms: 0,
+                });
+            }
         }
     }
 }
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -6,18 +6,21 @@
 use {
     crate::shared::Shared,
     eyre::{Result, WrapErr, bail, ensure},
-    model::{Config, Delta, MILLISECOND, Roster, SECOND},
+    model::{Config, Delta, MILLISECOND, Roster},
     rand::Rng,
     std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::time::{MissedTickBehavior, interval, sleep, timeout},
+    tokio::time::{Instant, sleep, sleep_until, timeout},
     wire::{
         Class, Dialer, Peer, RecvHalf, SendHalf,
         msg::{FEED_PATH, FromControl, ToControl},
     },
 };
 
-/// Microseconds between heartbeats.
-const HEARTBEAT_US: u64 = SECOND;
+/// Milliseconds between heartbeats.
+const HEARTBEAT_MS: u64 = 1_000;
+
+/// Milliseconds between heartbeats while the router is not in the roster.
+const JOIN_MS: u64 = 100;
 
 /// Milliseconds without any frame after which a replica is given up.
 const SILENCE_LIMIT_MS: u64 = 3_000;
@@ -52,11 +55,10 @@
     let peer = Peer::new(addr, dialer);
     let (mut send, mut recv) = peer.open(FEED_PATH).await?.split();
     send.send(&hello(shared)).await?;
-    shared.lease.lock().disconnected();
-    let session = Session { shared };
-    let mut beats = interval(Duration::from_micros(HEARTBEAT_US));
-    beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    shared.owned.lock().member.disconnected();
+    let mut session = Session { shared, listed: false };
     let mut welcomed = false;
+    let mut due = Instant::now();
     loop {
         tokio::select! {
             frame = next(&mut recv) => match frame? {
@@ -72,12 +74,20 @@
                     }
                 }
             },
-            _ = beats.tick(), if welcomed => session.beat(&mut send).await?,
+            () = sleep_until(due), if welcomed => {
+                session.beat(&mut send).await?;
+                due = Instant::now() + pause(shared);
+            }
             () = shared.leaving.notified(), if welcomed => session.beat(&mut send).await?,
         }
     }
 }
 
+/// The time until the next heartbeat.
+fn pause(shared: &Shared) -> Duration {
+    Duration::from_millis(if shared.is_listed() { HEARTBEAT_MS } else { JOIN_MS })
+}
+
 async fn next(recv: &mut RecvHalf) -> Result<FromControl> {
     let frame = timeout(Duration::from_millis(SILENCE_LIMIT_MS), recv.recv()).await;
     let frame = frame.wrap_err("replica is silent")??;
@@ -102,43 +112,38 @@
 /// One feed.
 struct Session<'a> {
     shared: &'a Arc<Shared>,
+    /// Whether the replica has sent its roster.
+    listed: bool,
 }
 
 impl Session<'_> {
     /// Sends a heartbeat, unless the one before is still unanswered.
     async fn beat(&self, send: &mut SendHalf) -> Result<()> {
         let now = self.shared.clock.now();
-        let Some(seq) = self.shared.lease.lock().beat(now) else { return Ok(()) };
-        let view = self.shared.view();
-        let heartbeat = ToControl::Heartbeat {
-            seq,
-            revision: view.config.revision,
-            epoch: view.roster.epoch,
-            leaving: self.shared.is_leaving(),
-            sums: self.shared.sums(now),
-        };
+        let Some(heartbeat) = self.shared.heartbeat(now) else { return Ok(()) };
         send.send(&heartbeat).await?;
-        for fingerprint in self.shared.take_crashers() {
+        let crashers = self.shared.owned.lock().take_crashers();
+        for fingerprint in crashers {
             send.send(&ToControl::Quarantine { fingerprint }).await?;
         }
         Ok(())
     }
 
     /// Takes one frame; returns whether a revision or roster came into force, which control is told at once.
-    fn take(&self, frame: FromControl) -> Result<bool> {
+    fn take(&mut self, frame: FromControl) -> Result<bool> {
         match frame {
             FromControl::Config(config) => self.config(config),
             FromControl::Delta(delta) => self.delta(&delta),
             FromControl::Roster(roster) => self.roster(roster),
-            FromControl::Granted { seq, lease_ms, means } => {
-                if self.shared.lease.lock().answered(seq, lease_ms) {
-                    self.shared.means(&means);
-                }
+            FromControl::Granted { seq, lease_ms, settled, held, means } => {
+                let now = self.shared.clock.now();
+                self.shared.owned.lock().granted(now, seq, lease_ms, settled, &held, &means);
                 Ok(false)
             }
             FromControl::Quarantined { fingerprint, expires_ms } => {
                 let until = self.shared.clock.now() + u64::from(expires_ms) * MILLISECOND;
-                self.shared.quarantine(fingerprint, until);
+                let now = self.shared.clock.now();
+                self.shared.owned.lock().suspects.quarantine(now, fingerprint, until);
                 Ok(false)
             }
             FromControl::NotLeader { .. } | FromControl::Welcome { .. } => Ok(false),
@@ -147,7 +152,11 @@
 
     fn config(&self, config: Arc<Config>) -> Result<bool> {
         let current = self.shared.view().config.clone();
-        ensure!(config.revision >= current.revision, "replica is behind: it has {}", config.revision);
+        ensure!(
+            config.revision >= current.revision,
+            "replica is behind: it has {}",
+            config.revision
+        );
         if config.revision == current.revision {
             ensure!(config.digest == current.digest, "replica holds another {}", config.revision);
             return Ok(false);
@@ -166,13 +175,13 @@
         Ok(true)
     }
 
-    fn roster(&self, roster: Roster) -> Result<bool> {
+    /// Takes the roster in force, which a replica sends first, or an older one by which a missing router may act.
+    fn roster(&mut self, roster: Roster) -> Result<bool> {
         let epoch = self.shared.view().roster.epoch;
-        ensure!(roster.epoch >= epoch, "replica is behind: it has {}", roster.epoch);
-        if roster.epoch == epoch {
-            return Ok(false);
-        }
-        self.shared.install_roster(roster);
-        Ok(true)
+        ensure!(self.listed || roster.epoch >= epoch, "replica is behind: it has {}", roster.epoch);
+        self.listed = true;
+        let newer = roster.epoch > epoch;
+        self.shared.install_roster(&roster);
+        Ok(newer)
     }
 }
--- a/crates/router/src/flags.rs
+++ b/crates/router/src/flags.rs
@@ -2,12 +2,14 @@
 
 #![allow(missing_docs, reason = "the macro takes doc comments as help texts")]
 
+use std::path::PathBuf;
+
 xflags::xflags! {
     /// Routes requests of callers to endpoints.
     cmd jf-router {
         /// Prints the version.
         optional --version
         /// The settings file.
-        optional settings: std::path::PathBuf
+        optional settings: PathBuf
     }
 }
--- a/crates/router/src/handoff.rs
+++ b/crates/router/src/handoff.rs
@@ -33,7 +33,12 @@
 
 impl Handoff {
     /// Hands `forward` to `router`.
-    pub(crate) fn spawn(shared: &Arc<Shared>, router: RouterId, addr: SocketAddr, forward: Forward) -> Handoff {
+    pub(crate) fn spawn(
+        shared: &Arc<Shared>,
+        router: RouterId,
+        addr: SocketAddr,
+        forward: Forward,
+    ) -> Handoff {
         let (sender, answers) = mpsc::channel(FRAMES);
         let task = if shared.is_me(router) {
             tokio::spawn(local(shared.clone(), forward, sender))
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,3 +1,62 @@
 //! The `jf-router` binary.
 
-fn main() {}
+mod flags;
+
+use {
+    eyre::Result,
+    router::Router,
+    settings::RouterSettings,
+    std::{path::Path, process::ExitCode},
+    tokio::{
+        runtime::Builder,
+        signal::unix::{SignalKind, signal},
+    },
+};
+
+/// The exit code for bad settings.
+const BAD_INPUT: u8 = 2;
+
+fn main() -> ExitCode {
+    let flags = flags::JfRouter::from_env_or_exit();
+    if flags.version {
+        println!("jf-router {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(file) = flags.settings else {
+        eprintln!("jf-router: expected a settings file; see --help");
+        return ExitCode::from(BAD_INPUT);
+    };
+    let settings = match load(&file) {
+        Ok(settings) => settings,
+        Err(err) => {
+            eprintln!("jf-router: {err}");
+            return ExitCode::from(BAD_INPUT);
+        }
+    };
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("jf-router: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn load(file: &Path) -> Result<RouterSettings> {
+    Ok(settings::load(file)?)
+}
+
+fn run(settings: RouterSettings) -> Result<()> {
+    let telemetry = telemetry::open(&settings.log)?;
+    Builder::new_multi_thread().enable_all().build()?.block_on(async {
+        let mut term = signal(SignalKind::terminate())?;
+        let mut int = signal(SignalKind::interrupt())?;
+        let router = Router::spawn(settings, telemetry).await?;
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        router.shutdown().await;
+        Ok(())
+    })
+}
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -3,7 +3,10 @@
 use {
     crate::shared::Shared,
     model::Refusal,
-    opentelemetry::{KeyValue, metrics::{Counter, Gauge}},
+    opentelemetry::{
+        KeyValue,
+        metrics::{Counter, Gauge},
+    },
     wire::Class,
 };
 
@@ -57,16 +60,21 @@
         let now = shared.clock.now();
         self.gauge("revision", view.config.revision.0);
         self.gauge("epoch", view.roster.epoch.0);
-        self.gauge("lease_valid", u64::from(shared.lease.lock().valid(now)));
+        self.gauge("lease_valid", u64::from(shared.owned.lock().member.lease().valid(now)));
         self.gauge("control_bytes_sent", traffic.sent(Class::Control));
         self.gauge("control_bytes_received", traffic.received(Class::Control));
         self.gauge("forward_bytes_sent", traffic.sent(Class::Forward));
         self.gauge("forward_bytes_received", traffic.received(Class::Forward));
         self.gauge("requests_running", shared.running());
-        for sum in shared.sums(now) {
+        let sums = shared.owned.lock().sums();
+        for sum in sums {
             let service = KeyValue::new("service", sum.service.to_string());
-            self.reported.record(sum.sum.0, &[KeyValue::new("value", "owned_load"), service.clone()]);
-            self.reported.record(u64::from(sum.count), &[KeyValue::new("value", "owned_endpoints"), service]);
+            self.reported
+                .record(sum.sum.0, &[KeyValue::new("value", "owned_load"), service.clone()]);
+            self.reported.record(
+                u64::from(sum.count),
+                &[KeyValue::new("value", "owned_endpoints"), service],
+            );
         }
     }
 
--- /dev/null
+++ b/crates/router/src/owned.rs
@@ -0,0 +1,363 @@
+//! The owner's side of a router: which endpoints it may start work on, what runs there, and what waits.
+//!
+//! One table under one lock: the decisions of `member`, `placement`, `admission` and `retry` for one endpoint must
+//! see one state. Every method takes `now` and does no I/O; what is to be sent is returned or put into a channel.
+
+use {
+    admission::{FairQueue, QueueConfig, Room, Waiting},
+    member::{Timing, View as Member},
+    model::{
+        AttemptNo, ChatKey, Config, Digest, EndpointId, Epoch, MILLISECOND, Reason, Refusal,
+        RequestId, Revision, SECOND, Time, Work,
+    },
+    placement::{CacheEvent, Homes, Settings, Start, Started, Table},
+    retry::{Isolation, SuspectLimits, Suspects, Verdict},
+    smallvec::SmallVec,
+    std::{
+        collections::{HashMap, VecDeque},
+        sync::Arc,
+    },
+    tokio::sync::oneshot,
+    wire::msg::{LoadSum, Mean, ToControl},
+};
+
+/// How long an endpoint that refused a connection gets nothing new, in microseconds.
+const DOWN_US: u64 = SECOND / 2;
+
+/// Requests whose chats are remembered, so that cache events can name them.
+const RECENT: usize = 1 << 16;
+
+/// When a request that lost its place in the queue may come back, in milliseconds.
+const AGAIN_MS: u32 = 100;
+
+/// A request that an endpoint of this router runs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Running {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) request: RequestId,
+    pub(crate) attempt: AttemptNo,
+    /// The work that it counted with at its start.
+    pub(crate) cost: Work,
+    /// The part of that work which is the prompt.
+    pub(crate) prompt: Work,
+    /// Whether an endpoint died under it before.
+    pub(crate) struck: bool,
+}
+
+/// Why a request did not start.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub(crate) enum NotStarted {
+    /// Another router may start it.
+    Moved(Epoch),
+    /// It may be tried at these.
+    Elsewhere(SmallVec<[EndpointId; 4]>),
+    /// It is given up.
+    Refused(Refusal),
+}
+
+/// What a waiting request is told.
+pub(crate) type Turn = Result<Running, NotStarted>;
+
+/// A request that waits for room.
+struct Queued {
+    start: Start,
+    homes: Arc<Homes>,
+    struck: bool,
+    turn: oneshot::Sender<Turn>,
+}
+
+/// The owner's side of a router.
+pub(crate) struct Owned {
+    pub(crate) member: Member,
+    pub(crate) table: Table,
+    pub(crate) suspects: Suspects,
+    isolation: Isolation,
+    queues: HashMap<EndpointId, FairQueue>,
+    waiting: HashMap<(EndpointId, RequestId), Queued>,
+    down: HashMap<EndpointId, Time>,
+    reports: HashMap<EndpointId, Work>,
+    chats: HashMap<RequestId, ChatKey>,
+    recent: VecDeque<RequestId>,
+    crashers: SmallVec<[Digest; 2]>,
+}
+
+impl Owned {
+    /// Returns the tables of a router that owns nothing.
+    pub(crate) fn new(_: Time) -> Owned {
+        Owned {
+            member: Member::new(Timing::default()),
+            table: Table::new(Settings::default()),
+            suspects: Suspects::new(SuspectLimits::default()),
+            isolation: Isolation::default(),
+            queues: HashMap::new(),
+            waiting: HashMap::new(),
+            down: HashMap::new(),
+            reports: HashMap::new(),
+            chats: HashMap::new(),
+            recent: VecDeque::new(),
+            crashers: SmallVec::new(),
+        }
+    }
+
+    /// Takes a new configuration.
+    pub(crate) fn take_config(&mut self, now: Time, config: &Config) {
+        self.member.take_config(now, config);
+        self.table.take_config(now, config);
+        let known = |id: &EndpointId| config.endpoints.contains_key(id);
+        self.down.retain(|id, _| known(id));
+        self.reports.retain(|id, _| known(id));
+        self.queues.retain(|id, queue| known(id) || !queue.is_empty());
+    }
+
+    /// Returns the heartbeat to send now, unless the one before is unanswered.
+    pub(crate) fn heartbeat(
+        &mut self,
+        now: Time,
+        revision: Revision,
+        leaving: bool,
+    ) -> Option<ToControl> {
+        let (seq, epoch) = self.member.beat(now)?;
+        let (sums, held) = (self.sums(), self.table.held(&self.member));
+        Some(ToControl::Heartbeat {
+            seq,
+            revision,
+            epoch,
+            leaving,
+            busy: self.table.busy(),
+            sums,
+            held,
+        })
+    }
+
+    /// The loads of the endpoints that this router owns.
+    pub(crate) fn sums(&self) -> SmallVec<[LoadSum; 4]> {
+        let sums = self.table.sums(&self.member);
+        let sum = |it: placement::Sum| LoadSum {
+            service: it.service,
+            sum: it.sum,
+            count: it.count,
+            least: it.least,
+            low: it.low,
+        };
+        sums.into_iter().map(sum).collect()
+    }
+
+    /// Takes the answer to a heartbeat.
+    pub(crate) fn granted(
+        &mut self,
+        now: Time,
+        seq: u64,
+        lease_ms: u32,
+        settled: Epoch,
+        held: &[(EndpointId, Work)],
+        means: &[Mean],
+    ) {
+        if !self.member.granted(now, seq, lease_ms, settled) {
+            return;
+        }
+        if settled == self.member.epoch() {
+            self.table.take_held(held);
+        }
+        for mean in means {
+            self.table.take_mean(mean.service, mean.sum, mean.count, &mean.hints);
+        }
+        self.tick(now);
+    }
+
+    /// Takes an endpoint's load report.
+    pub(crate) fn report(&mut self, now: Time, endpoint: EndpointId, asked: Time, load: Work) {
+        self.down.remove(&endpoint);
+        self.reports.insert(endpoint, load);
+        self.table.take_report(now, endpoint, asked, load);
+        self.serve_queue(now, endpoint);
+    }
+
+    /// The load that an endpoint last reported.
+    pub(crate) fn reported(&self, endpoint: EndpointId) -> Work {
+        self.reports.get(&endpoint).copied().unwrap_or_default()
+    }
+
+    /// Takes what an engine published about the prefix that a request left in its cache.
+    pub(crate) fn cache_event(&mut self, endpoint: EndpointId, request: RequestId, tokens: u32) {
+        if let Some(chat) = self.chats.get(&request) {
+            self.table.take_cache(endpoint, CacheEvent::Holds { chat: *chat, tokens });
+        }
+    }
+
+    /// Says whether a request that crashed endpoints before may run.
+    pub(crate) fn vet(
+        &mut self,
+        now: Time,
+        fingerprint: Digest,
+        request: RequestId,
+        strikes: &[EndpointId],
+        deadline: Time,
+    ) -> Result<bool, Refusal> {
+        match self.suspects.admit(now, fingerprint, request, strikes, deadline) {
+            Verdict::Pass => Ok(false),
+            Verdict::Trial => Ok(true),
+            Verdict::Busy { retry_ms } => Err(Refusal::not_run(Reason::InProgress, retry_ms)),
+            Verdict::Quarantined { retry_ms } => {
+                Err(Refusal::not_run(Reason::Quarantined, retry_ms))
+            }
+        }
+    }
+
+    /// Starts a request if its endpoint has room.
+    pub(crate) fn start(
+        &mut self,
+        now: Time,
+        homes: &Homes,
+        start: &Start,
+        struck: bool,
+    ) -> Result<Running, NotStarted> {
+        if self.down.get(&start.endpoint).is_some_and(|it| now < *it) {
+            return Err(NotStarted::Elsewhere(SmallVec::new()));
+        }
+        if struck && !self.isolation.enter(start.endpoint, start.request) {
+            return Err(NotStarted::Elsewhere(SmallVec::new()));
+        }
+        let started = self.table.try_start(now, &self.member, homes, start);
+        if struck && !matches!(started, Started::Started { .. }) {
+            self.isolation.leave(start.endpoint, start.request);
+        }
+        match started {
+            Started::Started { cached, cost } => {
+                self.remember(start.request, start.chat);
+                let prompt = Work(u64::from(start.prompt.saturating_sub(cached)));
+                let Start { endpoint, request, attempt, .. } = *start;
+                Ok(Running { endpoint, request, attempt, cost, prompt, struck })
+            }
+            Started::Full { elsewhere } => Err(NotStarted::Elsewhere(elsewhere)),
+            Started::NotOwner => Err(NotStarted::Moved(self.member.epoch())),
+        }
+    }
+
+    /// Queues a request until there is room; its turn comes over the returned channel.
+    pub(crate) fn wait(
+        &mut self,
+        now: Time,
+        waiting: Waiting,
+        start: Start,
+        homes: Arc<Homes>,
+        struck: bool,
+    ) -> Result<oneshot::Receiver<Turn>, Refusal> {
+        let fresh = || FairQueue::new(now, QueueConfig::default());
+        self.queues.entry(start.endpoint).or_insert_with(fresh).offer(now, waiting)?;
+        let (turn, receiver) = oneshot::channel();
+        self.waiting.insert((start.endpoint, start.request), Queued { start, homes, struck, turn });
+        self.serve_queue(now, start.endpoint);
+        Ok(receiver)
+    }
+
+    /// Takes a request out of the queue whose caller went away.
+    pub(crate) fn cancel(&mut self, endpoint: EndpointId, request: RequestId) {
+        if self.waiting.remove(&(endpoint, request)).is_some()
+            && let Some(queue) = self.queues.get_mut(&endpoint)
+        {
+            queue.cancel(request);
+        }
+    }
+
+    /// Notes how much work of a running request is left.
+    pub(crate) fn progress(&mut self, running: &Running, left: Work) {
+        self.table.progress(running.endpoint, running.request, running.attempt, left);
+    }
+
+    /// Ends a running request and starts what has room now.
+    pub(crate) fn ended(&mut self, now: Time, running: &Running) {
+        let Running { endpoint, request, attempt, .. } = *running;
+        self.table.ended(now, endpoint, request, attempt);
+        if running.struck {
+            self.isolation.leave(endpoint, request);
+        }
+        if let Some(queue) = self.queues.get_mut(&endpoint) {
+            queue.ended(now, running.cost);
+        }
+        self.serve_queue(now, endpoint);
+    }
+
+    /// Keeps new work from an endpoint that refused a connection.
+    pub(crate) fn down(&mut self, now: Time, endpoint: EndpointId) {
+        self.down.insert(endpoint, now + DOWN_US);
+    }
+
+    /// Counts the death of an endpoint under a request.
+    pub(crate) fn strike(&mut self, now: Time, fingerprint: Digest, endpoint: EndpointId) {
+        self.down(now, endpoint);
+        if self.suspects.strike(now, fingerprint, endpoint) {
+            self.crashers.push(fingerprint);
+        }
+    }
+
+    /// Quarantines a request that this router saw crash two endpoints.
+    pub(crate) fn crashed(&mut self, now: Time, fingerprint: Digest) {
+        self.suspects.quarantine(now, fingerprint, now + SuspectLimits::default().memory);
+        self.crashers.push(fingerprint);
+    }
+
+    /// The fingerprints that control must be told.
+    pub(crate) fn take_crashers(&mut self) -> SmallVec<[Digest; 2]> {
+        std::mem::take(&mut self.crashers)
+    }
+
+    /// Takes out what waited too long, and starts what has room; to be called several times a second.
+    pub(crate) fn tick(&mut self, now: Time) {
+        let busy: SmallVec<[EndpointId; 16]> =
+            self.queues.iter().filter(|it| !it.1.is_empty()).map(|it| *it.0).collect();
+        for endpoint in busy {
+            self.expire(now, endpoint);
+            self.serve_queue(now, endpoint);
+        }
+        self.suspects.expire(now);
+    }
+
+    fn expire(&mut self, now: Time, endpoint: EndpointId) {
+        let Some(queue) = self.queues.get_mut(&endpoint) else { return };
+        for (request, refusal) in queue.expire(now) {
+            self.tell(endpoint, request, Err(NotStarted::Refused(refusal)));
+        }
+    }
+
+    fn serve_queue(&mut self, now: Time, endpoint: EndpointId) {
+        let Some(queue) = self.queues.get_mut(&endpoint).filter(|it| !it.is_empty()) else {
+            return;
+        };
+        let room = self.table.room(now, &self.member, endpoint);
+        let starts = queue.room(now, Room { work: room.work, idle: room.one });
+        for (request, _) in starts {
+            let Some(queued) = self.waiting.get(&(endpoint, request)) else { continue };
+            let (start, homes, struck) = (queued.start, queued.homes.clone(), queued.struck);
+            let turn = match self.start(now, &homes, &start, struck) {
+                Err(NotStarted::Elsewhere(_)) => {
+                    Err(NotStarted::Refused(Refusal::not_run(Reason::Overloaded, AGAIN_MS)))
+                }
+                turn => turn,
+            };
+            self.tell(endpoint, request, turn);
+        }
+    }
+
+    /// Tells a waiting request its turn. Its receiver is there: it leaves the queue before it goes (see `owner`).
+    fn tell(&mut self, endpoint: EndpointId, request: RequestId, turn: Turn) {
+        if let Some(queued) = self.waiting.remove(&(endpoint, request)) {
+            let _ = queued.turn.send(turn);
+        }
+    }
+
+    fn remember(&mut self, request: RequestId, chat: ChatKey) {
+        if self.chats.insert(request, chat).is_none() {
+            self.recent.push_back(request);
+        }
+        if self.recent.len() > RECENT
+            && let Some(old) = self.recent.pop_front()
+        {
+            self.chats.remove(&old);
+        }
+    }
+}
+
+/// Milliseconds of a budget as a deadline.
+pub(crate) fn deadline(now: Time, budget_ms: u32) -> Time {
+    now + u64::from(budget_ms) * MILLISECOND
+}
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::shared::Shared,
-    edge::{Client, HttpError, empty},
+    edge::{Client, empty},
     model::{EndpointId, RequestId, ServiceKind, Time, Work},
     serde::{Deserialize, de::DeserializeOwned},
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
@@ -25,8 +25,6 @@
 #[derive(Deserialize)]
 struct LoadReport {
     work: u64,
-    #[serde(default)]
-    age_ms: u64,
 }
 
 /// One cache event of an engine.
@@ -50,7 +48,7 @@
 struct Probe {
     endpoint: EndpointId,
     asked: Time,
-    load: Result<LoadReport, ()>,
+    load: Option<LoadReport>,
     events: Vec<EventReport>,
 }
 
@@ -64,7 +62,8 @@
         ticks.tick().await;
         let mut probes = JoinSet::new();
         for (endpoint, addr, kind) in owned(&shared) {
-            let after = (kind == ServiceKind::Model).then(|| seen.get(&endpoint).copied().unwrap_or(0));
+            let after =
+                (kind == ServiceKind::Model).then(|| seen.get(&endpoint).copied().unwrap_or(0));
             let (client, asked) = (client.clone(), shared.clock.now());
             probes.spawn(async move { probe(&client, endpoint, addr, asked, after).await });
         }
@@ -77,47 +76,51 @@
 fn owned(shared: &Shared) -> Vec<(EndpointId, SocketAddr, ServiceKind)> {
     let view = shared.view();
     let mine = view.config.endpoints.values().filter(|it| shared.owns(&view, it.id));
-    let kind = |service| view.config.services.get(&service).map_or(ServiceKind::Plain, |it| it.kind);
+    let kind =
+        |service| view.config.services.get(&service).map_or(ServiceKind::Plain, |it| it.kind);
     mine.map(|it| (it.id, it.addr, kind(it.service))).collect()
 }
 
-async fn probe(client: &Client, endpoint: EndpointId, addr: SocketAddr, asked: Time, after: Option<u64>) -> Probe {
-    let load = get(client, addr, "/load").await.map_err(|_| ());
+async fn probe(
+    client: &Client,
+    endpoint: EndpointId,
+    addr: SocketAddr,
+    asked: Time,
+    after: Option<u64>,
+) -> Probe {
+    let load = get(client, addr, "/load").await;
     let events = match after {
-        Some(after) => get(client, addr, &format!("/events?after={after}")).await.unwrap_or_default(),
+        Some(after) => {
+            get(client, addr, &format!("/events?after={after}")).await.unwrap_or_default()
+        }
         None => Vec::new(),
     };
     Probe { endpoint, asked, load, events }
 }
 
-async fn get<T>(client: &Client, addr: SocketAddr, path: &str) -> Result<T, ProbeError>
+/// Asks for a page; nothing if the endpoint does not answer with one.
+async fn get<T>(client: &Client, addr: SocketAddr, path: &str) -> Option<T>
 where
     T: DeserializeOwned,
 {
-    let (status, body) = client.call(addr, "GET", path, None, empty()).await?;
+    let answered = client.call(addr, "GET", path, None, empty()).await;
+    let (status, body) = answered.ok()?;
     if status != 200 {
-        return Err(ProbeError::Status);
+        return None;
     }
-    Ok(serde_json::from_slice(&body)?)
-}
-
-#[derive(derive_more::From)]
-enum ProbeError {
-    Http(#[allow(dead_code, reason = "for a debugger")] HttpError),
-    Json(#[allow(dead_code, reason = "for a debugger")] serde_json::Error),
-    Status,
+    serde_json::from_slice(&body).ok()
 }
 
 fn take(shared: &Shared, seen: &mut HashMap<EndpointId, u64>, probe: Probe) {
-    if let Ok(load) = &probe.load {
-        let at = probe.asked.before(load.age_ms * model::MILLISECOND);
-        shared.report(probe.endpoint, at, Work(load.work));
+    if let Some(load) = &probe.load {
+        let now = shared.clock.now();
+        shared.owned.lock().report(now, probe.endpoint, probe.asked, Work(load.work));
     }
     for event in probe.events {
         let last = seen.entry(probe.endpoint).or_default();
         *last = (*last).max(event.seq);
         let Ok(request) = u128::from_str_radix(&event.request, 16) else { continue };
-        let stored = (event.kind == EventKind::Stored).then_some(event.tokens);
-        shared.cache_event(probe.endpoint, RequestId(request), stored);
+        let tokens = if event.kind == EventKind::Stored { event.tokens } else { 0 };
+        shared.owned.lock().cache_event(probe.endpoint, RequestId(request), tokens as u32);
     }
 }
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -5,12 +5,16 @@
 
 use {
     member::Owners,
-    model::{Config, Digest, Endpoint, EndpointId, EndpointState, Image, Name, Roster, RouterId, Service, ServiceId, ServiceKind, Team, TeamId},
+    model::{
+        Config, Digest, Endpoint, EndpointId, EndpointState, Image, Name, Roster, RouterId,
+        Service, ServiceId, ServiceKind, Team, TeamId,
+    },
     placement::Homes,
     std::{collections::HashMap, net::SocketAddr, sync::Arc},
 };
 
 /// One consistent picture of the fleet.
+#[derive(Default)]
 pub struct View {
     /// The configuration in force.
     pub config: Arc<Config>,
@@ -24,9 +28,8 @@
 }
 
 impl View {
-    /// Computes the view of a configuration and a roster.
-    pub fn new(config: Arc<Config>, roster: Roster) -> View {
-        let owners = Owners::compute(&roster, &config);
+    /// Computes the view of a configuration and a roster with its owners.
+    pub fn new(config: Arc<Config>, roster: Roster, owners: Owners) -> View {
         let tokens = tokens(&config);
         let models = models(&config);
         let homes = homes(&config);
@@ -88,7 +91,11 @@
 }
 
 fn image_name(image: &Image) -> Name {
-    if image.adapter.is_empty() { image.model.clone() } else { format!("{}+{}", image.model, image.adapter).into() }
+    if image.adapter.is_empty() {
+        image.model.clone()
+    } else {
+        format!("{}+{}", image.model, image.adapter).into()
+    }
 }
 
 fn homes(config: &Config) -> HashMap<(ServiceId, Option<Image>), Arc<Homes>> {
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -65,8 +65,12 @@
     pub chat: ChatKey,
     /// What the endpoint must carry; nothing for a plain service.
     pub image: Option<Image>,
-    /// The estimated work.
+    /// The estimated work if nothing is cached.
     pub cost: Work,
+    /// How much of the work is the prompt, which a cached prefix saves.
+    pub prompt: u32,
+    /// The priority; higher goes first.
+    pub priority: u8,
     /// What to do without room.
     pub admit: Admit,
     /// Milliseconds until the caller's deadline.
