Add the operator command line

Cause: operators plan, confirm, drain, read status and audit, check files and make development keys.

--- a/crates/jf/src/main.rs
+++ b/crates/jf/src/main.rs
@@ -1,3 +1,67 @@
-//! The `jf` operator command line.
+//! The `jf` operator command line: plan, confirm, status, drain, audit, check and keys.
+//!
+//! It ends with 0 when done, 1 when the system refused or could not be reached, and 2 on bad input.
 
-fn main() {}
+#![allow(clippy::disallowed_methods, reason = "the command line keeps its own time limits")]
+
+mod api;
+mod audit;
+mod check;
+mod failure;
+mod flags;
+mod keys;
+mod operate;
+mod status;
+mod table;
+
+use {
+    crate::{
+        api::Api,
+        failure::exit_code,
+        flags::{Jf, JfCmd},
+    },
+    eyre::{Result, WrapErr},
+    std::{env, process::exit},
+    tokio::runtime::Builder,
+};
+
+fn main() {
+    if env::args().skip(1).eq(["--version".to_owned()]) {
+        return version();
+    }
+    let flags = Jf::from_env_or_exit();
+    if let Err(err) = run(&flags) {
+        eprintln!("jf: {err:#}");
+        exit(exit_code(&err));
+    }
+}
+
+fn version() {
+    println!("jf {}", env!("CARGO_PKG_VERSION"));
+}
+
+fn run(flags: &Jf) -> Result<()> {
+    match &flags.subcommand {
+        JfCmd::Check(it) => return check::run(it),
+        JfCmd::Keys(it) => return keys::run(&it.dir),
+        JfCmd::Version(_) => {
+            version();
+            return Ok(());
+        }
+        _ => {}
+    }
+    let api = Api::open(flags.settings.as_deref())?;
+    let runtime = Builder::new_current_thread().enable_all().build();
+    runtime.wrap_err("jf: cannot start")?.block_on(call(&api, &flags.subcommand))
+}
+
+async fn call(api: &Api, command: &JfCmd) -> Result<()> {
+    match command {
+        JfCmd::Plan(it) => operate::plan(api, it).await,
+        JfCmd::Confirm(it) => operate::confirm(api, it).await,
+        JfCmd::Drain(it) => operate::drain(api, it).await,
+        JfCmd::Status(it) => status::run(api, it).await,
+        JfCmd::Audit(it) => audit::run(api, it).await,
+        JfCmd::Check(_) | JfCmd::Keys(_) | JfCmd::Version(_) => Ok(()),
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,6 +6,7 @@
 mod error;
 mod load;
 mod log;
+mod operator;
 mod router;
 mod tls;
 
@@ -13,6 +14,7 @@
     error::SettingsError,
     load::{Check, load, parse},
     log::{LogFormat, LogLevel, LogSettings},
+    operator::OperatorSettings,
     router::{RequestLimits, RouterSettings, Routing},
     tls::{CertFiles, TlsFiles},
 };
--- /dev/null
+++ b/crates/settings/src/operator.rs
@@ -0,0 +1,35 @@
+//! The settings of the operator's command line.
+
+use {
+    crate::load::Check,
+    derive_more::Debug,
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, path::PathBuf},
+};
+
+/// The settings of `jf`.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct OperatorSettings {
+    /// The admin addresses of the control replicas.
+    pub control: Vec<SocketAddr>,
+    /// The file that holds the operator's token, on one line.
+    pub token_file: PathBuf,
+    /// Milliseconds until an operation is given up; default 15000.
+    #[serde(default = "timeout_ms")]
+    pub timeout_ms: u64,
+}
+
+impl Check for OperatorSettings {
+    fn check(&self) -> Result<(), (&'static str, String)> {
+        let rule = |key, held: bool, expected: &str| {
+            if held { Ok(()) } else { Err((key, expected.to_owned())) }
+        };
+        rule("control", !self.control.is_empty(), "expected at least one address")?;
+        rule("timeout-ms", self.timeout_ms > 0, "expected at least 1")
+    }
+}
+
+fn timeout_ms() -> u64 {
+    15_000
+}
