--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod error;
 mod load;
+mod load_tool;
 mod log;
 mod operator;
 mod router;
@@ -13,6 +14,7 @@
 pub use crate::{
     error::SettingsError,
     load::{Check, load, parse},
+    load_tool::{LoadEngine, LoadPlain, LoadRouter, LoadSettings, LoadTeam},
     log::{LogFormat, LogLevel, LogSettings},
     operator::OperatorSettings,
     router::{RequestLimits, RouterSettings, Routing},
--- /dev/null
+++ b/xtask/src/demo/fleet.rs
@@ -0,0 +1,185 @@
+//! Building and starting a fleet, and ending it.
+
+use {
+    crate::demo::{child::Child, files::RunFolder},
+    edge::{Client, empty},
+    eyre::{OptionExt, Result, WrapErr, bail},
+    settings::{LoadSettings, OperatorSettings},
+    std::{
+        env, fs,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        process::Command,
+        time::Duration,
+    },
+    tokio::{
+        net::TcpStream,
+        process::Command as AsyncCommand,
+        time::{Instant, sleep, timeout},
+    },
+};
+
+const READY_LIMIT: Duration = Duration::from_secs(40);
+const COMMAND_LIMIT: Duration = Duration::from_secs(40);
+const POLL: Duration = Duration::from_millis(50);
+const EXCHANGE_MS: u64 = 2_000;
+
+/// Builds the binaries and returns their folder.
+pub(crate) fn build(release: bool) -> Result<PathBuf> {
+    let mut cargo = Command::new(env::var_os("CARGO").unwrap_or_else(|| "cargo".into()));
+    cargo.args(["build", "--locked", "--bins"]);
+    cargo.args(["-p", "standin", "-p", "control", "-p", "router", "-p", "jf", "-p", "load"]);
+    if release {
+        cargo.arg("--release");
+    }
+    if !cargo.status().wrap_err("demo: run cargo build")?.success() {
+        bail!("demo: the build failed");
+    }
+    let this = env::current_exe().wrap_err("demo: where is this program")?;
+    let target = this.ancestors().nth(2).ok_or_eyre("demo: no target folder")?;
+    Ok(target.join(if release { "release" } else { "debug" }))
+}
+
+/// The processes of one run.
+pub(crate) struct Fleet<'a> {
+    binaries: &'a Path,
+    folder: &'a RunFolder,
+    children: Vec<Child>,
+}
+
+impl<'a> Fleet<'a> {
+    pub(crate) fn new(binaries: &'a Path, folder: &'a RunFolder) -> Fleet<'a> {
+        Fleet { binaries, folder, children: Vec::new() }
+    }
+
+    pub(crate) fn folder(&self) -> &'a RunFolder {
+        self.folder
+    }
+
+    /// Starts everything and puts the intent in force.
+    pub(crate) async fn start(&mut self) -> Result<()> {
+        let path = self.folder.path();
+        let load: LoadSettings = settings::load(&path.join("load.toml"))?;
+        let operator: OperatorSettings = settings::load(&path.join("jf.toml"))?;
+        self.spawn("jf-standin", "standin.toml")?;
+        for engine in &load.engine {
+            self.wait_for_port(engine.addr).await?;
+        }
+        for file in self.folder.numbered("control") {
+            self.spawn("jf-control", &file)?;
+        }
+        self.wait_for_page(operator.control[0], "/ready").await?;
+        for file in self.folder.numbered("router") {
+            self.spawn("jf-router", &file)?;
+        }
+        for router in &load.router {
+            self.wait_for_page(router.admin, "/health").await?;
+        }
+        println!("demo: {} processes run", self.children.len());
+        self.put_in_force().await?;
+        for router in &load.router {
+            self.wait_for_page(router.admin, "/ready").await?;
+        }
+        println!("demo: {} routers are ready", load.router.len());
+        Ok(())
+    }
+
+    /// Runs one of the binaries to its end and returns what it printed.
+    pub(crate) async fn command(&self, binary: &str, args: &[&str]) -> Result<String> {
+        let mut command = AsyncCommand::new(self.binaries.join(binary));
+        command.args(args).current_dir(self.folder.path()).kill_on_drop(true);
+        let output = timeout(COMMAND_LIMIT, command.output()).await;
+        let output = output.wrap_err_with(|| format!("demo: {binary} {args:?} took too long"))?;
+        let output = output.wrap_err_with(|| format!("demo: run {binary}"))?;
+        if !output.status.success() {
+            self.print_logs();
+            let text = String::from_utf8_lossy(&output.stderr);
+            bail!("demo: {binary} {args:?} ended with {}: {text}", output.status);
+        }
+        Ok(String::from_utf8_lossy(&output.stdout).into_owned())
+    }
+
+    /// Waits until any process ends and returns its name.
+    pub(crate) async fn wait_for_exit(&mut self) -> Result<String> {
+        loop {
+            for child in &mut self.children {
+                if child.check().is_err() {
+                    return Ok(child.name.clone());
+                }
+            }
+            sleep(POLL).await;
+        }
+    }
+
+    /// Ends all processes in order, callers' side first.
+    pub(crate) async fn end(&mut self) -> Result<()> {
+        let mut ended = Ok(());
+        while let Some(mut child) = self.children.pop() {
+            child.terminate().await;
+            ended = ended.and(child.join().await);
+        }
+        ended
+    }
+
+    pub(crate) fn print_logs(&self) {
+        self.children.iter().for_each(Child::print_log);
+    }
+
+    fn spawn(&mut self, binary: &str, file: &str) -> Result<()> {
+        let name = file.trim_end_matches(".toml");
+        let path = self.binaries.join(binary);
+        self.children.push(Child::spawn(&path, &[file], self.folder.path(), name)?);
+        Ok(())
+    }
+
+    async fn put_in_force(&self) -> Result<()> {
+        let planned = self.command("jf", &["plan", "intent.toml", "--json"]).await?;
+        let planned: serde_json::Value =
+            serde_json::from_str(&planned).wrap_err("demo: what jf plan printed")?;
+        let plan = planned["plan"].as_str().ok_or_eyre("demo: jf plan printed no plan")?;
+        print!("demo: {plan}: {}", self.command("jf", &["confirm", plan]).await?);
+        Ok(())
+    }
+
+    async fn wait_for_port(&mut self, addr: SocketAddr) -> Result<()> {
+        let deadline = Instant::now() + READY_LIMIT;
+        while TcpStream::connect(addr).await.is_err() {
+            self.pause(deadline, &format!("{addr} takes no connections")).await?;
+        }
+        Ok(())
+    }
+
+    async fn wait_for_page(&mut self, addr: SocketAddr, page: &str) -> Result<()> {
+        let deadline = Instant::now() + READY_LIMIT;
+        let client = Client::new(EXCHANGE_MS);
+        loop {
+            let answered = client.call(addr, "GET", page, None, empty()).await;
+            let seen = match answered {
+                Ok((200, _)) => return Ok(()),
+                Ok((status, body)) => {
+                    format!("{status} {}", String::from_utf8_lossy(&body).trim())
+                }
+                Err(err) => err.to_string(),
+            };
+            self.pause(deadline, &format!("{addr}{page}: {seen}")).await?;
+        }
+    }
+
+    /// Waits a little, and fails at the deadline or when a process has ended.
+    async fn pause(&mut self, deadline: Instant, seen: &str) -> Result<()> {
+        self.children.iter_mut().try_for_each(Child::check)?;
+        if Instant::now() > deadline {
+            self.print_logs();
+            bail!("demo: not ready within {READY_LIMIT:?}: {seen}");
+        }
+        sleep(POLL).await;
+        Ok(())
+    }
+}
+
+/// Reads a token of a run folder.
+pub(crate) fn token(folder: &RunFolder, file: &Path) -> Result<String> {
+    let file = folder.path().join(file);
+    let text = fs::read_to_string(&file);
+    Ok(text.wrap_err_with(|| format!("demo: read {}", file.display()))?.trim().to_owned())
+}
--- /dev/null
+++ b/xtask/src/demo/tour.rs
@@ -0,0 +1,132 @@
+//! Real calls through a running fleet, with every byte of the answers checked.
+
+use {
+    crate::demo::{files::RunFolder, fleet::token},
+    edge::{Client, full},
+    eyre::{OptionExt, Result, WrapErr, bail, ensure},
+    http::{HeaderMap, Request, header},
+    http_body_util::BodyExt,
+    settings::{LoadRouter, LoadSettings},
+    standin::{Answer, ChatRequest, Message},
+};
+
+const EXCHANGE_MS: u64 = 30_000;
+const TOKENS: u32 = 12;
+
+struct Tour {
+    load: LoadSettings,
+    token: String,
+    client: Client,
+}
+
+/// Sends a chat of two turns through two routers, and a call that may not be repeated twice.
+pub(crate) async fn run(folder: &RunFolder) -> Result<()> {
+    let load: LoadSettings = settings::load(&folder.path().join("load.toml"))?;
+    let team = load.team.first().ok_or_eyre("demo: no team")?;
+    let token = token(folder, &team.token_file)?;
+    let tour = Tour { token, client: Client::new(EXCHANGE_MS), load };
+    let (first, last) = (&tour.load.router[0], &tour.load.router[tour.load.router.len() - 1]);
+    let mut messages = vec![message("user", "Which findings are still open on line 3?")];
+    let text = tour.turn(first, &messages, true).await?;
+    messages.push(message("assistant", &text));
+    messages.push(message("user", "Draft the report."));
+    tour.turn(last, &messages, false).await?;
+    tour.store_twice(first, last).await
+}
+
+fn message(role: &str, content: &str) -> Message {
+    Message { role: role.to_owned(), content: content.to_owned() }
+}
+
+impl Tour {
+    /// Sends one turn and returns the answer's text.
+    async fn turn(&self, to: &LoadRouter, messages: &[Message], stream: bool) -> Result<String> {
+        let chat = ChatRequest {
+            model: self.load.model.to_string(),
+            messages: messages.to_vec(),
+            max_tokens: Some(TOKENS),
+            stream,
+        };
+        let body = serde_json::to_vec(&chat).wrap_err("demo: encode chat")?;
+        let request = Request::post("/v1/chat/completions").header("jasminefront-chat", "demo-1");
+        let (headers, body) = self.send(to, request, body).await?;
+        let request = text_header(&headers, "jasminefront-request");
+        let endpoint = text_header(&headers, "jasminefront-endpoint");
+        let answer = Answer::new(&chat, &request);
+        check_body(&answer, &body)?;
+        let form = if stream { "streamed" } else { "whole" };
+        println!("demo: through {} ({form}), ran on {endpoint}: {}", to.listen, answer.text());
+        println!("demo:   {}", usage(&body));
+        Ok(answer.text())
+    }
+
+    /// Sends a call that may not be repeated through two routers; it runs once and is answered twice.
+    async fn store_twice(&self, first: &LoadRouter, last: &LoadRouter) -> Result<()> {
+        let Some(plain) = self.load.plain.first() else { return Ok(()) };
+        let path = format!("/s/{}/evidence/7", plain.service);
+        let mut answers = Vec::new();
+        for router in [first, last] {
+            let request = Request::post(&path).header("idempotency-key", "demo-evidence-7");
+            let (_, body) = self.send(router, request, b"a photo".to_vec()).await?;
+            println!("demo: through {}: {body}", router.listen);
+            answers.push(body);
+        }
+        ensure!(answers[0] == answers[1], "demo: the resend got another answer");
+        let runs = self.runs("demo-evidence-7").await?;
+        ensure!(runs == 1, "demo: the call ran {runs} times");
+        println!("demo: the call ran once");
+        Ok(())
+    }
+
+    async fn runs(&self, key: &str) -> Result<u64> {
+        let mut runs = 0;
+        for plain in &self.load.plain {
+            let called = self.client.call(plain.addr, "GET", "/counts", None, edge::empty()).await;
+            let counts: serde_json::Value = serde_json::from_slice(&called?.1)?;
+            runs += counts["keys"][key].as_u64().unwrap_or(0);
+        }
+        Ok(runs)
+    }
+
+    async fn send(
+        &self,
+        to: &LoadRouter,
+        request: http::request::Builder,
+        body: Vec<u8>,
+    ) -> Result<(HeaderMap, String)> {
+        let request = request.header(header::AUTHORIZATION, format!("Bearer {}", self.token));
+        let request = request.header(header::CONTENT_TYPE, "application/json");
+        let request = request.body(full(body)).wrap_err("demo: build request")?;
+        let response = self.client.send(to.listen, request).await?;
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.wrap_err_with(|| format!("demo: body from {}", to.listen));
+        let body = String::from_utf8_lossy(&body?.to_bytes()).into_owned();
+        if !head.status.is_success() {
+            bail!("demo: {} answered {}: {body}", to.listen, head.status);
+        }
+        Ok((head.headers, body))
+    }
+}
+
+fn text_header(headers: &HeaderMap, name: &str) -> String {
+    headers.get(name).and_then(|it| it.to_str().ok()).unwrap_or("?").to_owned()
+}
+
+/// Checks every byte but the count of cached tokens, which is the engine's to say.
+fn check_body(answer: &Answer, body: &str) -> Result<()> {
+    let expected = answer.body(0);
+    let (before, after) =
+        expected.split_once("\"cached_tokens\":").ok_or_eyre("demo: answer without usage")?;
+    let ends = after.trim_start_matches([' ', '0']);
+    ensure!(
+        body.len() == expected.len() && body.starts_with(before) && body.ends_with(ends),
+        "demo: not the expected answer:\n{body}\nexpected:\n{expected}"
+    );
+    Ok(())
+}
+
+fn usage(body: &str) -> String {
+    let usage = body.split_once("\"usage\":").map_or("", |it| it.1);
+    let end = usage.find("}}").map_or(usage.len(), |it| it + 2);
+    usage[..end].replace("  ", "")
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,6 +3,7 @@
 //! This is the launcher that the product itself does not have: it may start processes, the product's binaries may not.
 #![allow(clippy::disallowed_methods, reason = "the launcher starts processes and reads clocks")]
 
+mod demo;
 mod flags;
 mod test;
 
@@ -11,5 +12,6 @@
 fn main() -> Result<()> {
     match flags::Xtask::from_env_or_exit().subcommand {
         flags::XtaskCmd::Test(flags) => test::run(&flags),
+        flags::XtaskCmd::Demo(flags) => demo::run(&flags),
     }
 }
