--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every value names its unit, unknown keys are errors, and secrets are paths of files, never values. A file that
 //! does not hold is refused with one line that names the file, the key and what was expected, before anything starts.
 
+mod control;
 mod error;
 mod load;
 mod load_tool;
@@ -12,6 +13,7 @@
 mod tls;
 
 pub use crate::{
+    control::{ControlPeer, ControlSettings, WeightLimits},
     error::SettingsError,
     load::{Check, load, parse},
     load_tool::{LoadEngine, LoadPlain, LoadRouter, LoadSettings, LoadTeam},
