--- a/crates/jf/src/check.rs
+++ b/crates/jf/src/check.rs
@@ -2,45 +2,109 @@
 
 use {
     crate::{failure::BadInput, flags},
+    derive_more::Display,
     eyre::Result,
-    settings::{OperatorSettings, RouterSettings},
+    intent::{Action, Answer, Document, Intents, Operation, WeightStore},
+    model::OperationId,
+    serde::Deserialize,
+    settings::{Check, ControlSettings, LoadSettings, OperatorSettings, RouterSettings},
     std::{fs, path::Path},
 };
 
 /// What a file can hold.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Display)]
 enum Kind {
+    /// The settings of a router.
+    #[display("router settings")]
     Router,
+    /// The settings of a control replica.
+    #[display("control settings")]
+    Control,
+    /// The settings of this command line.
+    #[display("operator settings")]
     Operator,
+    /// The settings of the load tool.
+    #[display("load settings")]
+    Load,
+    /// What an operator wants.
+    #[display("intent")]
+    Intent,
+}
+
+/// An intent, read as settings are.
+#[derive(Deserialize)]
+#[serde(transparent)]
+struct IntentFile(Document);
+
+impl Check for IntentFile {
+    fn check(&self) -> Result<(), (&'static str, String)> {
+        Ok(())
+    }
 }
 
 pub(crate) fn run(flags: &flags::Check) -> Result<()> {
+    let file = &flags.file;
     let kind = match flags.kind.as_deref() {
         Some(name) => named(name)?,
-        None => guess(&flags.file)?,
+        None => guess(file),
     };
     match kind {
-        Kind::Router => drop(settings::load::<RouterSettings>(&flags.file)?),
-        Kind::Operator => drop(settings::load::<OperatorSettings>(&flags.file)?),
+        Kind::Router => drop(settings::load::<RouterSettings>(file)?),
+        Kind::Control => drop(settings::load::<ControlSettings>(file)?),
+        Kind::Operator => drop(settings::load::<OperatorSettings>(file)?),
+        Kind::Load => drop(settings::load::<LoadSettings>(file)?),
+        Kind::Intent => check_intent(file)?,
     }
-    println!("{}: {kind:?} file holds", flags.file.display());
+    println!("{}: {kind} hold", file.display());
     Ok(())
 }
 
+/// Reads an intent and plans it on an empty configuration, by the rules that control applies.
+pub(crate) fn check_intent(file: &Path) -> Result<()> {
+    let IntentFile(document) = settings::load(file)?;
+    let operation = Operation {
+        id: OperationId("check".into()),
+        operator: "check".into(),
+        at_ms: 0,
+        action: Action::Plan(document),
+        live: [].into(),
+        weights: WeightStore::default(),
+    };
+    match Intents::default().apply(&operation) {
+        Answer::Refused(refused) => {
+            Err(BadInput::new(format!("{}: {refused}", file.display())).into())
+        }
+        Answer::Planned(_) | Answer::Confirmed { .. } => Ok(()),
+    }
+}
+
 fn named(name: &str) -> Result<Kind> {
     Ok(match name {
         "router" => Kind::Router,
+        "control" => Kind::Control,
         "operator" => Kind::Operator,
+        "load" => Kind::Load,
+        "intent" => Kind::Intent,
         _ => {
-            let expected = "expected router, control, operator or intent";
+            let expected = "expected router, control, operator, load or intent";
             return Err(BadInput::new(format!("--kind: {expected}, found {name:?}")).into());
         }
     })
 }
 
 /// Tells the kind by keys that only one kind has.
-fn guess(file: &Path) -> Result<Kind> {
+fn guess(file: &Path) -> Kind {
     let text = fs::read_to_string(file).unwrap_or_default();
-    let has = |key: &str| text.lines().any(|it| it.trim_start().starts_with(key));
-    Ok(if has("token-file") { Kind::Operator } else { Kind::Router })
+    let has = |start: &str| text.lines().any(|it| it.trim_start().starts_with(start));
+    if has("[[router]]") {
+        Kind::Load
+    } else if has("[[team]]") || has("[[service]]") || has("[[endpoint]]") {
+        Kind::Intent
+    } else if has("operators") || has("data ") {
+        Kind::Control
+    } else if has("token-file") {
+        Kind::Operator
+    } else {
+        Kind::Router
+    }
 }
--- a/crates/jf/src/flags.rs
+++ b/crates/jf/src/flags.rs
@@ -57,7 +57,7 @@
         cmd check {
             /// The TOML file.
             required file: PathBuf
-            /// What it is: router, control, operator or intent. Default: as its keys tell.
+            /// What it is: router, control, operator, load or intent. Default: as its keys tell.
             optional --kind kind: String
         }
         /// Makes a development authority and keys for the system's own processes and for callers.
--- a/crates/jf/src/operate.rs
+++ b/crates/jf/src/operate.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         api::{Api, Call},
+        check::check_intent,
         failure::BadInput,
         flags,
     },
@@ -15,6 +16,7 @@
 
 pub(crate) async fn plan(api: &Api, flags: &flags::Plan) -> Result<()> {
     let file = flags.file.display();
+    check_intent(&flags.file)?;
     let text = fs::read(&flags.file)
         .map_err(|it| BadInput::new(format!("{file}: file: expected a readable file ({it})")))?;
     let planned = operate(api, "/v1/plans".to_owned(), flags.operation.as_deref(), text).await?;
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -67,7 +67,7 @@
     }
 }
 
-async fn show(fleet: &mut Fleet, once: bool) -> Result<()> {
+async fn show(fleet: &mut Fleet<'_>, once: bool) -> Result<()> {
     fleet.start().await?;
     let toured = timeout(TOUR_LIMIT, tour::run(fleet.folder())).await;
     toured.wrap_err("demo: the chats took too long").and_then(|it| it).inspect_err(|_| {
