--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,3 +1,32 @@
 //! The `jf-load` binary.
 
-fn main() {}
+use {
+    eyre::Result,
+    load::JfLoad,
+    settings::{LoadSettings, SettingsError},
+    std::{path::Path, process::exit},
+};
+
+const FAILED: i32 = 1;
+const BAD_INPUT: i32 = 2;
+
+fn main() -> Result<()> {
+    let flags = JfLoad::from_env_or_exit();
+    if flags.version {
+        println!("jf-load {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let file = flags.settings.as_deref().unwrap_or(Path::new("load.toml"));
+    let loaded: Result<LoadSettings, SettingsError> = settings::load(file);
+    let settings = loaded.unwrap_or_else(|it| {
+        eprintln!("jf-load: {it}");
+        exit(BAD_INPUT);
+    });
+    let runtime = tokio::runtime::Runtime::new()?;
+    let report = runtime.block_on(load::run(&flags, &settings))?;
+    report.print();
+    if !report.is_clean() {
+        exit(FAILED);
+    }
+    Ok(())
+}
