--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -201,13 +201,13 @@
         last = now;
         while due >= 1.0 {
             due -= 1.0;
-            let step = shared.workload.lock().next();
+            let step = shared.workload.lock().draw();
             begin(&mut calls, shared, step);
         }
         while due_surge >= 1.0 {
             due_surge -= 1.0;
             let team = surging.next(shared);
-            let step = shared.workload.lock().next_of(team);
+            let step = shared.workload.lock().draw_of(team);
             begin(&mut calls, shared, step);
         }
         while calls.try_join_next().is_some() {}
--- a/crates/load/src/workload.rs
+++ b/crates/load/src/workload.rs
@@ -87,7 +87,7 @@
     }
 
     /// Returns a request of a team drawn by its share.
-    pub fn next(&mut self) -> Step {
+    pub fn draw(&mut self) -> Step {
         let total: u32 = self.shape.shares.iter().sum();
         let mut drawn = self.rng.random_range(0..total.max(1));
         let mut team = 0;
@@ -95,11 +95,11 @@
             drawn -= self.shape.shares[team];
             team += 1;
         }
-        self.next_of(team)
+        self.draw_of(team)
     }
 
     /// Returns a request of a team.
-    pub fn next_of(&mut self, team: usize) -> Step {
+    pub fn draw_of(&mut self, team: usize) -> Step {
         if self.rng.random_range(0..1_000) < self.shape.plain_permille {
             Step::Keyed(self.keyed(team))
         } else {
--- a/xtask/src/demo/fleet.rs
+++ b/xtask/src/demo/fleet.rs
@@ -99,6 +99,17 @@
         Ok(String::from_utf8_lossy(&output.stdout).into_owned())
     }
 
+    /// Runs one of the binaries to its end, with its output shown.
+    pub(crate) async fn follow(&self, binary: &str, args: &[&str]) -> Result<()> {
+        let mut command = AsyncCommand::new(self.binaries.join(binary));
+        command.args(args).current_dir(self.folder.path()).kill_on_drop(true);
+        let status = command.status().await.wrap_err_with(|| format!("demo: run {binary}"))?;
+        if !status.success() {
+            println!("demo: {binary} {args:?} ended with {status}");
+        }
+        Ok(())
+    }
+
     /// Waits until any process ends and returns its name.
     pub(crate) async fn wait_for_exit(&mut self) -> Result<String> {
         loop {
--- a/xtask/src/flags.rs
+++ b/xtask/src/flags.rs
@@ -2,6 +2,8 @@
 
 #![allow(missing_docs, reason = "the macro takes doc comments as help texts")]
 
+use std::path::PathBuf;
+
 xflags::xflags! {
     /// Development tasks.
     cmd xtask {
@@ -23,5 +25,22 @@
             /// How routers choose endpoints: owner, round-robin, least-reported or rendezvous.
             optional --routing routing: String
         }
+        /// Runs one load on a whole small fleet, once for each way of routing, and prints a table.
+        cmd bench {
+            /// Which fleet of the examples folder: auditex or sahm. Default: auditex.
+            optional --deployment deployment: String
+            /// Only this way of routing. Default: owner, round-robin, least-reported and rendezvous.
+            optional --routing routing: String
+            /// How long to send, in seconds. Default: 30.
+            optional --seconds seconds: u64
+            /// Requests a second. Default: 200.
+            optional --rate rate: u32
+            /// In the middle third the two largest teams send so many times more. Default: 1.
+            optional --surge surge: u32
+            /// More arguments for jf-load, in one string.
+            optional --load-args load_args: String
+            /// Where to keep the plots.
+            optional --svg-dir svg_dir: PathBuf
+        }
     }
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,8 +1,9 @@
-//! Development tasks: `cargo xtask test`, `cargo xtask demo`.
+//! Development tasks: `cargo xtask test`, `cargo xtask demo`, `cargo xtask bench`.
 //!
 //! This is the launcher that the product itself does not have: it may start processes, the product's binaries may not.
 #![allow(clippy::disallowed_methods, reason = "the launcher starts processes and reads clocks")]
 
+mod bench;
 mod demo;
 mod flags;
 mod test;
@@ -12,6 +13,7 @@
 fn main() -> Result<()> {
     match flags::Xtask::from_env_or_exit().subcommand {
         flags::XtaskCmd::Test(flags) => test::run(&flags),
+        flags::XtaskCmd::Bench(flags) => bench::run(&flags),
         flags::XtaskCmd::Demo(flags) => demo::run(&flags),
     }
 }
