--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,7 +6,9 @@
 mod control;
 mod error;
 mod load;
+mod load_tool;
 mod log;
+mod operator;
 mod router;
 mod tls;
 
@@ -14,7 +16,9 @@
     control::{ControlPeer, ControlSettings, WeightLimits},
     error::SettingsError,
     load::{Check, load, parse},
+    load_tool::{LoadEngine, LoadPlain, LoadRouter, LoadSettings, LoadTeam},
     log::{LogFormat, LogLevel, LogSettings},
+    operator::OperatorSettings,
     router::{RequestLimits, RouterSettings, Routing},
     tls::{CertFiles, TlsFiles},
 };
