Test whole fleets on loopback, and let a waiting request leave a queue that does not move

Cause: requests that waited at an endpoint without room (its owner changing, or leaving) stayed until their deadline, and a start that lost its place was refused as overloaded. Change: a queue on whose endpoint nothing runs and nothing may start is given up after 250 ms; a waiting request then waits at the next candidate; a newer configuration replaces the candidates; a connection without a head for 5 s or a byte for 2 s counts as silent.

--- a/crates/retry/src/attempts.rs
+++ b/crates/retry/src/attempts.rs
@@ -92,6 +92,13 @@
         self.answer.begun()
     }
 
+    /// Takes the places where the request may run by a newer configuration, the home first; none changes nothing.
+    pub fn replace_candidates(&mut self, candidates: SmallVec<[EndpointId; 8]>) {
+        if !candidates.is_empty() {
+            self.spec.candidates = candidates;
+        }
+    }
+
     /// Takes what happened and returns what to do.
     pub fn handle(&mut self, now: Time, event: Event, budget: &Budget) -> Actions {
         let mut actions = Actions::new();
@@ -177,7 +184,7 @@
         let State::Sent { endpoint, admission } = self.state else { return };
         self.hops += 1;
         if self.hops > self.limits.hops * 2 {
-            return self.give_up(now, Reason::Unavailable, actions);
+            return self.wait_at_next(now, endpoint, actions);
         }
         if epoch > self.epoch || self.hops > self.limits.hops {
             self.wait(now, endpoint, admission, actions);
@@ -193,15 +200,15 @@
         actions: &mut Actions,
     ) {
         let State::Sent { endpoint, admission } = self.state else { return };
+        if admission == Admission::Wait {
+            return self.wait_at_next(now, endpoint, actions);
+        }
         self.hops += 1;
         if admission == Admission::Home {
             self.spill = endpoints;
             self.spill.retain(|it| *it != endpoint && !self.strikes.contains(it));
             self.spill.reverse();
         }
-        if self.hops > self.limits.hops * 2 {
-            return self.give_up(now, Reason::Overloaded, actions);
-        }
         if self.hops <= self.limits.hops
             && let Some(next) = self.spill.pop()
         {
@@ -213,6 +220,19 @@
         }
     }
 
+    /// The endpoint's queue does not move, as while its owner changes: the request waits at the next candidate, and
+    /// after the last one pauses before it begins again at home.
+    fn wait_at_next(&mut self, now: Time, endpoint: EndpointId, actions: &mut Actions) {
+        let at = self.spec.candidates.iter().position(|it| *it == endpoint);
+        let rest = &self.spec.candidates[at.map_or(0, |it| it + 1)..];
+        let next = rest.iter().find(|it| !self.strikes.contains(*it)).copied();
+        match (next, self.home()) {
+            (Some(next), _) => self.forward(next, Admission::Wait, actions),
+            (None, Some(home)) => self.wait(now, home, Admission::Wait, actions),
+            (None, None) => self.give_up(now, Reason::Unavailable, actions),
+        }
+    }
+
     /// A spilled attempt that is refused goes on to the next place; any other refusal is final.
     fn refused(&mut self, now: Time, refusal: Refusal, actions: &mut Actions) {
         let State::Sent { admission, .. } = self.state else { return };
@@ -303,10 +323,13 @@
 
     /// The owner of the endpoint could not be reached: another candidate, or the same one later.
     fn pause(&mut self, now: Time, actions: &mut Actions) {
-        let State::Sent { endpoint, .. } = self.state else { return };
+        let State::Sent { endpoint, admission } = self.state else { return };
+        if admission == Admission::Wait {
+            return self.wait_at_next(now, endpoint, actions);
+        }
         self.hops += 1;
         if self.hops > self.limits.hops * 2 {
-            return self.give_up(now, Reason::Unavailable, actions);
+            return self.wait_at_next(now, endpoint, actions);
         }
         let at = self.spec.candidates.iter().position(|it| *it == endpoint);
         let next = at.map_or(0, |it| it + 1);
--- a/crates/router/src/drive.rs
+++ b/crates/router/src/drive.rs
@@ -130,7 +130,11 @@
                     self.wait = Time::NEVER;
                     Event::Tick
                 }
-                _ = views.changed() => Event::Roster { epoch: self.shared.view().roster.epoch },
+                _ = views.changed() => {
+                    let view = self.shared.view();
+                    attempts.replace_candidates(candidates(&self.shared, &view, &self.call));
+                    Event::Roster { epoch: view.roster.epoch }
+                }
             };
             let now = self.shared.clock.now();
             let actions = attempts.handle(now, event, &self.shared.budget);
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -36,7 +36,7 @@
         match follow(&shared, addr).await {
             Ok(Some(leader)) => prefer(&mut candidates, leader),
             Ok(None) => {}
-            Err(err) => tracing::info!("feed: replica {addr} left: {err:#}"),
+            Err(err) => tracing::debug!("feed: replica {addr} left: {err:#}"),
         }
         let wait = rand::rng().random_range(10..BACKOFF_MS);
         sleep(Duration::from_millis(wait)).await;
--- a/crates/router/src/owned.rs
+++ b/crates/router/src/owned.rs
@@ -24,12 +24,12 @@
 /// How long an endpoint that refused a connection gets nothing new, in microseconds.
 const DOWN_US: u64 = SECOND / 2;
 
+/// A queue that has not moved for so long although nothing runs is given up, in microseconds.
+const STALL_US: u64 = SECOND / 4;
+
 /// Requests whose chats are remembered, so that cache events can name them.
 const RECENT: usize = 1 << 16;
 
-/// When a request that lost its place in the queue may come back, in milliseconds.
-const AGAIN_MS: u32 = 100;
-
 /// A request that an endpoint of this router runs.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Running {
@@ -75,6 +75,8 @@
     queues: HashMap<EndpointId, FairQueue>,
     waiting: HashMap<(EndpointId, RequestId), Queued>,
     down: HashMap<EndpointId, Time>,
+    /// Since when a queue has not moved.
+    stalled: HashMap<EndpointId, Time>,
     reports: HashMap<EndpointId, Work>,
     chats: HashMap<RequestId, ChatKey>,
     recent: VecDeque<RequestId>,
@@ -92,6 +94,7 @@
             queues: HashMap::new(),
             waiting: HashMap::new(),
             down: HashMap::new(),
+            stalled: HashMap::new(),
             reports: HashMap::new(),
             chats: HashMap::new(),
             recent: VecDeque::new(),
@@ -324,20 +327,37 @@
             return;
         };
         let room = self.table.room(now, &self.member, endpoint);
+        if room == placement::Room::NONE && self.table.running(endpoint) == 0 {
+            return self.stall(now, endpoint);
+        }
+        self.stalled.remove(&endpoint);
         let starts = queue.room(now, Room { work: room.work, idle: room.one });
         for (request, _) in starts {
             let Some(queued) = self.waiting.get(&(endpoint, request)) else { continue };
             let (start, homes, struck) = (queued.start, queued.homes.clone(), queued.struck);
-            let turn = match self.start(now, &homes, &start, struck) {
-                Err(NotStarted::Elsewhere(_)) => {
-                    Err(NotStarted::Refused(Refusal::not_run(Reason::Overloaded, AGAIN_MS)))
-                }
-                turn => turn,
-            };
+            let turn = self.start(now, &homes, &start, struck);
             self.tell(endpoint, request, turn);
         }
     }
 
+    /// Sends what waits elsewhere once the queue has not moved for a while although this router runs nothing there:
+    /// the endpoint is leaving, its owner changes, or its room belongs to missing routers.
+    fn stall(&mut self, now: Time, endpoint: EndpointId) {
+        let since = *self.stalled.entry(endpoint).or_insert(now);
+        if now.since(since) < STALL_US {
+            return;
+        }
+        self.stalled.remove(&endpoint);
+        let waiting = self.waiting.keys().filter(|it| it.0 == endpoint);
+        let waiting: SmallVec<[RequestId; 8]> = waiting.map(|it| it.1).collect();
+        for request in waiting {
+            if let Some(queue) = self.queues.get_mut(&endpoint) {
+                queue.cancel(request);
+            }
+            self.tell(endpoint, request, Err(NotStarted::Elsewhere(SmallVec::new())));
+        }
+    }
+
     /// Tells a waiting request its turn. Its receiver is there: it leaves the queue before it goes (see `owner`).
     fn tell(&mut self, endpoint: EndpointId, request: RequestId, turn: Turn) {
         if let Some(queued) = self.waiting.remove(&(endpoint, request)) {
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -35,6 +35,12 @@
 /// Retries that are saved up at most.
 const RETRY_RESERVE: u32 = 50;
 
+/// Milliseconds without the head of an answer before its connection is taken to be silent.
+const HEAD_LIMIT_MS: u64 = 5_000;
+
+/// Milliseconds without a byte of an answer before its connection is taken to be silent.
+const PROGRESS_LIMIT_MS: u64 = 2_000;
+
 /// What all tasks of a router share.
 pub(crate) struct Shared {
     pub(crate) settings: RouterSettings,
@@ -206,8 +212,13 @@
 
     /// The connections to an endpoint.
     pub(crate) fn client(&self, endpoint: &Endpoint, kind: ServiceKind) -> EndpointClient {
+        let limits = EndpointLimits {
+            head_ms: HEAD_LIMIT_MS,
+            progress_ms: PROGRESS_LIMIT_MS,
+            ..EndpointLimits::default()
+        };
         let mut clients = self.clients.lock();
-        let fresh = || EndpointClient::new(endpoint.addr, kind, EndpointLimits::default());
+        let fresh = || EndpointClient::new(endpoint.addr, kind, limits);
         let client = clients.entry(endpoint.id).or_insert_with(fresh);
         if client.peer() != endpoint.addr {
             *client = fresh();
--- /dev/null
+++ b/crates/router/tests/fleet/calls.rs
@@ -0,0 +1,91 @@
+//! Ordinary calls, and calls that are refused.
+
+use {
+    crate::bench::{Fleet, TOKEN, assert_whole},
+    edge::full,
+    http::Request,
+    rstest::rstest,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_chat_runs_on_one_engine_through_every_router() {
+    let fleet = Fleet::open(4, 6).await;
+    let mut ran = Vec::new();
+    for router in 0..4 {
+        let got = fleet.chat(router, "walkthrough-7", "what is missing?", 12).await;
+        assert_whole(&got, "what is missing?", 12);
+        ran.push(got.endpoint);
+    }
+    ran.dedup();
+    assert_eq!(ran.len(), 1, "{ran:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_keyed_call_runs_once_however_often_it_is_sent() {
+    let fleet = Fleet::open(3, 2).await;
+    let sent = (0..12).map(|it| fleet.store(it % 3, "finding-1", "no fire door"));
+    let mut whole = 0;
+    for got in futures_of(sent).await {
+        match got.status {
+            200 => whole += 1,
+            409 => assert_eq!(got.outcome, "unknown", "{got:?}"),
+            _ => panic!("{got:?}"),
+        }
+    }
+    assert!(whole > 0);
+    assert_eq!(fleet.runs("finding-1").await, 1);
+    let again = fleet.store(1, "finding-1", "no fire door").await;
+    assert_eq!(again.status, 200);
+    let other = fleet.store(2, "finding-1", "another finding").await;
+    assert_eq!((other.status, other.outcome.as_str()), (400, "not-run"));
+    assert_eq!(fleet.runs("finding-1").await, 1);
+}
+
+#[rstest]
+#[case::no_token("", "/v1/chat/completions", r#"{"model":"draft","messages":[]}"#, 401)]
+#[case::bad_token("nobody", "/v1/chat/completions", r#"{"model":"draft","messages":[]}"#, 401)]
+#[case::bad_json(TOKEN, "/v1/chat/completions", "{", 400)]
+#[case::unknown_model(TOKEN, "/v1/chat/completions", r#"{"model":"none","messages":[]}"#, 404)]
+#[case::unknown_path(TOKEN, "/v2/other", "", 404)]
+#[case::unknown_service(TOKEN, "/s/none/x", "", 404)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bad_request_is_refused_and_did_not_run(
+    #[case] token: &str,
+    #[case] path: &str,
+    #[case] body: &str,
+    #[case] status: u16,
+) {
+    let fleet = Fleet::open(1, 1).await;
+    let request = Request::post(path)
+        .header("authorization", format!("Bearer {token}"))
+        .body(full(body.to_owned()))
+        .unwrap();
+    let got = fleet.send(0, request).await;
+    assert_eq!((got.status, got.outcome.as_str()), (status, "not-run"), "{got:?}");
+    assert!(got.body.unwrap().contains("\"outcome\":\"not-run\""));
+}
+
+/// Runs futures at once.
+pub(crate) async fn futures_of<F>(futures: impl IntoIterator<Item = F>) -> Vec<F::Output>
+where
+    F: Future,
+{
+    let mut pinned: Vec<_> = futures.into_iter().map(Box::pin).collect();
+    let mut done: Vec<Option<F::Output>> = pinned.iter().map(|_| None).collect();
+    std::future::poll_fn(|cx| {
+        for (future, slot) in pinned.iter_mut().zip(&mut done) {
+            if slot.is_none()
+                && let std::task::Poll::Ready(output) = future.as_mut().poll(cx)
+            {
+                *slot = Some(output);
+            }
+        }
+        if done.iter().all(Option::is_some) {
+            std::task::Poll::Ready(())
+        } else {
+            std::task::Poll::Pending
+        }
+    })
+    .await;
+    done.into_iter().flatten().collect()
+}
--- /dev/null
+++ b/crates/router/tests/fleet/crash.rs
@@ -0,0 +1,84 @@
+//! Requests that crash engines, engines that die, and connections that go silent.
+
+use {
+    crate::{
+        bench::{Fleet, assert_whole},
+        calls::futures_of,
+    },
+    standin::Fault,
+    std::collections::BTreeSet,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crashing_request_takes_down_two_engines_at_most_and_bystanders_are_answered() {
+    let fleet = Fleet::open(3, 6).await;
+    let bystanders = (0..24).map(|it| {
+        let fleet = &fleet;
+        async move {
+            let (chat, text) = (format!("bystander-{it}"), format!("question {it}"));
+            let got = fleet.chat(it % 3, &chat, &text, 150).await;
+            assert_whole(&got, &text, 150);
+        }
+    });
+    let poison = async {
+        for resend in 0..6 {
+            let got = fleet.chat(resend % 3, "poisoned", "POISON-PILL please", 4).await;
+            assert_ne!(got.status, 200, "{got:?}");
+        }
+    };
+    tokio::join!(futures_of(bystanders), poison);
+    let mut crashed = 0;
+    for engine in &fleet.engines {
+        crashed += crashes(&fleet, engine.addr()).await;
+    }
+    assert!((1..=2).contains(&crashed), "{crashed} engines crashed");
+    let last = fleet.chat(0, "poisoned", "POISON-PILL please", 4).await;
+    assert_eq!((last.status, last.outcome.as_str()), (422, "not-run"), "{last:?}");
+}
+
+async fn crashes(fleet: &Fleet, addr: std::net::SocketAddr) -> u64 {
+    let (_, body) = fleet.client.call(addr, "GET", "/counts", None, edge::empty()).await.unwrap();
+    let counts: serde_json::Value = serde_json::from_slice(&body).unwrap();
+    counts["crashes"].as_u64().unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_are_whole_when_engines_die_under_them() {
+    let fleet = Fleet::open(3, 6).await;
+    let calls = (0..30).map(|it| {
+        let fleet = &fleet;
+        async move {
+            let (chat, text) = (format!("chat-{it}"), format!("question {it}"));
+            let got = fleet.chat(it % 3, &chat, &text, 120).await;
+            assert_whole(&got, &text, 120);
+            got.endpoint
+        }
+    });
+    let kills = async {
+        // The first words are on their way once any other answer is whole.
+        assert_eq!(fleet.chat(0, "pace", "pace", 20).await.status, 200);
+        fleet.engines[0].fault(Fault::Crash { for_ms: 500 });
+        fleet.engines[1].fault(Fault::Crash { for_ms: 500 });
+    };
+    let (ran, ()) = tokio::join!(futures_of(calls), kills);
+    let engines: BTreeSet<_> = ran.iter().collect();
+    assert!(engines.len() > 1, "{engines:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_are_whole_when_connections_go_silent() {
+    let fleet = Fleet::open(2, 3).await;
+    let calls = (0..9).map(|it| {
+        let fleet = &fleet;
+        async move {
+            let (chat, text) = (format!("chat-{it}"), format!("question {it}"));
+            let got = fleet.chat(it % 2, &chat, &text, 100).await;
+            assert_whole(&got, &text, 100);
+        }
+    });
+    let silence = async {
+        assert_eq!(fleet.chat(0, "pace", "pace", 20).await.status, 200);
+        fleet.engines.iter().for_each(|it| it.fault(Fault::Silent));
+    };
+    tokio::join!(futures_of(calls), silence);
+}
--- /dev/null
+++ b/crates/router/tests/fleet/kill.rs
@@ -0,0 +1,36 @@
+//! Routers and control that are killed.
+
+use crate::{
+    bench::{Fleet, assert_whole},
+    calls::futures_of,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chats_are_answered_while_a_router_dies() {
+    let mut fleet = Fleet::open(4, 6).await;
+    fleet.routers[3].kill();
+    assert!(!fleet.routers[3].alive());
+    let fleet = &fleet;
+    let calls = (0..30).map(|it| async move {
+        let (chat, text) = (format!("chat-{it}"), format!("question {it}"));
+        let got = fleet.chat(it % 3, &chat, &text, 10).await;
+        assert_whole(&got, &text, 10);
+    });
+    futures_of(calls).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chats_are_answered_with_control_gone_and_keyed_calls_are_refused_as_not_run() {
+    let mut fleet = Fleet::open(3, 4).await;
+    fleet.control.kill();
+    let fleet = &fleet;
+    let calls = (0..20).map(|it| async move {
+        let (chat, text) = (format!("chat-{it}"), format!("question {it}"));
+        let got = fleet.chat(it % 3, &chat, &text, 10).await;
+        assert_whole(&got, &text, 10);
+    });
+    futures_of(calls).await;
+    let refused = fleet.store(0, "finding-2", "blocked exit").await;
+    assert_eq!((refused.status, refused.outcome.as_str()), (503, "not-run"), "{refused:?}");
+    assert_eq!(fleet.runs("finding-2").await, 0);
+}
