Send the reconciler's orders over HTTP

Cause: the reconciler decided, and nobody carried it out. Change: crates/control/src/orders.rs looks (GET /images) and orders (POST /orders) as the stand-in's protocol has it; an order's exchange is dropped at its deadline, and one without a reply counts as unknown. Orders name images flat, as that protocol does. The role order of the protocol is not sent: intents have no roles yet.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -6,11 +6,12 @@
         fleet::Fleet,
         log::{Log, ReplicaAddr},
         operators::Operators,
+        orders,
         roster::{self, Membership},
     },
     edge::{Server, ServerLimits},
     eyre::{Result, eyre},
-    intent::WeightStore,
+    intent::{OrderProgress, WeightStore},
     parking_lot::Mutex,
     settings::ControlSettings,
     std::{
@@ -30,6 +31,7 @@
     pub(crate) log: Log,
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) membership: Mutex<Option<Membership>>,
+    pub(crate) orders: Mutex<OrderProgress>,
     pub(crate) clock: Clock,
     pub(crate) traffic: Traffic,
 }
@@ -60,13 +62,21 @@
         let own = ReplicaAddr { inner, admin: server.addr() };
         let dialer = Dialer { identity, traffic: traffic.clone(), class: Class::Control };
         let log = Log::open(&settings, own, dialer, clock).await?;
-        let (fleet, membership) = (Mutex::default(), Mutex::default());
-        let shared =
-            Arc::new(Shared { settings, operators, log, fleet, membership, clock, traffic });
+        let shared = Arc::new(Shared {
+            settings,
+            operators,
+            log,
+            fleet: Mutex::default(),
+            membership: Mutex::default(),
+            orders: Mutex::default(),
+            clock,
+            traffic,
+        });
         slot.get_or_init(|| shared.clone());
         let tasks = vec![
             tokio::spawn(accept(shared.clone(), listener)),
             tokio::spawn(roster::run(shared.clone())),
+            tokio::spawn(orders::run(shared.clone())),
         ];
         tracing::info!("control: serves routers on {inner}, operators on {}", server.addr());
         Ok(Control { shared, inner, server, tasks })
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,6 +19,7 @@
 mod fleet;
 mod log;
 mod operators;
+mod orders;
 mod quarantine;
 mod reply;
 mod roster;
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -20,6 +20,8 @@
     services: Vec<ServiceStatus>,
     endpoints: Vec<EndpointStatus>,
     claims: usize,
+    orders_settled: usize,
+    orders_due: usize,
     control_bytes_sent: u64,
     control_bytes_received: u64,
 }
@@ -80,6 +82,7 @@
 pub(crate) fn status(shared: &Shared) -> Status {
     let now = shared.clock.now();
     let fleet = shared.fleet.lock().clone();
+    let orders = *shared.orders.lock();
     shared.log.with(|state| {
         let config = state.intents.config();
         let routers = routers(state, &fleet, now);
@@ -93,6 +96,8 @@
             services: services(state, &fleet, now),
             endpoints: endpoints(state),
             claims: state.ledger.len(),
+            orders_settled: orders.settled,
+            orders_due: orders.due,
             control_bytes_sent: shared.traffic.sent(Class::Control),
             control_bytes_received: shared.traffic.received(Class::Control),
         }
--- a/crates/intent/src/orders/action.rs
+++ b/crates/intent/src/orders/action.rs
@@ -47,17 +47,11 @@
 #[serde(tag = "kind", rename_all = "kebab-case")]
 pub enum Order {
     /// Load an image.
-    #[display("load {image}")]
-    Load {
-        /// The image.
-        image: Image,
-    },
+    #[display("load {_0}")]
+    Load(Image),
     /// Unload an image.
-    #[display("unload {image}")]
-    Unload {
-        /// The image.
-        image: Image,
-    },
+    #[display("unload {_0}")]
+    Unload(Image),
 }
 
 /// What the reconciler asks for.
@@ -90,16 +84,13 @@
 }
 
 /// What an endpoint was seen to carry.
-#[derive(Clone, PartialEq, Eq, Default, Serialize, Deserialize, Debug)]
+#[derive(Clone, PartialEq, Eq, Default, Debug)]
 pub struct Sight {
     /// What it has loaded.
-    #[serde(default)]
     pub images: SmallVec<[Image; 2]>,
     /// What it is loading.
-    #[serde(default)]
     pub loading: SmallVec<[Image; 2]>,
-    /// The highest fencing number that it has seen; zero if it does not check.
-    #[serde(default)]
+    /// The highest fencing number that it has seen; zero if it does not check or does not say.
     pub fence: Fence,
 }
 
--- a/crates/intent/src/orders/reconciler.rs
+++ b/crates/intent/src/orders/reconciler.rs
@@ -117,7 +117,7 @@
     fn order(&mut self, now: Time, endpoint: EndpointId) -> Option<OrderAction> {
         let fence = Fence { term: self.term, revision: self.revision };
         let order = self.units.get(&endpoint)?.next_order(fence)?;
-        let load = matches!(order, Order::Load { .. });
+        let load = matches!(order, Order::Load(_));
         if (load && !self.loads.is_ready(now)) || !self.may_change(endpoint) {
             return None;
         }
--- a/crates/intent/src/orders/unit.rs
+++ b/crates/intent/src/orders/unit.rs
@@ -135,8 +135,8 @@
 fn wanted(target: &Endpoint, sight: &Sight) -> Option<Order> {
     let missing = target.images.iter().find(|it| !sight.images.contains(it));
     if let Some(image) = missing {
-        return Some(Order::Load { image: image.clone() });
+        return Some(Order::Load(image.clone()));
     }
     let extra = sight.images.iter().find(|it| !target.images.contains(it));
-    extra.map(|image| Order::Unload { image: image.clone() })
+    extra.cloned().map(Order::Unload)
 }
