Bound what answers, plans and the ledger keep, and wake feeds only for news

Cause: 10,000 recorded answers of 12,000 lines each, or 4 million claims with 16 KiB each, would not fit a host; every applied claim woke every feed, which took the state's lock each time. Change: recorded answers and plans are bounded by lines and changes, too; a ledger shard over 8 MiB of bodies keeps digests; one task compares what feeds have to tell and wakes them (news.rs). Drafts look services up in a map.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -5,6 +5,7 @@
         admin, claims, feed,
         fleet::Fleet,
         log::{Log, ReplicaAddr},
+        news::{self, News},
         operators::Operators,
         orders,
         roster::{self, Membership},
@@ -19,7 +20,7 @@
         sync::{Arc, OnceLock},
         time::{SystemTime, UNIX_EPOCH},
     },
-    tokio::task::JoinHandle,
+    tokio::{sync::watch, task::JoinHandle},
     tower::service_fn,
     wire::{Class, Clock, Dialer, Identity, Incoming, Listener, Traffic, msg},
 };
@@ -32,6 +33,7 @@
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) membership: Mutex<Option<Membership>>,
     pub(crate) orders: Mutex<OrderProgress>,
+    pub(crate) news: watch::Sender<News>,
     pub(crate) clock: Clock,
     pub(crate) traffic: Traffic,
 }
@@ -69,6 +71,7 @@
             fleet: Mutex::default(),
             membership: Mutex::default(),
             orders: Mutex::default(),
+            news: watch::Sender::default(),
             clock,
             traffic,
         });
@@ -77,6 +80,7 @@
             tokio::spawn(accept(shared.clone(), listener)),
             tokio::spawn(roster::run(shared.clone())),
             tokio::spawn(orders::run(shared.clone())),
+            tokio::spawn(news::run(shared.clone())),
         ];
         tracing::info!("control: serves routers on {inner}, operators on {}", server.addr());
         Ok(Control { shared, inner, server, tasks })
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -5,11 +5,11 @@
         command::{Command, Output},
         control::Shared,
         fleet::Report,
+        news::News,
         state::State,
     },
     member::Beat,
     model::{Config, Digest, Epoch, Revision, RouterId},
-    replica::Progress,
     std::{sync::Arc, time::Duration},
     tokio::{sync::watch, time::timeout},
     wire::{
@@ -29,7 +29,7 @@
     let (mut send, mut recv) = stream.split();
     let Ok(hello) = timeout(HELLO_LIMIT, recv.recv()).await else { return Ok(()) };
     let Some(hello) = hello? else { return Ok(()) };
-    let mut changes = shared.log.changes();
+    let mut news = shared.news.subscribe();
     let Some(mut feed) = Feed::open(&shared, hello).await else {
         return refuse(&shared, &mut send).await;
     };
@@ -42,7 +42,7 @@
             send.send(&message).await?;
         }
         tokio::select! {
-            () = changed(&mut changes) => {}
+            () = changed(&mut news) => {}
             received = timeout(SILENCE_LIMIT, recv.recv()) => match received {
                 Ok(Ok(Some(message))) => feed.receive(message, &mut send).await?,
                 Ok(Ok(None)) | Err(_) => return Ok(()),
@@ -52,8 +52,8 @@
     }
 }
 
-async fn changed(changes: &mut watch::Receiver<Progress>) {
-    if changes.changed().await.is_err() {
+async fn changed(news: &mut watch::Receiver<News>) {
+    if news.changed().await.is_err() {
         std::future::pending::<()>().await;
     }
 }
--- a/crates/control/src/quarantine.rs
+++ b/crates/control/src/quarantine.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// The number of the newest entry.
+    pub(crate) fn last(&self) -> u64 {
+        self.last
+    }
+
     /// Returns the entries after a number.
     pub(crate) fn after(&self, number: u64) -> impl Iterator<Item = &Entry> {
         self.entries.iter().filter(move |it| it.number > number)
--- a/crates/intent/src/diff.rs
+++ b/crates/intent/src/diff.rs
@@ -11,7 +11,9 @@
         service, team, whole,
     },
     derive_more::Debug,
-    model::{Change, Config, Endpoint, EndpointId, EndpointState, Name, ServiceId, TeamId},
+    model::{
+        Change, Config, Endpoint, EndpointId, EndpointState, Name, Service, ServiceId, TeamId,
+    },
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -89,28 +91,28 @@
         &mut self,
         config: &Config,
         document: &Document,
-    ) -> Result<BTreeMap<Name, ServiceId>, Violation> {
+    ) -> Result<BTreeMap<Name, Arc<Service>>, Violation> {
         let known: BTreeMap<_, _> = config.services.values().map(|it| (&it.name, it)).collect();
-        let mut ids = BTreeMap::new();
+        let mut all = BTreeMap::new();
         for form in &document.services {
             let before = known.get(&form.name).copied();
             let id = before.map_or_else(|| self.ids.next_service(), |it| it.id);
-            let built = service::build(form, id, before.map(|it| &**it))?;
-            if ids.insert(form.name.clone(), id).is_some() {
-                return Err(Rule::DuplicateName.of(service::aggregate(form)));
+            let built = Arc::new(service::build(form, id, before.map(|it| &**it))?);
+            if before.is_none_or(|it| *it != built) {
+                self.changes.push(Change::SetService(built.clone()));
             }
-            if before.is_none_or(|it| **it != built) {
-                self.changes.push(Change::SetService(Arc::new(built)));
+            if all.insert(form.name.clone(), built).is_some() {
+                return Err(Rule::DuplicateName.of(service::aggregate(form)));
             }
         }
-        Ok(ids)
+        Ok(all)
     }
 
     fn teams(
         &mut self,
         config: &Config,
         document: &Document,
-        services: &BTreeMap<Name, ServiceId>,
+        services: &BTreeMap<Name, Arc<Service>>,
     ) -> Result<BTreeSet<TeamId>, Violation> {
         let known: BTreeMap<_, _> = config.teams.values().map(|it| (&it.name, it)).collect();
         let (mut names, mut ids) = (BTreeSet::new(), BTreeSet::new());
@@ -133,19 +135,18 @@
         &mut self,
         config: &Config,
         document: &Document,
-        services: &BTreeMap<Name, ServiceId>,
+        services: &BTreeMap<Name, Arc<Service>>,
     ) -> Result<BTreeSet<EndpointId>, Violation> {
         let known: BTreeMap<_, _> = config.endpoints.values().map(|it| (&it.name, it)).collect();
         let (mut names, mut ids) = (BTreeSet::new(), BTreeSet::new());
         for form in &document.endpoints {
-            let service = services.get(&form.service).copied();
-            let service = service.and_then(|it| self.service(config, it));
+            let service = services.get(&form.service).map(|it| &**it);
             let before = known.get(&form.name).copied();
             let before = before.filter(|it| {
-                it.addr == form.addr && service.as_ref().is_some_and(|own| own.id == it.service)
+                it.addr == form.addr && service.is_some_and(|own| own.id == it.service)
             });
             let id = before.map_or_else(|| self.ids.next_endpoint(), |it| it.id);
-            let built = endpoint::build(form, id, service.as_deref())?;
+            let built = endpoint::build(form, id, service)?;
             if !names.insert(&form.name) {
                 return Err(Rule::DuplicateName.of(endpoint::aggregate(form)));
             }
@@ -157,23 +158,14 @@
         Ok(ids)
     }
 
-    /// Returns a service as the draft has it.
-    fn service(&self, config: &Config, id: ServiceId) -> Option<Arc<model::Service>> {
-        let drafted = self.changes.iter().find_map(|it| match it {
-            Change::SetService(service) if service.id == id => Some(service.clone()),
-            _ => None,
-        });
-        drafted.or_else(|| config.services.get(&id).cloned())
-    }
-
     fn drops(
         &mut self,
         config: &Config,
         teams: &BTreeSet<TeamId>,
-        services: &BTreeMap<Name, ServiceId>,
+        services: &BTreeMap<Name, Arc<Service>>,
         endpoints: &BTreeSet<EndpointId>,
     ) {
-        let kept: BTreeSet<_> = services.values().collect();
+        let kept: BTreeSet<_> = services.values().map(|it| it.id).collect();
         let gone = config.endpoints.keys().filter(|it| !endpoints.contains(it));
         self.changes.extend(gone.map(|it| Change::DropEndpoint(*it)));
         let gone = config.teams.keys().filter(|it| !teams.contains(it));
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -11,6 +11,7 @@
 //! Nothing here reads a clock: the leader writes the time into each operation, and passes it to the reconciler.
 
 mod answer;
+mod answers;
 mod audit;
 mod diff;
 mod document;
--- a/crates/intent/src/plan.rs
+++ b/crates/intent/src/plan.rs
@@ -17,6 +17,9 @@
 /// How many plans are kept.
 const MAX_PLANS: usize = 256;
 
+/// How many changes all kept plans have together; one plan is kept however long it is.
+const MAX_CHANGES: usize = 500_000;
+
 /// Identifies a plan; numbers are never reused.
 #[derive(
     Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize, Debug, Display,
@@ -52,6 +55,7 @@
 pub(crate) struct Plans {
     last: PlanId,
     open: BTreeMap<PlanId, Plan>,
+    changes: usize,
 }
 
 /// What is known of a plan.
@@ -75,9 +79,11 @@
             ids: draft.ids,
             expires_ms: operation.at_ms.saturating_add(PLAN_LIFE_MS),
         };
+        self.changes += plan.changes.len();
         self.open.insert(self.last, plan);
-        if self.open.len() > MAX_PLANS {
-            self.open.pop_first();
+        while self.open.len() > MAX_PLANS || (self.changes > MAX_CHANGES && self.open.len() > 1) {
+            let Some((_, oldest)) = self.open.pop_first() else { break };
+            self.changes -= oldest.changes.len();
         }
         self.last
     }
@@ -95,5 +101,6 @@
     /// Drops the plans whose time is over.
     pub(crate) fn expire(&mut self, now_ms: u64) {
         self.open.retain(|_, it| it.expires_ms > now_ms);
+        self.changes = self.open.values().map(|it| it.changes.len()).sum();
     }
 }
--- a/crates/intent/src/state.rs
+++ b/crates/intent/src/state.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         answer::{Answer, Proposal, Refused, Winner},
+        answers::{Answers, Recorded},
         audit::{Record, Trail},
         diff::{self, Draft, Ids},
         document::Document,
@@ -12,7 +13,7 @@
         rule::{Aggregate, Rule, Violation},
     },
     derive_more::Debug,
-    model::{Change, Config, Delta, Digest, Name, OperationId, Revision},
+    model::{Change, Config, Delta, Digest, Name, Revision},
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, VecDeque},
@@ -20,9 +21,6 @@
     },
 };
 
-/// How many recorded answers are kept, the newest ones.
-const MAX_ANSWERS: usize = 10_000;
-
 /// How many of the last deltas are kept, for routers that are a little behind.
 const MAX_DELTAS: usize = 256;
 
@@ -37,21 +35,13 @@
     config: Arc<Config>,
     ids: Ids,
     plans: Plans,
-    answers: BTreeMap<OperationId, Recorded>,
-    order: VecDeque<OperationId>,
+    answers: Answers,
     winners: BTreeMap<Revision, Winner>,
     deltas: VecDeque<Delta>,
     trail: Trail,
     now_ms: u64,
 }
 
-/// The answer that an operation got.
-#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
-struct Recorded {
-    request: Digest,
-    answer: Answer,
-}
-
 impl Intents {
     /// Carries out an operation, or returns the answer that it got before.
     ///
@@ -68,7 +58,7 @@
             return self.audited(operation, |_| Answer::Refused(reused));
         }
         let answer = self.audited(operation, |it| it.carry_out(operation));
-        self.record(operation.id.clone(), Recorded { request, answer: answer.clone() });
+        self.answers.add(operation.id.clone(), Recorded { request, answer: answer.clone() });
         answer
     }
 
@@ -188,16 +178,6 @@
             None => Refused::Outdated { plan, base, current },
         }
     }
-
-    fn record(&mut self, id: OperationId, recorded: Recorded) {
-        self.order.push_back(id.clone());
-        self.answers.insert(id, recorded);
-        if self.order.len() > MAX_ANSWERS
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.answers.remove(&oldest);
-        }
-    }
 }
 
 /// Describes a change in one line.
--- a/crates/intent/src/team.rs
+++ b/crates/intent/src/team.rs
@@ -5,9 +5,9 @@
         document::TeamForm,
         rule::{Aggregate, Rule, Violation, in_range, named},
     },
-    model::{Digest, Limits, Name, ServiceId, Team, TeamId},
+    model::{Digest, Limits, Name, Service, Team, TeamId},
     smallvec::SmallVec,
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, sync::Arc},
 };
 
 const MAX_WEIGHT: u64 = 1_000;
@@ -18,7 +18,7 @@
 pub(crate) fn build(
     form: &TeamForm,
     id: TeamId,
-    services: &BTreeMap<Name, ServiceId>,
+    services: &BTreeMap<Name, Arc<Service>>,
 ) -> Result<Team, Violation> {
     check(form).and_then(|()| assemble(form, id, services)).map_err(|it| it.of(aggregate(form)))
 }
@@ -40,11 +40,11 @@
 fn assemble(
     form: &TeamForm,
     id: TeamId,
-    services: &BTreeMap<Name, ServiceId>,
+    services: &BTreeMap<Name, Arc<Service>>,
 ) -> Result<Team, Rule> {
     let token = |it: &Name| Digest::parse(it).ok_or(Rule::Token);
     let service = |it: &Name| {
-        services.get(it).copied().ok_or_else(|| Rule::UnknownService { service: it.clone() })
+        services.get(it).map(|it| it.id).ok_or_else(|| Rule::UnknownService { service: it.clone() })
     };
     Ok(Team {
         id,
--- a/crates/ledger/src/answer.rs
+++ b/crates/ledger/src/answer.rs
@@ -69,6 +69,27 @@
         RecordedAnswer { status, headers, body }
     }
 
+    /// How many bytes are kept of the body and the headers.
+    pub(crate) fn bytes(&self) -> usize {
+        let headers: usize = self.headers.iter().map(|it| it.name.len() + it.value.len()).sum();
+        let body = match &self.body {
+            AnswerBody::Whole(it) => it.len(),
+            AnswerBody::Digest { .. } => 0,
+        };
+        headers + body
+    }
+
+    /// Returns the answer with only the digest of its body.
+    pub(crate) fn without_body(&self) -> RecordedAnswer {
+        let body = match &self.body {
+            AnswerBody::Whole(it) => {
+                AnswerBody::Digest { digest: Digest::of(it), length: it.len() as u64 }
+            }
+            digest => digest.clone(),
+        };
+        RecordedAnswer { status: self.status, headers: self.headers.clone(), body }
+    }
+
     /// Whether the answer is inside the limits on what is kept.
     pub(crate) fn fits(&self) -> bool {
         let body = match &self.body {
--- a/crates/ledger/src/claim.rs
+++ b/crates/ledger/src/claim.rs
@@ -65,6 +65,14 @@
 }
 
 impl Claim {
+    /// How many bytes of an answer it keeps.
+    pub(crate) fn answer_bytes(&self) -> usize {
+        match &self.state {
+            ClaimState::Done(answer) => answer.bytes(),
+            _ => 0,
+        }
+    }
+
     /// Whether its router may still be running the request.
     pub(crate) fn is_held(&self) -> bool {
         matches!(self.state, ClaimState::Claimed | ClaimState::Dispatched(_))
--- a/crates/ledger/src/shard.rs
+++ b/crates/ledger/src/shard.rs
@@ -4,18 +4,25 @@
 
 use {
     crate::{
+        answer::RecordedAnswer,
         call::{Reply, Step},
         claim::{Claim, ClaimKey, ClaimState},
     },
     derive_more::Debug,
     model::{Digest, RequestId, RouterId},
     serde::{Deserialize, Serialize},
-    std::collections::{BTreeMap, BTreeSet},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
 };
 
 /// The most claims in a shard.
 const MAX_CLAIMS: usize = 1 << 18;
 
+/// The most bytes of answers in a shard; beyond, only digests of bodies are kept.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
 /// How many expired claims are dropped with each call.
 const EXPIRE_BATCH: usize = 8;
 
@@ -25,6 +32,7 @@
     claims: BTreeMap<ClaimKey, Claim>,
     expiry: BTreeSet<(u64, ClaimKey)>,
     held: BTreeSet<(RouterId, ClaimKey)>,
+    answer_bytes: usize,
 }
 
 /// Who calls, and when.
@@ -57,7 +65,10 @@
                 self.advance(caller, key, ClaimState::Dispatched(*endpoint))
             }
             Step::Done { answer } if !answer.fits() => Reply::TooLarge,
-            Step::Done { answer } => self.advance(caller, key, ClaimState::Done(answer.clone())),
+            Step::Done { answer } => {
+                let answer = self.within_budget(answer);
+                self.advance(caller, key, ClaimState::Done(answer))
+            }
             Step::Release => self.release(caller, key),
             Step::Unknown => self.advance(caller, key, ClaimState::Unknown),
         }
@@ -137,9 +148,18 @@
         self.claims.insert(*key, claim);
     }
 
+    /// Returns what is kept of an answer: a shard that is full of bodies keeps only a digest.
+    fn within_budget(&self, answer: &Arc<RecordedAnswer>) -> Arc<RecordedAnswer> {
+        if self.answer_bytes + answer.bytes() <= MAX_ANSWER_BYTES {
+            return answer.clone();
+        }
+        Arc::new(answer.without_body())
+    }
+
     fn set(&mut self, key: &ClaimKey, state: ClaimState) {
         let Some(claim) = self.claims.get_mut(key) else { return };
         claim.state = state;
+        self.answer_bytes += claim.answer_bytes();
         if !claim.is_held() {
             self.held.remove(&(claim.router, *key));
         }
@@ -147,6 +167,7 @@
 
     fn remove(&mut self, key: &ClaimKey) {
         let Some(claim) = self.claims.remove(key) else { return };
+        self.answer_bytes -= claim.answer_bytes();
         self.expiry.remove(&(claim.expires_ms, *key));
         self.held.remove(&(claim.router, *key));
     }
--- a/crates/ledger/tests/claims.rs
+++ b/crates/ledger/tests/claims.rs
@@ -87,3 +87,26 @@
     let whole = RecordedAnswer { body: AnswerBody::Whole(body.into()), ..answer };
     assert_eq!(ledger.apply(0, KEEP_MS, true, &call(1, 1, done(&whole))), Reply::TooLarge);
 }
+
+#[test]
+fn a_full_ledger_keeps_digests_of_new_answers_and_never_forgets_that_they_ran() {
+    let mut ledger = Ledger::default();
+    let body = vec![7; MAX_BODY_BYTES];
+    let answer = RecordedAnswer::new(200, [], body.clone().into());
+    let digest = AnswerBody::Digest { digest: Digest::of(&body), length: body.len() as u64 };
+    let mut whole = 0;
+    // 16 KiB for each of 16,384 keys is twice what the ledger keeps of bodies.
+    for number in 0..16_384u32 {
+        let key = ClaimKey::new(TeamId(1), ServiceId(1), &number.to_le_bytes());
+        let keyed = |call: Call| Call { key, ..call };
+        let id = number.into();
+        ledger.apply(0, KEEP_MS, true, &keyed(claim(1, id, b"a")));
+        let noted = ledger.apply(0, KEEP_MS, true, &keyed(call(1, id, done(&answer))));
+        assert_eq!(noted, Reply::Noted);
+        let resent = ledger.apply(0, KEEP_MS, true, &keyed(claim(2, id, b"a")));
+        let Reply::Recorded(recorded) = resent else { panic!("{resent:?}") };
+        assert!(recorded.body == answer.body || recorded.body == digest);
+        whole += usize::from(recorded.body == answer.body);
+    }
+    assert!((7_000..=8_192).contains(&whole), "{whole} whole answers");
+}
