--- a/crates/control/tests/replica.rs
+++ b/crates/control/tests/replica.rs
@@ -40,17 +40,20 @@
     Peer::new(bench.control.inner(), dialer).open(path).await.unwrap()
 }
 
-async fn feed(bench: &Bench) -> (Stream, RouterId) {
-    let mut stream = stream(bench, FEED_PATH).await;
-    let hello = ToControl::Hello {
+fn hello(revision: u64) -> ToControl {
+    ToControl::Hello {
         host: HostName("e1".into()),
         process: 7,
         addr: "127.0.0.1:9".parse().unwrap(),
         domain: Domain("prg-a".into()),
-        revision: Revision(0),
+        revision: Revision(revision),
         digest: Digest::default(),
-    };
-    stream.send.send(&hello).await.unwrap();
+    }
+}
+
+async fn feed(bench: &Bench) -> (Stream, RouterId) {
+    let mut stream = stream(bench, FEED_PATH).await;
+    stream.send.send(&hello(0)).await.unwrap();
     let FromControl::Welcome { router } = next(&mut stream).await else { panic!("no welcome") };
     (stream, router)
 }
@@ -159,3 +162,13 @@
     assert_eq!(ledger(&bench, &call(3, claim)).await, Reply::Recorded(answer));
     bench.control.shutdown().await;
 }
+
+#[tokio::test]
+async fn a_router_ahead_of_the_replica_is_not_taken_back() {
+    let bench = Bench::open().await;
+    assert_eq!(bench.bring("base", INTENT).await, 1);
+    let mut stream = stream(&bench, FEED_PATH).await;
+    stream.send.send(&hello(2)).await.unwrap();
+    assert!(matches!(next(&mut stream).await, FromControl::NotLeader { .. }));
+    bench.control.shutdown().await;
+}
--- /dev/null
+++ b/crates/control/tests/state.rs
@@ -0,0 +1,158 @@
+//! The replicated state is a pure function of its commands, whoever takes over from a snapshot in between.
+
+use {
+    bincode::{
+        config::standard,
+        serde::{decode_from_slice, encode_to_vec},
+    },
+    control::{Command, Output, State},
+    intent::{Action, Document, Operation, PlanId, WeightStore},
+    ledger::{Call, ClaimKey, RecordedAnswer, Reply, Step},
+    model::{
+        Digest, Domain, Epoch, HostName, OperationId, RequestId, Roster, RouterEntry, RouterId,
+        RouterState, ServiceId, TeamId,
+    },
+    proptest::{
+        collection::vec,
+        prelude::{ProptestConfig, Strategy, any, prop_oneof},
+        prop_assert_eq, proptest,
+    },
+    replica::Machine,
+    std::sync::Arc,
+};
+
+const INTENT: &str = r#"
+[[service]]
+name = "po-app"
+kind = "plain"
+bound-permille = 1250
+minimum = 0
+claim-ms = 1000
+"#;
+
+fn operation(id: u8, at_ms: u64, action: Action) -> Command {
+    Command::Operation(Box::new(Operation {
+        id: OperationId(format!("op-{id}").into()),
+        operator: "omar".into(),
+        at_ms,
+        action,
+        live: [].into(),
+        weights: WeightStore::default(),
+    }))
+}
+
+fn document(minimum: u32) -> Document {
+    Document::parse(&INTENT.replace("minimum = 0", &format!("minimum = {minimum}"))).unwrap()
+}
+
+fn roster(epoch: u64, states: &[RouterState]) -> Roster {
+    let entry = |(at, state): (usize, &RouterState)| RouterEntry {
+        id: RouterId(at as u32 + 1),
+        addr: "127.0.0.1:9".parse().unwrap(),
+        domain: Domain("muscat-a".into()),
+        state: *state,
+        acked: Epoch(0),
+        lost: Epoch(0),
+    };
+    Roster { epoch: Epoch(epoch), routers: states.iter().enumerate().map(entry).collect() }
+}
+
+fn call(router: u32, id: u8, key: u8, step: Step) -> Call {
+    let key = ClaimKey::new(TeamId(1), ServiceId(1), &[key]);
+    Call { key, router: RouterId(router), id: RequestId(id.into()), step }
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    (0..4u8, any::<u8>()).prop_map(|(kind, byte)| match kind {
+        0 => Step::Claim { request: Digest::of(&[byte % 2]) },
+        1 => Step::Done { answer: Arc::new(RecordedAnswer::new(200, [], vec![byte].into())) },
+        2 => Step::Release,
+        _ => Step::Unknown,
+    })
+}
+
+fn command() -> impl Strategy<Value = Command> {
+    let state = || {
+        prop_oneof![
+            proptest::strategy::Just(RouterState::Live),
+            proptest::strategy::Just(RouterState::Missing),
+        ]
+    };
+    let process = any::<u8>().prop_map(|it| Command::Register {
+        host: HostName(format!("e{}", it % 3).into()),
+        process: u64::from(it % 5),
+        addr: "127.0.0.1:9".parse().unwrap(),
+        domain: Domain("muscat-a".into()),
+    });
+    prop_oneof![
+        (0..20u8, 0..5_000u64, 0..2u32).prop_map(|(id, at, minimum)| operation(
+            id,
+            at,
+            Action::Plan(document(minimum))
+        )),
+        (0..20u8, 0..5_000u64, 0..6u64).prop_map(|(id, at, plan)| operation(
+            id,
+            at,
+            Action::Confirm { plan: PlanId(plan) }
+        )),
+        process,
+        (0..6u64, vec(state(), 0..4))
+            .prop_map(|(epoch, states)| Command::Roster(roster(epoch, &states))),
+        (0..5_000u64, 1..4u32, 0..6u8, 0..2u8, step()).prop_map(
+            |(at_ms, router, id, key, step)| Command::Ledger {
+                at_ms,
+                call: call(router, id, key, step)
+            }
+        ),
+        (0..5_000u64, any::<u8>()).prop_map(|(at_ms, byte)| Command::Quarantine {
+            at_ms,
+            fingerprint: Digest::of(&[byte % 4])
+        }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_snapshot_between_any_two_commands_changes_nothing(commands in vec(command(), 1..60)) {
+        let (mut one, mut other) = (State::default(), State::default());
+        for (index, command) in commands.iter().enumerate() {
+            let bytes = encode_to_vec(command, standard()).unwrap();
+            prop_assert_eq!(one.apply(index as u64, &bytes), other.apply(index as u64, &bytes));
+            let snapshot = other.snapshot();
+            other = State::default();
+            other.restore(&snapshot).unwrap();
+            prop_assert_eq!(&one, &other);
+        }
+    }
+}
+
+#[test]
+fn a_command_that_cannot_be_decoded_changes_nothing() {
+    let mut state = State::default();
+    let reply = state.apply(1, &[0xff; 9]);
+    let (output, _): (Output, _) = decode_from_slice(&reply, standard()).unwrap();
+    assert_eq!(output, Output::Malformed);
+    assert_eq!(state, State::default());
+}
+
+#[test]
+fn a_router_that_the_roster_lost_leaves_its_claims_unknown() {
+    let mut state = State::default();
+    state.execute(operation(1, 0, Action::Plan(document(0))));
+    state.execute(operation(2, 0, Action::Confirm { plan: PlanId(1) }));
+    let claim = || Step::Claim { request: Digest::of(b"approve") };
+    let ledger = |state: &mut State, router, id| {
+        state.execute(Command::Ledger { at_ms: 0, call: call(router, id, 1, claim()) })
+    };
+    let both = [RouterState::Live; 2];
+    assert_eq!(state.execute(Command::Roster(roster(1, &both))), Output::Roster(true));
+    assert_eq!(state.execute(Command::Roster(roster(1, &[]))), Output::Roster(false));
+    assert_eq!(ledger(&mut state, 1, 1), Output::Ledger(Reply::Granted));
+    assert_eq!(ledger(&mut state, 2, 2), Output::Ledger(Reply::InProgress));
+    let lost = [RouterState::Missing, RouterState::Live];
+    assert_eq!(state.execute(Command::Roster(roster(2, &lost))), Output::Roster(true));
+    assert_eq!(ledger(&mut state, 2, 3), Output::Ledger(Reply::Unknown));
+    assert_eq!(ledger(&mut state, 1, 4), Output::Ledger(Reply::NotLive));
+}
