--- a/crates/member/src/lease.rs
+++ b/crates/member/src/lease.rs
@@ -9,8 +9,8 @@
     Full,
     /// The lease ran out, and others may not know it yet: nothing.
     Pause,
-    /// All others leave room for it: its fixed shares.
-    Share,
+    /// All others leave room for it since this instant: its fixed shares.
+    Share(Time),
 }
 
 /// Heartbeats sent and answered.
@@ -79,8 +79,8 @@
         if self.valid(now) {
             return Phase::Full;
         }
-        match self.contact {
-            Some(it) if now >= self.timing.share_start(it) => Phase::Share,
+        match self.contact.map(|it| self.timing.share_start(it)) {
+            Some(since) if now >= since => Phase::Share(since),
             _ => Phase::Pause,
         }
     }
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -39,8 +39,9 @@
     pub lease_ms: u32,
     /// No router acts by an older roster than this one, but for missing ones; zero: unknown.
     pub settled: Epoch,
-    /// With `settled`: the work that others still run on endpoints that this router owns.
-    pub held: SmallVec<[(EndpointId, Work); 4]>,
+    /// With `settled`: the work that others still run on endpoints that this router owns; none if it is not known of
+    /// all, as when a router went missing under an earlier leader.
+    pub held: Option<SmallVec<[(EndpointId, Work); 4]>>,
 }
 
 /// What is known of one router process.
@@ -219,7 +220,7 @@
         let all = self.roster.routers.iter().all(heard);
         let listed = self.roster.get(router).is_some_and(serves);
         let settled = self.settled(now);
-        let held = if settled > Epoch(0) { self.held_for(router) } else { SmallVec::new() };
+        let held = if settled > Epoch(0) { self.held_for(router) } else { None };
         let timing = self.timing;
         let epoch = self.roster.epoch;
         let mut reply = Reply { seq: 0, lease_ms: 0, settled, held };
@@ -255,15 +256,18 @@
         }
     }
 
-    fn held_for(&self, router: RouterId) -> SmallVec<[(EndpointId, Work); 4]> {
+    fn held_for(&self, router: RouterId) -> Option<SmallVec<[(EndpointId, Work); 4]>> {
         let mut sums: BTreeMap<EndpointId, Work> = BTreeMap::new();
         for (_, peer) in self.peers.iter().filter(|it| *it.0 != router && !it.1.dead) {
+            if peer.seq == 0 {
+                return None;
+            }
             for (endpoint, work) in &peer.held {
                 *sums.entry(*endpoint).or_default() += *work;
             }
         }
         let owned = |it: &(EndpointId, Work)| holders(&self.roster, it.0).first() == Some(&router);
-        sums.into_iter().filter(owned).collect()
+        Some(sums.into_iter().filter(owned).collect())
     }
 
     /// The entry of a router in the next roster; none if it is out.
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -7,6 +7,9 @@
     std::collections::BTreeMap,
 };
 
+/// The whole bound, in thousandths.
+const WHOLE: u32 = 1000;
+
 /// What this router may start on an endpoint.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Right {
@@ -20,16 +23,23 @@
         since: Time,
         /// Whether the hand-over of all others is known; if not, a load report taken after `since` is needed first.
         clean: bool,
-        /// For each missing router with a share here, into how many shares it divides the bound.
-        reserved: SmallVec<[u32; 4]>,
+        /// What is left to missing routers, in thousandths of the bound.
+        reserved: u32,
         /// Whether a single request may exceed the bound on the idle endpoint.
         solo: bool,
     },
-    /// A fixed share of the bound.
+    /// A fixed share of the bound, once the endpoint was seen with room for it.
+    ///
+    /// What ran before this router went missing may still fill the endpoint. So a load report taken after `since` has
+    /// to show room for this share and for those of all holders before it; from then on nobody takes that room.
     Share {
-        /// Into how many shares the bound is divided.
-        parts: u32,
-        /// Whether a single request may exceed the share while this router runs nothing else there.
+        /// Since when all others leave room for it.
+        since: Time,
+        /// The share, in thousandths of the bound.
+        share: u32,
+        /// The sum of this share and of all that come before it, in thousandths of the bound.
+        before: u32,
+        /// Whether a single request may exceed the share.
         solo: bool,
     },
 }
@@ -53,7 +63,7 @@
     /// When it was known that no older roster was in use.
     settled: Option<Time>,
     clean: bool,
-    reserved: SmallVec<[u32; 4]>,
+    reserved: u32,
     solo: bool,
 }
 
@@ -141,10 +151,14 @@
 
     /// Takes the answer to a heartbeat; false if it is not the one awaited.
     pub fn granted(&mut self, now: Time, seq: u64, lease_ms: u32, settled: Epoch) -> bool {
+        let lapsed = !self.lease.valid(now);
         if self.sent.0 != seq || !self.lease.answered(seq, lease_ms) {
             return false;
         }
         self.acked = self.sent.1;
+        if lapsed && self.lease.valid(now) {
+            self.begin_anew(now);
+        }
         if settled > self.settled {
             self.settled = settled;
             self.settle(now);
@@ -185,7 +199,7 @@
             Phase::Full => self.full(now, endpoint),
             Phase::Pause if self.tenures.contains_key(&endpoint) => Right::Wait,
             Phase::Pause => Right::None,
-            Phase::Share => self.share(endpoint),
+            Phase::Share(since) => self.share(since, endpoint),
         }
     }
 
@@ -201,22 +215,34 @@
         if now < since {
             return Right::Wait;
         }
-        let (reserved, solo) = (tenure.reserved.clone(), tenure.solo);
+        let (reserved, solo) = (tenure.reserved, tenure.solo);
         Right::Full { since, clean: tenure.clean, reserved, solo }
     }
 
-    /// The share that follows from every roster that control may take for the last one acknowledged here.
-    fn share(&self, endpoint: EndpointId) -> Right {
+    /// The least share by any roster that another router may act by together with this one.
+    ///
+    /// A roster divides what is left after the shares of the routers that are missing in it.
+    fn share(&self, since: Time, endpoint: EndpointId) -> Right {
         let Some(me) = self.me else { return Right::None };
-        let (mut parts, mut solo) = (0, true);
-        for known in self.known.iter().filter(|it| it.forced && it.roster.epoch >= self.acked) {
+        let oldest = self.settled.min(self.acked);
+        let mut least = None;
+        for known in self.known.iter().filter(|it| it.forced && it.roster.epoch >= oldest) {
             let Some(rank) = known.owners.rank(endpoint, me) else { return Right::None };
-            parts = parts.max(share_parts(rank, known.owners.holders(endpoint).len()));
-            solo &= rank == 0;
+            let (reserved, taken) = self.reserved_in(&known.roster, endpoint);
+            let left = WHOLE.saturating_sub(reserved);
+            let holders = known.owners.holders(endpoint).len();
+            let share = left / share_parts(rank, holders);
+            let before = reserved + (left * shares_before(rank, holders)).div_ceil(WHOLE);
+            let (least_share, most_before, solo) = least.unwrap_or((WHOLE, 0, true));
+            least = Some((
+                share.min(least_share),
+                before.max(most_before),
+                solo && rank == 0 && !taken,
+            ));
         }
-        match parts {
-            0 => Right::None,
-            parts => Right::Share { parts, solo },
+        match least {
+            None => Right::None,
+            Some((share, before, solo)) => Right::Share { since, share, before, solo },
         }
     }
 
@@ -231,7 +257,7 @@
             arrived: now,
             settled: None,
             clean: false,
-            reserved: SmallVec::new(),
+            reserved: 0,
             solo: false,
         };
         let kept = |id| before.get(id).filter(|_| unbroken).cloned();
@@ -239,13 +265,24 @@
         self.settle(now);
     }
 
+    /// Begins all tenures anew after a time without a lease, in which others may have used their fixed shares.
+    fn begin_anew(&mut self, now: Time) {
+        self.settled = Epoch(0);
+        for tenure in self.tenures.values_mut() {
+            tenure.epoch = self.current;
+            tenure.arrived = now;
+            tenure.settled = None;
+            tenure.clean = false;
+        }
+        self.reserve();
+    }
+
     /// Notes what the newest settled roster allows.
     fn settle(&mut self, now: Time) {
         let clean = |epoch: Epoch| {
             let mut before = self.known.iter().filter(|it| it.roster.epoch.next() >= epoch);
             let seen = epoch <= Epoch(1) || self.at(Epoch(epoch.0 - 1)).is_some();
-            let absent = |it: &RouterEntry| it.state == RouterState::Missing;
-            seen && before.all(|it| !it.roster.routers.iter().any(absent))
+            seen && before.all(|it| missing(&it.roster).next().is_none())
         };
         let due = |it: &&Tenure| it.settled.is_none() && it.epoch <= self.settled;
         let epochs: SmallVec<[Epoch; 4]> =
@@ -261,65 +298,68 @@
     }
 
     /// Works out what must be left to missing routers on each endpoint owned here.
+    ///
+    /// Until the roster in force has settled, what older ones demand counts as well.
     fn reserve(&mut self) {
-        let missing = self.missing();
+        let oldest = self.settled.min(self.current);
         let mut tenures = std::mem::take(&mut self.tenures);
         for (endpoint, tenure) in &mut tenures {
-            tenure.reserved.clear();
-            tenure.solo = true;
-            for entry in &missing {
-                let (parts, owner) = self.left_to(entry, *endpoint);
-                tenure.reserved.extend(parts);
-                tenure.solo &= !owner;
+            (tenure.reserved, tenure.solo) = (0, true);
+            for known in self.known.iter().filter(|it| it.roster.epoch >= oldest) {
+                let (reserved, taken) = self.reserved_in(&known.roster, *endpoint);
+                tenure.reserved = tenure.reserved.max(reserved);
+                tenure.solo &= !taken;
             }
         }
         self.tenures = tenures;
     }
 
-    /// The other routers that are missing in the roster in force or in an older one that may still be in use.
-    fn missing(&self) -> Vec<RouterEntry> {
-        let mut missing = BTreeMap::new();
-        let recent = |it: &&Known| it.roster.epoch >= self.settled.min(self.current);
-        for known in self.known.iter().filter(recent).filter(|it| it.roster.epoch <= self.current) {
-            for entry in known.roster.routers.iter() {
-                if entry.state == RouterState::Missing && Some(entry.id) != self.me {
-                    missing.insert(entry.id, entry.clone());
-                }
-            }
+    /// What the routers that are missing in a roster may use, in thousandths of the bound, and whether one of them may
+    /// go beyond it.
+    fn reserved_in(&self, roster: &Roster, endpoint: EndpointId) -> (u32, bool) {
+        let (mut sum, mut taken) = (0, false);
+        for entry in missing(roster).filter(|it| Some(it.id) != self.me) {
+            let (share, owner) = self.left_to(entry, endpoint);
+            sum += share;
+            taken |= owner;
         }
-        missing.into_values().collect()
+        (sum, taken)
     }
 
-    /// The largest share that a missing router may use, as the number of shares, and whether it may go beyond it.
+    /// The largest share that a missing router may use, in thousandths of the bound, and whether it may go beyond it.
     ///
     /// It acts by a roster from the one that control knows it acknowledged to the last one before it went missing. A
     /// roster in between that is not known here leaves it the whole bound.
-    fn left_to(&self, entry: &RouterEntry, endpoint: EndpointId) -> (Option<u32>, bool) {
-        let (mut parts, mut owner) = (None::<u32>, false);
-        for epoch in entry.acked.0..entry.lost.0 {
-            let Some(known) = self.at(Epoch(epoch)) else { return (Some(1), true) };
+    fn left_to(&self, entry: &RouterEntry, endpoint: EndpointId) -> (u32, bool) {
+        let (mut share, mut owner) = (0, false);
+        for epoch in entry.acked.0.max(1)..entry.lost.0 {
+            let Some(known) = self.at(Epoch(epoch)) else { return (WHOLE, true) };
             let Some(rank) = known.owners.rank(endpoint, entry.id) else { continue };
-            let share = share_parts(rank, known.owners.holders(endpoint).len());
-            parts = Some(parts.unwrap_or(share).min(share));
+            let parts = share_parts(rank, known.owners.holders(endpoint).len());
+            share = share.max(WHOLE.div_ceil(parts));
             owner |= rank == 0;
         }
-        (parts, owner)
+        (share, owner)
     }
 
     /// Forgets rosters that nothing refers to.
     fn prune(&mut self) {
         let low = self.settled.min(self.current).min(self.acked);
-        let Some(current) = self.at(self.current) else { return };
         let mut needed: Vec<(Epoch, Epoch)> =
             vec![(Epoch(low.0.saturating_sub(1)), Epoch(u64::MAX))];
-        let absent = |it: &&RouterEntry| it.state == RouterState::Missing;
-        needed.extend(current.roster.routers.iter().filter(absent).map(|it| (it.acked, it.lost)));
-        needed.extend(self.missing().iter().map(|it| (it.acked, it.lost)));
+        for known in self.known.iter().filter(|it| it.roster.epoch >= low) {
+            needed.extend(missing(&known.roster).map(|it| (it.acked, it.lost)));
+        }
         let needs = |epoch: Epoch| needed.iter().any(|it| it.0 <= epoch && epoch <= it.1);
         self.known.retain(|it| needs(it.roster.epoch));
     }
 }
 
+/// The routers that are missing in a roster.
+fn missing(roster: &Roster) -> impl Iterator<Item = &RouterEntry> {
+    roster.routers.iter().filter(|it| it.state == RouterState::Missing)
+}
+
 /// Into how many shares the holder of this rank divides the bound: the owner has half of it, the standbys the rest.
 fn share_parts(rank: usize, holders: usize) -> u32 {
     match (rank, holders) {
@@ -328,3 +368,11 @@
         (_, count) => 2 * (count as u32 - 1),
     }
 }
+
+/// The sum of the shares up to and with that of this rank, in thousandths of the bound, rounded up.
+fn shares_before(rank: usize, holders: usize) -> u32 {
+    match (rank, holders) {
+        (_, 0..=1) => WHOLE,
+        (rank, count) => 500 + (500 * rank as u32).div_ceil(count as u32 - 1),
+    }
+}
--- a/crates/model/src/work.rs
+++ b/crates/model/src/work.rs
@@ -42,4 +42,10 @@
     pub fn scale(self, permille: u32) -> Work {
         Work((u128::from(self.0) * u128::from(permille) / 1000).min(u128::from(u64::MAX)) as u64)
     }
+
+    /// This work times `permille` / 1000, rounded up.
+    pub fn scale_up(self, permille: u32) -> Work {
+        let whole = u128::from(self.0) * u128::from(permille);
+        Work(whole.div_ceil(1000).min(u128::from(u64::MAX)) as u64)
+    }
 }
--- a/crates/placement/src/bound.rs
+++ b/crates/placement/src/bound.rs
@@ -62,14 +62,12 @@
             Right::None | Right::Wait => Room::NONE,
             Right::Full { reserved, solo, .. } => {
                 let load = own + foreign;
-                let left: Work =
-                    reserved.iter().map(|it| Work(bound.0.div_ceil(u64::from(*it)))).sum();
-                let inside = bound.less(left);
+                let inside = bound.less(bound.scale_up(*reserved));
                 let one = *solo && mean.covers(load) && load <= inside;
                 Room { work: inside.less(load), one }
             }
-            Right::Share { parts, solo } => {
-                let share = Work(bound.0 / u64::from((*parts).max(1)));
+            Right::Share { share, solo, .. } => {
+                let share = bound.scale(*share);
                 Room { work: share.less(own), one: *solo && own <= share }
             }
         }
--- a/crates/placement/src/engine.rs
+++ b/crates/placement/src/engine.rs
@@ -41,6 +41,10 @@
     surplus: Work,
     /// When the last report was taken.
     reported: Option<Time>,
+    /// The load by the last report, and how much of it was surely this router's own work.
+    seen: (Work, Work),
+    /// The fixed share, by when it began, for which there was room.
+    admitted: Option<Time>,
 }
 
 impl Engine {
@@ -56,6 +60,8 @@
             handed: Work::ZERO,
             surplus: Work::ZERO,
             reported: None,
+            seen: (Work::ZERO, Work::ZERO),
+            admitted: None,
         }
     }
 
@@ -84,6 +90,16 @@
         self.reported.is_some_and(|it| it >= at)
     }
 
+    /// Whether a fixed share that began at `since` may be used: once a report after that showed at most `most` of
+    /// others' work. Own work beyond the share counts as others'.
+    pub(crate) fn admits(&mut self, since: Time, share: Work, most: Work) -> bool {
+        let (load, own) = self.seen;
+        if self.reported_since(since) && load <= most + own.min(share) {
+            self.admitted = Some(since);
+        }
+        self.admitted == Some(since)
+    }
+
     pub(crate) fn start(&mut self, now: Time, key: (RequestId, AttemptNo), cost: Work) {
         self.running.push(Run { key, cost, started: now });
         self.own += cost;
@@ -123,6 +139,10 @@
         let past = self.past.iter().filter(|it| it.started <= to).map(|it| it.cost);
         let covered: Work = running.chain(past).sum();
         self.surplus = load.less(covered);
+        let certain = self.running.iter().filter(|it| it.started < from).map(|it| it.cost);
+        self.seen = (load, certain.sum());
+        // What was handed over only falls, so no more than this is left of it.
+        self.handed = self.handed.min(load.less(self.seen.1));
         self.reported = Some(from);
     }
 
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -185,7 +185,7 @@
 
     /// Takes what control says that other routers still run on endpoints owned here; nothing on all the others.
     ///
-    /// To be called with each answered heartbeat whose settled roster is the one in force.
+    /// To be called with each answered heartbeat whose settled roster is the one in force and that says what is held.
     pub fn take_held(&mut self, held: &[(EndpointId, Work)]) {
         for (id, engine) in &mut self.engines {
             let found = held.iter().find(|it| it.0 == *id);
@@ -267,7 +267,7 @@
     }
 
     /// How much may start on an endpoint now.
-    pub fn room(&self, now: Time, view: &View, endpoint: EndpointId) -> Room {
+    pub fn room(&mut self, now: Time, view: &View, endpoint: EndpointId) -> Room {
         self.room_under(&view.right(now, endpoint), endpoint)
     }
 
@@ -332,14 +332,20 @@
         self.exceptions.len()
     }
 
-    fn room_under(&self, right: &Right, endpoint: EndpointId) -> Room {
-        let Some(engine) = self.engines.get(&endpoint).filter(|it| it.open) else {
+    fn room_under(&mut self, right: &Right, endpoint: EndpointId) -> Room {
+        let Some(engine) = self.engines.get_mut(&endpoint).filter(|it| it.open) else {
             return Room::NONE;
         };
         let Some(level) = self.levels.get(&engine.service) else { return Room::NONE };
-        if let Right::Full { since, clean: false, .. } = right
-            && !engine.reported_since(*since)
-        {
+        let ready = match right {
+            Right::None | Right::Wait => false,
+            Right::Full { since, clean, .. } => *clean || engine.reported_since(*since),
+            Right::Share { since, share, before, .. } => {
+                let bound = level.mean.bound();
+                engine.admits(*since, bound.scale(*share), bound.less(bound.scale_up(*before)))
+            }
+        };
+        if !ready {
             return Room::NONE;
         }
         Room::of(right, &level.mean, engine.own(), engine.foreign())
