--- a/crates/placement/src/engine.rs
+++ b/crates/placement/src/engine.rs
@@ -43,6 +43,10 @@
     reported: Option<Time>,
     /// The load by the last report, and how much of it was surely this router's own work.
     seen: (Work, Work),
+    /// The most that is left of others' work from before this instant, at which the right to start here began.
+    ///
+    /// It only falls, so the least that any report showed holds.
+    left: Option<(Time, Work)>,
     /// The fixed share, by when it began, for which there was room.
     admitted: Option<Time>,
 }
@@ -61,6 +65,7 @@
             surplus: Work::ZERO,
             reported: None,
             seen: (Work::ZERO, Work::ZERO),
+            left: None,
             admitted: None,
         }
     }
@@ -70,9 +75,10 @@
         self.own
     }
 
-    /// The work of others: what was handed over or what the report shows, whichever is more.
+    /// The work of others: what was handed over or what reports show, whichever is more.
     pub(crate) fn foreign(&self) -> Work {
-        self.handed.max(self.surplus)
+        let left = self.left.map_or(Work::ZERO, |it| it.1);
+        self.handed.max(self.surplus).max(left)
     }
 
     /// The whole load.
@@ -85,8 +91,22 @@
         self.running.len()
     }
 
+    /// Whether a report taken after `since`, when the right to start here began, showed what others still run.
+    pub(crate) fn takes_over(&mut self, since: Time) -> bool {
+        if self.left.is_none_or(|it| it.0 != since) && self.reported_since(since) {
+            self.left = Some((since, self.seen.0.less(self.seen.1)));
+        }
+        self.left.is_some_and(|it| it.0 == since)
+    }
+
+    /// The hand-over of all others is known, so nothing else is left of their work.
+    pub(crate) fn is_handed_over(&mut self) -> bool {
+        self.left = None;
+        true
+    }
+
     /// Whether a report shows the load at or after an instant.
-    pub(crate) fn reported_since(&self, at: Time) -> bool {
+    fn reported_since(&self, at: Time) -> bool {
         self.reported.is_some_and(|it| it >= at)
     }
 
@@ -142,7 +162,9 @@
         let certain = self.running.iter().filter(|it| it.started < from).map(|it| it.cost);
         self.seen = (load, certain.sum());
         // What was handed over only falls, so no more than this is left of it.
-        self.handed = self.handed.min(load.less(self.seen.1));
+        let others = load.less(self.seen.1);
+        self.handed = self.handed.min(others);
+        self.left = self.left.map(|(since, left)| (since, left.min(others)));
         self.reported = Some(from);
     }
 
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -339,7 +339,8 @@
         let Some(level) = self.levels.get(&engine.service) else { return Room::NONE };
         let ready = match right {
             Right::None | Right::Wait => false,
-            Right::Full { since, clean, .. } => *clean || engine.reported_since(*since),
+            Right::Full { clean: true, .. } => engine.is_handed_over(),
+            Right::Full { since, .. } => engine.takes_over(*since),
             Right::Share { since, share, before, .. } => {
                 let bound = level.mean.bound();
                 engine.admits(*since, bound.scale(*share), bound.less(bound.scale_up(*before)))
