--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -37,11 +37,11 @@
     pub seq: u64,
     /// The length of the lease, in milliseconds from when the heartbeat was sent; zero: not renewed.
     pub lease_ms: u32,
-    /// No router acts by an older roster than this one, but for missing ones; zero: unknown.
+    /// No router acts by an older roster than this one, but for missing ones, and what all others hold is known;
+    /// zero: not so.
     pub settled: Epoch,
-    /// With `settled`: the work that others still run on endpoints that this router owns; none if it is not known of
-    /// all, as when a router went missing under an earlier leader.
-    pub held: Option<SmallVec<[(EndpointId, Work); 4]>>,
+    /// With `settled`: the work that others still run on endpoints that this router owns.
+    pub held: SmallVec<[(EndpointId, Work); 4]>,
 }
 
 /// What is known of one router process.
@@ -220,7 +220,7 @@
         let all = self.roster.routers.iter().all(heard);
         let listed = self.roster.get(router).is_some_and(serves);
         let settled = self.settled(now);
-        let held = if settled > Epoch(0) { self.held_for(router) } else { None };
+        let held = if settled > Epoch(0) { self.held_for(router) } else { SmallVec::new() };
         let timing = self.timing;
         let epoch = self.roster.epoch;
         let mut reply = Reply { seq: 0, lease_ms: 0, settled, held };
@@ -239,15 +239,17 @@
         proved.is_some_and(|it| now < self.timing.holder_end(it))
     }
 
-    /// The committed roster if all routers but the missing ones have it and all leases by older ones have ended.
+    /// The committed roster if all routers but the missing ones have it, all leases by older ones have ended, and
+    /// every living router was heard by this leader, so that what it holds is known.
     fn settled(&self, now: Time) -> Epoch {
         let epoch = self.roster.epoch;
         let has = |id: RouterId, peer: &Peer| {
             let entry = self.roster.get(id);
             let serves = entry.is_some_and(|it| it.state != RouterState::Missing);
-            match peer.seq > 0 && peer.acked == epoch {
-                true => true,
-                false => !serves && now >= peer.lease_end,
+            let ended = !serves && now >= peer.lease_end;
+            match peer.seq > 0 {
+                true => peer.acked == epoch || ended,
+                false => peer.dead && ended,
             }
         };
         match self.peers.iter().all(|(id, peer)| has(*id, peer)) {
@@ -256,18 +258,15 @@
         }
     }
 
-    fn held_for(&self, router: RouterId) -> Option<SmallVec<[(EndpointId, Work); 4]>> {
+    fn held_for(&self, router: RouterId) -> SmallVec<[(EndpointId, Work); 4]> {
         let mut sums: BTreeMap<EndpointId, Work> = BTreeMap::new();
         for (_, peer) in self.peers.iter().filter(|it| *it.0 != router && !it.1.dead) {
-            if peer.seq == 0 {
-                return None;
-            }
             for (endpoint, work) in &peer.held {
                 *sums.entry(*endpoint).or_default() += *work;
             }
         }
         let owned = |it: &(EndpointId, Work)| holders(&self.roster, it.0).first() == Some(&router);
-        Some(sums.into_iter().filter(owned).collect())
+        sums.into_iter().filter(owned).collect()
     }
 
     /// The entry of a router in the next roster; none if it is out.
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -185,7 +185,7 @@
 
     /// Takes what control says that other routers still run on endpoints owned here; nothing on all the others.
     ///
-    /// To be called with each answered heartbeat whose settled roster is the one in force and that says what is held.
+    /// To be called with each answered heartbeat whose settled roster is the one in force.
     pub fn take_held(&mut self, held: &[(EndpointId, Work)]) {
         for (id, engine) in &mut self.engines {
             let found = held.iter().find(|it| it.0 == *id);
--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -332,8 +332,8 @@
             return;
         }
         router.table.take_mean(SERVICE, mean, 1, &[]);
-        if let Some(held) = reply.held.filter(|_| reply.settled == router.view.epoch()) {
-            router.table.take_held(&held);
+        if reply.settled == router.view.epoch() {
+            router.table.take_held(&reply.held);
         }
     }
 
