--- a/crates/edge/src/endpoint/client.rs
+++ b/crates/edge/src/endpoint/client.rs
@@ -30,7 +30,7 @@
 }
 
 struct Pool {
-    idle: Vec<Box<Link>>,
+    idle: Vec<Link>,
     /// Connections made before are not used again.
     suspect: Option<Instant>,
 }
@@ -79,18 +79,18 @@
     }
 
     /// Returns an idle connection that the other end has not closed, or a new one.
-    pub(crate) async fn link(&self, fresh: bool) -> Result<Box<Link>, LinkError> {
+    pub(crate) async fn link(&self, fresh: bool) -> Result<Link, LinkError> {
         while let Some(mut link) = self.take(fresh) {
             if link.is_ready().await {
                 link.pooled = true;
                 return Ok(link);
             }
         }
-        Link::open(self.inner.peer, self.inner.limits.connect_ms).await.map(Box::new)
+        Link::open(self.inner.peer, self.inner.limits.connect_ms).await
     }
 
     /// Keeps a connection for the next exchange, unless it is suspected or there are enough.
-    pub(crate) async fn give_back(&self, mut link: Box<Link>) {
+    pub(crate) async fn give_back(&self, mut link: Link) {
         if !link.is_ready().await {
             return;
         }
@@ -117,7 +117,7 @@
         request: RequestId,
         attempt: AttemptNo,
     ) -> Result<u16, LinkError> {
-        let mut link = Box::new(Link::open(self.inner.peer, self.inner.limits.connect_ms).await?);
+        let mut link = Link::open(self.inner.peer, self.inner.limits.connect_ms).await?;
         if self.inner.kind == ServiceKind::Plain {
             return Ok(0);
         }
@@ -131,7 +131,7 @@
         Ok(status)
     }
 
-    fn take(&self, fresh: bool) -> Option<Box<Link>> {
+    fn take(&self, fresh: bool) -> Option<Link> {
         if fresh {
             return None;
         }
--- a/crates/edge/src/endpoint/stream.rs
+++ b/crates/edge/src/endpoint/stream.rs
@@ -102,7 +102,7 @@
             return Err(LinkError::deadline());
         }
         let request = self.request.build(self.client.peer(), self.offset)?;
-        let mut link = self.client.link(fresh).await?;
+        let mut link = Box::new(self.client.link(fresh).await?);
         let before = link.written();
         let limit = self.limit(self.client.limits().head_ms);
         let answered = link.send(request, limit).await;
@@ -171,7 +171,7 @@
         }
         self.state = State::Ended;
         drop(body);
-        self.client.give_back(link).await;
+        self.client.give_back(*link).await;
         Ok(EndpointEvent::End { length: self.offset })
     }
 
