--- /dev/null
+++ b/crates/control/src/control.rs
@@ -0,0 +1,129 @@
+//! A running control replica.
+
+use {
+    crate::{
+        admin, claims, feed,
+        fleet::Fleet,
+        log::{Log, ReplicaAddr},
+        operators::Operators,
+        roster::{self, Membership},
+    },
+    edge::{Server, ServerLimits},
+    eyre::{Result, eyre},
+    intent::WeightStore,
+    parking_lot::Mutex,
+    settings::ControlSettings,
+    std::{
+        net::SocketAddr,
+        sync::{Arc, OnceLock},
+        time::{SystemTime, UNIX_EPOCH},
+    },
+    tokio::task::JoinHandle,
+    tower::service_fn,
+    wire::{Class, Clock, Dialer, Identity, Incoming, Listener, Traffic, msg},
+};
+
+/// What all tasks of the process share.
+pub(crate) struct Shared {
+    pub(crate) settings: ControlSettings,
+    pub(crate) operators: Operators,
+    pub(crate) log: Log,
+    pub(crate) fleet: Mutex<Fleet>,
+    pub(crate) membership: Mutex<Option<Membership>>,
+    pub(crate) clock: Clock,
+    pub(crate) traffic: Traffic,
+}
+
+/// A running control replica; dropping it ends its tasks.
+pub struct Control {
+    shared: Arc<Shared>,
+    inner: SocketAddr,
+    server: Server,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Control {
+    /// Binds both addresses and starts the replica.
+    ///
+    /// # Errors
+    ///
+    /// A file cannot be read or an address cannot be bound.
+    pub async fn spawn(settings: ControlSettings) -> Result<Control> {
+        let operators = Operators::open(&settings.operators)?;
+        let identity = settings.tls_inner.as_ref().map(Identity::open).transpose();
+        let identity = identity.map_err(|it| eyre!("control: read keys: {it}"))?;
+        let (traffic, clock) = (Traffic::default(), Clock::start());
+        let listener = Listener::bind(settings.inner, identity.clone(), traffic.clone()).await?;
+        let inner = listener.addr();
+        let slot: Arc<OnceLock<Arc<Shared>>> = Arc::default();
+        let server = serve_admin(settings.admin, slot.clone()).await?;
+        let own = ReplicaAddr { inner, admin: server.addr() };
+        let dialer = Dialer { identity, traffic: traffic.clone(), class: Class::Control };
+        let log = Log::open(&settings, own, dialer, clock).await?;
+        let (fleet, membership) = (Mutex::default(), Mutex::default());
+        let shared =
+            Arc::new(Shared { settings, operators, log, fleet, membership, clock, traffic });
+        slot.get_or_init(|| shared.clone());
+        let tasks = vec![
+            tokio::spawn(accept(shared.clone(), listener)),
+            tokio::spawn(roster::run(shared.clone())),
+        ];
+        tracing::info!("control: serves routers on {inner}, operators on {}", server.addr());
+        Ok(Control { shared, inner, server, tasks })
+    }
+
+    /// Where routers and replicas connect.
+    pub fn inner(&self) -> SocketAddr {
+        self.inner
+    }
+
+    /// Where operators connect.
+    pub fn admin(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Ends the replica once operators have their answers.
+    pub async fn shutdown(self) {
+        self.server.shutdown().await;
+        self.shared.log.shutdown().await;
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl Shared {
+    /// The time of day in milliseconds since 1970; it travels in commands and is never compared to [`Clock`].
+    pub(crate) fn wall_ms(&self) -> u64 {
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |it| it.as_millis() as u64)
+    }
+
+    /// The limits of the weight store.
+    pub(crate) fn weights(&self) -> WeightStore {
+        let limits = self.settings.weights;
+        WeightStore { image_bytes: limits.image_bytes, rate_bytes: limits.rate_bytes }
+    }
+}
+
+/// Binds the admin address; until the slot is filled, requests are refused.
+async fn serve_admin(addr: SocketAddr, slot: Arc<OnceLock<Arc<Shared>>>) -> Result<Server> {
+    let service = service_fn(move |request| admin::serve(slot.get().cloned(), request));
+    Ok(Server::bind(addr, ServerLimits::default(), service).await?)
+}
+
+async fn accept(shared: Arc<Shared>, mut listener: Listener) {
+    while let Some(incoming) = listener.accept().await {
+        tokio::spawn(serve(shared.clone(), incoming));
+    }
+}
+
+async fn serve(shared: Arc<Shared>, incoming: Incoming) {
+    let peer = incoming.peer;
+    let ended = match incoming.path.as_str() {
+        msg::FEED_PATH => feed::serve(shared, incoming.stream).await,
+        msg::LEDGER_PATH => claims::serve(shared, incoming.stream).await,
+        msg::REPLICA_PATH => return shared.log.incoming(incoming.stream),
+        path => return tracing::warn!("control: {peer} asks for unknown {path}"),
+    };
+    if let Err(err) = ended {
+        tracing::debug!("control: stream ended: {err}");
+    }
+}
--- /dev/null
+++ b/crates/control/src/log.rs
@@ -0,0 +1,133 @@
+//! The replicated log as the rest of the process sees it: typed commands, outputs and addresses.
+
+use {
+    crate::{
+        command::{Command, Output},
+        state::State,
+    },
+    bincode::{
+        config::standard,
+        serde::{decode_from_slice, encode_to_vec},
+    },
+    derive_more::{Debug, Display, Error},
+    eyre::{Result, WrapErr},
+    replica::{LeaderView, Progress, ProposeError, Replica, ReplicaConfig},
+    settings::ControlSettings,
+    std::{net::SocketAddr, time::Duration},
+    tokio::{sync::watch, time::timeout},
+    wire::{Clock, Dialer, Stream},
+};
+
+/// How long a command may take to be committed.
+const COMMIT_LIMIT: Duration = Duration::from_millis(5_000);
+
+/// Where a replica can be reached.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) struct ReplicaAddr {
+    /// For replicas and routers.
+    pub(crate) inner: SocketAddr,
+    /// For operators.
+    pub(crate) admin: SocketAddr,
+}
+
+/// A command has no output.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Display, Error)]
+pub(crate) enum NotCommitted {
+    /// This replica does not lead; the command was not and will not be carried out.
+    #[display("this replica does not lead")]
+    NotLeader,
+    /// It was not committed in time; it may yet be.
+    #[display("the outcome is unknown")]
+    Unknown,
+}
+
+/// The replicated log and the state that it leads to.
+pub(crate) struct Log {
+    replica: Replica<State>,
+    addrs: Vec<ReplicaAddr>,
+}
+
+impl Log {
+    /// Opens the data folder and takes part in the group.
+    ///
+    /// `own` is where this replica can be reached.
+    ///
+    /// # Errors
+    ///
+    /// The data folder cannot be used.
+    pub(crate) async fn open(
+        settings: &ControlSettings,
+        own: ReplicaAddr,
+        dialer: Dialer,
+        clock: Clock,
+    ) -> Result<Log> {
+        let peers = settings.peers.iter().map(|it| it.inner).collect();
+        let config = ReplicaConfig::new(settings.data.clone(), own.inner, peers);
+        let replica = Replica::open(config, State::default(), dialer, clock).await;
+        let replica = replica.wrap_err("control: open the replicated log")?;
+        let peer = |it: &settings::ControlPeer| ReplicaAddr { inner: it.inner, admin: it.admin };
+        let addrs = settings.peers.iter().map(peer).chain([own]).collect();
+        Ok(Log { replica, addrs })
+    }
+
+    /// Returns once a command is committed and applied.
+    pub(crate) async fn propose(&self, command: &Command) -> Result<Output, NotCommitted> {
+        let bytes = encode_to_vec(command, standard()).map_err(|_| NotCommitted::NotLeader)?;
+        let proposed = timeout(COMMIT_LIMIT, self.replica.propose(bytes)).await;
+        let reply = match proposed {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(ProposeError::NotLeader { .. })) => return Err(NotCommitted::NotLeader),
+            Ok(Err(ProposeError::Unknown)) | Err(_) => return Err(NotCommitted::Unknown),
+        };
+        let decoded = decode_from_slice(&reply, standard());
+        decoded.map(|(output, _)| output).map_err(|_| NotCommitted::Unknown)
+    }
+
+    /// Returns once what [`Log::with`] shows is at least as new as all that was acknowledged before this call.
+    pub(crate) async fn read(&self) -> Result<(), NotCommitted> {
+        match timeout(COMMIT_LIMIT, self.replica.read()).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(ProposeError::NotLeader { .. })) => Err(NotCommitted::NotLeader),
+            Ok(Err(ProposeError::Unknown)) | Err(_) => Err(NotCommitted::Unknown),
+        }
+    }
+
+    /// Reads the state as applied here, however old it is.
+    pub(crate) fn with<F, T>(&self, read: F) -> T
+    where
+        F: FnOnce(&State) -> T,
+    {
+        self.replica.with(read)
+    }
+
+    /// The leadership of this replica, while its lease holds.
+    pub(crate) fn leading(&self) -> Option<LeaderView> {
+        self.replica.leading()
+    }
+
+    /// Whether this replica leads and its lease holds.
+    pub(crate) fn leads(&self) -> bool {
+        self.leading().is_some()
+    }
+
+    /// Where the leader is, as far as it is known.
+    pub(crate) fn leader(&self) -> Option<ReplicaAddr> {
+        let inner = self.replica.addr_of(self.replica.leader()?)?;
+        self.addrs.iter().find(|it| it.inner == inner).copied()
+    }
+
+    /// Changes whenever a command was applied or the leader changed.
+    pub(crate) fn changes(&self) -> watch::Receiver<Progress> {
+        self.replica.subscribe()
+    }
+
+    /// Takes over a stream from another replica.
+    pub(crate) fn incoming(&self, stream: Stream) {
+        self.replica.incoming(stream);
+    }
+
+    /// Stops taking part.
+    pub(crate) async fn shutdown(&self) {
+        self.replica.shutdown().await;
+    }
+}
