Prove whole answers, honest outcomes and the retry budget by properties

Change: a model of one entry router, three owners and endpoints over the unreliable net drives the real machine; four properties. Candidates, strikes and spill places moved to their own module. An endpoint that starts nothing and names no place is left for the next candidate; moved and unreachable owners are waited for until the deadline, not counted as hops. Ruled out: telling a dead endpoint by a cancellation that it does not know, for an engine may forget a request whose connection broke.

--- a/crates/retry/src/attempts.rs
+++ b/crates/retry/src/attempts.rs
@@ -5,6 +5,7 @@
         answer::{Answer, Fit},
         budget::Budget,
         event::{Action, Actions, Admission, Event, Limits, Reply, Spec},
+        routes::Routes,
     },
     bytes::Bytes,
     derive_more::Debug,
@@ -25,9 +26,7 @@
     answer: Answer,
     /// The worst that earlier attempts may have done; the attempt in flight is not in it.
     outcome: Outcome,
-    strikes: SmallVec<[EndpointId; 2]>,
-    /// Where a refused request is tried next, in order.
-    spill: SmallVec<[EndpointId; 4]>,
+    routes: Routes,
     /// Every attempt that was sent and not answered to its end.
     open: SmallVec<[(AttemptNo, EndpointId); 2]>,
     hops: u32,
@@ -38,7 +37,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum State {
     /// The last attempt is with an owner.
-    Sent { endpoint: EndpointId, admission: Admission },
+    Sent { endpoint: EndpointId, admission: Admission, epoch: Epoch },
     /// The endpoint is asked again at the deadline, or when the roster changes.
     Paused { endpoint: EndpointId, admission: Admission, until: Time },
     /// The final answer was given.
@@ -49,12 +48,13 @@
     /// Returns a request and the first forward, which counts in the budget as a first attempt.
     pub fn start(
         now: Time,
-        spec: Spec,
+        mut spec: Spec,
         limits: Limits,
         epoch: Epoch,
         budget: &Budget,
     ) -> (Attempts, Actions) {
         budget.earn();
+        let routes = Routes::new(std::mem::take(&mut spec.candidates));
         let mut attempts = Attempts {
             spec,
             limits,
@@ -62,24 +62,26 @@
             last: AttemptNo(0),
             answer: Answer::default(),
             outcome: Outcome::NotRun,
-            strikes: SmallVec::new(),
-            spill: SmallVec::new(),
+            routes,
             open: SmallVec::new(),
             hops: 0,
             retries: 0,
             epoch,
         };
         let mut actions = Actions::new();
-        match attempts.spec.candidates.first().copied() {
+        match attempts.routes.home() {
+            _ if now >= attempts.spec.deadline => {
+                attempts.give_up(Reason::Deadline, 0, &mut actions);
+            }
             Some(home) => attempts.forward(home, Admission::Home, &mut actions),
-            None => attempts.give_up(now, Reason::Unavailable, &mut actions),
+            None => attempts.give_up(Reason::Unavailable, 0, &mut actions),
         }
         (attempts, actions)
     }
 
     /// The endpoints that died while running the request.
     pub fn strikes(&self) -> &[EndpointId] {
-        &self.strikes
+        self.routes.strikes()
     }
 
     /// Whether the final answer was given.
@@ -108,7 +110,7 @@
             Event::Lost { attempt } => {
                 if self.is_current(attempt) {
                     self.outcome = self.outcome.max(Outcome::Unknown);
-                    self.fail(now, Reason::EndpointFailed, budget, &mut actions);
+                    self.fail(now, Reason::EndpointFailed, 0, budget, &mut actions);
                 }
             }
             Event::Roster { epoch } => self.roster(now, epoch, &mut actions),
@@ -140,12 +142,12 @@
             }
             Reply::Elsewhere { endpoints } => {
                 self.close(attempt);
-                self.elsewhere(now, endpoints, actions);
+                self.elsewhere(endpoints, actions);
             }
             Reply::Refused(refusal) => {
                 self.close(attempt);
                 self.outcome = self.outcome.max(refusal.outcome);
-                self.refused(now, refusal, actions);
+                self.refused(refusal, actions);
             }
             Reply::Head { status } => self.head(now, status, budget, actions),
             Reply::Chunk { offset, bytes } => self.chunk(now, offset, bytes, budget, actions),
@@ -173,54 +175,62 @@
         self.open.retain(|it| it.0 != attempt);
     }
 
-    fn moved(&mut self, now: Time, epoch: Epoch, actions: &mut Actions) {
-        let State::Sent { endpoint, admission } = self.state else { return };
-        self.hops += 1;
-        if self.hops > self.limits.hops * 2 {
-            return self.give_up(now, Reason::Unavailable, actions);
-        }
-        if epoch > self.epoch || self.hops > self.limits.hops {
-            self.wait(now, endpoint, admission, actions);
-        } else {
+    /// The owner is another router: asked again at once where the roster has changed since, else a little later.
+    fn moved(&mut self, now: Time, theirs: Epoch, actions: &mut Actions) {
+        let State::Sent { endpoint, admission, epoch } = self.state else { return };
+        if epoch < self.epoch && theirs <= self.epoch {
             self.forward(endpoint, admission, actions);
+        } else {
+            self.wait(now, endpoint, admission, actions);
         }
     }
 
-    fn elsewhere(
-        &mut self,
-        now: Time,
-        endpoints: SmallVec<[EndpointId; 4]>,
-        actions: &mut Actions,
-    ) {
-        let State::Sent { endpoint, admission } = self.state else { return };
+    /// The endpoint did not start the request: on to the places that its owner named, then to candidates that were
+    /// not asked yet, and at last into the queue of the home.
+    fn elsewhere(&mut self, endpoints: SmallVec<[EndpointId; 4]>, actions: &mut Actions) {
+        let State::Sent { endpoint, admission, .. } = self.state else { return };
         self.hops += 1;
-        if admission == Admission::Home {
-            self.spill = endpoints;
-            self.spill.retain(|it| *it != endpoint && !self.strikes.contains(it));
-            self.spill.reverse();
-        }
-        if self.hops > self.limits.hops * 2 {
-            return self.give_up(now, Reason::Overloaded, actions);
+        match admission {
+            Admission::Home if endpoints.is_empty() => self.routes.avoid(endpoint),
+            Admission::Home => self.routes.set_spill(endpoint, &endpoints),
+            Admission::Spill => {}
+            Admission::Wait if self.hops > self.limits.hops * 2 => {
+                return self.give_up(Reason::Overloaded, 0, actions);
+            }
+            Admission::Wait => self.routes.avoid(endpoint),
         }
-        if self.hops <= self.limits.hops
-            && let Some(next) = self.spill.pop()
-        {
+        let hop = self.hops <= self.limits.hops;
+        if let Some(next) = self.routes.next_spill().filter(|_| hop) {
             return self.forward(next, Admission::Spill, actions);
         }
-        match self.home() {
-            Some(home) => self.forward(home, Admission::Wait, actions),
-            None => self.give_up(now, Reason::Unavailable, actions),
-        }
+        let Some(home) = self.routes.home() else {
+            return self.give_up(Reason::Overloaded, 0, actions);
+        };
+        let asked = endpoints.is_empty() && admission != Admission::Spill;
+        let again = asked && hop && self.routes.untried().is_some();
+        let admission = if again { Admission::Home } else { Admission::Wait };
+        self.forward(home, admission, actions);
     }
 
-    /// A spilled attempt that is refused goes on to the next place; any other refusal is final.
-    fn refused(&mut self, now: Time, refusal: Refusal, actions: &mut Actions) {
-        let State::Sent { admission, .. } = self.state else { return };
-        let spilled = admission == Admission::Spill && refusal.outcome == Outcome::NotRun;
-        if spilled && matches!(refusal.reason, Reason::Overloaded | Reason::Unavailable) {
-            return self.elsewhere(now, SmallVec::new(), actions);
+    /// A refusal is final, but for one that holds for this endpoint alone and proves that nothing ran.
+    fn refused(&mut self, refusal: Refusal, actions: &mut Actions) {
+        let State::Sent { endpoint, admission, .. } = self.state else { return };
+        if refusal.outcome != Outcome::NotRun {
+            return self.finish_with(refusal, actions);
+        }
+        match refusal.reason {
+            Reason::Overloaded if admission != Admission::Wait => {
+                self.elsewhere(SmallVec::new(), actions);
+            }
+            Reason::Unavailable | Reason::Draining | Reason::EndpointFailed => {
+                self.routes.avoid(endpoint);
+                match self.routes.untried() {
+                    Some(next) => self.forward(next, Admission::Home, actions),
+                    None => self.finish_with(refusal, actions),
+                }
+            }
+            _ => self.finish_with(refusal, actions),
         }
-        self.finish_with(refusal, actions);
     }
 
     fn head(&mut self, now: Time, status: u16, budget: &Budget, actions: &mut Actions) {
@@ -259,7 +269,7 @@
     /// The attempt's frames do not fit what the caller has: it is broken off and tried again.
     fn contradiction(&mut self, now: Time, budget: &Budget, actions: &mut Actions) {
         self.outcome = self.outcome.max(Outcome::Unknown);
-        self.fail(now, Reason::EndpointFailed, budget, actions);
+        self.fail(now, Reason::EndpointFailed, 0, budget, actions);
     }
 
     fn broken(
@@ -272,27 +282,37 @@
     ) {
         let State::Sent { endpoint, .. } = self.state else { return };
         self.outcome = self.outcome.max(refusal.outcome);
-        if died && refusal.outcome != Outcome::NotRun && !self.strikes.contains(&endpoint) {
-            self.strikes.push(endpoint);
+        if died && refusal.outcome != Outcome::NotRun {
+            self.routes.strike(endpoint);
         }
-        if self.strikes.len() >= STRIKES {
+        self.routes.avoid(endpoint);
+        if self.routes.strikes().len() >= STRIKES {
             actions.push(Action::Quarantine);
-            return self.give_up(now, Reason::Quarantined, actions);
+            return self.give_up(Reason::Quarantined, 0, actions);
         }
-        self.fail(now, refusal.reason, budget, actions);
+        self.fail(now, refusal.reason, refusal.retry_ms, budget, actions);
     }
 
     /// Tries again after a failure, where that is allowed.
-    fn fail(&mut self, now: Time, reason: Reason, budget: &Budget, actions: &mut Actions) {
+    fn fail(
+        &mut self,
+        now: Time,
+        reason: Reason,
+        retry_ms: u32,
+        budget: &Budget,
+        actions: &mut Actions,
+    ) {
         self.retries += 1;
         let allowed = self.may_repeat() && self.retries <= self.limits.retries;
-        if !allowed || now >= self.spec.deadline || !budget.spend() {
-            return self.give_up(now, reason, actions);
+        let home = self.routes.home().filter(|_| allowed && now < self.spec.deadline);
+        match home {
+            Some(home) if budget.spend() => {
+                self.cancel_open(actions);
+                self.routes.clear_spill();
+                self.forward(home, Admission::Home, actions);
+            }
+            _ => self.give_up(reason, retry_ms, actions),
         }
-        let Some(home) = self.home() else { return self.give_up(now, reason, actions) };
-        self.cancel_open(actions);
-        self.spill.clear();
-        self.forward(home, Admission::Home, actions);
     }
 
     /// Whether another attempt cannot double the work or the answer.
@@ -301,22 +321,17 @@
         harmless && (!self.answer.begun() || self.spec.resumable)
     }
 
-    /// The owner of the endpoint could not be reached: another candidate, or the same one later.
+    /// The owner of the endpoint could not be reached: another candidate, or all of them again a little later.
     fn pause(&mut self, now: Time, actions: &mut Actions) {
         let State::Sent { endpoint, .. } = self.state else { return };
-        self.hops += 1;
-        if self.hops > self.limits.hops * 2 {
-            return self.give_up(now, Reason::Unavailable, actions);
+        self.routes.avoid(endpoint);
+        if let Some(next) = self.routes.untried() {
+            return self.forward(next, Admission::Home, actions);
         }
-        let at = self.spec.candidates.iter().position(|it| *it == endpoint);
-        let next = at.map_or(0, |it| it + 1);
-        let open = |it: &&EndpointId| !self.strikes.contains(*it);
-        match self.spec.candidates[next..].iter().find(open).copied() {
-            Some(next) => self.forward(next, Admission::Home, actions),
-            None => match self.home() {
-                Some(home) => self.wait(now, home, Admission::Home, actions),
-                None => self.give_up(now, Reason::Unavailable, actions),
-            },
+        self.routes.pardon();
+        match self.routes.home() {
+            Some(home) => self.wait(now, home, Admission::Home, actions),
+            None => self.give_up(Reason::Unavailable, 0, actions),
         }
     }
 
@@ -354,7 +369,7 @@
             return;
         }
         if now >= self.spec.deadline {
-            return self.give_up(now, Reason::Deadline, actions);
+            return self.give_up(Reason::Deadline, 0, actions);
         }
         match self.state {
             State::Paused { endpoint, admission, until } if now >= until => {
@@ -366,15 +381,10 @@
         }
     }
 
-    /// The first candidate that did not die under this request.
-    fn home(&self) -> Option<EndpointId> {
-        self.spec.candidates.iter().find(|it| !self.strikes.contains(*it)).copied()
-    }
-
     fn forward(&mut self, endpoint: EndpointId, admission: Admission, actions: &mut Actions) {
         self.last = self.last.next();
         self.open.push((self.last, endpoint));
-        self.state = State::Sent { endpoint, admission };
+        self.state = State::Sent { endpoint, admission, epoch: self.epoch };
         let (attempt, offset) = (self.last, self.answer.length());
         actions.push(Action::Forward { endpoint, attempt, offset, admission });
         actions.push(Action::Wait(self.spec.deadline));
@@ -385,11 +395,13 @@
         actions.extend(self.open.iter().map(cancel));
     }
 
-    fn give_up(&mut self, now: Time, reason: Reason, actions: &mut Actions) {
-        let _ = now;
+    /// Gives the request up; the time to come back is the owner's, if it gave one.
+    fn give_up(&mut self, reason: Reason, retry_ms: u32, actions: &mut Actions) {
+        let comeback = (self.limits.comeback / MILLISECOND) as u32;
         let retry_ms = match reason {
             Reason::Quarantined => 0,
-            _ => (self.limits.comeback / MILLISECOND) as u32,
+            _ if retry_ms > 0 => retry_ms,
+            _ => comeback,
         };
         self.finish_with(Refusal { outcome: self.outcome, reason, retry_ms }, actions);
     }
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -14,6 +14,7 @@
 mod budget;
 mod event;
 mod isolation;
+mod routes;
 mod suspects;
 
 pub use crate::{
--- /dev/null
+++ b/crates/retry/tests/attempts.rs
@@ -0,0 +1,125 @@
+//! Requests at an entry router against owners and endpoints whose messages are delayed, lost, doubled and reordered.
+
+mod fleet;
+
+use {
+    fleet::{Fault, Fleet, step},
+    model::{AttemptNo, EndpointId, Epoch, Outcome, Reason, Time},
+    proptest::{collection::vec, prelude::*},
+    retry::{Action, Admission, Attempts, Budget, Event, Limits, Reply, Spec},
+};
+
+fn config() -> ProptestConfig {
+    ProptestConfig { failure_persistence: None, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Every caller gets each byte of its own answer once and in order, and the end only after the last byte.
+    #[test]
+    fn answers_are_whole_once_and_in_order(
+        kinds in vec((any::<bool>(), any::<bool>()), 1..4),
+        steps in vec(step(), 0..150),
+    ) {
+        let mut fleet = Fleet::new(&kinds, 100);
+        steps.iter().for_each(|it| fleet.step(*it));
+        fleet.settle();
+        prop_assert_eq!(fleet.faults(&[Fault::Answer]), vec![]);
+    }
+
+    /// A request is only said not to have run if no endpoint ever began with it, neither before nor after.
+    #[test]
+    fn not_run_is_never_said_of_a_request_that_ran(
+        kinds in vec((any::<bool>(), any::<bool>()), 1..4),
+        steps in vec(step(), 0..150),
+    ) {
+        let mut fleet = Fleet::new(&kinds, 100);
+        steps.iter().for_each(|it| fleet.step(*it));
+        fleet.settle();
+        prop_assert_eq!(fleet.faults(&[Fault::Outcome]), vec![]);
+    }
+
+    /// A request that is not idempotent begins on one endpoint, once.
+    #[test]
+    fn non_idempotent_requests_run_at_most_once(
+        resumable in vec(any::<bool>(), 1..4),
+        steps in vec(step(), 0..150),
+    ) {
+        let kinds: Vec<_> = resumable.into_iter().map(|it| (false, it)).collect();
+        let mut fleet = Fleet::new(&kinds, 100);
+        steps.iter().for_each(|it| fleet.step(*it));
+        fleet.settle();
+        prop_assert_eq!(fleet.faults(&[Fault::Twice]), vec![]);
+    }
+
+    /// Every request gets exactly one end, and retries stay inside the budget.
+    #[test]
+    fn requests_end_once_and_retries_stay_inside_the_budget(
+        kinds in vec((any::<bool>(), any::<bool>()), 1..6),
+        reserve in 0u32..4,
+        steps in vec(step(), 0..150),
+    ) {
+        let mut fleet = Fleet::new(&kinds, reserve);
+        steps.iter().for_each(|it| fleet.step(*it));
+        fleet.settle();
+        prop_assert_eq!(fleet.faults(&[Fault::End]), vec![]);
+        let earned = u64::from(reserve) * 1_000 + kinds.len() as u64 * u64::from(fleet::SHARE);
+        prop_assert!(fleet.retries() * 1_000 <= earned, "{} retries", fleet.retries());
+    }
+}
+
+const HOME: EndpointId = EndpointId(1);
+const NEXT: EndpointId = EndpointId(2);
+
+fn start(idempotent: bool) -> (Attempts, Budget) {
+    let budget = Budget::new(100, 10);
+    let spec = Spec {
+        idempotent,
+        resumable: true,
+        deadline: Time(1_000_000),
+        candidates: [HOME, NEXT].into_iter().collect(),
+    };
+    let (attempts, actions) = Attempts::start(Time(1), spec, Limits::default(), Epoch(1), &budget);
+    assert!(matches!(actions[0], Action::Forward { endpoint: HOME, .. }));
+    (attempts, budget)
+}
+
+fn broken(died: bool) -> Reply {
+    let refusal =
+        model::Refusal { outcome: Outcome::Unknown, reason: Reason::EndpointFailed, retry_ms: 7 };
+    Reply::Broken { refusal, died }
+}
+
+#[test]
+fn a_second_death_quarantines_the_request() {
+    let (mut attempts, budget) = start(true);
+    let event = |no, reply| Event::Reply { attempt: AttemptNo(no), reply };
+    let actions = attempts.handle(Time(2), event(1, broken(true)), &budget);
+    assert!(matches!(actions[0], Action::Forward { endpoint: NEXT, .. }), "{actions:?}");
+    let actions = attempts.handle(Time(3), event(2, broken(true)), &budget);
+    assert_eq!(actions[0], Action::Quarantine);
+    let Action::Answer(refusal) = actions[1] else { panic!("{actions:?}") };
+    assert_eq!((refusal.reason, refusal.outcome), (Reason::Quarantined, Outcome::Unknown));
+}
+
+#[test]
+fn an_endpoint_that_is_down_is_left_for_the_next_candidate() {
+    let (mut attempts, budget) = start(false);
+    let reply = Reply::Elsewhere { endpoints: Default::default() };
+    let event = Event::Reply { attempt: AttemptNo(1), reply };
+    let actions = attempts.handle(Time(2), event, &budget);
+    let admission = Admission::Home;
+    let next = Action::Forward { endpoint: NEXT, attempt: AttemptNo(2), offset: 0, admission };
+    assert_eq!(actions[0], next);
+}
+
+#[test]
+fn a_refusal_at_the_deadline_is_immediate_and_unknown_while_an_attempt_is_out() {
+    let (mut attempts, budget) = start(true);
+    let actions = attempts.handle(Time(1_000_000), Event::Tick, &budget);
+    assert_eq!(actions[0], Action::Cancel { attempt: AttemptNo(1), endpoint: HOME });
+    let Action::Answer(refusal) = actions[1] else { panic!("{actions:?}") };
+    assert_eq!((refusal.reason, refusal.outcome), (Reason::Deadline, Outcome::Unknown));
+    assert!(refusal.retry_ms > 0);
+}
