Keep a crashing request to two endpoints, also when it is resent

Cause: a resend through another router knew nothing of the strikes of the copy before it. Change: the owner that sees an endpoint die lets the struck copy hold the trial until its deadline, so resends that come by the home's owner are told to come back; a quarantine that crosses at admission is reported to control as well. Ruled out: taking a table's strike count alone, for the copies that spill from the home meet owners that know nothing. Not covered: a crashing request that may not be retried (no budget, or its caller left) and that spilled: its strike is known at that owner alone, and each resend that spills elsewhere may take down one more until strikes go by control.

--- a/crates/retry/src/attempts.rs
+++ b/crates/retry/src/attempts.rs
@@ -6,6 +6,7 @@
         budget::Budget,
         event::{Action, Actions, Admission, Event, Limits, Reply, Spec},
         routes::Routes,
+        suspects::STRIKES,
     },
     bytes::Bytes,
     derive_more::Debug,
@@ -13,9 +14,6 @@
     smallvec::SmallVec,
 };
 
-/// Deaths of different endpoints under one request before it is quarantined.
-const STRIKES: usize = 2;
-
 /// One request at its entry router, from the first forward to its last byte.
 #[derive(Clone, Debug)]
 pub struct Attempts {
--- a/crates/retry/src/suspects.rs
+++ b/crates/retry/src/suspects.rs
@@ -7,8 +7,8 @@
     std::collections::BTreeMap,
 };
 
-/// Deaths of different endpoints before a fingerprint is quarantined.
-const STRIKES: usize = 2;
+/// Deaths of different endpoints under a request before it is quarantined.
+pub(crate) const STRIKES: usize = 2;
 
 /// What may be done with a request.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -47,11 +47,14 @@
 /// A bounded table of suspected fingerprints, one at every router.
 ///
 /// Every copy of a request passes the owner of its home first, so the table of that owner sees the strikes of one
-/// copy before another runs; quarantines come to all tables from control.
+/// copy before another runs, and holds the others off while that copy may still be tried again. Strikes that other
+/// owners saw, and quarantines, come to all tables from control; until then a copy may run where nothing is known.
 #[derive(Clone, Debug)]
 pub struct Suspects {
     entries: BTreeMap<Digest, Entry>,
     limits: SuspectLimits,
+    /// Fingerprints that were quarantined here since they were last taken.
+    crossed: SmallVec<[Digest; 2]>,
 }
 
 #[derive(Clone, Debug)]
@@ -68,22 +71,45 @@
 impl Suspects {
     /// Returns an empty table.
     pub fn new(limits: SuspectLimits) -> Suspects {
-        Suspects { entries: BTreeMap::new(), limits }
+        Suspects { entries: BTreeMap::new(), limits, crossed: SmallVec::new() }
     }
 
-    /// Counts the death of an endpoint under a request.
-    ///
-    /// Returns whether this quarantined the fingerprint, so that it is told once to control.
-    pub fn strike(&mut self, now: Time, fingerprint: Digest, endpoint: EndpointId) -> bool {
+    /// Counts the death of an endpoint under a copy of a request, which holds the trial until its deadline: its entry
+    /// router may try it again.
+    pub fn strike(
+        &mut self,
+        now: Time,
+        fingerprint: Digest,
+        request: RequestId,
+        endpoint: EndpointId,
+        deadline: Time,
+    ) {
+        self.note(now, fingerprint, endpoint);
+        let Some(entry) = self.entries.get_mut(&fingerprint) else { return };
+        if entry.until <= now {
+            entry.trial = request;
+            entry.until = deadline;
+            entry.expires = entry.expires.max(deadline);
+        }
+    }
+
+    /// Counts the death of an endpoint under a request, as another router saw it.
+    pub fn note(&mut self, now: Time, fingerprint: Digest, endpoint: EndpointId) {
         let expires = now + self.limits.memory;
         let entry = self.entry(now, fingerprint);
         entry.expires = entry.expires.max(expires);
         if !entry.strikes.contains(&endpoint) {
             entry.strikes.push(endpoint);
         }
-        let crossed = entry.strikes.len() >= STRIKES && !entry.quarantined;
-        entry.quarantined |= crossed;
-        crossed
+        if entry.strikes.len() >= STRIKES && !entry.quarantined {
+            entry.quarantined = true;
+            self.crossed.push(fingerprint);
+        }
+    }
+
+    /// Takes the fingerprints that were quarantined here, which control must be told.
+    pub fn take_crossed(&mut self) -> SmallVec<[Digest; 2]> {
+        std::mem::take(&mut self.crossed)
     }
 
     /// Takes a quarantine that another router decided.
@@ -104,9 +130,7 @@
         strikes: &[EndpointId],
         deadline: Time,
     ) -> Verdict {
-        for &endpoint in strikes {
-            self.strike(now, fingerprint, endpoint);
-        }
+        strikes.iter().for_each(|it| self.note(now, fingerprint, *it));
         let Some(entry) = self.entries.get_mut(&fingerprint) else { return Verdict::Pass };
         if entry.expires <= now {
             self.entries.remove(&fingerprint);
--- a/crates/router/src/owned.rs
+++ b/crates/router/src/owned.rs
@@ -282,12 +282,17 @@
         self.down.insert(endpoint, now + DOWN_US);
     }
 
-    /// Counts the death of an endpoint under a request.
-    pub(crate) fn strike(&mut self, now: Time, fingerprint: Digest, endpoint: EndpointId) {
+    /// Counts the death of an endpoint under a request that is given up at `deadline`.
+    pub(crate) fn strike(
+        &mut self,
+        now: Time,
+        fingerprint: Digest,
+        request: RequestId,
+        endpoint: EndpointId,
+        deadline: Time,
+    ) {
         self.down(now, endpoint);
-        if self.suspects.strike(now, fingerprint, endpoint) {
-            self.crashers.push(fingerprint);
-        }
+        self.suspects.strike(now, fingerprint, request, endpoint, deadline);
     }
 
     /// Quarantines a request that this router saw crash two endpoints.
@@ -298,7 +303,9 @@
 
     /// The fingerprints that control must be told.
     pub(crate) fn take_crashers(&mut self) -> SmallVec<[Digest; 2]> {
-        std::mem::take(&mut self.crashers)
+        let mut crashers = std::mem::take(&mut self.crashers);
+        crashers.extend(self.suspects.take_crossed());
+        crashers
     }
 
     /// Takes out what waited too long, and starts what has room; to be called several times a second.
--- a/crates/router/src/owner.rs
+++ b/crates/router/src/owner.rs
@@ -257,7 +257,9 @@
     let request = Shared::short(forward.request);
     tracing::info!("router: {request} failed on {}: {err}", forward.endpoint);
     if err.died() {
-        shared.owned.lock().strike(now, forward.fingerprint, forward.endpoint);
+        let until = deadline(now, forward.budget_ms);
+        let (fingerprint, request) = (forward.fingerprint, forward.request);
+        shared.owned.lock().strike(now, fingerprint, request, forward.endpoint, until);
     }
     if err.fault == Fault::Unreachable && err.outcome == Outcome::NotRun {
         shared.owned.lock().down(now, forward.endpoint);
