--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,93 @@
+//! The whole replicated state.
+
+use {
+    crate::{
+        command::{Command, Output},
+        quarantine::Quarantine,
+        rosters::Rosters,
+        routers::{RouterInfo, Routers},
+    },
+    bincode::{
+        config::standard,
+        error::DecodeError,
+        serde::{decode_from_slice, encode_to_vec},
+    },
+    derive_more::Debug,
+    intent::Intents,
+    ledger::{Call, Ledger, Reply},
+    model::{Roster, RouterId, RouterState},
+    replica::{Machine, RestoreError},
+    serde::{Deserialize, Serialize},
+};
+
+/// All that survives: a pure function of the commands applied, in order.
+#[derive(Clone, PartialEq, Eq, Default, Serialize, Deserialize, Debug)]
+pub struct State {
+    pub(crate) intents: Intents,
+    pub(crate) routers: Routers,
+    pub(crate) rosters: Rosters,
+    pub(crate) ledger: Ledger,
+    pub(crate) quarantine: Quarantine,
+}
+
+impl State {
+    /// Carries out a committed command.
+    pub fn execute(&mut self, command: Command) -> Output {
+        match command {
+            Command::Operation(it) => Output::Answer(self.intents.apply(&it)),
+            Command::Register { host, process, addr, domain } => {
+                Output::Router(self.routers.register(RouterInfo { host, process, addr, domain }))
+            }
+            Command::Roster(it) => Output::Roster(self.replace_roster(it)),
+            Command::Ledger { at_ms, call } => Output::Ledger(self.call_ledger(at_ms, &call)),
+            Command::Quarantine { at_ms, fingerprint } => {
+                self.quarantine.add(fingerprint, at_ms);
+                Output::Quarantined
+            }
+        }
+    }
+
+    /// Takes the roster that follows the one in force; claims of routers that it lost become unknown.
+    fn replace_roster(&mut self, next: Roster) -> bool {
+        let lost = |it: &&model::RouterEntry| !is_present(&next, it.id);
+        let before = self.rosters.current().routers.clone();
+        let lost: Vec<_> = before.iter().filter(lost).map(|it| it.id).collect();
+        if !self.rosters.replace(next) {
+            return false;
+        }
+        lost.into_iter().for_each(|it| self.ledger.lose(it));
+        true
+    }
+
+    fn call_ledger(&mut self, at_ms: u64, call: &Call) -> Reply {
+        let (key, router) = (call.key(), call.router());
+        let service = self.intents.config().services.get(&key.service);
+        let Some(service) = service else { return Reply::NoService };
+        self.ledger.apply(at_ms, service.claim_ms, is_present(self.rosters.current(), router), call)
+    }
+}
+
+impl Machine for State {
+    fn apply(&mut self, _: u64, command: &[u8]) -> Vec<u8> {
+        let decoded = decode_from_slice(command, standard());
+        let output = match decoded {
+            Ok((command, _)) => self.execute(command),
+            Err(_) => Output::Malformed,
+        };
+        encode_to_vec(output, standard()).unwrap_or_default()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        encode_to_vec(self, standard()).unwrap_or_default()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        let failed = |it: DecodeError| RestoreError { reason: it.to_string() };
+        *self = decode_from_slice(snapshot, standard()).map_err(failed)?.0;
+        Ok(())
+    }
+}
+
+fn is_present(roster: &Roster, router: RouterId) -> bool {
+    roster.get(router).is_some_and(|it| it.state != RouterState::Missing)
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,7 +1,24 @@
 //! Typed, checked TOML settings for each binary.
 //!
-//! Every value names its unit, unknown keys are errors, and secrets are paths of files, never values.
+//! Every value names its unit, unknown keys are errors, and secrets are paths of files, never values. A file that
+//! does not hold is refused with one line that names the file, the key and what was expected, before anything starts.
 
+mod control;
+mod error;
+mod load;
+mod load_tool;
+mod log;
+mod operator;
+mod router;
 mod tls;
 
-pub use crate::tls::TlsFiles;
+pub use crate::{
+    control::{ControlPeer, ControlSettings, WeightLimits},
+    error::SettingsError,
+    load::{Check, load, parse},
+    load_tool::{LoadEngine, LoadPlain, LoadRouter, LoadSettings, LoadTeam},
+    log::{LogFormat, LogLevel, LogSettings},
+    operator::OperatorSettings,
+    router::{RequestLimits, RouterSettings, Routing},
+    tls::{CertFiles, TlsFiles},
+};
