Let a replica without peers lead when it opens

Change: Replica::open of a replica without peers returns once it leads, at most an election timeout later. Ruled out: waiting in the tests: a lone replica that is open and does not serve is of no use to its callers either.

--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -14,11 +14,12 @@
     bytes::Bytes,
     model::ReplicaId,
     quorum::{Action, Core},
-    std::{net::SocketAddr, sync::Arc},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     store::RealDisk,
     tokio::{
         sync::{mpsc, oneshot, watch},
         task,
+        time::timeout,
     },
     wire::{Clock, Dialer, Stream},
 };
@@ -55,7 +56,7 @@
     /// Opens the data folder, replays it into `machine` and starts to take part in the group.
     ///
     /// The state comes back as far as the last snapshot; what follows it is applied once a leader has said how much
-    /// of it is committed.
+    /// of it is committed. A replica without peers leads when this returns.
     ///
     /// # Errors
     ///
@@ -89,10 +90,24 @@
         let (calls, from_handles) = mpsc::channel(MAX_CALLS);
         let (inputs, from_tasks) = mpsc::channel(MAX_INPUTS);
         let disk = disk::spawn(journal, inputs.clone(), config.batching);
-        let peers = config.peers.clone().into();
+        let peers: Arc<[_]> = config.peers.clone().into();
+        let election_ms = config.election_ms;
         let driver = Driver::new(config, core, shared.clone(), disk, dialer, inputs.clone());
         task::spawn(driver.run(from_handles, from_tasks));
-        Ok(Replica { shared, calls, inputs, peers })
+        let replica = Replica { shared, calls, inputs, peers };
+        if replica.peers.is_empty() {
+            replica.lead_alone(Duration::from_millis(election_ms)).await;
+        }
+        Ok(replica)
+    }
+
+    /// Waits until this replica leads, which takes a few writes to disk if it is the only voter.
+    async fn lead_alone(&self, limit: Duration) {
+        let mut progress = self.subscribe();
+        let settled = progress.wait_for(|it| it.leading.is_some() || it.stopped);
+        if timeout(limit, settled).await.is_err() {
+            tracing::warn!("replica: has no peers, but its data folder names other voters");
+        }
     }
 
     /// This replica's id, drawn when its data folder was made.
