Mend what the fleet tests found: readiness, claims while joining, a count of crashes

Cause: /ready said yes to a router in no roster, so its keyed calls were refused; a waiting request could be told 'overloaded' where its place had merely moved; the crash test judged by the status alone although a head may precede the crash; the affinity test did not wait until owners had settled.

--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -24,13 +24,14 @@
     Ok(response)
 }
 
-/// A draining router is healthy but not ready; so is one that has no configuration yet.
+/// A draining router is healthy but not ready; so is one that has no configuration or is in no roster
+/// yet.
 fn ready(shared: &Shared) -> (StatusCode, String) {
     if shared.is_leaving() {
         return (StatusCode::SERVICE_UNAVAILABLE, "draining\n".to_owned());
     }
     let view = shared.view();
-    if view.config.revision.0 == 0 || view.roster.epoch.0 == 0 {
+    if view.config.revision.0 == 0 || !shared.is_listed() {
         return (StatusCode::SERVICE_UNAVAILABLE, "waiting for control\n".to_owned());
     }
     (StatusCode::OK, format!("ready at {} {}\n", view.config.revision, view.roster.epoch))
--- a/crates/router/src/keyed.rs
+++ b/crates/router/src/keyed.rs
@@ -177,7 +177,7 @@
                 Ok(Some(Reply::NotLeader { leader })) => {
                     next = leader.unwrap_or(replicas[turn % replicas.len()])
                 }
-                Ok(Some(Reply::NoQuorum)) | Ok(None) | Err(_) => {
+                Ok(Some(Reply::NoQuorum | Reply::NotLive)) | Ok(None) | Err(_) => {
                     next = replicas[turn % replicas.len()]
                 }
                 Ok(Some(reply)) => {
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -57,6 +57,7 @@
     cut: watch::Sender<Cut>,
     accepted: Arc<AtomicU64>,
     silenced: Arc<AtomicU64>,
+    crashes: Arc<AtomicU64>,
     slow: Arc<Mutex<Slow>>,
 }
 
@@ -75,6 +76,7 @@
             cut: watch::Sender::new(Cut::default()),
             accepted: Arc::default(),
             silenced: Arc::default(),
+            crashes: Arc::default(),
             slow: Arc::new(Mutex::new(slow)),
         }
     }
@@ -117,6 +119,12 @@
         let killed = self.accepted.load(Ordering::SeqCst);
         let down = Some(Instant::now() + Duration::from_millis(for_ms));
         self.cut.send_replace(Cut { killed, spared, down });
+        self.crashes.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Returns how often it crashed.
+    pub(crate) fn crashes(&self) -> u64 {
+        self.crashes.load(Ordering::SeqCst)
     }
 
     /// Returns how many times longer everything takes now.
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -72,6 +72,11 @@
         self.addr
     }
 
+    /// How often it crashed.
+    pub fn crashes(&self) -> u64 {
+        self.line.crashes()
+    }
+
     /// Provokes a fault.
     pub fn fault(&self, fault: Fault) {
         self.line.fault(fault, 0);
