Measure placement by replayed chats; wait where the prefix is; hand over what an owner remembers

Change: Table::hold says how long a request should wait where its prefix is cached, about as long as computing it again takes, at most 2 s. Memory (the cache model and the exceptions) goes from an owner to the next one.

--- /dev/null
+++ b/crates/placement/benches/replay/fleet.rs
@@ -0,0 +1,366 @@
+//! The project's own policy: the real homes, views and tables of all routers, without a network between them.
+
+use {
+    crate::trace::{Request, Shape},
+    member::{Timing, View},
+    model::{
+        AttemptNo, ChatKey, Config, Domain, Endpoint, EndpointId, EndpointState, Epoch, Fencing,
+        RequestId, Roster, RouterEntry, RouterId, RouterState, Service, ServiceId, ServiceKind,
+        Time, Work, mix,
+    },
+    placement::{CacheEvent, Homes, Settings, Start, Started, Table},
+    std::{collections::VecDeque, sync::Arc},
+};
+
+const SERVICE: ServiceId = ServiceId(1);
+
+/// What of the policy is switched on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Options {
+    /// The bound, in thousandths of the mean.
+    pub(crate) bound: u32,
+    /// Whether a cached prefix counts less.
+    pub(crate) less_cached: bool,
+    /// Whether chats are remembered to be away from home, and sent back to where their prefix is.
+    pub(crate) away: bool,
+    /// Microseconds that a request waits for each cached token before it spills, and at most.
+    pub(crate) hold: (u64, u64),
+    /// Whether a new owner takes over the former one's model of the cache.
+    pub(crate) hand_over: bool,
+    /// Microseconds between two means.
+    pub(crate) refresh: u64,
+}
+
+struct Router {
+    view: View,
+    table: Table,
+    state: RouterState,
+}
+
+/// A request that waits at its home.
+struct Waiting {
+    id: u64,
+    request: Request,
+}
+
+pub(crate) struct Fleet {
+    options: Options,
+    config: Config,
+    homes: Homes,
+    routers: Vec<Router>,
+    owners: Vec<Option<usize>>,
+    queues: Vec<VecDeque<Waiting>>,
+    epoch: Epoch,
+    domains: u32,
+    cache: u64,
+}
+
+/// A request that the policy starts.
+pub(crate) struct Placed {
+    pub(crate) id: u64,
+    pub(crate) request: Request,
+    pub(crate) engine: usize,
+    pub(crate) router: usize,
+}
+
+/// What became of a request.
+pub(crate) enum Outcome {
+    Started(Placed),
+    /// It waits where its prefix is, until then.
+    Holds {
+        engine: usize,
+        until: u64,
+    },
+    /// It waits for as long as it takes.
+    Waits,
+}
+
+impl Fleet {
+    pub(crate) fn new(shape: &Shape, options: Options) -> Fleet {
+        let service = Service {
+            id: SERVICE,
+            name: "s".into(),
+            kind: ServiceKind::Model,
+            bound: options.bound,
+            minimum: 0,
+            claim_ms: 0,
+        };
+        let mut config = Config::default();
+        config.services.insert(SERVICE, Arc::new(service));
+        let mut fleet = Fleet {
+            options,
+            homes: Homes::default(),
+            config,
+            routers: Vec::new(),
+            owners: Vec::new(),
+            queues: Vec::new(),
+            epoch: Epoch(0),
+            domains: shape.domains,
+            cache: shape.cache,
+        };
+        (0..shape.engines).for_each(|_| fleet.set_engine());
+        (0..shape.routers).for_each(|_| fleet.add_router(0));
+        fleet.commit(0);
+        fleet
+    }
+
+    pub(crate) fn add_engine(&mut self, now: u64) {
+        self.set_engine();
+        for router in &mut self.routers {
+            router.table.take_config(Time(now), &self.config);
+            router.view.take_config(Time(now), &self.config);
+        }
+        self.commit(now);
+    }
+
+    fn set_engine(&mut self) {
+        let id = EndpointId(self.queues.len() as u32);
+        let endpoint = Endpoint {
+            id,
+            name: "e".into(),
+            service: SERVICE,
+            addr: ([127, 0, 0, 1], 1).into(),
+            domain: Domain("d".into()),
+            weight: 1000,
+            fencing: Fencing::Checked,
+            state: EndpointState::Active,
+            images: Default::default(),
+        };
+        self.config.endpoints.insert(id, Arc::new(endpoint));
+        self.queues.push(VecDeque::new());
+        self.homes = Homes::new(&self.config, SERVICE, None);
+    }
+
+    pub(crate) fn add_router(&mut self, now: u64) {
+        let mut view = View::new(Timing::default());
+        view.welcome(RouterId(self.routers.len() as u32));
+        let (most, moving) = if self.options.away { (100_000, 600_000_000) } else { (0, 0) };
+        let settings = Settings::default().with_cache(self.cache);
+        let mut table = Table::new(
+            settings
+                .with_exceptions(most, 600_000_000)
+                .with_moving(moving)
+                .with_hold(self.options.hold.0, self.options.hold.1),
+        );
+        table.take_config(Time(now), &self.config);
+        self.routers.push(Router { view, table, state: RouterState::Live });
+    }
+
+    /// A router shuts down gracefully; another one takes its place.
+    pub(crate) fn replace_router(&mut self, now: u64, slot: usize) {
+        self.routers[slot].state = RouterState::Leaving;
+        self.add_router(now);
+        self.commit(now);
+    }
+
+    /// Commits a roster; every router has it at once.
+    fn commit(&mut self, now: u64) {
+        self.epoch = self.epoch.next();
+        let entry = |(slot, router): (usize, &Router)| RouterEntry {
+            id: RouterId(slot as u32),
+            addr: ([127, 0, 0, 1], slot as u16).into(),
+            domain: Domain(format!("d{}", slot as u32 % self.domains).into()),
+            state: router.state,
+            acked: self.epoch,
+            lost: Epoch(0),
+        };
+        let routers = self.routers.iter().enumerate().map(entry).collect();
+        let roster = Roster { epoch: self.epoch, routers };
+        for router in &mut self.routers {
+            router.view.take_roster(Time(now), &roster, &self.config);
+        }
+        self.beat(now);
+        let owner = |id: &EndpointId| {
+            let owners = self.routers.first()?.view.owners()?;
+            owners.owner(*id).map(|it| it.0 as usize)
+        };
+        let owners: Vec<_> = self.config.endpoints.keys().map(owner).collect();
+        let before = std::mem::replace(&mut self.owners, owners);
+        for (engine, (before, after)) in before.iter().zip(self.owners.clone()).enumerate() {
+            let (Some(before), Some(after)) = (*before, after) else { continue };
+            if before != after && self.options.hand_over {
+                let endpoint = EndpointId(engine as u32);
+                let memory = self.routers[before].table.memory(Time(now), &self.homes, endpoint);
+                self.routers[after].table.take_memory(Time(now), endpoint, &memory);
+            }
+        }
+    }
+
+    /// Renews all leases, hands over what former owners still run, and spreads the means.
+    pub(crate) fn beat(&mut self, now: u64) {
+        let mut held = Vec::new();
+        let (mut sum, mut count, mut hints) = (Work::ZERO, 0, Vec::new());
+        for router in &self.routers {
+            held.extend(router.table.held(&router.view));
+            for part in router.table.sums(&router.view) {
+                sum += part.sum;
+                count += part.count;
+                hints.push((part.low, part.least));
+            }
+        }
+        hints.sort_unstable();
+        let hints: Vec<_> = hints.iter().take(4).map(|it| it.1).collect();
+        for router in &mut self.routers {
+            if let Some((seq, _)) = router.view.beat(Time(now)) {
+                router.view.granted(Time(now), seq, 8_000, self.epoch);
+            }
+            router.table.take_held(&held);
+            router.table.take_mean(SERVICE, sum, count, &hints);
+        }
+    }
+
+    /// Owners take the load that an engine reports.
+    pub(crate) fn report(&mut self, now: u64, engine: usize, load: u64) {
+        let Some(owner) = self.owners[engine] else { return };
+        let (table, endpoint) = (&mut self.routers[owner].table, EndpointId(engine as u32));
+        table.take_report(Time(now), endpoint, Time(now), Work(load));
+    }
+
+    /// Starts a request somewhere, or lets it wait; `patient` if it may wait for room where its prefix is before it
+    /// spills.
+    pub(crate) fn place(
+        &mut self,
+        now: u64,
+        id: u64,
+        request: Request,
+        up: &[bool],
+        patient: bool,
+    ) -> Outcome {
+        let order: Vec<usize> =
+            self.homes.order(ChatKey(request.chat)).take(4).map(|it| it.0 as usize).collect();
+        let home = order[0];
+        let mut tried: Vec<usize> = Vec::new();
+        let mut next = VecDeque::from([home]);
+        while let Some(engine) = next.pop_front() {
+            if tried.contains(&engine) {
+                continue;
+            }
+            let first = tried.is_empty();
+            tried.push(engine);
+            let elsewhere = match self.try_at(now, id, request, engine, first, up) {
+                Ok(router) => {
+                    self.note(now, request, home, engine);
+                    return Outcome::Started(Placed { id, request, engine, router });
+                }
+                Err(elsewhere) => elsewhere,
+            };
+            let hold = self.hold(engine, request, up);
+            if patient && hold > 0 {
+                self.queues[engine].push_back(Waiting { id, request });
+                return Outcome::Holds { engine, until: now + hold };
+            }
+            if first {
+                next.extend(elsewhere);
+                next.extend(&order[1..]);
+            }
+        }
+        let waits = order.into_iter().find(|it| up[*it]).unwrap_or(home);
+        self.queues[waits].push_back(Waiting { id, request });
+        Outcome::Waits
+    }
+
+    /// The home's owner learns where a spilled chat runs.
+    fn note(&mut self, now: u64, request: Request, home: usize, engine: usize) {
+        if let Some(owner) = self.owners[home].filter(|_| self.options.away && engine != home) {
+            let endpoint = EndpointId(engine as u32);
+            self.routers[owner].table.spilled(Time(now), ChatKey(request.chat), endpoint);
+        }
+    }
+
+    fn hold(&self, engine: usize, request: Request, up: &[bool]) -> u64 {
+        let Some(owner) = self.owners[engine].filter(|_| up[engine]) else { return 0 };
+        let (chat, endpoint) = (ChatKey(request.chat), EndpointId(engine as u32));
+        self.routers[owner].table.hold(&Start {
+            request: RequestId(0),
+            attempt: AttemptNo(1),
+            chat,
+            endpoint,
+            cost: Work::ZERO,
+            prompt: request.prompt,
+            home: false,
+        })
+    }
+
+    /// Takes a request out of the queue in which it waited for long enough.
+    pub(crate) fn give_up(&mut self, engine: usize, id: u64) -> Option<Request> {
+        let at = self.queues[engine].iter().position(|it| it.id == id)?;
+        self.queues[engine].remove(at).map(|it| it.request)
+    }
+
+    fn try_at(
+        &mut self,
+        now: u64,
+        id: u64,
+        request: Request,
+        engine: usize,
+        home: bool,
+        up: &[bool],
+    ) -> Result<usize, Vec<usize>> {
+        let owner = self.owners[engine].filter(|_| up[engine]).ok_or_else(Vec::new)?;
+        let Router { view, table, .. } = &mut self.routers[owner];
+        let (chat, endpoint) = (ChatKey(request.chat), EndpointId(engine as u32));
+        let whole = if self.options.less_cached { 0 } else { table.prefix(chat, endpoint) };
+        let start = Start {
+            request: RequestId(u128::from(id)),
+            attempt: AttemptNo(1),
+            chat,
+            endpoint,
+            cost: Work(u64::from(request.prompt + request.out + whole.min(request.prompt))),
+            prompt: request.prompt,
+            home,
+        };
+        match table.try_start(Time(now), view, &self.homes, &start) {
+            Started::Started { .. } => Ok(owner),
+            Started::Full { elsewhere } => Err(elsewhere.iter().map(|it| it.0 as usize).collect()),
+            Started::NotOwner => Err(Vec::new()),
+        }
+    }
+
+    /// Starts what waits at an engine and fits now.
+    pub(crate) fn serve(&mut self, now: u64, engine: usize, up: &[bool]) -> Vec<Placed> {
+        let mut placed = Vec::new();
+        while let Some(Waiting { id, request }) = self.queues[engine].pop_front() {
+            let started = match up[engine] {
+                true => self.try_at(now, id, request, engine, false, up).ok(),
+                false => None,
+            };
+            match started {
+                Some(router) => placed.push(Placed { id, request, engine, router }),
+                None => {
+                    self.queues[engine].push_front(Waiting { id, request });
+                    break;
+                }
+            }
+        }
+        placed
+    }
+
+    /// Takes out what waits at an engine that is down.
+    pub(crate) fn drop_queue(&mut self, engine: usize) -> Vec<(u64, Request)> {
+        self.queues[engine].drain(..).map(|it| (it.id, it.request)).collect()
+    }
+
+    pub(crate) fn progress(&mut self, router: usize, engine: usize, id: u64, left: u32) {
+        let (request, left) = (RequestId(u128::from(id)), Work(u64::from(left)));
+        let table = &mut self.routers[router].table;
+        table.progress(EndpointId(engine as u32), request, AttemptNo(1), left);
+    }
+
+    pub(crate) fn ended(&mut self, now: u64, router: usize, engine: usize, id: u64) {
+        let (request, table) = (RequestId(u128::from(id)), &mut self.routers[router].table);
+        table.ended(Time(now), EndpointId(engine as u32), request, AttemptNo(1));
+    }
+
+    /// Owners learn that an engine restarted with an empty cache.
+    pub(crate) fn cleared(&mut self, engine: usize) {
+        for router in &mut self.routers {
+            router.table.take_cache(EndpointId(engine as u32), CacheEvent::Cleared);
+        }
+    }
+
+    /// The engine that unbounded rendezvous hashing names.
+    pub(crate) fn rendezvous(&self, chat: u64, up: &[bool]) -> usize {
+        let mut order = self.homes.order(ChatKey(chat)).map(|it| it.0 as usize);
+        order.find(|it| up[*it]).unwrap_or(mix(chat) as usize % up.len())
+    }
+}
--- /dev/null
+++ b/crates/placement/benches/replay/world.rs
@@ -0,0 +1,67 @@
+//! Engines that batch continuously, each with a real prompt cache.
+
+use {crate::trace::Request, model::ChatKey, placement::Cache};
+
+/// Prompt tokens that an engine computes in a second.
+const PREFILL_RATE: u64 = 10_000;
+
+/// Microseconds between two tokens of an answer.
+const STEP: u64 = 25_000;
+
+/// A request that runs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Run {
+    pub(crate) id: u64,
+    pub(crate) request: Request,
+    /// The owner that started it, where there is one.
+    pub(crate) router: usize,
+    pub(crate) first: u64,
+    pub(crate) end: u64,
+    computed: u32,
+}
+
+impl Run {
+    /// The work left, as an owner counts it: the prompt until its first token, and the answer until its end.
+    pub(crate) fn work(&self, now: u64) -> u64 {
+        let prompt = if now < self.first { self.computed } else { 0 };
+        u64::from(prompt) + u64::from(self.request.out)
+    }
+}
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Engine {
+    pub(crate) up: bool,
+    pub(crate) cache: Cache,
+    pub(crate) runs: Vec<Run>,
+    free: u64,
+}
+
+impl Engine {
+    pub(crate) fn new(cache: u64) -> Engine {
+        Engine { up: true, cache: Cache::new(cache), runs: Vec::new(), free: 0 }
+    }
+
+    /// Starts a request; returns the cached tokens of its prompt.
+    pub(crate) fn start(&mut self, now: u64, id: u64, router: usize, request: Request) -> u32 {
+        let chat = ChatKey(request.chat);
+        let cached = self.cache.tokens(chat).min(request.prompt);
+        let computed = request.prompt - cached;
+        let first = now.max(self.free) + u64::from(computed) * 1_000_000 / PREFILL_RATE;
+        let end = first + u64::from(request.out) * STEP;
+        self.free = first;
+        self.cache.used(chat, request.prompt + request.out);
+        self.runs.push(Run { id, request, router, first, end, computed });
+        cached
+    }
+
+    pub(crate) fn work(&self, now: u64) -> u64 {
+        self.runs.iter().map(|it| it.work(now)).sum()
+    }
+
+    /// The work without the largest request.
+    pub(crate) fn rest(&self, now: u64) -> u64 {
+        let largest = self.runs.iter().map(|it| it.work(now)).max();
+        self.work(now) - largest.unwrap_or(0)
+    }
+}
--- a/crates/placement/src/cache.rs
+++ b/crates/placement/src/cache.rs
@@ -91,6 +91,14 @@
         self.index.insert(chat, at);
     }
 
+    /// What the cache holds, the least recently used first: a new owner replays it with [`Cache::used`].
+    pub fn contents(&self) -> impl Iterator<Item = (ChatKey, u32)> {
+        let next = |entry: &Entry| self.entries.get(entry.prev as usize);
+        let entries =
+            std::iter::successors(self.entries.get(self.tail as usize), move |it| next(it));
+        entries.map(|it| (it.chat, it.tokens))
+    }
+
     /// Corrects the model by what the endpoint published.
     pub fn correct(&mut self, event: CacheEvent) {
         match event {
--- a/crates/placement/src/exceptions.rs
+++ b/crates/placement/src/exceptions.rs
@@ -45,6 +45,12 @@
         }
     }
 
+    /// All chats that are away, with where their prefixes are, in no order.
+    pub fn iter(&self, now: Time) -> impl Iterator<Item = (ChatKey, EndpointId)> {
+        let valid = move |it: &(&ChatKey, &Exception)| seconds(now) < it.1.expires;
+        self.table.iter().filter(valid).map(|it| (*it.0, it.1.endpoint))
+    }
+
     /// The prefix of the chat is at home.
     pub fn clear(&mut self, chat: ChatKey) {
         self.table.remove(&chat);
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -16,5 +16,5 @@
     cache::{Cache, CacheEvent},
     exceptions::Exceptions,
     homes::{Homes, Order},
-    table::{Settings, Start, Started, Sum, Table},
+    table::{Memory, Settings, Start, Started, Sum, Table},
 };
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -13,6 +13,7 @@
         AttemptNo, ChatKey, Config, EndpointId, EndpointState, RequestId, SECOND, ServiceId, Time,
         Work,
     },
+    serde::{Deserialize, Serialize},
     smallvec::SmallVec,
     std::collections::{BTreeMap, HashMap},
 };
@@ -32,6 +33,10 @@
     moving: u64,
     /// Fewer prompt tokens than this are recomputed rather than sought elsewhere.
     seek: u32,
+    /// How long a request waits for each cached token of its prompt before it spills, in microseconds.
+    hold: u64,
+    /// The longest that a request waits before it spills, in microseconds.
+    longest: u64,
 }
 
 impl Default for Settings {
@@ -43,6 +48,8 @@
             away: 600 * SECOND,
             moving: 600 * SECOND,
             seek: 512,
+            hold: 500,
+            longest: 2 * SECOND,
         }
     }
 }
@@ -63,6 +70,12 @@
         Settings { exceptions: most, away, ..self }
     }
 
+    /// Sets how long a request waits before it spills: so many microseconds for each cached token of its prompt, and at
+    /// most so many; zero: it spills at once.
+    pub fn with_hold(self, token: u64, longest: u64) -> Settings {
+        Settings { hold: token, longest, ..self }
+    }
+
     /// Sets how long after an endpoint joined chats are sent back to where their prefix is, in microseconds; zero:
     /// never.
     pub fn with_moving(self, micros: u64) -> Settings {
@@ -109,6 +122,15 @@
     NotOwner,
 }
 
+/// What the owner of an endpoint remembers of it, for the next owner.
+#[derive(Clone, PartialEq, Eq, Default, Serialize, Deserialize, Debug)]
+pub struct Memory {
+    /// What its prompt cache should hold, in tokens, the least recently used first.
+    pub cached: Vec<(ChatKey, u32)>,
+    /// The chats at home there whose prefix is elsewhere.
+    pub away: Vec<(ChatKey, EndpointId)>,
+}
+
 /// The load of the endpoints that a router owns, for one service.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct Sum {
@@ -208,6 +230,27 @@
         }
     }
 
+    /// What a new owner of the endpoint should know.
+    pub fn memory(&self, now: Time, homes: &Homes, endpoint: EndpointId) -> Memory {
+        let engine = self.engines.get(&endpoint);
+        let cached = engine.map(|it| it.cache.contents().collect()).unwrap_or_default();
+        let lives = |it: &(ChatKey, EndpointId)| homes.home(it.0) == Some(endpoint);
+        Memory { cached, away: self.exceptions.iter(now).filter(lives).collect() }
+    }
+
+    /// Takes over what the former owner of the endpoint knew; what this router saw itself counts as newer.
+    pub fn take_memory(&mut self, now: Time, endpoint: EndpointId, memory: &Memory) {
+        let Some(engine) = self.engines.get_mut(&endpoint) else { return };
+        let seen: Vec<_> = engine.cache.contents().collect();
+        engine.cache.correct(CacheEvent::Cleared);
+        memory.cached.iter().chain(&seen).for_each(|it| engine.cache.used(it.0, it.1));
+        for (chat, other) in &memory.away {
+            if self.exceptions.get(now, *chat).is_none() && !seen.iter().any(|it| it.0 == *chat) {
+                self.exceptions.set(now, *chat, *other, now + self.settings.away);
+            }
+        }
+    }
+
     /// Starts a request if its endpoint is owned here and has room inside the bound.
     pub fn try_start(&mut self, now: Time, view: &View, homes: &Homes, start: &Start) -> Started {
         let right = view.right(now, start.endpoint);
@@ -235,6 +278,18 @@
         Started::Started { cached, cost }
     }
 
+    /// How long a request that found no room should wait there before it goes elsewhere, in microseconds.
+    ///
+    /// Elsewhere its cached prefix would have to be computed again, on an engine that loses as much time by it. So it
+    /// waits about that long; a request without a cached prefix goes on at once.
+    pub fn hold(&self, start: &Start) -> u64 {
+        let cached = self.prefix(start.chat, start.endpoint).min(start.prompt);
+        match cached < self.settings.seek {
+            true => 0,
+            false => (u64::from(cached) * self.settings.hold).min(self.settings.longest),
+        }
+    }
+
     /// Ends an attempt; false if it does not run there.
     pub fn ended(
         &mut self,
