--- a/crates/admission/src/limits.rs
+++ b/crates/admission/src/limits.rs
@@ -9,9 +9,6 @@
 /// Requests that a team's bucket holds at the least: a burst is no breach of a rate.
 const BURST_REQUESTS: u64 = 8;
 
-/// Parts of one request that buckets count in, so that a small share is not rounded to nothing.
-const REQUEST: u64 = 1_000_000;
-
 /// After so many microseconds a caller over the running limit may come back.
 const RUNNING_PAUSE: u64 = SECOND / 2;
 
@@ -27,6 +24,8 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Usage {
+    /// In parts of which a rate of one earns one each microsecond, so that nothing is lost by division: a request
+    /// costs a second for each router.
     tokens: u64,
     filled: Time,
     running: u32,
@@ -49,19 +48,24 @@
     ///
     /// The team is over its rate or its running count: the refusal says when a request would pass.
     pub fn begin(&mut self, now: Time, team: TeamId, limits: &Limits) -> Result<(), Refusal> {
-        let (share, routers) = (u64::from(limits.rate), self.routers);
-        let depth = depth(share, routers);
-        let most = u64::from(limits.running).div_ceil(routers);
+        let rate = u64::from(limits.rate);
+        let cost = SECOND * self.routers;
+        let depth = depth(rate, cost);
+        let most = u64::from(limits.running).div_ceil(self.routers);
         let full = Usage { tokens: depth, filled: now, running: 0 };
         let usage = self.teams.entry(team).or_insert(full);
-        usage.fill(now, share, routers, depth);
+        usage.fill(now, rate, depth);
         if u64::from(usage.running) >= most {
             return Err(refusal(RUNNING_PAUSE));
         }
-        if usage.tokens < REQUEST {
-            return Err(refusal(usage.wait(share, routers)));
+        if usage.tokens < cost {
+            let wait = match rate {
+                0 => 0,
+                _ => (cost - usage.tokens).div_ceil(rate),
+            };
+            return Err(refusal(wait));
         }
-        usage.tokens -= REQUEST;
+        usage.tokens -= cost;
         usage.running += 1;
         Ok(())
     }
@@ -90,31 +94,16 @@
 }
 
 impl Usage {
-    fn fill(&mut self, now: Time, rate: u64, routers: u64, depth: u64) {
-        let micros = u128::from(now.since(self.filled));
-        // One request a second is one part a microsecond.
-        let earned = micros * u128::from(rate) / u128::from(routers);
-        if earned == 0 {
-            return;
-        }
-        let earned = u64::try_from(earned).unwrap_or(u64::MAX);
+    fn fill(&mut self, now: Time, rate: u64, depth: u64) {
+        let earned = now.since(self.filled).saturating_mul(rate);
         self.tokens = self.tokens.saturating_add(earned).min(depth);
-        self.filled = now;
-    }
-
-    /// Microseconds until the next request passes.
-    fn wait(&self, rate: u64, routers: u64) -> u64 {
-        let lacking = REQUEST - self.tokens;
-        match rate {
-            0 => 0,
-            _ => (lacking * routers).div_ceil(rate),
-        }
+        self.filled = self.filled.max(now);
     }
 }
 
 /// The depth of a bucket: a second of the share, and not less than the least burst.
-fn depth(rate: u64, routers: u64) -> u64 {
-    if rate == 0 { 0 } else { (rate * REQUEST / routers).max(BURST_REQUESTS * REQUEST) }
+fn depth(rate: u64, cost: u64) -> u64 {
+    if rate == 0 { 0 } else { (rate * SECOND).max(BURST_REQUESTS * cost) }
 }
 
 fn refusal(micros: u64) -> Refusal {
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -220,15 +220,15 @@
         Work(u64::try_from(self.backlog).unwrap_or(u64::MAX))
     }
 
-    /// Microseconds that a request would wait: its team's own backlog at the team's share of the drain rate, at most
-    /// the whole backlog at the whole rate.
+    /// Microseconds that a request would wait: its team's backlog and itself at the team's share of the drain rate,
+    /// less itself at the whole rate; at most the whole backlog.
     fn wait(&self, waiting: &Waiting) -> u64 {
-        let weight = u64::from(waiting.weight.max(1));
+        let (weight, cost) = (u64::from(waiting.weight.max(1)), u128::from(waiting.cost.0));
         let lane = self.teams.get(&waiting.team).filter(|it| !it.queue.is_empty());
-        let own = lane.map_or(0, |it| it.backlog);
+        let own = lane.map_or(0, |it| it.backlog) + cost;
         let others = self.weights - lane.map_or(0, |it| u64::from(it.weight));
         let shared = own.saturating_mul(u128::from(others + weight)) / u128::from(weight);
-        self.drain.micros(shared.min(self.backlog))
+        self.drain.micros(shared.saturating_sub(cost).min(self.backlog))
     }
 
     fn retry_ms(&self, micros: u64) -> u32 {
