--- a/crates/retry/src/attempts.rs
+++ b/crates/retry/src/attempts.rs
@@ -92,6 +92,13 @@
         self.answer.begun()
     }
 
+    /// Takes the places where the request may run by a newer configuration, the home first; none changes nothing.
+    pub fn replace_candidates(&mut self, candidates: SmallVec<[EndpointId; 8]>) {
+        if !candidates.is_empty() {
+            self.routes.replace(candidates);
+        }
+    }
+
     /// Takes what happened and returns what to do.
     pub fn handle(&mut self, now: Time, event: Event, budget: &Budget) -> Actions {
         let mut actions = Actions::new();
@@ -140,12 +147,12 @@
             }
             Reply::Elsewhere { endpoints } => {
                 self.close(attempt);
-                self.elsewhere(endpoints, actions);
+                self.elsewhere(now, endpoints, actions);
             }
             Reply::Refused(refusal) => {
                 self.close(attempt);
                 self.outcome = self.outcome.max(refusal.outcome);
-                self.refused(refusal, actions);
+                self.refused(now, refusal, actions);
             }
             Reply::Head { status } => self.head(now, status, budget, actions),
             Reply::Chunk { offset, bytes } => self.chunk(now, offset, bytes, budget, actions),
@@ -185,17 +192,21 @@
 
     /// The endpoint did not start the request: on to the places that its owner named, then to candidates that were
     /// not asked yet, and at last into the queue of the home.
-    fn elsewhere(&mut self, endpoints: SmallVec<[EndpointId; 4]>, actions: &mut Actions) {
+    fn elsewhere(
+        &mut self,
+        now: Time,
+        endpoints: SmallVec<[EndpointId; 4]>,
+        actions: &mut Actions,
+    ) {
         let State::Sent { endpoint, admission, .. } = self.state else { return };
+        if admission == Admission::Wait {
+            return self.wait_at_next(now, endpoint, actions);
+        }
         self.hops += 1;
         match admission {
             Admission::Home if endpoints.is_empty() => self.routes.avoid(endpoint),
             Admission::Home => self.routes.set_spill(endpoint, &endpoints),
-            Admission::Spill => {}
-            Admission::Wait if self.hops > self.limits.hops * 2 => {
-                return self.give_up(Reason::Overloaded, 0, actions);
-            }
-            Admission::Wait => self.routes.avoid(endpoint),
+            Admission::Spill | Admission::Wait => {}
         }
         let hop = self.hops <= self.limits.hops;
         if let Some(next) = self.routes.next_spill().filter(|_| hop) {
@@ -210,15 +221,29 @@
         self.forward(home, admission, actions);
     }
 
+    /// The endpoint's queue does not move, as while its owner changes: the request waits at another candidate, and
+    /// after the last one begins again a little later.
+    fn wait_at_next(&mut self, now: Time, endpoint: EndpointId, actions: &mut Actions) {
+        self.routes.avoid(endpoint);
+        if let Some(next) = self.routes.untried() {
+            return self.forward(next, Admission::Wait, actions);
+        }
+        self.routes.pardon();
+        match self.routes.home() {
+            Some(home) => self.wait(now, home, Admission::Wait, actions),
+            None => self.give_up(Reason::Unavailable, 0, actions),
+        }
+    }
+
     /// A refusal is final, but for one that holds for this endpoint alone and proves that nothing ran.
-    fn refused(&mut self, refusal: Refusal, actions: &mut Actions) {
+    fn refused(&mut self, now: Time, refusal: Refusal, actions: &mut Actions) {
         let State::Sent { endpoint, admission, .. } = self.state else { return };
         if refusal.outcome != Outcome::NotRun {
             return self.finish_with(refusal, actions);
         }
         match refusal.reason {
             Reason::Overloaded if admission != Admission::Wait => {
-                self.elsewhere(SmallVec::new(), actions);
+                self.elsewhere(now, SmallVec::new(), actions);
             }
             Reason::Unavailable | Reason::Draining | Reason::EndpointFailed => {
                 self.routes.avoid(endpoint);
--- a/crates/retry/src/routes.rs
+++ b/crates/retry/src/routes.rs
@@ -25,6 +25,11 @@
         }
     }
 
+    /// Takes other candidates; what was learned about them stays.
+    pub(crate) fn replace(&mut self, candidates: SmallVec<[EndpointId; 8]>) {
+        self.candidates = candidates;
+    }
+
     /// Those that died while running the request.
     pub(crate) fn strikes(&self) -> &[EndpointId] {
         &self.strikes
