--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -61,18 +61,18 @@
     pub(crate) log: Log,
     pub(crate) snapshot: Snapshot,
     pub(crate) commit: u64,
-    applied: u64,
+    pub(crate) applied: u64,
     pub(crate) role: Role,
     pub(crate) leader: Option<ReplicaId>,
     /// When a leader was last heard of, or this replica started: no vote within an election timeout of it.
     pub(crate) heard: Time,
     pub(crate) election_at: Time,
     pub(crate) partial: Option<Partial>,
-    written: u64,
-    synced: u64,
-    held: VecDeque<(u64, Held)>,
+    pub(crate) written: u64,
+    pub(crate) synced: u64,
+    pub(crate) held: VecDeque<(u64, Held)>,
     /// The last index in the log after writes that are not on disk yet.
-    unsynced: VecDeque<(u64, u64)>,
+    pub(crate) unsynced: VecDeque<(u64, u64)>,
     /// Up to where the log is on disk.
     pub(crate) durable: u64,
 }
@@ -145,62 +145,6 @@
         }
     }
 
-    /// This replica's id.
-    pub fn id(&self) -> ReplicaId {
-        self.id
-    }
-
-    /// What it must not forget.
-    pub fn hard(&self) -> HardState {
-        self.hard
-    }
-
-    /// The latest membership in its log, committed or not.
-    pub fn members(&self) -> &Members {
-        self.log.members()
-    }
-
-    /// The latest membership that it knows to be committed.
-    pub fn committed_members(&self) -> &Members {
-        if self.log.members_index() <= self.commit {
-            return self.log.members();
-        }
-        self.log.members_at(self.commit)
-    }
-
-    /// Who leads, as far as it knows.
-    pub fn leader(&self) -> Option<ReplicaId> {
-        self.leader
-    }
-
-    /// Up to where entries are known to be committed.
-    pub fn commit(&self) -> u64 {
-        self.commit
-    }
-
-    /// The last entry of its log.
-    pub fn last(&self) -> u64 {
-        self.log.last()
-    }
-
-    /// Whether it has never taken part in a group: it may have been killed while it was founding one.
-    pub fn is_fresh(&self) -> bool {
-        self.log.last() == 0 && self.hard.term == Term(0)
-    }
-
-    /// Whether it should ask to be taken into the group: it is no member by its own log, or no leader sends to it any
-    /// more. What its log says may have been given up by the group.
-    pub fn wants_to_join(&self, now: Time) -> bool {
-        let silent = now >= self.heard + 2 * self.config.election;
-        let leads = matches!(self.role, Role::Leader(_));
-        self.log.members().get(self.id).is_none() || (silent && !leads)
-    }
-
-    /// The entry at an index, if it is in memory.
-    pub fn entry(&self, index: u64) -> Option<&Entry> {
-        self.log.get(index)
-    }
-
     fn on_tick(&mut self, now: Time, actions: &mut Actions) {
         match &self.role {
             Role::Leader(_) => self.tick_leader(now, actions),
@@ -301,34 +245,6 @@
         self.election_at = now;
     }
 
-    fn on_synced(&mut self, now: Time, upto: u64, actions: &mut Actions) {
-        self.synced = self.synced.max(upto);
-        while let Some((_, last)) = self.unsynced.pop_front_if(|it| it.0 <= upto) {
-            self.durable = last;
-        }
-        while let Some((_, held)) = self.held.pop_front_if(|it| it.0 <= upto) {
-            match held {
-                Held::Send(envelope) => actions.push(Action::Send(envelope)),
-                Held::OwnVote(term) if term == self.hard.term => {
-                    self.on_vote(now, self.id, actions);
-                }
-                Held::OwnVote(_) => {}
-            }
-        }
-        self.advance_commit(now, actions);
-    }
-
-    fn on_snapshot(&mut self, index: u64, data: bytes::Bytes, actions: &mut Actions) {
-        if index <= self.snapshot.index || index > self.applied {
-            return;
-        }
-        let Some(term) = self.log.term(index) else { return };
-        let members = self.log.members_at(index).clone();
-        self.snapshot = Snapshot { index, term, members, data };
-        self.log.compact(index.saturating_sub(self.config.tail));
-        self.write(Write::Compact(self.snapshot.clone()), actions);
-    }
-
     /// Moves to a term as a follower.
     pub(crate) fn follow(
         &mut self,
@@ -350,34 +266,6 @@
         }
     }
 
-    /// Puts entries at the end of the log.
-    pub(crate) fn append(&mut self, entries: Vec<Entry>, actions: &mut Actions) {
-        entries.iter().for_each(|it| self.log.push(it.clone()));
-        self.write(Write::Append(entries), actions);
-        self.unsynced.push_back((self.written, self.log.last()));
-    }
-
-    /// Drops the entries from an index on; the next append makes it last.
-    pub(crate) fn truncate(&mut self, from: u64) {
-        self.log.truncate(from);
-        let kept = from - 1;
-        self.durable = self.durable.min(kept);
-        self.unsynced.iter_mut().for_each(|it| it.1 = it.1.min(kept));
-    }
-
-    /// Replaces the log by a snapshot.
-    pub(crate) fn install(&mut self, snapshot: Snapshot, actions: &mut Actions) {
-        self.log = Log::new(&snapshot, Vec::new());
-        self.commit = snapshot.index;
-        self.applied = snapshot.index;
-        self.durable = 0;
-        self.unsynced.clear();
-        self.snapshot = snapshot.clone();
-        self.write(Write::Install(snapshot.clone()), actions);
-        self.unsynced.push_back((self.written, snapshot.index));
-        actions.push(Action::Restore(snapshot));
-    }
-
     /// Moves the commit index and hands out what became committed.
     pub(crate) fn commit_to(&mut self, index: u64, actions: &mut Actions) {
         self.commit = self.commit.max(index.min(self.log.last()));
@@ -389,35 +277,6 @@
         }
     }
 
-    pub(crate) fn write(&mut self, write: Write, actions: &mut Actions) {
-        self.written += 1;
-        actions.push(Action::Write(self.written, write));
-    }
-
-    /// Sends a message once everything written so far is on disk.
-    pub(crate) fn send(&mut self, to: ReplicaId, message: Message, actions: &mut Actions) {
-        let envelope = self.envelope(to, self.hard.term, message);
-        self.hold(Held::Send(envelope), actions);
-    }
-
-    /// Sends a message that states nothing about the disk.
-    pub(crate) fn send_now(&self, to: ReplicaId, message: Message, actions: &mut Actions) {
-        actions.push(Action::Send(self.envelope(to, self.hard.term, message)));
-    }
-
-    pub(crate) fn envelope(&self, to: ReplicaId, term: Term, message: Message) -> Envelope {
-        Envelope { group: self.hard.group, from: self.id, to, term, message }
-    }
-
-    pub(crate) fn hold(&mut self, held: Held, actions: &mut Actions) {
-        match held {
-            Held::Send(envelope) if self.synced == self.written => {
-                actions.push(Action::Send(envelope));
-            }
-            Held::Send(_) | Held::OwnVote(_) => self.held.push_back((self.written, held)),
-        }
-    }
-
     pub(crate) fn delay_election(&mut self, now: Time) {
         let spread = self.rng.random_range(0..self.config.election);
         self.election_at = now + self.config.election + spread;
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod config;
 mod core;
+mod disk;
 mod election;
 mod entry;
 mod event;
@@ -23,6 +24,7 @@
 mod members;
 mod message;
 mod transfer;
+mod view;
 
 pub use crate::{
     config::{Config, ConfigError},
--- a/crates/replica/tests/group/mod.rs
+++ b/crates/replica/tests/group/mod.rs
@@ -44,6 +44,9 @@
     pub(crate) addrs: Vec<SocketAddr>,
     slots: Vec<Slot>,
     snapshot: u64,
+    batching: bool,
+    /// Heartbeat and election timeout, in milliseconds.
+    timeouts: (u64, u64),
 }
 
 pub(crate) async fn within<F>(future: F) -> F::Output
@@ -56,8 +59,18 @@
 impl Group {
     /// Binds `count` hosts and opens a replica on each; a snapshot is taken every so many bytes.
     pub(crate) async fn start(count: usize, snapshot: u64) -> Group {
-        let mut group =
-            Group { folders: Vec::new(), addrs: Vec::new(), slots: Vec::new(), snapshot };
+        Group::open_with(count, snapshot, true, (50, 600)).await
+    }
+
+    /// As [`Group::start`], with group commit on or off and a heartbeat and election timeout in milliseconds.
+    pub(crate) async fn open_with(
+        count: usize,
+        snapshot: u64,
+        batching: bool,
+        timeouts: (u64, u64),
+    ) -> Group {
+        let (folders, addrs, slots) = (Vec::new(), Vec::new(), Vec::new());
+        let mut group = Group { folders, addrs, slots, snapshot, batching, timeouts };
         for _ in 0..count {
             let any = "127.0.0.1:0".parse().unwrap();
             let listener = Listener::bind(any, None, Traffic::default()).await.unwrap();
@@ -77,7 +90,8 @@
         let peers = self.addrs.iter().copied().filter(|it| *it != self.addrs[at]).collect();
         let folder: PathBuf = self.folders[at].path().join("data");
         let mut config = ReplicaConfig::new(folder, self.addrs[at], peers);
-        config.set_timeouts(50, 600).unwrap();
+        config.set_timeouts(self.timeouts.0, self.timeouts.1).unwrap();
+        config.set_batching(self.batching);
         config.set_snapshot(self.snapshot);
         config
     }
--- /dev/null
+++ b/crates/replica/tests/sim/check.rs
@@ -0,0 +1,86 @@
+//! What must hold at every step.
+
+use {
+    super::{SLOTS, Sim},
+    bytes::Bytes,
+    model::Term,
+    quorum::{Entry, Payload},
+};
+
+impl Sim {
+    /// Whether a leader has committed that the present replica of every slot votes.
+    pub(crate) fn is_whole(&self) -> bool {
+        let ids: Option<Vec<_>> =
+            self.slots.iter().map(|it| Some(it.node.as_ref()?.core.id())).collect();
+        let (Some(mut ids), Some(leader)) = (ids, self.leading()) else { return false };
+        ids.sort_unstable();
+        let Some(node) = &self.slots[leader].node else { return false };
+        let committed = self.history.values().rev().find_map(|it| match &it.payload {
+            Payload::Members(members) => Some(members),
+            Payload::Empty | Payload::Command(_) => None,
+        });
+        committed == Some(node.core.members()) && node.core.members().voters().eq(ids)
+    }
+
+    /// The slot whose replica holds the lease.
+    pub(crate) fn leading(&self) -> Option<usize> {
+        (0..SLOTS).find(|it| self.leads(*it).is_some())
+    }
+
+    fn leads(&self, at: usize) -> Option<Term> {
+        let slot = &self.slots[at];
+        let node = slot.node.as_ref()?;
+        node.core.leading(slot.clock.at(self.now)).map(|it| it.0)
+    }
+
+    /// Checks that every acknowledged command is in every replica, in its place.
+    pub(crate) fn check_acked(&self) {
+        for slot in &self.slots {
+            let Some(node) = &slot.node else { continue };
+            assert_eq!(node.state, self.commands(node.applied), "a replica's state");
+        }
+        for (index, command) in &self.acked {
+            let kept = self.history.get(index).map(|it| &it.payload);
+            assert_eq!(kept, Some(&Payload::Command(command.clone())), "acknowledged at {index}");
+        }
+    }
+
+    pub(super) fn commands(&self, upto: u64) -> Vec<Bytes> {
+        let command = |it: &Entry| match &it.payload {
+            Payload::Command(command) => Some(command.clone()),
+            Payload::Empty | Payload::Members(_) => None,
+        };
+        self.history.range(..=upto).filter_map(|it| command(it.1)).collect()
+    }
+
+    /// Checks that a replica gets its vote only when it has what was committed before it joined.
+    pub(super) fn check_vote(&self, entry: &Entry) {
+        let Payload::Members(members) = &entry.payload else { return };
+        for id in members.voters() {
+            let joined = self.history.values().find(|it| match &it.payload {
+                Payload::Members(members) => members.get(id).is_some(),
+                Payload::Empty | Payload::Command(_) => false,
+            });
+            let mut nodes = self.slots.iter().filter_map(|it| it.node.as_ref());
+            if let (Some(joined), Some(node)) = (joined, nodes.find(|it| it.core.id() == id)) {
+                assert!(node.core.last() >= joined.index, "{id} votes without what was committed");
+            }
+        }
+    }
+
+    pub(super) fn check(&mut self) {
+        let leading: Vec<_> = (0..SLOTS).filter_map(|it| Some((it, self.leads(it)?))).collect();
+        assert!(leading.len() <= 1, "two replicas lead at {:?}: {leading:?}", self.now);
+        let Some((at, term)) = leading.first().copied() else { return };
+        for node in self.slots.iter().filter_map(|it| it.node.as_ref()) {
+            let elected = node.core.leader() == Some(node.core.id());
+            let later = node.core.hard().term > term;
+            assert!(!elected || !later, "elected while another holds its lease");
+        }
+        let Some(node) = &self.slots[at].node else { return };
+        let leader = *self.leaders.entry(term).or_insert(node.core.id());
+        assert_eq!(leader, node.core.id(), "two leaders of {term}");
+        let acked = self.acked.last_key_value().map_or(0, |it| *it.0);
+        assert!(node.applied >= acked, "the leader misses what was acknowledged");
+    }
+}
--- a/crates/replica/tests/sim/mod.rs
+++ b/crates/replica/tests/sim/mod.rs
@@ -3,6 +3,8 @@
 //! Checked at every step: committed entries agree, nothing acknowledged is missing from a leader or from a read, and
 //! no two replicas lead at one moment.
 
+mod check;
+
 use {
     bytes::Bytes,
     fakes::{Disk, DriftClock, Net},
@@ -163,31 +165,6 @@
         true
     }
 
-    /// Whether a leader has committed that the present replica of every slot votes.
-    pub(crate) fn is_whole(&self) -> bool {
-        let ids: Option<Vec<_>> =
-            self.slots.iter().map(|it| Some(it.node.as_ref()?.core.id())).collect();
-        let (Some(mut ids), Some(leader)) = (ids, self.leading()) else { return false };
-        ids.sort_unstable();
-        let Some(node) = &self.slots[leader].node else { return false };
-        let committed = self.history.values().rev().find_map(|it| match &it.payload {
-            Payload::Members(members) => Some(members),
-            Payload::Empty | Payload::Command(_) => None,
-        });
-        committed == Some(node.core.members()) && node.core.members().voters().eq(ids)
-    }
-
-    /// The slot whose replica holds the lease.
-    pub(crate) fn leading(&self) -> Option<usize> {
-        (0..SLOTS).find(|it| self.leads(*it).is_some())
-    }
-
-    fn leads(&self, at: usize) -> Option<Term> {
-        let slot = &self.slots[at];
-        let node = slot.node.as_ref()?;
-        node.core.leading(slot.clock.at(self.now)).map(|it| it.0)
-    }
-
     pub(crate) fn pass(&mut self, micros: u64) {
         self.now = self.now + micros;
         self.check();
@@ -312,26 +289,6 @@
         panic!("no quorum after all faults ended: {seen:?}");
     }
 
-    /// Checks that every acknowledged command is in every replica, in its place.
-    pub(crate) fn check_acked(&self) {
-        for slot in &self.slots {
-            let Some(node) = &slot.node else { continue };
-            assert_eq!(node.state, self.commands(node.applied), "a replica's state");
-        }
-        for (index, command) in &self.acked {
-            let kept = self.history.get(index).map(|it| &it.payload);
-            assert_eq!(kept, Some(&Payload::Command(command.clone())), "acknowledged at {index}");
-        }
-    }
-
-    fn commands(&self, upto: u64) -> Vec<Bytes> {
-        let command = |it: &Entry| match &it.payload {
-            Payload::Command(command) => Some(command.clone()),
-            Payload::Empty | Payload::Members(_) => None,
-        };
-        self.history.range(..=upto).filter_map(|it| command(it.1)).collect()
-    }
-
     fn ask_to_join(&mut self, at: usize) {
         let slot = &self.slots[at];
         let Some(node) = &slot.node else { return };
@@ -407,21 +364,6 @@
         }
     }
 
-    /// Checks that a replica gets its vote only when it has what was committed before it joined.
-    fn check_vote(&self, entry: &Entry) {
-        let Payload::Members(members) = &entry.payload else { return };
-        for id in members.voters() {
-            let joined = self.history.values().find(|it| match &it.payload {
-                Payload::Members(members) => members.get(id).is_some(),
-                Payload::Empty | Payload::Command(_) => false,
-            });
-            let mut nodes = self.slots.iter().filter_map(|it| it.node.as_ref());
-            if let (Some(joined), Some(node)) = (joined, nodes.find(|it| it.core.id() == id)) {
-                assert!(node.core.last() >= joined.index, "{id} votes without what was committed");
-            }
-        }
-    }
-
     fn apply(&mut self, at: usize, entry: Entry) {
         if !self.history.contains_key(&entry.index) {
             self.check_vote(&entry);
@@ -440,20 +382,4 @@
             self.acked.insert(entry.index, command);
         }
     }
-
-    fn check(&mut self) {
-        let leading: Vec<_> = (0..SLOTS).filter_map(|it| Some((it, self.leads(it)?))).collect();
-        assert!(leading.len() <= 1, "two replicas lead at {:?}: {leading:?}", self.now);
-        let Some((at, term)) = leading.first().copied() else { return };
-        for node in self.slots.iter().filter_map(|it| it.node.as_ref()) {
-            let elected = node.core.leader() == Some(node.core.id());
-            let later = node.core.hard().term > term;
-            assert!(!elected || !later, "elected while another holds its lease");
-        }
-        let Some(node) = &self.slots[at].node else { return };
-        let leader = *self.leaders.entry(term).or_insert(node.core.id());
-        assert_eq!(leader, node.core.id(), "two leaders of {term}");
-        let acked = self.acked.last_key_value().map_or(0, |it| *it.0);
-        assert!(node.applied >= acked, "the leader misses what was acknowledged");
-    }
 }
