Bind a control replica's sockets before it starts, and wait for its lead

Cause: replicas must know each other's addresses before any starts, and ports are chosen when bound; a replica does not lead at once when it elects. Change: Sockets::bind, Control::start on them, Control::lead; the tests wait for the lead instead of relying on it.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -46,23 +46,66 @@
     tasks: Vec<JoinHandle<()>>,
 }
 
-impl Control {
-    /// Binds both addresses and starts the replica.
+/// The bound sockets of a replica that has not started yet; requests to it are refused.
+///
+/// Replicas must know each other's addresses before any of them starts.
+pub struct Sockets {
+    identity: Option<Identity>,
+    traffic: Traffic,
+    listener: Listener,
+    server: Server,
+    slot: Arc<OnceLock<Arc<Shared>>>,
+}
+
+impl Sockets {
+    /// Binds both addresses of the settings.
     ///
     /// # Errors
     ///
-    /// A file cannot be read or an address cannot be bound.
-    pub async fn spawn(settings: ControlSettings) -> Result<Control> {
-        let operators = Operators::open(&settings.operators)?;
+    /// A key cannot be read or an address cannot be bound.
+    pub async fn bind(settings: &ControlSettings) -> Result<Sockets> {
         let identity = settings.tls_inner.as_ref().map(Identity::open).transpose();
         let identity = identity.map_err(|it| eyre!("control: read keys: {it}"))?;
-        let (traffic, clock) = (Traffic::default(), Clock::start());
+        let traffic = Traffic::default();
         let listener = Listener::bind(settings.inner, identity.clone(), traffic.clone()).await?;
-        let inner = listener.addr();
         let slot: Arc<OnceLock<Arc<Shared>>> = Arc::default();
         let server = serve_admin(settings.admin, slot.clone()).await?;
-        let own = ReplicaAddr { inner, admin: server.addr() };
+        Ok(Sockets { identity, traffic, listener, server, slot })
+    }
+
+    /// Where routers and replicas connect.
+    pub fn inner(&self) -> SocketAddr {
+        self.listener.addr()
+    }
+
+    /// Where operators connect.
+    pub fn admin(&self) -> SocketAddr {
+        self.server.addr()
+    }
+}
+
+impl Control {
+    /// Binds both addresses and starts the replica.
+    ///
+    /// # Errors
+    ///
+    /// A file cannot be read, an address cannot be bound or the data folder cannot be used.
+    pub async fn spawn(settings: ControlSettings) -> Result<Control> {
+        let sockets = Sockets::bind(&settings).await?;
+        Control::start(settings, sockets).await
+    }
+
+    /// Starts the replica on bound sockets.
+    ///
+    /// # Errors
+    ///
+    /// A file cannot be read or the data folder cannot be used.
+    pub async fn start(settings: ControlSettings, sockets: Sockets) -> Result<Control> {
+        let operators = Operators::open(&settings.operators)?;
+        let own = ReplicaAddr { inner: sockets.inner(), admin: sockets.admin() };
+        let Sockets { identity, traffic, listener, server, slot } = sockets;
         let dialer = Dialer { identity, traffic: traffic.clone(), class: Class::Control };
+        let clock = Clock::start();
         let log = Log::open(&settings, own, dialer, clock).await?;
         let shared = Arc::new(Shared {
             settings,
@@ -82,8 +125,13 @@
             tokio::spawn(orders::run(shared.clone())),
             tokio::spawn(news::run(shared.clone())),
         ];
-        tracing::info!("control: serves routers on {inner}, operators on {}", server.addr());
-        Ok(Control { shared, inner, server, tasks })
+        tracing::info!("control: serves routers on {}, operators on {}", own.inner, own.admin);
+        Ok(Control { shared, inner: own.inner, server, tasks })
+    }
+
+    /// Returns once this replica leads.
+    pub async fn lead(&self) {
+        self.shared.log.lead().await;
     }
 
     /// Where routers and replicas connect.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -31,6 +31,6 @@
 
 pub use crate::{
     command::{Command, Output},
-    control::Control,
+    control::{Control, Sockets},
     state::State,
 };
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -21,6 +21,9 @@
 /// How long a command may take to be committed.
 const COMMIT_LIMIT: Duration = Duration::from_millis(5_000);
 
+/// How often a lease is looked for.
+const LEASE_POLL: Duration = Duration::from_millis(20);
+
 /// Where a replica can be reached.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(crate) struct ReplicaAddr {
@@ -110,6 +113,15 @@
         self.leading().is_some()
     }
 
+    /// Returns once this replica leads and its lease holds.
+    pub(crate) async fn lead(&self) {
+        let mut changes = self.changes();
+        while !self.leads() {
+            // A lease may begin without a change of what is watched.
+            let _ = timeout(LEASE_POLL, changes.changed()).await;
+        }
+    }
+
     /// Where the leader is, as far as it is known.
     pub(crate) fn leader(&self) -> Option<ReplicaAddr> {
         let inner = self.replica.addr_of(self.replica.leader()?)?;
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -10,7 +10,7 @@
     model::{Digest, Domain, HostName},
     serde_json::Value,
     settings::{ControlSettings, LogSettings, WeightLimits},
-    std::fs,
+    std::{fs, net::SocketAddr, path::Path},
     tempfile::TempDir,
 };
 
@@ -18,32 +18,38 @@
 
 pub(crate) struct Bench {
     pub(crate) control: Control,
-    client: Client,
+    pub(crate) client: Client,
     _data: TempDir,
 }
 
+/// The settings of a replica whose files are in a folder of its own; its ports are chosen when they are bound.
+pub(crate) fn settings(folder: &Path) -> ControlSettings {
+    let operators = folder.join("operators.toml");
+    let token = Digest::of(TOKEN.as_bytes());
+    let text = format!("[[operator]]\nname = \"alice\"\ntoken = \"sha256:{token}\"\n");
+    fs::write(&operators, text).unwrap();
+    let any = "127.0.0.1:0".parse().unwrap();
+    ControlSettings {
+        host: HostName("c1".into()),
+        domain: Domain("prg-a".into()),
+        data: folder.join("data"),
+        inner: any,
+        admin: any,
+        peers: Vec::new(),
+        operators,
+        tls_inner: None,
+        // A load each 10 ms.
+        weights: WeightLimits { image_bytes: 1, rate_bytes: 100 },
+        log: LogSettings::default(),
+    }
+}
+
 impl Bench {
+    /// Opens a replica that is a quorum by itself, and waits until it leads.
     pub(crate) async fn open() -> Bench {
         let data = tempfile::tempdir().unwrap();
-        let operators = data.path().join("operators.toml");
-        let token = Digest::of(TOKEN.as_bytes());
-        let text = format!("[[operator]]\nname = \"alice\"\ntoken = \"sha256:{token}\"\n");
-        fs::write(&operators, text).unwrap();
-        let any = "127.0.0.1:0".parse().unwrap();
-        let settings = ControlSettings {
-            host: HostName("c1".into()),
-            domain: Domain("prg-a".into()),
-            data: data.path().join("data"),
-            inner: any,
-            admin: any,
-            peers: Vec::new(),
-            operators,
-            tls_inner: None,
-            // A load each 10 ms.
-            weights: WeightLimits { image_bytes: 1, rate_bytes: 100 },
-            log: LogSettings::default(),
-        };
-        let control = Control::spawn(settings).await.unwrap();
+        let control = Control::spawn(settings(data.path())).await.unwrap();
+        control.lead().await;
         Bench { control, client: Client::new(5_000), _data: data }
     }
 
@@ -65,17 +71,8 @@
         body: &str,
         token: &str,
     ) -> (u16, Value) {
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("operation-id", operation)
-            .header("authorization", format!("Bearer {token}"))
-            .body(full(body.to_owned()))
-            .unwrap();
-        let response = self.client.send(self.control.admin(), request).await.unwrap();
-        let status = response.status().as_u16();
-        let bytes = response.into_body().collect().await.unwrap().to_bytes();
-        (status, serde_json::from_slice(&bytes).unwrap())
+        let ask = Ask { method, path, operation, body, token };
+        ask.send(&self.client, self.control.admin()).await
     }
 
     /// Plans and confirms an intent under operation ids that begin with `id`.
@@ -88,3 +85,29 @@
         confirmed["revision"].as_u64().unwrap()
     }
 }
+
+/// A request of an operator.
+#[derive(Clone, Copy)]
+pub(crate) struct Ask<'a> {
+    pub(crate) method: &'a str,
+    pub(crate) path: &'a str,
+    pub(crate) operation: &'a str,
+    pub(crate) body: &'a str,
+    pub(crate) token: &'a str,
+}
+
+impl Ask<'_> {
+    pub(crate) async fn send(&self, client: &Client, to: SocketAddr) -> (u16, Value) {
+        let request = Request::builder()
+            .method(self.method)
+            .uri(self.path)
+            .header("operation-id", self.operation)
+            .header("authorization", format!("Bearer {}", self.token))
+            .body(full(self.body.to_owned()))
+            .unwrap();
+        let response = client.send(to, request).await.unwrap();
+        let status = response.status().as_u16();
+        let bytes = response.into_body().collect().await.unwrap().to_bytes();
+        (status, serde_json::from_slice(&bytes).unwrap())
+    }
+}
