Keep answers over a change of leader of three real replicas; ready means voting

Without a wait, 1 of 6 runs of the new test found no leader in 30 s after its first one stopped: the others had no votes yet, as replicas join without one. Change: /ready of a replica says 503 until it counts towards the quorum; the test waits for that. Ruled out: a fault of the log; a group of one voter that loses it cannot go on by design.

--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -44,9 +44,12 @@
     Ok(answered.unwrap_or_else(reply::fault))
 }
 
+/// A replica is ready once it counts towards the quorum and knows a leader: until then, losing another one may leave
+/// no quorum.
 fn ready(shared: &Shared) -> Response<Body> {
     match shared.log.leader() {
-        Some(_) => Response::new(full("ready\n")),
+        Some(_) if shared.log.votes() => Response::new(full("ready\n")),
+        Some(_) => reply::fault(Fault::NoVote),
         None => reply::fault(Fault::NoQuorum),
     }
 }
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -128,6 +128,11 @@
         self.addrs.iter().find(|it| it.inner == inner).copied()
     }
 
+    /// Whether this replica counts towards the quorum, as far as it knows.
+    pub(crate) fn votes(&self) -> bool {
+        self.replica.is_voter(self.replica.id())
+    }
+
     /// Changes whenever a command was applied or the leader changed.
     pub(crate) fn changes(&self) -> watch::Receiver<Progress> {
         self.replica.subscribe()
--- a/crates/control/src/reply.rs
+++ b/crates/control/src/reply.rs
@@ -44,6 +44,9 @@
     /// The operation was not committed in time; it may yet be, and a resend tells.
     #[display("no quorum; send the operation again with the same id")]
     NoQuorum,
+    /// This replica does not count towards the quorum yet.
+    #[display("this replica does not vote yet")]
+    NoVote,
 }
 
 /// Returns the answer to a request that did not become an operation.
@@ -59,6 +62,7 @@
         Fault::Body(_) => (StatusCode::BAD_REQUEST, "body"),
         Fault::NotLeader(_) => (StatusCode::MISDIRECTED_REQUEST, "leader"),
         Fault::NoQuorum => (StatusCode::SERVICE_UNAVAILABLE, "no-quorum"),
+        Fault::NoVote => (StatusCode::SERVICE_UNAVAILABLE, "no-vote"),
     };
     json(status, &error_body("request", rule, &fault.to_string()))
 }
--- /dev/null
+++ b/crates/control/tests/three.rs
@@ -0,0 +1,145 @@
+//! Three real replicas over sockets and files: what was acknowledged outlives the leader.
+
+mod common;
+
+use {
+    common::{Ask, TOKEN, settings},
+    control::{Control, Sockets},
+    edge::{Client, empty},
+    model::Digest,
+    serde_json::Value,
+    settings::ControlPeer,
+    std::{net::SocketAddr, time::Duration},
+    tempfile::TempDir,
+    tokio::time::{sleep, timeout},
+};
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// How long an operator's tool waits before it asks again.
+const RETRY: Duration = Duration::from_millis(50);
+
+const INTENT: &str = r#"
+[[service]]
+name = "po-app"
+kind = "plain"
+bound-permille = 1250
+minimum = 0
+claim-ms = 86400000
+"#;
+
+struct Group {
+    replicas: Vec<Option<Control>>,
+    addrs: Vec<SocketAddr>,
+    client: Client,
+    _folders: Vec<TempDir>,
+}
+
+impl Group {
+    async fn open() -> Group {
+        let folders: Vec<_> = (0..3).map(|_| tempfile::tempdir().unwrap()).collect();
+        let mut bound = Vec::new();
+        for folder in &folders {
+            let settings = settings(folder.path());
+            let sockets = Sockets::bind(&settings).await.unwrap();
+            bound.push((settings, sockets));
+        }
+        let peer = |it: &Sockets| ControlPeer { inner: it.inner(), admin: it.admin() };
+        let peers: Vec<_> = bound.iter().map(|it| peer(&it.1)).collect();
+        let mut replicas = Vec::new();
+        for (at, (mut settings, sockets)) in bound.into_iter().enumerate() {
+            settings.peers = peers.clone();
+            settings.peers.remove(at);
+            replicas.push(Some(Control::start(settings, sockets).await.unwrap()));
+        }
+        let addrs = peers.iter().map(|it| it.admin).collect();
+        Group { replicas, addrs, client: Client::new(5_000), _folders: folders }
+    }
+
+    /// Sends a request to whichever replica leads, as `jf` does; returns which one answered.
+    async fn ask(
+        &self,
+        method: &str,
+        path: &str,
+        operation: &str,
+        body: &str,
+    ) -> (usize, u16, Value) {
+        let ask = Ask { method, path, operation, body, token: TOKEN };
+        let open = || (0..3).filter(|it| self.replicas[*it].is_some());
+        let asking = async {
+            loop {
+                for at in open() {
+                    let (status, value) = ask.send(&self.client, self.addrs[at]).await;
+                    if !matches!(status, 421 | 503) {
+                        return (at, status, value);
+                    }
+                }
+                sleep(RETRY).await;
+            }
+        };
+        timeout(LIMIT, asking).await.expect("a leader in time")
+    }
+
+    async fn post(&self, path: &str, operation: &str, body: &str) -> (usize, u16, Value) {
+        self.ask("POST", path, operation, body).await
+    }
+
+    /// Waits until all replicas count towards the quorum.
+    async fn whole(&self) {
+        let ready = async {
+            for at in 0..3 {
+                while !self.is_ready(at).await {
+                    sleep(RETRY).await;
+                }
+            }
+        };
+        timeout(LIMIT, ready).await.expect("all replicas vote in time");
+    }
+
+    async fn is_ready(&self, at: usize) -> bool {
+        let called = self.client.call(self.addrs[at], "GET", "/ready", None, empty()).await;
+        called.is_ok_and(|it| it.0 == 200)
+    }
+
+    async fn stop(&mut self, at: usize) {
+        self.replicas[at].take().unwrap().shutdown().await;
+    }
+}
+
+/// Checks that each record follows the one before, and returns how many there are.
+fn check_chain(audit: &Value) -> usize {
+    let records = audit["records"].as_array().unwrap();
+    for pair in records.windows(2) {
+        assert_eq!(pair[0]["after"], pair[1]["before"]);
+        assert_eq!(pair[0]["number"].as_u64().unwrap() + 1, pair[1]["number"].as_u64().unwrap());
+    }
+    records.len()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_resend_after_a_change_of_leader_gets_the_same_answer() {
+    let mut group = Group::open().await;
+    group.whole().await;
+    let (leader, status, planned) = group.post("/v1/plans", "op-1", INTENT).await;
+    assert_eq!((status, &planned["plan"]), (200, &"plan-1".into()), "{planned}");
+    let rival = group.post("/v1/plans", "op-2", INTENT).await.2;
+    let (_, status, confirmed) = group.post("/v1/plans/plan-1/confirm", "op-3", "").await;
+    assert_eq!((status, &confirmed["revision"]), (200, &1.into()), "{confirmed}");
+    let before = group.ask("GET", "/v1/audit", "none", "").await.2;
+
+    group.stop(leader).await;
+    let (next, status, again) = group.post("/v1/plans/plan-1/confirm", "op-3", "").await;
+    assert_ne!(next, leader);
+    assert_eq!((status, again), (200, confirmed));
+    assert_eq!(group.post("/v1/plans", "op-1", INTENT).await.2, planned);
+    let path = format!("/v1/plans/{}/confirm", rival["plan"].as_str().unwrap());
+    let (_, status, refused) = group.post(&path, "op-4", "").await;
+    assert_eq!((status, &refused["error"]["rule"]), (409, &"base".into()), "{refused}");
+    assert!(refused["error"]["message"].as_str().unwrap().contains("alice with plan-1"));
+
+    let after = group.ask("GET", "/v1/audit", "none", "").await.2;
+    assert_eq!(check_chain(&after), check_chain(&before) + 1);
+    let status = group.ask("GET", "/v1/status", "none", "").await.2;
+    assert_eq!(status["revision"], 1);
+    assert_ne!(status["digest"], Digest::default().to_string());
+}
