--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -19,7 +19,7 @@
 pub(crate) struct Bench {
     pub(crate) control: Control,
     pub(crate) client: Client,
-    _data: TempDir,
+    data: TempDir,
 }
 
 /// The settings of a replica whose files are in a folder of its own; its ports are chosen when they are bound.
@@ -47,10 +47,19 @@
 impl Bench {
     /// Opens a replica that is a quorum by itself, and waits until it leads.
     pub(crate) async fn open() -> Bench {
-        let data = tempfile::tempdir().unwrap();
+        Bench::on(tempfile::tempdir().unwrap()).await
+    }
+
+    /// Stops the replica in order and opens it again on its files.
+    pub(crate) async fn reopen(self) -> Bench {
+        self.control.shutdown().await;
+        Bench::on(self.data).await
+    }
+
+    async fn on(data: TempDir) -> Bench {
         let control = Control::spawn(settings(data.path())).await.unwrap();
         control.lead().await;
-        Bench { control, client: Client::new(5_000), _data: data }
+        Bench { control, client: Client::new(5_000), data }
     }
 
     pub(crate) async fn post(&self, path: &str, operation: &str, body: &str) -> (u16, Value) {
--- a/crates/control/tests/replica.rs
+++ b/crates/control/tests/replica.rs
@@ -172,3 +172,20 @@
     assert!(matches!(next(&mut stream).await, FromControl::NotLeader { .. }));
     bench.control.shutdown().await;
 }
+
+#[tokio::test]
+async fn a_restart_loses_nothing() {
+    let bench = Bench::open().await;
+    assert_eq!(bench.bring("base", INTENT).await, 1);
+    let (_, router) = feed(&bench).await;
+    let planned = bench.post("/v1/plans", "base-plan", INTENT).await;
+    let audit = bench.get("/v1/audit").await;
+    let bench = bench.reopen().await;
+    assert_eq!(bench.get("/v1/audit").await, audit);
+    assert_eq!(bench.post("/v1/plans", "base-plan", INTENT).await, planned);
+    let (mut stream, again) = feed(&bench).await;
+    assert_eq!(again, router);
+    let FromControl::Config(config) = next(&mut stream).await else { panic!("no configuration") };
+    assert_eq!(config.revision, Revision(1));
+    bench.control.shutdown().await;
+}
