--- a/crates/placement/src/cache.rs
+++ b/crates/placement/src/cache.rs
@@ -83,10 +83,7 @@
             return;
         }
         self.used += u64::from(tokens);
-        while self.used > self.capacity && self.tail != NIL {
-            let last = self.entries[self.tail as usize].chat;
-            self.remove(last);
-        }
+        self.evict();
         let at = self.add(Entry { chat, tokens, prev: NIL, next: self.head });
         self.index.insert(chat, at);
     }
@@ -108,6 +105,7 @@
                     let entry = &mut self.entries[*at as usize];
                     self.used = self.used + u64::from(tokens) - u64::from(entry.tokens);
                     entry.tokens = tokens;
+                    self.evict();
                 }
                 None => self.used(chat, tokens),
             },
@@ -115,6 +113,14 @@
         }
     }
 
+    /// Removes the least recently used entries until the others fit.
+    fn evict(&mut self) {
+        while self.used > self.capacity && self.tail != NIL {
+            let last = self.entries[self.tail as usize].chat;
+            self.remove(last);
+        }
+    }
+
     fn add(&mut self, entry: Entry) -> u32 {
         let at = match self.free {
             NIL => {
--- /dev/null
+++ b/crates/placement/tests/cache.rs
@@ -0,0 +1,64 @@
+//! The model of a prompt cache is a least-recently-used list of limited size.
+
+use {
+    model::ChatKey,
+    placement::{Cache, CacheEvent},
+    proptest::prelude::*,
+};
+
+const CAPACITY: u64 = 100;
+
+/// The same list, written down plainly; the most recently used last.
+#[derive(Default)]
+struct Plain(Vec<(ChatKey, u32)>);
+
+impl Plain {
+    fn used(&mut self, chat: ChatKey, tokens: u32) {
+        self.0.retain(|it| it.0 != chat);
+        if tokens > 0 && u64::from(tokens) <= CAPACITY {
+            self.0.push((chat, tokens));
+        }
+        self.evict();
+    }
+
+    fn evict(&mut self) {
+        while self.0.iter().map(|it| u64::from(it.1)).sum::<u64>() > CAPACITY {
+            self.0.remove(0);
+        }
+    }
+
+    fn correct(&mut self, chat: ChatKey, tokens: u32) {
+        match self.0.iter_mut().find(|it| it.0 == chat) {
+            Some(entry) if tokens > 0 => entry.1 = tokens,
+            Some(_) => self.0.retain(|it| it.0 != chat),
+            None => self.used(chat, tokens),
+        }
+        self.evict();
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_model_equals_a_plain_list(
+        steps in prop::collection::vec((any::<bool>(), 0_u64..12, 0_u32..50), 0..80),
+    ) {
+        let (mut cache, mut plain) = (Cache::new(CAPACITY), Plain::default());
+        for (used, chat, tokens) in steps {
+            let chat = ChatKey(chat);
+            match used {
+                true => {
+                    cache.used(chat, tokens);
+                    plain.used(chat, tokens);
+                }
+                false => {
+                    cache.correct(CacheEvent::Holds { chat, tokens });
+                    plain.correct(chat, tokens);
+                }
+            }
+            prop_assert_eq!(cache.contents().collect::<Vec<_>>(), plain.0.clone());
+            prop_assert_eq!(cache.len(), plain.0.len());
+        }
+    }
+}
