--- a/crates/member/src/owners.rs
+++ b/crates/member/src/owners.rs
@@ -110,12 +110,26 @@
         }
     }
 
+    /// Takes the best router of each domain, those by score; the same as the first round of `holders`.
+    fn best_of_domains(&self) -> Holders {
+        let mut best: SmallVec<[(u64, usize); 16]> = SmallVec::from_elem((0, 0), self.domains);
+        for score in &self.scores {
+            let best = &mut best[self.routers[score.1].domain];
+            *best = (*best).max(*score);
+        }
+        best.sort_unstable_by(|a, b| b.cmp(a));
+        best.iter().take(self.count).map(|it| self.routers[it.1].id).collect()
+    }
+
     /// Takes the routers by score, one a domain in each round.
     fn holders(&mut self, endpoint: EndpointId) -> Holders {
         let key = u64::from(endpoint.0) << 32;
+        let score = |it: &Candidate| mix(it.seed ^ key);
         self.scores.clear();
-        let score = |(at, it): (usize, &Candidate)| (mix(it.seed ^ key), at);
-        self.scores.extend(self.routers.iter().enumerate().map(score));
+        self.scores.extend(self.routers.iter().map(score).zip(0..));
+        if self.domains >= self.count {
+            return self.best_of_domains();
+        }
         self.scores.sort_unstable_by(|a, b| b.cmp(a));
         let mut taken: SmallVec<[u8; 16]> = SmallVec::from_elem(0, self.domains);
         let mut holders = Holders::new();
