Let standbys watch the load of endpoints without a lease, and prove that they serve

Cause: a share begins only after a load report, and a router that probes only what it owns never gets one as a standby. Change: View::watched names the endpoints to probe.

--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -203,6 +203,16 @@
         }
     }
 
+    /// The endpoints whose load this router needs to know: those it owns, and without a lease also those it stands by
+    /// for.
+    pub fn watched(&self, now: Time) -> Vec<EndpointId> {
+        let (Some(owners), Some(me)) = (self.owners(), self.me) else { return Vec::new() };
+        match self.lease.valid(now) {
+            true => owners.owned(me).collect(),
+            false => owners.held(me).collect(),
+        }
+    }
+
     fn at(&self, epoch: Epoch) -> Option<&Known> {
         let at = self.known.binary_search_by_key(&epoch, |it| it.roster.epoch).ok()?;
         Some(&self.known[at])
--- a/crates/placement/tests/bound.rs
+++ b/crates/placement/tests/bound.rs
@@ -165,6 +165,24 @@
         }
     }
 
+    #[test]
+    fn standbys_serve_while_an_owner_and_control_are_gone(drifts in drifts(), frozen: u8) {
+        let mut fleet = Fleet::new(&drifts, 3, 80);
+        fleet.depose();
+        let frozen = usize::from(frozen) % fleet.routers.len();
+        fleet.routers[frozen].frozen = true;
+        fleet.calm(60);
+        for _ in 0..2 {
+            (0..fleet.routers.len()).for_each(|slot| fleet.probe(slot));
+            fleet.step(1000);
+        }
+        press(&mut fleet, 1);
+        prop_assert_eq!(&fleet.broken, &None);
+        for (id, runs) in &fleet.engines {
+            prop_assert!(!runs.is_empty(), "nothing runs on {}", id);
+        }
+    }
+
     #[test]
     fn traffic_flows_with_control_gone(drifts in drifts(), mean in 0_u64..80, cost in 1_u64..25) {
         let mut fleet = Fleet::new(&drifts, 3, mean);
--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -344,13 +344,14 @@
         self.published = self.engines.iter().map(|(id, runs)| (*id, (now, load(runs)))).collect();
     }
 
-    /// A router asks all engines for their load.
+    /// A router asks the engines that it watches for their load.
     pub(crate) fn probe(&mut self, slot: usize) {
         if self.routers[slot].frozen {
             return;
         }
         let asked = self.routers[slot].clock.at(self.truth);
-        for (endpoint, runs) in &self.engines {
+        for endpoint in &self.routers[slot].view.watched(asked) {
+            let runs = &self.engines[endpoint];
             let truth = Work(runs.iter().map(|it| it.cost).sum());
             let old = self.published.get(endpoint).filter(|it| self.truth.since(it.0) < LAG / 2);
             let load = old.map_or(truth, |it| it.1);
