--- a/crates/placement/benches/replay/fleet.rs
+++ b/crates/placement/benches/replay/fleet.rs
@@ -1,19 +1,19 @@
 //! The project's own policy: the real homes, views and tables of all routers, without a network between them.
 
 use {
-    crate::trace::{Request, Shape},
+    crate::{
+        fixture::{self, SERVICE},
+        trace::{Request, Shape},
+    },
     member::{Timing, View},
     model::{
-        AttemptNo, ChatKey, Config, Domain, Endpoint, EndpointId, EndpointState, Epoch, Fencing,
-        RequestId, Roster, RouterEntry, RouterId, RouterState, Service, ServiceId, ServiceKind,
-        Time, Work, mix,
+        AttemptNo, ChatKey, Config, EndpointId, EndpointState, Epoch, RequestId, Roster, RouterId,
+        RouterState, Time, Work, mix,
     },
     placement::{CacheEvent, Homes, Settings, Start, Started, Table},
     std::{collections::VecDeque, sync::Arc},
 };
 
-const SERVICE: ServiceId = ServiceId(1);
-
 /// What of the policy is switched on.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Options {
@@ -77,16 +77,10 @@
 
 impl Fleet {
     pub(crate) fn new(shape: &Shape, options: Options) -> Fleet {
-        let service = Service {
-            id: SERVICE,
-            name: "s".into(),
-            kind: ServiceKind::Model,
-            bound: options.bound,
-            minimum: 0,
-            claim_ms: 0,
-        };
-        let mut config = Config::default();
-        config.services.insert(SERVICE, Arc::new(service));
+        let mut config = fixture::config(0);
+        if let Some(service) = config.services.get_mut(&SERVICE) {
+            Arc::make_mut(service).bound = options.bound;
+        }
         let mut fleet = Fleet {
             options,
             homes: Homes::default(),
@@ -115,18 +109,8 @@
 
     fn set_engine(&mut self) {
         let id = EndpointId(self.queues.len() as u32);
-        let endpoint = Endpoint {
-            id,
-            name: "e".into(),
-            service: SERVICE,
-            addr: ([127, 0, 0, 1], 1).into(),
-            domain: Domain("d".into()),
-            weight: 1000,
-            fencing: Fencing::Checked,
-            state: EndpointState::Active,
-            images: Default::default(),
-        };
-        self.config.endpoints.insert(id, Arc::new(endpoint));
+        let endpoint = fixture::endpoint(id.0, EndpointState::Active);
+        self.config.endpoints.insert(id, endpoint);
         self.queues.push(VecDeque::new());
         self.homes = Homes::new(&self.config, SERVICE, None);
     }
@@ -156,13 +140,8 @@
     /// Commits a roster; every router has it at once.
     fn commit(&mut self, now: u64) {
         self.epoch = self.epoch.next();
-        let entry = |(slot, router): (usize, &Router)| RouterEntry {
-            id: RouterId(slot as u32),
-            addr: ([127, 0, 0, 1], slot as u16).into(),
-            domain: Domain(format!("d{}", slot as u32 % self.domains).into()),
-            state: router.state,
-            acked: self.epoch,
-            lost: Epoch(0),
+        let entry = |(slot, router): (usize, &Router)| {
+            fixture::entry(slot as u32, self.domains, router.state)
         };
         let routers = self.routers.iter().enumerate().map(entry).collect();
         let roster = Roster { epoch: self.epoch, routers };
--- a/crates/placement/benches/replay/main.rs
+++ b/crates/placement/benches/replay/main.rs
@@ -5,21 +5,22 @@
 //! together that evicts what is needed last; an engine that dies takes its part with it. Skew is sampled four times a second: the largest load over the mean load,
 //! in work and in running requests; `bar one` leaves the largest request on each engine out.
 
+#[path = "../../tests/fixture/mod.rs"]
+mod fixture;
 mod fleet;
+mod score;
 mod trace;
 mod world;
 
 use {
     crate::{
         fleet::{Fleet, Options, Outcome, Placed},
+        score::{Phase, Score, oracle, print},
         trace::{Request, Shape},
         world::Engine,
     },
     model::{SECOND, mix},
-    std::{
-        cmp::Reverse,
-        collections::{BTreeSet, BinaryHeap, HashMap},
-    },
+    std::{cmp::Reverse, collections::BinaryHeap},
 };
 
 const MILLI: u64 = 1_000;
@@ -66,9 +67,6 @@
     },
 }
 
-/// A named stretch of a run, in seconds.
-type Phase = (&'static str, u64, u64);
-
 struct Replay {
     policy: Policy,
     fleet: Fleet,
@@ -83,15 +81,6 @@
     scores: Vec<Score>,
 }
 
-#[derive(Clone, Default)]
-struct Score {
-    prompt: u64,
-    cached: u64,
-    waits: Vec<u64>,
-    /// Thousandths of the mean: work, work bar one, running requests.
-    skews: [Vec<u64>; 3],
-}
-
 impl Replay {
     fn new(shape: &Shape, policy: Policy, options: Options, phases: &[Phase]) -> Replay {
         let engine = |_| Engine::new(shape.cache);
@@ -276,89 +265,6 @@
     }
 }
 
-/// Replays the requests over one cache of the size of all engines' that evicts what is needed last, or what was used
-/// longest ago; an engine that dies takes its part of the chats with it. Returns the reuse in each phase.
-fn oracle(
-    shape: &Shape,
-    requests: &[Request],
-    phases: &[Phase],
-    churn: &[(u64, Event)],
-    clairvoyant: bool,
-) -> Vec<f64> {
-    let engines = u64::from(shape.engines);
-    let mut capacity = shape.cache * engines;
-    let mut churn = churn.iter().peekable();
-    let mut sums = vec![(0, 0); phases.len()];
-    let mut held: HashMap<u64, (u64, u64)> = HashMap::new();
-    let mut order: BTreeSet<(u64, u64)> = BTreeSet::new();
-    let mut used = 0;
-    for request in requests {
-        while let Some((_, event)) = churn.next_if(|it| it.0 <= request.at) {
-            match event {
-                Event::Down { engine } => {
-                    capacity -= shape.cache;
-                    let lost = |chat: &u64| mix(*chat) % engines == *engine as u64;
-                    held.retain(|chat, _| !lost(chat));
-                    order.retain(|it| !lost(&it.1));
-                    used = held.values().map(|it| it.1).sum();
-                }
-                Event::Up { .. } | Event::Join => capacity += shape.cache,
-                _ => {}
-            }
-        }
-        let before = held.remove(&request.chat);
-        let (key, tokens) = before.unwrap_or((0, 0));
-        order.remove(&(key, request.chat));
-        used -= tokens;
-        let inside = |it: &Phase| (it.1..it.2).contains(&(request.at / SECOND));
-        if let Some(phase) = phases.iter().position(inside) {
-            sums[phase].0 += tokens.min(u64::from(request.prompt));
-            sums[phase].1 += u64::from(request.prompt);
-        }
-        // The last one in the order is evicted first.
-        let key = if clairvoyant { request.next } else { u64::MAX - request.at };
-        let tokens = u64::from(request.prompt + request.out);
-        held.insert(request.chat, (key, tokens));
-        order.insert((key, request.chat));
-        used += tokens;
-        while used > capacity {
-            let Some((_, chat)) = order.pop_last() else { break };
-            used -= held.remove(&chat).map_or(0, |it| it.1);
-        }
-    }
-    sums.iter().map(|it| it.0 as f64 / f64::max(it.1 as f64, 1.0)).collect()
-}
-
-fn quantile(values: &mut [u64], permille: usize) -> u64 {
-    values.sort_unstable();
-    values.get(values.len() * permille / 1000).or(values.last()).copied().unwrap_or(0)
-}
-
-fn print(name: &str, phases: &[Phase], scores: &mut [Score], best: &[f64]) {
-    for ((phase, score), best) in phases.iter().zip(scores).zip(best) {
-        let reuse = score.cached as f64 / f64::max(score.prompt as f64, 1.0);
-        let [work, rest, count] = &mut score.skews;
-        let over = rest.iter().filter(|it| **it > 1250).count();
-        let over = over as f64 * 100.0 / f64::max(rest.len() as f64, 1.0);
-        let share = |it: u64| it as f64 / 1000.0;
-        println!(
-            "{name:<28} {:<9} reuse {reuse:.3} ({:.3} of best) | work p50 {:.2} p99 {:.2} max {:.2} | bar one p99 \
-             {:.2} max {:.2} over 1.25 {over:.1}% | running p99 {:.2} | first token p50 {} p95 {} p99 {} ms",
-            phase.0,
-            reuse / best,
-            share(quantile(work, 500)),
-            share(quantile(work, 990)),
-            share(quantile(work, 1000)),
-            share(quantile(rest, 990)),
-            share(quantile(rest, 1000)),
-            share(quantile(count, 990)),
-            quantile(&mut score.waits, 500) / MILLI,
-            quantile(&mut score.waits, 950) / MILLI,
-            quantile(&mut score.waits, 990) / MILLI,
-        );
-    }
-}
-
 fn churn(shape: &Shape) -> Vec<(u64, Event)> {
     let mut events = vec![
         (300 * SECOND, Event::Down { engine: 3 }),
--- a/crates/placement/benches/speed.rs
+++ b/crates/placement/benches/speed.rs
@@ -1,59 +1,20 @@
 //! The time of one decision and the memory of one chat at 320 routers and 1,100 engines.
 #![allow(clippy::disallowed_methods, reason = "a benchmark reads the clock")]
 
+#[path = "../tests/fixture/mod.rs"]
+mod fixture;
+
 use {
+    crate::fixture::SERVICE,
     member::{Owners, Timing, View},
-    model::{
-        AttemptNo, ChatKey, Config, Domain, Endpoint, EndpointId, EndpointState, Epoch, Fencing,
-        RequestId, Roster, RouterEntry, RouterId, RouterState, Service, ServiceId, ServiceKind,
-        Time, Work, mix,
-    },
+    model::{AttemptNo, ChatKey, EndpointId, Epoch, RequestId, RouterId, Time, Work, mix},
     placement::{Cache, Exceptions, Homes, Settings, Start, Started, Table},
-    std::{hint::black_box, sync::Arc, time::Instant},
+    std::{hint::black_box, time::Instant},
 };
 
 const ENGINES: u32 = 1_100;
 const ROUTERS: u32 = 320;
 const CHATS: u64 = 1_000_000;
-const SERVICE: ServiceId = ServiceId(1);
-
-fn config() -> Config {
-    let service = Service {
-        id: SERVICE,
-        name: "s".into(),
-        kind: ServiceKind::Model,
-        bound: 1250,
-        minimum: 0,
-        claim_ms: 0,
-    };
-    let endpoint = |id| Endpoint {
-        id: EndpointId(id),
-        name: "e".into(),
-        service: SERVICE,
-        addr: ([127, 0, 0, 1], 1).into(),
-        domain: Domain("d".into()),
-        weight: 1000,
-        fencing: Fencing::Checked,
-        state: EndpointState::Active,
-        images: Default::default(),
-    };
-    let mut config = Config::default();
-    config.services.insert(SERVICE, Arc::new(service));
-    config.endpoints = (1..=ENGINES).map(|id| (EndpointId(id), Arc::new(endpoint(id)))).collect();
-    config
-}
-
-fn roster() -> Roster {
-    let entry = |id: u32| RouterEntry {
-        id: RouterId(id),
-        addr: ([127, 0, 0, 1], id as u16).into(),
-        domain: Domain(format!("d{}", id % 10).into()),
-        state: RouterState::Live,
-        acked: Epoch(0),
-        lost: Epoch(0),
-    };
-    Roster { epoch: Epoch(1), routers: (1..=ROUTERS).map(entry).collect() }
-}
 
 /// Runs `work` for each of so many keys; prints the nanoseconds of one, the best of fifty rounds.
 fn time<F>(what: &str, count: u64, mut work: F)
@@ -88,7 +49,7 @@
 }
 
 fn main() {
-    let (config, roster) = (config(), roster());
+    let (config, roster) = (fixture::config(ENGINES), fixture::roster(ROUTERS, 10));
     println!("{ROUTERS} routers, {ENGINES} engines");
 
     let equal = Homes::new(&config, SERVICE, None);
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -9,6 +9,8 @@
 mod engine;
 mod exceptions;
 mod homes;
+mod settings;
+mod start;
 mod table;
 
 pub use crate::{
@@ -16,5 +18,7 @@
     cache::{Cache, CacheEvent},
     exceptions::Exceptions,
     homes::{Homes, Order},
-    table::{Memory, Settings, Start, Started, Sum, Table},
+    settings::Settings,
+    start::{Memory, Start, Started, Sum},
+    table::Table,
 };
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -7,145 +7,17 @@
         engine::Engine,
         exceptions::Exceptions,
         homes::Homes,
+        settings::Settings,
+        start::{Memory, Start, Started, Sum},
     },
     member::{Right, View},
     model::{
-        AttemptNo, ChatKey, Config, EndpointId, EndpointState, RequestId, SECOND, ServiceId, Time,
-        Work,
+        AttemptNo, ChatKey, Config, EndpointId, EndpointState, RequestId, ServiceId, Time, Work,
     },
-    serde::{Deserialize, Serialize},
     smallvec::SmallVec,
     std::collections::{BTreeMap, HashMap},
 };
 
-/// What an owner may be set to.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct Settings {
-    /// The size of an endpoint's prompt cache, in tokens.
-    cache: u64,
-    /// How far a load report may lag behind, in microseconds.
-    lag: u64,
-    /// The most chats that are remembered to be away from home.
-    exceptions: usize,
-    /// How long a chat is remembered to be away from home, in microseconds.
-    away: u64,
-    /// How long after an endpoint joined chats are sent back to where their prefix is, in microseconds.
-    moving: u64,
-    /// Fewer prompt tokens than this are recomputed rather than sought elsewhere.
-    seek: u32,
-    /// How long a request waits for each cached token of its prompt before it spills, in microseconds.
-    hold: u64,
-    /// The longest that a request waits before it spills, in microseconds.
-    longest: u64,
-}
-
-impl Default for Settings {
-    fn default() -> Settings {
-        Settings {
-            cache: 400_000,
-            lag: SECOND,
-            exceptions: 100_000,
-            away: 600 * SECOND,
-            moving: 600 * SECOND,
-            seek: 512,
-            hold: 500,
-            longest: 2 * SECOND,
-        }
-    }
-}
-
-impl Settings {
-    /// Sets the size of an endpoint's prompt cache, in tokens.
-    pub fn with_cache(self, tokens: u64) -> Settings {
-        Settings { cache: tokens, ..self }
-    }
-
-    /// Sets how far a load report may lag behind, in microseconds; at most a minute.
-    pub fn with_lag(self, micros: u64) -> Settings {
-        Settings { lag: micros.min(60 * SECOND), ..self }
-    }
-
-    /// Sets the most chats that are remembered to be away from home, and for how long, in microseconds.
-    pub fn with_exceptions(self, most: usize, away: u64) -> Settings {
-        Settings { exceptions: most, away, ..self }
-    }
-
-    /// Sets how long a request waits before it spills: so many microseconds for each cached token of its prompt, and at
-    /// most so many; zero: it spills at once.
-    pub fn with_hold(self, token: u64, longest: u64) -> Settings {
-        Settings { hold: token, longest, ..self }
-    }
-
-    /// Sets how long after an endpoint joined chats are sent back to where their prefix is, in microseconds; zero:
-    /// never.
-    pub fn with_moving(self, micros: u64) -> Settings {
-        Settings { moving: micros, ..self }
-    }
-}
-
-/// A request that wants to start.
-#[derive(Clone, Copy, Debug)]
-pub struct Start {
-    /// Its id.
-    pub request: RequestId,
-    /// Which attempt.
-    pub attempt: AttemptNo,
-    /// What the chat is placed by.
-    pub chat: ChatKey,
-    /// Where.
-    pub endpoint: EndpointId,
-    /// Its work if nothing is cached.
-    pub cost: Work,
-    /// How much of `cost` is the prompt, which a cached prefix saves; also what it leaves in the cache.
-    pub prompt: u32,
-    /// Whether it may be sent to where its prefix is: true for a first try at home, false for a spilled or waiting
-    /// request.
-    pub home: bool,
-}
-
-/// What became of a request that wanted to start.
-#[derive(Clone, PartialEq, Eq, Debug)]
-pub enum Started {
-    /// It counts as running from now on and must be sent.
-    Started {
-        /// The prompt tokens that should be cached there.
-        cached: u32,
-        /// The work that it counts with.
-        cost: Work,
-    },
-    /// It did not start here.
-    Full {
-        /// Where its prefix is or where there may be room, in order.
-        elsewhere: SmallVec<[EndpointId; 4]>,
-    },
-    /// This router may not start anything there.
-    NotOwner,
-}
-
-/// What the owner of an endpoint remembers of it, for the next owner.
-#[derive(Clone, PartialEq, Eq, Default, Serialize, Deserialize, Debug)]
-pub struct Memory {
-    /// What its prompt cache should hold, in tokens, the least recently used first.
-    pub cached: Vec<(ChatKey, u32)>,
-    /// The chats at home there whose prefix is elsewhere.
-    pub away: Vec<(ChatKey, EndpointId)>,
-}
-
-/// The load of the endpoints that a router owns, for one service.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct Sum {
-    /// The service.
-    pub service: ServiceId,
-    /// The sum of the loads.
-    pub sum: Work,
-    /// How many endpoints the sum covers.
-    pub count: u32,
-    /// The least loaded of them.
-    pub least: EndpointId,
-    /// That endpoint's load.
-    pub low: Work,
-}
-
 /// What control last said of a service.
 #[derive(Clone, Debug)]
 struct Level {
--- a/crates/placement/tests/bound.rs
+++ b/crates/placement/tests/bound.rs
@@ -1,5 +1,6 @@
 //! The load bound holds on every engine at every moment, and traffic flows.
 
+mod fixture;
 mod fleet;
 
 use {
--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -1,18 +1,17 @@
 //! Several routers and a control leader over an unreliable network, driving the real machines.
 
 use {
+    crate::fixture::{SERVICE, config},
     fakes::{DriftClock, Net},
     member::{Beat, Members, Reply, Right, Timing, View},
     model::{
-        AttemptNo, ChatKey, Config, Domain, Endpoint, EndpointId, EndpointState, Epoch, Fencing,
-        HostName, MILLISECOND, RequestId, Roster, RouterId, RouterState, SECOND, Service,
-        ServiceId, ServiceKind, Time, Work,
+        AttemptNo, ChatKey, Config, Domain, EndpointId, Epoch, HostName, MILLISECOND, RequestId,
+        Roster, RouterId, RouterState, SECOND, Time, Work,
     },
     placement::{Homes, Settings, Start, Started, Table},
-    std::{collections::BTreeMap, sync::Arc},
+    std::collections::BTreeMap,
 };
 
-pub(crate) const SERVICE: ServiceId = ServiceId(1);
 const LAG: u64 = 200 * MILLISECOND;
 
 /// The leader's address on the network; routers have their slot's number.
@@ -78,35 +77,6 @@
     requests: u128,
 }
 
-fn endpoint(id: u32) -> Endpoint {
-    Endpoint {
-        id: EndpointId(id),
-        name: "e".into(),
-        service: SERVICE,
-        addr: ([127, 0, 0, 1], 1).into(),
-        domain: Domain("d".into()),
-        weight: 1000,
-        fencing: Fencing::Checked,
-        state: EndpointState::Active,
-        images: Default::default(),
-    }
-}
-
-pub(crate) fn config(endpoints: u32) -> Config {
-    let service = Service {
-        id: SERVICE,
-        name: "s".into(),
-        kind: ServiceKind::Model,
-        bound: 1250,
-        minimum: 0,
-        claim_ms: 0,
-    };
-    let mut config = Config::default();
-    config.services.insert(SERVICE, Arc::new(service));
-    config.endpoints = (1..=endpoints).map(|id| (EndpointId(id), Arc::new(endpoint(id)))).collect();
-    config
-}
-
 impl Fleet {
     /// Builds a fleet and lets it settle; `drifts` are in millionths, the leader's first.
     pub(crate) fn new(drifts: &[i32], endpoints: u32, mean: u64) -> Fleet {
--- a/crates/placement/tests/table.rs
+++ b/crates/placement/tests/table.rs
@@ -1,63 +1,20 @@
 //! The owner's table: who may start where, what waits, and what is remembered.
 
+mod fixture;
+
 use {
+    crate::fixture::{SERVICE, config, config_of, roster},
     member::{Owners, Timing, View},
     model::{
-        AttemptNo, ChatKey, Config, Domain, Endpoint, EndpointId, EndpointState, Epoch, Fencing,
-        RequestId, Roster, RouterEntry, RouterId, RouterState, SECOND, Service, ServiceId,
-        ServiceKind, Time, Work,
+        AttemptNo, ChatKey, Config, EndpointId, EndpointState, Epoch, RequestId, Roster, RouterId,
+        SECOND, Time, Work,
     },
     placement::{Homes, Settings, Start, Started, Table},
     proptest::prelude::*,
-    std::sync::Arc,
 };
 
-const SERVICE: ServiceId = ServiceId(1);
 const NOW: Time = Time(10 * SECOND);
 
-fn endpoint(id: u32, state: EndpointState) -> Arc<Endpoint> {
-    Arc::new(Endpoint {
-        id: EndpointId(id),
-        name: "e".into(),
-        service: SERVICE,
-        addr: ([127, 0, 0, 1], 1).into(),
-        domain: Domain("d".into()),
-        weight: 1000,
-        fencing: Fencing::Checked,
-        state,
-        images: Default::default(),
-    })
-}
-
-fn config(states: &[EndpointState]) -> Config {
-    let service = Service {
-        id: SERVICE,
-        name: "s".into(),
-        kind: ServiceKind::Model,
-        bound: 1250,
-        minimum: 0,
-        claim_ms: 0,
-    };
-    let mut config = Config::default();
-    config.services.insert(SERVICE, Arc::new(service));
-    let endpoints =
-        states.iter().zip(1..).map(|(state, id)| (EndpointId(id), endpoint(id, *state)));
-    config.endpoints = endpoints.collect();
-    config
-}
-
-fn roster(routers: u32) -> Roster {
-    let entry = |id| RouterEntry {
-        id: RouterId(id),
-        addr: ([127, 0, 0, 1], id as u16).into(),
-        domain: Domain(format!("d{id}").into()),
-        state: RouterState::Live,
-        acked: Epoch(0),
-        lost: Epoch(0),
-    };
-    Roster { epoch: Epoch(1), routers: (1..=routers).map(entry).collect() }
-}
-
 /// A router with a lease and a mean of 1,000.
 fn router(id: u32, roster: &Roster, config: &Config) -> (View, Table) {
     let mut view = View::new(Timing::default());
@@ -96,11 +53,11 @@
         configs in prop::collection::vec(prop::collection::vec(state(), 6), 1..4),
         chats in prop::collection::vec((any::<u64>(), 1_u32..7), 1..30),
     ) {
-        let (roster, first) = (roster(routers), config(&configs[0]));
+        let (roster, first) = (roster(routers, 8), config_of(&configs[0]));
         let mut fleet: Vec<_> = (1..=routers).map(|id| router(id, &roster, &first)).collect();
         let mut request = 0;
         for states in &configs {
-            let config = config(states);
+            let config = config_of(states);
             let homes = Homes::new(&config, SERVICE, None);
             let owners = Owners::compute(&roster, &config);
             for (view, table) in &mut fleet {
@@ -124,7 +81,7 @@
 
 #[test]
 fn a_router_without_a_lease_starts_nothing_at_first() {
-    let (roster, config) = (roster(2), config(&[EndpointState::Active; 6]));
+    let (roster, config) = (roster(2, 8), config(6));
     let homes = Homes::new(&config, SERVICE, None);
     let (view, mut table) = router(1, &roster, &config);
     let owned = view.owners().unwrap().owned(RouterId(1)).next().unwrap();
@@ -135,7 +92,7 @@
 
 #[test]
 fn a_cached_prefix_costs_nothing_and_is_worth_a_wait() {
-    let (roster, config) = (roster(1), config(&[EndpointState::Active]));
+    let (roster, config) = (roster(1, 8), config(1));
     let homes = Homes::new(&config, SERVICE, None);
     let (view, mut table) = router(1, &roster, &config);
     let first = table.try_start(NOW, &view, &homes, &start(1, 7, 1, 2_000));
@@ -152,7 +109,7 @@
 
 #[test]
 fn a_spilled_chat_is_sent_to_its_prefix_until_it_ran_at_home_again() {
-    let (roster, config) = (roster(1), config(&[EndpointState::Active; 3]));
+    let (roster, config) = (roster(1, 8), config(3));
     let homes = Homes::new(&config, SERVICE, None);
     let (view, mut table) = router(1, &roster, &config);
     let chat = ChatKey(11);
@@ -174,8 +131,8 @@
 
 #[test]
 fn an_endpoint_that_joined_lets_chats_stay_where_their_prefix_is() {
-    let (roster, before) = (roster(1), config(&[EndpointState::Active; 3]));
-    let after = config(&[EndpointState::Active; 4]);
+    let (roster, before) = (roster(1, 8), config(3));
+    let after = config(4);
     let (mut view, mut table) = router(1, &roster, &before);
     view.take_config(NOW, &after);
     let (seq, _) = view.beat(NOW).unwrap();
