--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -7,7 +7,7 @@
     smallvec::SmallVec,
     std::{
         cmp::Reverse,
-        collections::{BTreeMap, BTreeSet, HashMap},
+        collections::{BTreeSet, HashMap, VecDeque},
     },
 };
 
@@ -101,7 +101,8 @@
     /// Its key in the order while requests wait.
     tag: u128,
     backlog: u128,
-    queue: BTreeMap<Slot, Waiting>,
+    /// In the order of the slots; requests mostly come at the end and leave at the front.
+    queue: VecDeque<(Slot, Waiting)>,
 }
 
 impl FairQueue {
@@ -248,7 +249,7 @@
             self.order.insert((lane.tag, waiting.team));
         }
         lane.backlog += u128::from(waiting.cost.0);
-        lane.queue.insert(slot, waiting);
+        lane.insert(slot, waiting);
         self.backlog += u128::from(waiting.cost.0);
         self.deadlines.insert((waiting.deadline, waiting.request));
         self.waiting.insert(waiting.request, (waiting.team, slot));
@@ -258,7 +259,7 @@
     fn remove(&mut self, request: RequestId, started: bool) -> bool {
         let Some((team, slot)) = self.waiting.remove(&request) else { return false };
         let Some(lane) = self.teams.get_mut(&team) else { return false };
-        let Some(waiting) = lane.queue.remove(&slot) else { return false };
+        let Some(waiting) = lane.remove(slot) else { return false };
         let cost = u128::from(waiting.cost.0);
         self.deadlines.remove(&(waiting.deadline, request));
         self.backlog -= cost;
@@ -303,10 +304,20 @@
 
 impl Lane {
     fn new() -> Lane {
-        Lane { weight: 1, finish: 0, tag: 0, backlog: 0, queue: BTreeMap::new() }
+        Lane { weight: 1, finish: 0, tag: 0, backlog: 0, queue: VecDeque::new() }
     }
 
     fn first(&self) -> Option<&Waiting> {
-        self.queue.first_key_value().map(|(_, it)| it)
+        self.queue.front().map(|(_, it)| it)
+    }
+
+    fn insert(&mut self, slot: Slot, waiting: Waiting) {
+        let at = self.queue.partition_point(|it| it.0 < slot);
+        self.queue.insert(at, (slot, waiting));
+    }
+
+    fn remove(&mut self, slot: Slot) -> Option<Waiting> {
+        let at = self.queue.binary_search_by_key(&slot, |it| it.0).ok()?;
+        self.queue.remove(at).map(|(_, it)| it)
     }
 }
