Take an endpoint's proof that a refused request did not run

Cause: the endpoint protocol has refusals that prove not-run; they were passed on as answers. Change: such a refusal is a failure of the attempt with outcome not-run, so that it may be tried elsewhere; after an earlier exchange of the same attempt it stays unknown, and nothing is cancelled.

--- a/crates/edge/src/endpoint/error.rs
+++ b/crates/edge/src/endpoint/error.rs
@@ -24,6 +24,9 @@
     /// The answer is not whole HTTP, or contradicts what came before.
     #[display("malformed answer")]
     Malformed,
+    /// The endpoint refused the request and said that it did not run.
+    #[display("refused by the endpoint")]
+    Refused,
     /// The deadline of the request passed.
     #[display("deadline passed")]
     Deadline,
@@ -35,7 +38,7 @@
 pub struct EndpointError {
     /// What failed.
     pub fault: Fault,
-    /// [`Outcome::NotRun`] only if no byte of the request was handed to a socket.
+    /// [`Outcome::NotRun`] only if no byte of the request was handed to a socket, or the endpoint proved it.
     pub outcome: Outcome,
     /// Bytes of the answer's body that were delivered, those before the first offset included.
     pub offset: u64,
@@ -70,6 +73,8 @@
     Silent,
     /// What came is not a whole answer.
     Malformed,
+    /// The endpoint said that the request did not run.
+    Refused,
     /// The deadline of the request passed.
     Deadline,
 }
--- a/crates/edge/src/endpoint/request.rs
+++ b/crates/edge/src/endpoint/request.rs
@@ -4,7 +4,7 @@
     crate::endpoint::error::{LinkError, LinkFault},
     bytes::Bytes,
     derive_more::Debug,
-    http::{HeaderMap, HeaderName, HeaderValue, Method, Request, header},
+    http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header},
     http_body_util::Full,
     model::{AttemptNo, RequestId},
     std::net::SocketAddr,
@@ -14,6 +14,8 @@
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 const ATTEMPT: HeaderName = HeaderName::from_static("x-attempt");
 const PRIORITY: HeaderName = HeaderName::from_static("x-priority");
+/// With the value `not-run`, an endpoint's proof that it did not run what it refuses.
+const OUTCOME: HeaderName = HeaderName::from_static("x-outcome");
 const RESUME: HeaderName = HeaderName::from_static("x-resume-offset");
 
 /// Limits on what an exchange and the pool may take.
@@ -142,6 +144,12 @@
     }
 }
 
+/// Whether an endpoint refuses a request and says that it did not run.
+pub(crate) fn is_not_run(status: StatusCode, headers: &HeaderMap) -> bool {
+    let refused = status.is_client_error() || status.is_server_error();
+    refused && headers.get(OUTCOME).is_some_and(|it| it.as_bytes() == b"not-run")
+}
+
 /// Returns the headers of a message that are not of its connection alone.
 pub(crate) fn pass_on(headers: &HeaderMap) -> HeaderMap {
     let mut passed = headers.clone();
--- a/crates/edge/src/endpoint/stream.rs
+++ b/crates/edge/src/endpoint/stream.rs
@@ -5,7 +5,7 @@
         client::EndpointClient,
         error::{EndpointError, Fault, LinkError, LinkFault},
         link::Link,
-        request::{EndpointEvent, EndpointRequest, pass_on},
+        request::{EndpointEvent, EndpointRequest, is_not_run, pass_on},
     },
     http::{HeaderMap, Response, StatusCode, header},
     hyper::body::Incoming,
@@ -29,7 +29,10 @@
     /// The length that the first head promised.
     length: Option<u64>,
     begun: bool,
-    sent: bool,
+    /// Exchanges of which a byte was sent.
+    sent: u32,
+    /// Whether nothing of the attempt is left at the endpoint.
+    over: bool,
     resumes: u32,
     resets: u32,
 }
@@ -57,7 +60,8 @@
             offset,
             length: None,
             begun: false,
-            sent: false,
+            sent: 0,
+            over: false,
             resumes: 0,
             resets: 0,
         }
@@ -65,7 +69,7 @@
 
     /// Whether a byte of the request may have reached the endpoint.
     pub fn sent(&self) -> bool {
-        self.sent
+        self.sent > 0
     }
 
     /// Waits for what comes next; the end is the last.
@@ -107,7 +111,7 @@
         let limit = self.limit(self.client.limits().head_ms);
         let answered = link.send(request, limit).await;
         let moved = link.written() > before;
-        self.sent |= moved;
+        self.sent += u32::from(moved);
         match answered {
             Ok(response) => self.head(link, response),
             Err(_) if !moved && link.pooled => {
@@ -127,6 +131,9 @@
         if !self.is_delimited(head.status, &head.headers) {
             return Err(LinkError::new(LinkFault::Malformed, "the answer's length is not stated"));
         }
+        if is_not_run(head.status, &head.headers) {
+            return Err(LinkError::new(LinkFault::Refused, format!("status {}", head.status)));
+        }
         let resumed = self.begun || self.offset > 0;
         if resumed && !head.status.is_success() {
             let status = head.status.as_u16();
@@ -170,6 +177,7 @@
             return Err(LinkError::new(LinkFault::Malformed, "the answer's length has changed"));
         }
         self.state = State::Ended;
+        self.over = true;
         drop(body);
         self.client.give_back(*link).await;
         Ok(EndpointEvent::End { length: self.offset })
@@ -185,7 +193,7 @@
         if Instant::now() >= self.request.deadline {
             return Err(self.error(Fault::Deadline, err));
         }
-        if !self.sent {
+        if self.sent == 0 {
             let fault = match err.kind {
                 LinkFault::Malformed => Fault::Malformed,
                 _ => Fault::Unreachable,
@@ -194,6 +202,10 @@
         }
         match err.kind {
             LinkFault::Malformed => return Err(self.error(Fault::Malformed, err)),
+            LinkFault::Refused => {
+                self.over = true;
+                return Err(self.error(Fault::Refused, err));
+            }
             LinkFault::Deadline => return Err(self.error(Fault::Deadline, err)),
             LinkFault::Connect => return Err(self.error(Fault::Died, err)),
             LinkFault::Reset => self.resets += 1,
@@ -209,7 +221,7 @@
                     return Err(self.error(Fault::Stalled, failed));
                 }
                 // It answered something, so it is there.
-                LinkFault::Malformed => {}
+                LinkFault::Malformed | LinkFault::Refused => {}
             }
         }
         if self.resets > RESETS {
@@ -233,7 +245,9 @@
     }
 
     fn error(&self, fault: Fault, err: LinkError) -> EndpointError {
-        let outcome = if self.sent { Outcome::Unknown } else { Outcome::NotRun };
+        // A refusal proves nothing about the exchange before it.
+        let proved = self.sent == 0 || (fault == Fault::Refused && self.sent == 1);
+        let outcome = if proved { Outcome::NotRun } else { Outcome::Unknown };
         let (offset, peer) = (self.offset, self.client.peer());
         EndpointError { fault, outcome, offset, peer, source: err.source }
     }
@@ -241,7 +255,7 @@
 
 impl Drop for EndpointStream {
     fn drop(&mut self) {
-        if !self.sent || matches!(self.state, State::Ended) {
+        if self.sent == 0 || self.over {
             return;
         }
         let Ok(runtime) = Handle::try_current() else { return };
--- a/crates/edge/tests/endpoint.rs
+++ b/crates/edge/tests/endpoint.rs
@@ -35,8 +35,8 @@
     Cut(usize),
     /// Takes the request and closes.
     Close,
-    /// Closes before anything is read.
-    Refuse,
+    /// Refuses the request and says that it did not run.
+    NotRun,
 }
 
 /// What the endpoint saw: the start line of a request and its resume offset.
@@ -63,9 +63,6 @@
 }
 
 async fn play(mut socket: TcpStream, step: Step, seen: mpsc::UnboundedSender<Seen>) {
-    if step == Step::Refuse {
-        return;
-    }
     loop {
         let Some((line, offset)) = read_request(&mut socket).await else { return };
         let _ = seen.send((line.clone(), offset));
@@ -78,7 +75,13 @@
         let part = match step {
             Step::Silent(part) | Step::Cut(part) => part,
             Step::Mute => return std::future::pending().await,
-            Step::Close | Step::Refuse => return,
+            Step::Close => return,
+            Step::NotRun => {
+                let head =
+                    "HTTP/1.1 404 Not Found\r\nx-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
+                let _ = socket.write_all(head.as_bytes()).await;
+                continue;
+            }
             Step::Serve | Step::ServeOnce => rest.len(),
         };
         let _ = socket.write_all(head.as_bytes()).await;
@@ -207,6 +210,23 @@
     assert_eq!((err.fault, err.outcome, err.died()), (Fault::Unreachable, Outcome::NotRun, false));
 }
 
+#[rstest]
+#[case::at_first(vec![Step::NotRun], Outcome::NotRun)]
+#[case::after_a_silent_connection(vec![Step::Mute, Step::Serve, Step::NotRun], Outcome::Unknown)]
+#[tokio::test]
+async fn an_endpoint_proves_that_its_refusal_did_not_run(
+    #[case] steps: Vec<Step>,
+    #[case] outcome: Outcome,
+) {
+    let (addr, mut seen) = scripted(steps).await;
+    let client = EndpointClient::new(addr, ServiceKind::Model, limits());
+    let err = run(&client, request(true)).await.1.unwrap();
+    assert_eq!((err.fault, err.outcome), (Fault::Refused, outcome));
+    // What did not run is not cancelled.
+    assert!(seen.recv().await.unwrap().0.starts_with("POST"));
+    assert!(outcome != Outcome::NotRun || seen.try_recv().is_err());
+}
+
 #[tokio::test]
 async fn an_endpoint_that_dies_is_told_from_a_connection_that_fails() {
     // Only one connection is ever taken: the new one is refused.
