--- a/crates/retry/src/attempts.rs
+++ b/crates/retry/src/attempts.rs
@@ -1,5 +1,7 @@
 //! The attempts at one request.
 
+mod place;
+
 use {
     crate::{
         answer::{Answer, Fit},
@@ -180,82 +182,6 @@
         self.open.retain(|it| it.0 != attempt);
     }
 
-    /// The owner is another router: asked again at once where the roster has changed since, else a little later.
-    fn moved(&mut self, now: Time, theirs: Epoch, actions: &mut Actions) {
-        let State::Sent { endpoint, admission, epoch } = self.state else { return };
-        if epoch < self.epoch && theirs <= self.epoch {
-            self.forward(endpoint, admission, actions);
-        } else {
-            self.wait(now, endpoint, admission, actions);
-        }
-    }
-
-    /// The endpoint did not start the request: on to the places that its owner named, then to candidates that were
-    /// not asked yet, and at last into the queue of the home.
-    fn elsewhere(
-        &mut self,
-        now: Time,
-        endpoints: SmallVec<[EndpointId; 4]>,
-        actions: &mut Actions,
-    ) {
-        let State::Sent { endpoint, admission, .. } = self.state else { return };
-        if admission == Admission::Wait {
-            return self.wait_at_next(now, endpoint, actions);
-        }
-        self.hops += 1;
-        match admission {
-            Admission::Home if endpoints.is_empty() => self.routes.avoid(endpoint),
-            Admission::Home => self.routes.set_spill(endpoint, &endpoints),
-            Admission::Spill | Admission::Wait => {}
-        }
-        let hop = self.hops <= self.limits.hops;
-        if let Some(next) = self.routes.next_spill().filter(|_| hop) {
-            return self.forward(next, Admission::Spill, actions);
-        }
-        let Some(home) = self.routes.home() else {
-            return self.give_up(Reason::Overloaded, 0, actions);
-        };
-        let asked = endpoints.is_empty() && admission != Admission::Spill;
-        let again = asked && hop && self.routes.untried().is_some();
-        let admission = if again { Admission::Home } else { Admission::Wait };
-        self.forward(home, admission, actions);
-    }
-
-    /// The endpoint's queue does not move, as while its owner changes: the request waits at another candidate, and
-    /// after the last one begins again a little later.
-    fn wait_at_next(&mut self, now: Time, endpoint: EndpointId, actions: &mut Actions) {
-        self.routes.avoid(endpoint);
-        if let Some(next) = self.routes.untried() {
-            return self.forward(next, Admission::Wait, actions);
-        }
-        self.routes.pardon();
-        match self.routes.home() {
-            Some(home) => self.wait(now, home, Admission::Wait, actions),
-            None => self.give_up(Reason::Unavailable, 0, actions),
-        }
-    }
-
-    /// A refusal is final, but for one that holds for this endpoint alone and proves that nothing ran.
-    fn refused(&mut self, now: Time, refusal: Refusal, actions: &mut Actions) {
-        let State::Sent { endpoint, admission, .. } = self.state else { return };
-        if refusal.outcome != Outcome::NotRun {
-            return self.finish_with(refusal, actions);
-        }
-        match refusal.reason {
-            Reason::Overloaded if admission != Admission::Wait => {
-                self.elsewhere(now, SmallVec::new(), actions);
-            }
-            Reason::Unavailable | Reason::Draining | Reason::EndpointFailed => {
-                self.routes.avoid(endpoint);
-                match self.routes.untried() {
-                    Some(next) => self.forward(next, Admission::Home, actions),
-                    None => self.finish_with(refusal, actions),
-                }
-            }
-            _ => self.finish_with(refusal, actions),
-        }
-    }
-
     fn head(&mut self, now: Time, status: u16, budget: &Budget, actions: &mut Actions) {
         match self.answer.head(status) {
             Some(true) => actions.push(Action::Head { status }),
@@ -344,44 +270,6 @@
         harmless && (!self.answer.begun() || self.spec.resumable)
     }
 
-    /// The owner of the endpoint could not be reached: another candidate, or all of them again a little later.
-    fn pause(&mut self, now: Time, actions: &mut Actions) {
-        let State::Sent { endpoint, .. } = self.state else { return };
-        self.routes.avoid(endpoint);
-        if let Some(next) = self.routes.untried() {
-            return self.forward(next, Admission::Home, actions);
-        }
-        self.routes.pardon();
-        match self.routes.home() {
-            Some(home) => self.wait(now, home, Admission::Home, actions),
-            None => self.give_up(Reason::Unavailable, 0, actions),
-        }
-    }
-
-    fn wait(
-        &mut self,
-        now: Time,
-        endpoint: EndpointId,
-        admission: Admission,
-        actions: &mut Actions,
-    ) {
-        let until = (now + self.limits.pause).min(self.spec.deadline);
-        self.state = State::Paused { endpoint, admission, until };
-        actions.push(Action::Wait(until));
-    }
-
-    fn roster(&mut self, now: Time, epoch: Epoch, actions: &mut Actions) {
-        if epoch <= self.epoch {
-            return;
-        }
-        self.epoch = epoch;
-        if let State::Paused { endpoint, admission, .. } = self.state
-            && now < self.spec.deadline
-        {
-            self.forward(endpoint, admission, actions);
-        }
-    }
-
     fn gone(&mut self, actions: &mut Actions) {
         self.cancel_open(actions);
         self.state = State::Over;
