Prove that answers survive as many failures as there are retries

Cause: the properties of attempts were about safety alone; one that never retried passed them. Change: answers_survive_failures: three failures and one death under requests that may be resumed, moved owners and full endpoints among them, in an orderly network. Seen failing: no retries, no tick while paused, a resume one byte too far.

--- a/crates/retry/tests/attempts.rs
+++ b/crates/retry/tests/attempts.rs
@@ -3,7 +3,7 @@
 mod fleet;
 
 use {
-    fleet::{Fault, Fleet, step},
+    fleet::{Fault, Fleet, Step, calm, failure, step},
     model::{AttemptNo, EndpointId, Epoch, Outcome, Reason, Time},
     proptest::{collection::vec, prelude::*},
     retry::{Action, Admission, Attempts, Budget, Event, Limits, Reply, Spec},
@@ -69,6 +69,27 @@
     }
 }
 
+proptest! {
+    #![proptest_config(config())]
+
+    /// Requests that may be resumed get their whole answers through as many failures as they have retries, one death
+    /// of an endpoint among them.
+    #[test]
+    fn answers_survive_failures(
+        requests in 1usize..4,
+        calm in vec(vec(calm(), 0..25), 5),
+        failures in vec(failure(), 0..4),
+        death in proptest::option::of(any::<usize>()),
+    ) {
+        let mut fleet = Fleet::new(&vec![(true, true); requests], 100);
+        let mut failures = failures.into_iter().chain(death.map(Step::Crash));
+        for steps in calm {
+            steps.into_iter().chain(failures.next()).for_each(|it| fleet.step(it));
+        }
+        prop_assert_eq!(fleet.finish(), Vec::<usize>::new());
+    }
+}
+
 const HOME: EndpointId = EndpointId(1);
 const NEXT: EndpointId = EndpointId(2);
 
--- a/crates/retry/tests/fleet/mod.rs
+++ b/crates/retry/tests/fleet/mod.rs
@@ -15,7 +15,7 @@
 const ENDPOINTS: u32 = 3;
 const CHUNK: u64 = 5;
 const ENTRY: u32 = 0;
-const DEADLINE: Time = Time(1_000_000);
+const DEADLINE: Time = Time(100_000_000);
 
 /// One thing that happens, with a number that picks where.
 #[derive(Clone, Copy, Debug)]
@@ -78,6 +78,21 @@
     ]
 }
 
+/// Draws a step of a network that keeps the order of messages, without failures.
+pub(crate) fn calm() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => Just(Step::Oldest),
+        6 => any::<usize>().prop_map(Step::Run),
+        1 => (any::<usize>(), 1u8..4).prop_map(|(at, mood)| Step::Mood(at, mood)),
+        1 => Just(Step::Roster),
+    ]
+}
+
+/// Draws a failure that a request survives.
+pub(crate) fn failure() -> impl Strategy<Value = Step> {
+    prop_oneof![any::<usize>().prop_map(Step::Cut), any::<usize>().prop_map(Step::Break)]
+}
+
 type Key = (usize, AttemptNo);
 
 #[derive(Clone, Debug)]
@@ -246,6 +261,20 @@
         }
     }
 
+    /// Lets everything happen that is under way, within the deadline; returns the requests that did not get their
+    /// whole answer.
+    pub(crate) fn finish(&mut self) -> Vec<usize> {
+        for _ in 0..50 {
+            for _ in 0..100 {
+                self.step(Step::Oldest);
+                self.step(Step::Run(0));
+            }
+            self.step(Step::Tick);
+        }
+        let whole = |it: &Request| it.ends.as_slice() == [None];
+        (0..self.requests.len()).filter(|it| !whole(&self.requests[*it])).collect()
+    }
+
     /// The faults of these kinds that were seen.
     pub(crate) fn faults(&self, kinds: &[Fault]) -> Vec<(usize, Fault)> {
         self.wrong.iter().filter(|it| kinds.contains(&it.1)).copied().collect()
