Cancel over a pooled connection, and not at plain services

Cause: each caller that went away cost a new connection for its cancellation, and a useless one at plain services. Change: an idle connection is tried first, a new one if that fails; a probe after a failure always takes a new one.

--- a/crates/edge/src/endpoint/client.rs
+++ b/crates/edge/src/endpoint/client.rs
@@ -10,7 +10,7 @@
     derive_more::Debug,
     model::{AttemptNo, RequestId, ServiceKind},
     parking_lot::Mutex,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{error::Error as StdError, net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::Instant,
 };
 
@@ -52,7 +52,7 @@
         EndpointStream::new(self.clone(), request)
     }
 
-    /// Cancels an attempt over a new connection and returns the status that the endpoint gave.
+    /// Cancels an attempt over another connection than its own, and returns the status that the endpoint gave.
     ///
     /// # Errors
     ///
@@ -61,8 +61,13 @@
         &self,
         request: RequestId,
         attempt: AttemptNo,
-    ) -> Result<u16, Box<dyn std::error::Error + Send + Sync>> {
-        self.probe(request, attempt).await.map_err(|it| it.source)
+    ) -> Result<u16, Box<dyn StdError + Send + Sync>> {
+        let link = self.link(false).await.map_err(|it| it.source)?;
+        let pooled = link.pooled;
+        match self.ask(link, request, attempt).await {
+            Err(_) if pooled => self.probe(request, attempt).await.map_err(|it| it.source),
+            asked => asked.map_err(|it| it.source),
+        }
     }
 
     /// How many connections are idle.
@@ -117,10 +122,19 @@
         request: RequestId,
         attempt: AttemptNo,
     ) -> Result<u16, LinkError> {
-        let mut link = Link::open(self.inner.peer, self.inner.limits.connect_ms).await?;
-        if self.inner.kind == ServiceKind::Plain {
-            return Ok(0);
+        let link = Link::open(self.inner.peer, self.inner.limits.connect_ms).await?;
+        match self.inner.kind {
+            ServiceKind::Model => self.ask(link, request, attempt).await,
+            ServiceKind::Plain => Ok(0),
         }
+    }
+
+    async fn ask(
+        &self,
+        mut link: Link,
+        request: RequestId,
+        attempt: AttemptNo,
+    ) -> Result<u16, LinkError> {
         let limit = Instant::now() + Duration::from_millis(self.inner.limits.cancel_ms);
         let asked = EndpointRequest::cancellation(self.inner.peer, request, attempt)?;
         let answer = link.send(asked, limit).await?;
--- a/crates/edge/src/endpoint/stream.rs
+++ b/crates/edge/src/endpoint/stream.rs
@@ -255,7 +255,8 @@
 
 impl Drop for EndpointStream {
     fn drop(&mut self) {
-        if self.sent == 0 || self.over {
+        // A plain service has no cancellation; its connection is closed.
+        if self.sent == 0 || self.over || self.client.kind() == ServiceKind::Plain {
             return;
         }
         let Ok(runtime) = Handle::try_current() else { return };
