Give a slow endpoint longer on each new connection

Cause: a prefill longer than the limit on heads would be cancelled and begun again until the endpoint was blamed. Change: each further connection of an attempt is given twice as long. Seen failing: the same limit on each connection (a_slow_endpoint_is_given_longer...).

--- a/crates/edge/src/endpoint/request.rs
+++ b/crates/edge/src/endpoint/request.rs
@@ -23,9 +23,9 @@
 pub struct EndpointLimits {
     /// Milliseconds that a connection may take to be made.
     pub connect_ms: u64,
-    /// Milliseconds without a head before the connection is suspected.
+    /// Milliseconds without a head before the first connection of a stream is suspected.
     pub head_ms: u64,
-    /// Milliseconds without a byte of the body before the connection is suspected.
+    /// Milliseconds without a byte of the body before the first connection of a stream is suspected.
     pub progress_ms: u64,
     /// Milliseconds that a cancellation may take.
     pub cancel_ms: u64,
--- a/crates/edge/src/endpoint/stream.rs
+++ b/crates/edge/src/endpoint/stream.rs
@@ -183,8 +183,10 @@
         Ok(EndpointEvent::End { length: self.offset })
     }
 
+    /// When the connection is suspected; each new one is given twice as long, for the endpoint may only be slow.
     fn limit(&self, millis: u64) -> Instant {
-        (Instant::now() + Duration::from_millis(millis)).min(self.request.deadline)
+        let patience = Duration::from_millis(millis) * 2u32.saturating_pow(self.resumes);
+        (Instant::now() + patience).min(self.request.deadline)
     }
 
     /// Makes the stream go on over a new connection, or says for good what failed.
--- a/crates/edge/tests/endpoint.rs
+++ b/crates/edge/tests/endpoint.rs
@@ -11,12 +11,15 @@
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
         sync::mpsc,
-        time::{Instant, timeout},
+        time::{Instant, sleep, timeout},
     },
 };
 
 const BODY: &[u8] = b"the whole answer to this request";
 
+/// How long a head may take.
+const HEAD_MS: u64 = 200;
+
 /// A limit that no test waits for.
 const NEVER_MS: u64 = 20_000;
 
@@ -31,6 +34,8 @@
     Silent(usize),
     /// Takes the request and says nothing at all.
     Mute,
+    /// Answers requests whole, after longer than the limit on heads and less than twice that.
+    Slow,
     /// Takes the request and sends this much of the body, then closes.
     Cut(usize),
     /// Takes the request and closes.
@@ -82,13 +87,17 @@
                 let _ = socket.write_all(head.as_bytes()).await;
                 continue;
             }
+            Step::Slow => {
+                sleep(Duration::from_millis(HEAD_MS * 3 / 2)).await;
+                rest.len()
+            }
             Step::Serve | Step::ServeOnce => rest.len(),
         };
         let _ = socket.write_all(head.as_bytes()).await;
         let _ = socket.write_all(&rest[..part]).await;
         match step {
             Step::Silent(_) => return std::future::pending().await,
-            Step::Serve => {}
+            Step::Serve | Step::Slow => {}
             _ => return,
         }
     }
@@ -132,7 +141,7 @@
 }
 
 fn limits() -> EndpointLimits {
-    EndpointLimits { head_ms: 200, progress_ms: 200, ..EndpointLimits::default() }
+    EndpointLimits { head_ms: HEAD_MS, progress_ms: 200, ..EndpointLimits::default() }
 }
 
 /// Runs one attempt; returns the body and how it ended.
@@ -188,6 +197,16 @@
     assert_eq!(seen.recv().await.unwrap().1, 5);
 }
 
+#[tokio::test]
+async fn a_slow_endpoint_is_given_longer_on_each_new_connection() {
+    let steps = vec![Step::Slow, Step::Serve, Step::Slow, Step::Serve, Step::Slow];
+    let (addr, _seen) = scripted(steps).await;
+    let client = EndpointClient::new(addr, ServiceKind::Model, limits());
+    let (body, err) = run(&client, request(true)).await;
+    assert!(err.is_none(), "{err:?}");
+    assert_eq!(body, BODY);
+}
+
 #[tokio::test]
 async fn a_connection_closed_while_idle_is_replaced_unnoticed() {
     let (addr, mut seen) = scripted(vec![Step::ServeOnce, Step::Serve]).await;
