--- a/crates/edge/tests/endpoint.rs
+++ b/crates/edge/tests/endpoint.rs
@@ -11,12 +11,15 @@
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
         sync::mpsc,
-        time::Instant,
+        time::{Instant, sleep, timeout},
     },
 };
 
 const BODY: &[u8] = b"the whole answer to this request";
 
+/// How long a head may take.
+const HEAD_MS: u64 = 200;
+
 /// A limit that no test waits for.
 const NEVER_MS: u64 = 20_000;
 
@@ -31,12 +34,14 @@
     Silent(usize),
     /// Takes the request and says nothing at all.
     Mute,
+    /// Answers requests whole, after longer than the limit on heads and less than twice that.
+    Slow,
     /// Takes the request and sends this much of the body, then closes.
     Cut(usize),
     /// Takes the request and closes.
     Close,
-    /// Closes before anything is read.
-    Refuse,
+    /// Refuses the request and says that it did not run.
+    NotRun,
 }
 
 /// What the endpoint saw: the start line of a request and its resume offset.
@@ -63,9 +68,6 @@
 }
 
 async fn play(mut socket: TcpStream, step: Step, seen: mpsc::UnboundedSender<Seen>) {
-    if step == Step::Refuse {
-        return;
-    }
     loop {
         let Some((line, offset)) = read_request(&mut socket).await else { return };
         let _ = seen.send((line.clone(), offset));
@@ -78,14 +80,24 @@
         let part = match step {
             Step::Silent(part) | Step::Cut(part) => part,
             Step::Mute => return std::future::pending().await,
-            Step::Close | Step::Refuse => return,
+            Step::Close => return,
+            Step::NotRun => {
+                let head =
+                    "HTTP/1.1 404 Not Found\r\nx-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
+                let _ = socket.write_all(head.as_bytes()).await;
+                continue;
+            }
+            Step::Slow => {
+                sleep(Duration::from_millis(HEAD_MS * 3 / 2)).await;
+                rest.len()
+            }
             Step::Serve | Step::ServeOnce => rest.len(),
         };
         let _ = socket.write_all(head.as_bytes()).await;
         let _ = socket.write_all(&rest[..part]).await;
         match step {
             Step::Silent(_) => return std::future::pending().await,
-            Step::Serve => {}
+            Step::Serve | Step::Slow => {}
             _ => return,
         }
     }
@@ -107,6 +119,12 @@
     Some((line, field("x-resume-offset").unwrap_or(0)))
 }
 
+/// The next request that the endpoint sees.
+async fn next(seen: &mut mpsc::UnboundedReceiver<Seen>) -> String {
+    let line = timeout(Duration::from_secs(5), seen.recv()).await;
+    line.expect("the endpoint sees nothing more").expect("the endpoint is gone").0
+}
+
 fn request(idempotent: bool) -> EndpointRequest {
     EndpointRequest {
         request: RequestId(7),
@@ -123,7 +141,7 @@
 }
 
 fn limits() -> EndpointLimits {
-    EndpointLimits { head_ms: 200, progress_ms: 200, ..EndpointLimits::default() }
+    EndpointLimits { head_ms: HEAD_MS, progress_ms: 200, ..EndpointLimits::default() }
 }
 
 /// Runs one attempt; returns the body and how it ended.
@@ -179,6 +197,16 @@
     assert_eq!(seen.recv().await.unwrap().1, 5);
 }
 
+#[tokio::test]
+async fn a_slow_endpoint_is_given_longer_on_each_new_connection() {
+    let steps = vec![Step::Slow, Step::Serve, Step::Slow, Step::Serve, Step::Slow];
+    let (addr, _seen) = scripted(steps).await;
+    let client = EndpointClient::new(addr, ServiceKind::Model, limits());
+    let (body, err) = run(&client, request(true)).await;
+    assert!(err.is_none(), "{err:?}");
+    assert_eq!(body, BODY);
+}
+
 #[tokio::test]
 async fn a_connection_closed_while_idle_is_replaced_unnoticed() {
     let (addr, mut seen) = scripted(vec![Step::ServeOnce, Step::Serve]).await;
@@ -207,6 +235,28 @@
     assert_eq!((err.fault, err.outcome, err.died()), (Fault::Unreachable, Outcome::NotRun, false));
 }
 
+#[rstest]
+#[case::at_first(vec![Step::NotRun, Step::Serve, Step::Serve], Outcome::NotRun)]
+#[case::after_a_silent_connection(vec![Step::Mute, Step::Serve, Step::NotRun], Outcome::Unknown)]
+#[tokio::test]
+async fn an_endpoint_proves_that_its_refusal_did_not_run(
+    #[case] steps: Vec<Step>,
+    #[case] outcome: Outcome,
+) {
+    let (addr, mut seen) = scripted(steps).await;
+    let client = EndpointClient::new(addr, ServiceKind::Model, limits());
+    let err = run(&client, request(true)).await.1.unwrap();
+    assert_eq!((err.fault, err.outcome), (Fault::Refused, outcome));
+    assert!(next(&mut seen).await.starts_with("POST"));
+    if outcome == Outcome::NotRun {
+        // What did not run is not cancelled: all that the endpoint sees is other requests.
+        for _ in 0..10 {
+            assert_eq!(run(&client, request(true)).await.0, BODY);
+            assert!(next(&mut seen).await.starts_with("POST"));
+        }
+    }
+}
+
 #[tokio::test]
 async fn an_endpoint_that_dies_is_told_from_a_connection_that_fails() {
     // Only one connection is ever taken: the new one is refused.
@@ -248,9 +298,9 @@
     let client = EndpointClient::new(addr, ServiceKind::Model, EndpointLimits::default());
     let mut stream = client.send(request(true));
     assert!(matches!(stream.next().await, Ok(EndpointEvent::Head { .. })));
-    assert!(seen.recv().await.unwrap().0.starts_with("POST"));
+    assert!(next(&mut seen).await.starts_with("POST"));
     drop(stream);
-    assert!(seen.recv().await.unwrap().0.starts_with("DELETE"));
+    assert!(next(&mut seen).await.starts_with("DELETE"));
 }
 
 #[tokio::test]
