--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -37,7 +37,8 @@
     pub seq: u64,
     /// The length of the lease, in milliseconds from when the heartbeat was sent; zero: not renewed.
     pub lease_ms: u32,
-    /// No router acts by an older roster than this one, but for missing ones; zero: unknown.
+    /// No router acts by an older roster than this one, but for missing ones, and what all others hold is known;
+    /// zero: not so.
     pub settled: Epoch,
     /// With `settled`: the work that others still run on endpoints that this router owns.
     pub held: SmallVec<[(EndpointId, Work); 4]>,
@@ -238,15 +239,17 @@
         proved.is_some_and(|it| now < self.timing.holder_end(it))
     }
 
-    /// The committed roster if all routers but the missing ones have it and all leases by older ones have ended.
+    /// The committed roster if all routers but the missing ones have it, all leases by older ones have ended, and
+    /// every living router was heard by this leader, so that what it holds is known.
     fn settled(&self, now: Time) -> Epoch {
         let epoch = self.roster.epoch;
         let has = |id: RouterId, peer: &Peer| {
             let entry = self.roster.get(id);
             let serves = entry.is_some_and(|it| it.state != RouterState::Missing);
-            match peer.seq > 0 && peer.acked == epoch {
-                true => true,
-                false => !serves && now >= peer.lease_end,
+            let ended = !serves && now >= peer.lease_end;
+            match peer.seq > 0 {
+                true => peer.acked == epoch || ended,
+                false => peer.dead && ended,
             }
         };
         match self.peers.iter().all(|(id, peer)| has(*id, peer)) {
