--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -12,6 +12,7 @@
 };
 
 const ROUTINGS: &[&str] = &["owner", "round-robin", "least-reported", "rendezvous"];
+const ROLES: [&str; 2] = ["router", "control"];
 const DEFAULT_SECONDS: u64 = 30;
 const DEFAULT_RATE: u32 = 200;
 const DEFAULT_SURGE: u32 = 1;
@@ -45,7 +46,15 @@
         let mut done = false;
         let loaded = until_stopped(async {
             fleet.start().await?;
+            let before = ROLES.map(|it| fleet.used(it));
             load(flags, &fleet).await?;
+            for (role, before) in ROLES.iter().zip(before) {
+                let (seconds, memory) = fleet.used(role);
+                let spent = seconds - before.0;
+                println!(
+                    "{role}: mean of {spent:.2} processor seconds in this load, {memory:.1} MiB"
+                );
+            }
             done = true;
             Ok(())
         });
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -7,6 +7,7 @@
 mod files;
 mod fleet;
 mod tour;
+mod usage;
 
 pub(crate) use crate::demo::{
     files::RunFolder,
--- a/xtask/src/demo/child.rs
+++ b/xtask/src/demo/child.rs
@@ -1,6 +1,7 @@
 //! One child process, whose output goes to a log file.
 
 use {
+    crate::demo::usage::{self, Used},
     eyre::{Result, WrapErr, bail},
     std::{
         fs::{self, File},
@@ -50,6 +51,11 @@
         Ok(())
     }
 
+    /// Returns what the process has used so far.
+    pub(crate) fn used(&self) -> Used {
+        self.process.id().and_then(usage::used).unwrap_or_default()
+    }
+
     /// Asks the process to end in order.
     pub(crate) async fn terminate(&self) {
         let Some(pid) = self.process.id() else { return };
--- a/xtask/src/demo/fleet.rs
+++ b/xtask/src/demo/fleet.rs
@@ -110,6 +110,14 @@
         Ok(())
     }
 
+    /// Returns what the processes of one kind have used so far, in the mean: processor seconds and MiB.
+    pub(crate) fn used(&self, kind: &str) -> (f64, f64) {
+        let used: Vec<_> =
+            self.children.iter().filter(|it| it.name.starts_with(kind)).map(Child::used).collect();
+        let mean = |sum: f64| sum / used.len().max(1) as f64;
+        (mean(used.iter().map(|it| it.seconds).sum()), mean(used.iter().map(|it| it.memory).sum()))
+    }
+
     /// Waits until any process ends and returns its name.
     pub(crate) async fn wait_for_exit(&mut self) -> Result<String> {
         loop {
