--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -1,7 +1,11 @@
 //! The settings of a control replica.
 
 use {
-    crate::{load::Check, log::LogSettings, tls::TlsFiles},
+    crate::{
+        load::{Check, rule},
+        log::LogSettings,
+        tls::TlsFiles,
+    },
     derive_more::Debug,
     model::{Domain, HostName},
     serde::{Deserialize, Serialize},
@@ -65,9 +69,6 @@
 
 impl Check for ControlSettings {
     fn check(&self) -> Result<(), (&'static str, String)> {
-        let rule = |key, held: bool, expected: &str| {
-            if held { Ok(()) } else { Err((key, expected.to_owned())) }
-        };
         let inner: BTreeSet<_> = self.peers.iter().map(|it| it.inner).collect();
         let admin: BTreeSet<_> = self.peers.iter().map(|it| it.admin).collect();
         let count = self.peers.len();
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,7 +15,7 @@
 pub use crate::{
     control::{ControlPeer, ControlSettings, WeightLimits},
     error::SettingsError,
-    load::{Check, load, parse},
+    load::{Check, load, parse, rule},
     load_tool::{LoadEngine, LoadPlain, LoadRouter, LoadSettings, LoadTeam},
     log::{LogFormat, LogLevel, LogSettings},
     operator::OperatorSettings,
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -19,6 +19,15 @@
     fn check(&self) -> Result<(), (&'static str, String)>;
 }
 
+/// Returns the fault of a rule that does not hold, for [`Check::check`].
+///
+/// # Errors
+///
+/// The key and what was expected, unless `held`.
+pub fn rule(key: &'static str, held: bool, expected: &str) -> Result<(), (&'static str, String)> {
+    if held { Ok(()) } else { Err((key, expected.to_owned())) }
+}
+
 /// Reads, parses and checks a file.
 ///
 /// # Errors
--- a/crates/settings/src/load_tool.rs
+++ b/crates/settings/src/load_tool.rs
@@ -1,7 +1,7 @@
 //! The settings of the load tool: what it drives and what it watches.
 
 use {
-    crate::load::Check,
+    crate::load::{Check, rule},
     derive_more::Debug,
     model::Name,
     serde::{Deserialize, Serialize},
@@ -72,9 +72,6 @@
 
 impl Check for LoadSettings {
     fn check(&self) -> Result<(), (&'static str, String)> {
-        let rule = |key, held: bool, expected: &str| {
-            if held { Ok(()) } else { Err((key, expected.to_owned())) }
-        };
         let shares: u64 = self.team.iter().map(|it| u64::from(it.share)).sum();
         rule("router", !self.router.is_empty(), "expected at least one")?;
         rule("team", !self.team.is_empty(), "expected at least one")?;
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -1,7 +1,7 @@
 //! The settings of the operator's command line.
 
 use {
-    crate::load::Check,
+    crate::load::{Check, rule},
     derive_more::Debug,
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, path::PathBuf},
@@ -22,9 +22,6 @@
 
 impl Check for OperatorSettings {
     fn check(&self) -> Result<(), (&'static str, String)> {
-        let rule = |key, held: bool, expected: &str| {
-            if held { Ok(()) } else { Err((key, expected.to_owned())) }
-        };
         rule("control", !self.control.is_empty(), "expected at least one address")?;
         rule("timeout-ms", self.timeout_ms > 0, "expected at least 1")
     }
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        load::Check,
+        load::{Check, rule},
         log::LogSettings,
         tls::{CertFiles, TlsFiles},
     },
@@ -95,9 +95,6 @@
 
 impl Check for RouterSettings {
     fn check(&self) -> Result<(), (&'static str, String)> {
-        let rule = |key, held: bool, expected: &str| {
-            if held { Ok(()) } else { Err((key, expected.to_owned())) }
-        };
         let limits = &self.limits;
         rule("host", !self.host.0.is_empty(), "expected a name, found an empty one")?;
         rule("domain", !self.domain.0.is_empty(), "expected a name, found an empty one")?;
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -4,7 +4,7 @@
     crate::orders::ImageText,
     model::{Fencing, Name},
     serde::Deserialize,
-    settings::{Check, LogSettings},
+    settings::{Check, LogSettings, rule},
     std::net::SocketAddr,
 };
 
@@ -152,9 +152,6 @@
 
 impl Check for StandinSettings {
     fn check(&self) -> Result<(), (&'static str, String)> {
-        let rule = |key, held: bool, expected: &str| {
-            if held { Ok(()) } else { Err((key, expected.to_owned())) }
-        };
         let engines = self.engine.iter().map(|it| &it.name);
         let names: Vec<&Name> = engines.chain(self.plain.iter().map(|it| &it.name)).collect();
         let distinct = names.iter().enumerate().all(|(at, it)| !names[..at].contains(it));
