--- a/crates/retry/src/attempts/place.rs
+++ b/crates/retry/src/attempts/place.rs
@@ -31,7 +31,8 @@
     ) {
         let State::Sent { endpoint, admission, .. } = self.state else { return };
         if admission == Admission::Wait {
-            return self.wait_at_next(now, endpoint, actions);
+            // The queue does not move, as while the owner changes.
+            return self.next_or_wait(now, endpoint, Admission::Wait, actions);
         }
         self.hops += 1;
         match admission {
@@ -52,16 +53,22 @@
         self.forward(home, admission, actions);
     }
 
-    /// The endpoint's queue does not move, as while its owner changes: the request waits at another candidate, and
-    /// after the last one begins again a little later.
-    fn wait_at_next(&mut self, now: Time, endpoint: EndpointId, actions: &mut Actions) {
+    /// Nothing can be started at an endpoint for now: the request goes to another candidate, and after the last one
+    /// begins again a little later.
+    fn next_or_wait(
+        &mut self,
+        now: Time,
+        endpoint: EndpointId,
+        admission: Admission,
+        actions: &mut Actions,
+    ) {
         self.routes.avoid(endpoint);
         if let Some(next) = self.routes.untried() {
-            return self.forward(next, Admission::Wait, actions);
+            return self.forward(next, admission, actions);
         }
         self.routes.pardon();
         match self.routes.home() {
-            Some(home) => self.wait(now, home, Admission::Wait, actions),
+            Some(home) => self.wait(now, home, admission, actions),
             None => self.give_up(Reason::Unavailable, 0, actions),
         }
     }
@@ -87,18 +94,10 @@
         }
     }
 
-    /// The owner of the endpoint could not be reached: another candidate, or all of them again a little later.
+    /// The owner of the endpoint could not be reached.
     pub(super) fn pause(&mut self, now: Time, actions: &mut Actions) {
         let State::Sent { endpoint, .. } = self.state else { return };
-        self.routes.avoid(endpoint);
-        if let Some(next) = self.routes.untried() {
-            return self.forward(next, Admission::Home, actions);
-        }
-        self.routes.pardon();
-        match self.routes.home() {
-            Some(home) => self.wait(now, home, Admission::Home, actions),
-            None => self.give_up(Reason::Unavailable, 0, actions),
-        }
+        self.next_or_wait(now, endpoint, Admission::Home, actions);
     }
 
     fn wait(
