Keep the mean fresh, let a request wait where its prefix is, and hand over what owners remember

The bound follows the mean of running work; told once a second, a fleet that ramps up could start one more request an endpoint a second, so requests queued while engines idled, and each one that spilled computed its prompt again. Ruled out: lost leases (all rights were full in the trace). Change: a router whose sums move by an eighth, or in whose queues requests wait, sends heartbeats each 200 ms; a request whose prefix is cached waits as long as Table::hold says before it spills; the owner of the home is told where a spilled chat runs; a new owner asks the former one for its memory; a silent control connection is left after 3 s even while heartbeats are sent.

--- a/crates/router/src/drive.rs
+++ b/crates/router/src/drive.rs
@@ -8,6 +8,7 @@
     crate::{
         call::Call,
         handoff::{Answer, Handoff},
+        note,
         shared::Shared,
         view::View,
     },
@@ -15,6 +16,7 @@
     derive_more::Debug,
     model::{AttemptNo, EndpointId, Epoch, Outcome, Reason, Refusal, RouterId, Time},
     retry::{Action, Actions, Admission, Attempts, Event, Limits, Reply, Spec},
+    settings::Routing,
     smallvec::SmallVec,
     std::{collections::VecDeque, sync::Arc},
     tokio::{
@@ -301,12 +303,24 @@
         };
         let (sender, body) = mpsc::channel(PARTS);
         let endpoint = self.current.as_ref().map_or(EndpointId(0), |it| it.endpoint);
+        self.tell_spilled(endpoint);
         let headers = std::mem::take(&mut self.headers);
         if head.send(Ok(Head { status, headers, endpoint, body })).is_ok() {
             self.caller = Caller::Reading(sender);
         }
     }
 
+    /// Tells the owner of the chat's home where the chat runs, if that is elsewhere.
+    fn tell_spilled(&self, endpoint: EndpointId) {
+        let view = self.shared.view();
+        let owned = self.shared.settings.routing == Routing::Owner && self.call.image.is_some();
+        let homes = view.homes(self.call.service, &self.call.image).filter(|_| owned);
+        let Some(home) = homes.and_then(|it| it.home(self.call.chat)) else { return };
+        if home != endpoint {
+            note::tell_spilled(&self.shared, &view, home, self.call.chat, endpoint);
+        }
+    }
+
     fn answer(&mut self, refusal: Refusal) {
         if let Caller::Waiting(head) = std::mem::replace(&mut self.caller, Caller::Done) {
             let _ = head.send(Err(refusal));
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -5,25 +5,26 @@
 
 use {
     crate::shared::Shared,
-    eyre::{Result, WrapErr, bail, ensure},
+    eyre::{Result, bail, ensure},
     model::{Config, Delta, MILLISECOND, Roster},
     rand::Rng,
     std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::time::{Instant, sleep, sleep_until, timeout},
+    tokio::time::{Instant, sleep, sleep_until},
     wire::{
         Class, Dialer, Peer, RecvHalf, SendHalf,
         msg::{FEED_PATH, FromControl, ToControl},
     },
 };
 
-/// Milliseconds between heartbeats.
-const HEARTBEAT_MS: u64 = 1_000;
+/// Time between heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Milliseconds between heartbeats while the router is not in the roster.
-const JOIN_MS: u64 = 100;
+/// Time between heartbeats while the router is not in the roster, or its loads change or requests wait: the
+/// mean by which the bound is kept must not be old then.
+const BUSY_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Milliseconds without any frame after which a replica is given up.
-const SILENCE_LIMIT_MS: u64 = 3_000;
+/// Time without any frame after which a replica is given up.
+const SILENCE_LIMIT: Duration = Duration::from_millis(3_000);
 
 /// Milliseconds to wait before the replicas are tried again, at most; the wait is random below it.
 const BACKOFF_MS: u64 = 400;
@@ -56,42 +57,39 @@
     let (mut send, mut recv) = peer.open(FEED_PATH).await?.split();
     send.send(&hello(shared)).await?;
     shared.owned.lock().member.disconnected();
-    let mut session = Session { shared, listed: false };
+    let mut session = Session { shared, listed: false, sent: Instant::now() };
     let mut welcomed = false;
     let mut due = Instant::now();
+    let mut silent = due + SILENCE_LIMIT;
     loop {
         tokio::select! {
-            frame = next(&mut recv) => match frame? {
-                FromControl::NotLeader { leader } => return Ok(leader),
-                FromControl::Welcome { router } => {
-                    ensure!(shared.welcome(router), "replica gave this process a second id, {router}");
-                    welcomed = true;
-                }
-                frame => {
-                    let changed = session.take(frame)?;
-                    if changed {
-                        session.beat(&mut send).await?;
+            frame = next(&mut recv) => {
+                silent = Instant::now() + SILENCE_LIMIT;
+                match frame? {
+                    FromControl::NotLeader { leader } => return Ok(leader),
+                    FromControl::Welcome { router } => {
+                        ensure!(shared.welcome(router), "this process got a second id, {router}");
+                        welcomed = true;
                     }
+                    frame => if session.take(frame)? {
+                        session.beat(&mut send).await?;
+                    },
                 }
-            },
+            }
             () = sleep_until(due), if welcomed => {
-                session.beat(&mut send).await?;
-                due = Instant::now() + pause(shared);
+                if session.is_due() {
+                    session.beat(&mut send).await?;
+                }
+                due = Instant::now() + BUSY_INTERVAL;
             }
             () = shared.leaving.notified(), if welcomed => session.beat(&mut send).await?,
+            () = sleep_until(silent) => bail!("replica is silent"),
         }
     }
 }
 
-/// The time until the next heartbeat.
-fn pause(shared: &Shared) -> Duration {
-    Duration::from_millis(if shared.is_listed() { HEARTBEAT_MS } else { JOIN_MS })
-}
-
 async fn next(recv: &mut RecvHalf) -> Result<FromControl> {
-    let frame = timeout(Duration::from_millis(SILENCE_LIMIT_MS), recv.recv()).await;
-    let frame = frame.wrap_err("replica is silent")??;
-    match frame {
+    match recv.recv().await? {
         Some(frame) => Ok(frame),
         None => bail!("replica ended the feed"),
     }
@@ -114,13 +112,22 @@
     shared: &'a Arc<Shared>,
     /// Whether the replica has sent its roster.
     listed: bool,
+    /// When the last heartbeat was sent.
+    sent: Instant,
 }
 
 impl Session<'_> {
+    /// Whether a heartbeat should be sent.
+    fn is_due(&self) -> bool {
+        let busy = !self.shared.is_listed() || self.shared.owned.lock().wants_news();
+        busy || self.sent.elapsed() + BUSY_INTERVAL / 2 >= HEARTBEAT_INTERVAL
+    }
+
     /// Sends a heartbeat, unless the one before is still unanswered.
-    async fn beat(&self, send: &mut SendHalf) -> Result<()> {
+    async fn beat(&mut self, send: &mut SendHalf) -> Result<()> {
         let now = self.shared.clock.now();
         let Some(heartbeat) = self.shared.heartbeat(now) else { return Ok(()) };
+        self.sent = Instant::now();
         send.send(&heartbeat).await?;
         let crashers = self.shared.owned.lock().take_crashers();
         for fingerprint in crashers {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,7 +3,8 @@
 //! The decisions are made by `member`, `placement`, `admission` and `retry`; here are the sockets, timers and tables
 //! that drive them. `entry` takes a caller's request, `drive` carries out what [`retry::Attempts`] says about it,
 //! `handoff` reaches the owner, `owner` admits it and speaks with the endpoint, `keyed` wraps calls that must run at
-//! most once, `feed` keeps the view and the lease, and `probe` asks owned endpoints for their load.
+//! most once, `feed` keeps the view and the lease, `note` tells
+//! other routers where spilled chats run, and `probe` asks owned endpoints for their load.
 
 #![allow(clippy::disallowed_methods, reason = "process crate: it reads clocks")]
 
@@ -15,6 +16,7 @@
 mod handoff;
 mod keyed;
 mod metrics;
+mod note;
 mod owned;
 mod owner;
 mod probe;
--- a/crates/router/src/owned.rs
+++ b/crates/router/src/owned.rs
@@ -81,6 +81,8 @@
     chats: HashMap<RequestId, ChatKey>,
     recent: VecDeque<RequestId>,
     crashers: SmallVec<[Digest; 2]>,
+    /// The sums of the last heartbeat.
+    told: SmallVec<[LoadSum; 4]>,
 }
 
 impl Owned {
@@ -99,6 +101,7 @@
             chats: HashMap::new(),
             recent: VecDeque::new(),
             crashers: SmallVec::new(),
+            told: SmallVec::new(),
         }
     }
 
@@ -121,6 +124,7 @@
     ) -> Option<ToControl> {
         let (seq, epoch) = self.member.beat(now)?;
         let (sums, held) = (self.sums(), self.table.held(&self.member));
+        self.told = sums.clone();
         Some(ToControl::Heartbeat {
             seq,
             revision,
@@ -132,6 +136,16 @@
         })
     }
 
+    /// Whether the mean may be old: requests wait, or a sum moved by an eighth since the last heartbeat.
+    pub(crate) fn wants_news(&self) -> bool {
+        let moved = |now: &LoadSum| {
+            let told = self.told.iter().find(|it| it.service == now.service);
+            let before = told.map_or(Work::ZERO, |it| it.sum);
+            now.sum.0.abs_diff(before.0) > before.0 / 8
+        };
+        !self.waiting.is_empty() || self.sums().iter().any(moved)
+    }
+
     /// The loads of the endpoints that this router owns.
     pub(crate) fn sums(&self) -> SmallVec<[LoadSum; 4]> {
         let sums = self.table.sums(&self.member);
--- a/crates/router/src/owner.rs
+++ b/crates/router/src/owner.rs
@@ -10,17 +10,27 @@
     bytes::Bytes,
     edge::{EndpointError, EndpointEvent, EndpointRequest, EndpointStream, Fault},
     http::{HeaderMap, HeaderName, HeaderValue, Method},
-    model::{Endpoint, EndpointState, Outcome, Reason, Refusal, ServiceKind, Time, Work},
+    model::{
+        Endpoint, EndpointId, EndpointState, MILLISECOND, Outcome, Reason, Refusal, ServiceKind,
+        Time, Work,
+    },
     placement::Start,
     settings::Routing,
+    smallvec::SmallVec,
     std::sync::Arc,
-    tokio::sync::{mpsc, oneshot},
+    tokio::{
+        sync::{mpsc, oneshot},
+        time::sleep_until,
+    },
     wire::msg::{Admit, Forward, ForwardReply, Header},
 };
 
 /// When a request may come back after its endpoint failed, in milliseconds.
 const FAILED_RETRY_MS: u32 = 1_000;
 
+/// The queue answers at a deadline before the request gives its place up, in microseconds.
+const QUEUE_MARGIN_US: u64 = 100 * MILLISECOND;
+
 /// After so many parts of an answer the table learns how much work is left; a part is about a token.
 const PROGRESS_PARTS: u64 = 16;
 
@@ -107,29 +117,45 @@
         let struck = vetted.map_err(NotStarted::Refused)?;
         match owned.start(now, homes, &start, struck) {
             Ok(running) => Ok(running),
-            Err(NotStarted::Elsewhere(_)) if forward.admit == Admit::Wait => {
+            Err(NotStarted::Elsewhere(others)) => {
+                let patience = match forward.admit {
+                    Admit::Wait => until + QUEUE_MARGIN_US,
+                    Admit::Home | Admit::Spill => now + owned.table.hold(&start),
+                };
+                if patience == now {
+                    return Err(NotStarted::Elsewhere(others));
+                }
                 let waiting = waiting(view, forward, until);
                 let turn = owned.wait(now, waiting, start, homes.clone(), struck);
-                Err(turn.map_err(NotStarted::Refused)?)
+                Err((turn.map_err(NotStarted::Refused)?, patience, others))
             }
             Err(refused) => return Err(refused),
         }
     };
     let running = match first {
         Ok(running) => running,
-        Err(turn) => queued(shared, start, turn).await?,
+        Err((turn, patience, others)) => queued(shared, start, turn, patience, others).await?,
     };
     Ok((endpoint.clone(), Run { shared: shared.clone(), running }))
 }
 
-/// Waits for the turn; the queue answers at the deadline.
+/// Waits for the turn; once `patience` is over the request goes on to `others`.
+///
+/// A request whose prefix is cached here waits about as long as computing it elsewhere would take; one that has
+/// nowhere else to go waits until its deadline, at which the queue answers.
 async fn queued(
     shared: &Arc<Shared>,
     start: Start,
     turn: oneshot::Receiver<Turn>,
+    patience: Time,
+    others: SmallVec<[EndpointId; 4]>,
 ) -> Result<Running, NotStarted> {
     let mut place = Place { shared: shared.clone(), start, turn };
-    let turn = (&mut place.turn).await;
+    let over = shared.clock.deadline(patience);
+    let turn = tokio::select! {
+        turn = &mut place.turn => turn,
+        () = sleep_until(over) => return Err(NotStarted::Elsewhere(others)),
+    };
     turn.unwrap_or(Err(NotStarted::Refused(Refusal::not_run(Reason::Unavailable, FAILED_RETRY_MS))))
 }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,7 +1,13 @@
 //! A running router.
 
 use {
-    crate::{admin, entry, feed, handoff, metrics::Metrics, probe, shared::Shared},
+    crate::{
+        admin, entry, feed, handoff,
+        metrics::Metrics,
+        note::{self, NOTE_PATH},
+        probe,
+        shared::Shared,
+    },
     edge::{Server, ServerLimits},
     eyre::{Result, eyre},
     model::SECOND,
@@ -116,10 +122,10 @@
 
 async fn accept(shared: Arc<Shared>, mut listener: Listener) {
     while let Some(incoming) = listener.accept().await {
-        if incoming.path == FORWARD_PATH {
-            tokio::spawn(handoff::accept(shared.clone(), incoming));
-        } else {
-            tracing::warn!("router: {} asks for unknown {}", incoming.peer, incoming.path);
+        match incoming.path.as_str() {
+            FORWARD_PATH => drop(tokio::spawn(handoff::accept(shared.clone(), incoming))),
+            NOTE_PATH => drop(tokio::spawn(note::accept(shared.clone(), incoming))),
+            path => tracing::warn!("router: {} asks for unknown {path}", incoming.peer),
         }
     }
 }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -4,15 +4,15 @@
 //! `leader` are leaves: no other lock is taken under them.
 
 use {
-    crate::{call::Call, metrics::Metrics, owned::Owned, view::View},
+    crate::{call::Call, metrics::Metrics, note, owned::Owned, view::View},
     admission::TeamLimits,
     edge::{EndpointClient, EndpointLimits},
     model::{
-        Config, Digest, Endpoint, EndpointId, RequestId, Roster, RouterId, RouterState,
+        ChatKey, Config, Digest, Endpoint, EndpointId, RequestId, Roster, RouterId, RouterState,
         ServiceKind, Time,
     },
     parking_lot::Mutex,
-    placement::Homes,
+    placement::{Homes, Memory},
     rand::random,
     retry::Budget,
     settings::{RouterSettings, Routing},
@@ -154,7 +154,7 @@
     }
 
     /// Puts a roster in force, or keeps an older one for what missing routers may do by it.
-    pub(crate) fn install_roster(&self, roster: &Roster) {
+    pub(crate) fn install_roster(self: &Arc<Shared>, roster: &Roster) {
         let now = self.clock.now();
         let mut owned = self.owned.lock();
         let view = self.view();
@@ -164,6 +164,7 @@
         }
         self.install(&owned, view.config.clone(), roster.clone());
         drop(owned);
+        note::recall(self, &view, &self.view());
         let live = roster.routers.iter().filter(|it| it.state == RouterState::Live).count();
         self.limits.lock().set_routers(live as u32);
     }
@@ -175,6 +176,30 @@
         self.views.send_replace(Arc::new(View::new(config, roster, owners)));
     }
 
+    /// Notes where a chat runs whose home is owned here.
+    pub(crate) fn spilled(&self, chat: ChatKey, endpoint: EndpointId) {
+        let now = self.clock.now();
+        self.owned.lock().table.spilled(now, chat, endpoint);
+    }
+
+    /// What this router remembers of an endpoint, for its next owner.
+    pub(crate) fn memory(&self, endpoint: EndpointId) -> Memory {
+        let now = self.clock.now();
+        let view = self.view();
+        let homes = view.endpoint(endpoint).and_then(|it| {
+            let image = it.images.first().cloned();
+            view.homes(it.service, &image)
+        });
+        let Some(homes) = homes else { return Memory::default() };
+        self.owned.lock().table.memory(now, homes, endpoint)
+    }
+
+    /// Takes over what the former owner of an endpoint remembered.
+    pub(crate) fn take_memory(&self, endpoint: EndpointId, memory: &Memory) {
+        let now = self.clock.now();
+        self.owned.lock().table.take_memory(now, endpoint, memory);
+    }
+
     /// Returns the heartbeat to send now, unless the one before is unanswered.
     pub(crate) fn heartbeat(&self, now: Time) -> Option<ToControl> {
         let revision = self.view().config.revision;
