Prove the log over five replicas that lose two disks

Cause: with three replicas no mutation of the rule 'one change of members at a time' was caught. Change: the model takes groups of any size; a disk may be lost whenever a quorum with a full disk is left. Seen failing, five_replicas_survive_two_lost_disks on: a second change before the first is committed; a vote before the replica holds what was committed before it joined. Not caught: a change before an own entry is committed. Conclusion: two rules of membership have their proof, one is kept without.

--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -2,10 +2,7 @@
 
 mod sim;
 
-use {
-    proptest::prelude::*,
-    sim::{SLOTS, Sim},
-};
+use {proptest::prelude::*, sim::Sim};
 
 #[derive(Clone, Debug)]
 enum Op {
@@ -37,8 +34,9 @@
     Heal,
 }
 
-fn op() -> impl Strategy<Value = Op> {
-    let slot = || 0..SLOTS;
+/// Faults and calls in a group of so many.
+fn op(slots: usize) -> impl Strategy<Value = Op> {
+    let slot = move || 0..slots;
     prop_oneof![
         24 => (1..100u8).prop_map(Op::Rounds),
         4 => (1..400_000u32).prop_map(Op::Pass),
@@ -80,7 +78,7 @@
         Op::Rounds(count) => (0..count).for_each(|_| sim.round()),
         Op::Pass(micros) => {
             sim.pass(u64::from(micros));
-            (0..SLOTS).for_each(|it| sim.tick(it));
+            (0..sim.slots.len()).for_each(|it| sim.tick(it));
         }
         Op::Deliver(pick) => sim.deliver(Some(pick.into())),
         Op::Lose(pick) => sim.net.lose(pick.into()),
@@ -124,27 +122,40 @@
 }
 
 fn isolate(sim: &mut Sim, at: usize) {
-    for other in 0..SLOTS {
+    for other in 0..sim.slots.len() {
         sim.net.cut(at, other);
         sim.net.cut(other, at);
     }
 }
 
+/// Runs a group through faults, then checks that it has kept everything and works again.
+fn check(drifts: &[i32], ops: &[Op]) {
+    let mut sim = Sim::start(drifts);
+    ops.iter().for_each(|it| run(&mut sim, it));
+    sim.settle();
+    sim.check_acked();
+    let (leader, before) = (sim.leading().unwrap(), sim.acked.len());
+    sim.propose(leader);
+    (0..50).for_each(|_| sim.round());
+    assert_eq!(sim.acked.len(), before + 1, "the group takes commands again");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn nothing_acknowledged_is_lost_and_one_leads(
         drifts in prop::array::uniform3(drift()),
-        ops in prop::collection::vec(op(), 1..150),
+        ops in prop::collection::vec(op(3), 1..150),
+    ) {
+        check(&drifts, &ops);
+    }
+
+    #[test]
+    fn five_replicas_survive_two_lost_disks(
+        drifts in prop::array::uniform5(drift()),
+        ops in prop::collection::vec(op(5), 1..150),
     ) {
-        let mut sim = Sim::start(drifts);
-        ops.iter().for_each(|it| run(&mut sim, it));
-        sim.settle();
-        sim.check_acked();
-        let (leader, before) = (sim.leading().unwrap(), sim.acked.len());
-        sim.propose(leader);
-        (0..50).for_each(|_| sim.round());
-        prop_assert_eq!(sim.acked.len(), before + 1, "the group takes commands again");
+        check(&drifts, &ops);
     }
 }
--- a/crates/replica/tests/sim/check.rs
+++ b/crates/replica/tests/sim/check.rs
@@ -1,30 +1,43 @@
 //! What must hold at every step.
 
 use {
-    super::{SLOTS, Sim},
+    super::Sim,
     bytes::Bytes,
     model::Term,
-    quorum::{Entry, Payload},
+    quorum::{Entry, Members, Payload},
 };
 
 impl Sim {
-    /// Whether a leader has committed that the present replica of every slot votes.
+    /// Whether a leader has committed that the present replica of every slot votes, and no other.
     pub(crate) fn is_whole(&self) -> bool {
-        let ids: Option<Vec<_>> =
-            self.slots.iter().map(|it| Some(it.node.as_ref()?.core.id())).collect();
-        let (Some(mut ids), Some(leader)) = (ids, self.leading()) else { return false };
-        ids.sort_unstable();
-        let Some(node) = &self.slots[leader].node else { return false };
+        let Some(members) = self.settled_members() else { return false };
+        self.present(members) == self.slots.len() && members.voters().count() == self.slots.len()
+    }
+
+    /// Whether a quorum is left, with all that is committed, when one more disk is lost.
+    pub(super) fn can_lose(&self) -> bool {
+        let members = self.settled_members();
+        members.is_some_and(|it| self.present(it) > it.majority())
+    }
+
+    /// The membership of the replica that leads, if it is committed.
+    fn settled_members(&self) -> Option<&Members> {
+        let node = self.slots[self.leading()?].node.as_ref()?;
         let committed = self.history.values().rev().find_map(|it| match &it.payload {
             Payload::Members(members) => Some(members),
             Payload::Empty | Payload::Command(_) => None,
         });
-        committed == Some(node.core.members()) && node.core.members().voters().eq(ids)
+        committed.filter(|it| *it == node.core.members())
+    }
+
+    /// How many voters have not lost their disks.
+    fn present(&self, members: &Members) -> usize {
+        self.slots.iter().filter(|it| it.id.is_some_and(|it| members.is_voter(it))).count()
     }
 
     /// The slot whose replica holds the lease.
     pub(crate) fn leading(&self) -> Option<usize> {
-        (0..SLOTS).find(|it| self.leads(*it).is_some())
+        (0..self.slots.len()).find(|it| self.leads(*it).is_some())
     }
 
     fn leads(&self, at: usize) -> Option<Term> {
@@ -69,7 +82,8 @@
     }
 
     pub(super) fn check(&mut self) {
-        let leading: Vec<_> = (0..SLOTS).filter_map(|it| Some((it, self.leads(it)?))).collect();
+        let leading: Vec<_> =
+            (0..self.slots.len()).filter_map(|it| Some((it, self.leads(it)?))).collect();
         assert!(leading.len() <= 1, "two replicas lead at {:?}: {leading:?}", self.now);
         let Some((at, term)) = leading.first().copied() else { return };
         for node in self.slots.iter().filter_map(|it| it.node.as_ref()) {
--- a/crates/replica/tests/sim/mod.rs
+++ b/crates/replica/tests/sim/mod.rs
@@ -1,4 +1,4 @@
-//! Three replicas over an unreliable network, disks that forget and clocks that drift, in one thread.
+//! A group of replicas over an unreliable network, disks that forget and clocks that drift, in one thread.
 //!
 //! Checked at every step: committed entries agree, nothing acknowledged is missing from a leader or from a read, and
 //! no two replicas lead at one moment.
@@ -15,7 +15,6 @@
     store::StoreError,
 };
 
-pub(crate) const SLOTS: usize = 3;
 const FOLDER: &str = "/data";
 const HEARTBEAT: u64 = 100 * MILLISECOND;
 const ELECTION: u64 = 1_000 * MILLISECOND;
@@ -26,6 +25,8 @@
 
 /// A host with one disk; its replica gets a new id when the disk is lost.
 pub(crate) struct Slot {
+    /// The replica that the disk belongs to.
+    id: Option<ReplicaId>,
     disk: Disk,
     clock: DriftClock,
     pub(crate) node: Option<Node>,
@@ -66,10 +67,10 @@
     SocketAddr::from(([127, 0, 0, 1], slot as u16 + 1))
 }
 
-fn config() -> Config {
+fn config(replicas: usize) -> Config {
     let mut config = Config::default();
     config.set_timeouts(HEARTBEAT, ELECTION, DRIFT_PERCENT).unwrap();
-    config.set_voters(2);
+    config.set_voters(replicas / 2 + 1);
     config.set_batch(1);
     config.set_chunk(16);
     config.set_tail(2);
@@ -77,11 +78,12 @@
 }
 
 impl Sim {
-    /// Founds a group and waits until all three vote; `drifts` are in millionths.
-    pub(crate) fn start(drifts: [i32; SLOTS]) -> Sim {
-        let slot = |drift| Slot {
+    /// Founds a group and waits until all vote; `drifts` are those of their clocks, in millionths.
+    pub(crate) fn start(drifts: &[i32]) -> Sim {
+        let slot = |drift: &i32| Slot {
+            id: None,
             disk: Disk::default(),
-            clock: DriftClock { zero: Time(1_000_000), drift },
+            clock: DriftClock { zero: Time(1_000_000), drift: *drift },
             node: None,
             frozen: false,
             stalled: false,
@@ -90,7 +92,7 @@
         let mut sim = Sim {
             now: Time(1),
             net: Net::default(),
-            slots: drifts.into_iter().map(slot).collect(),
+            slots: drifts.iter().map(slot).collect(),
             history: BTreeMap::new(),
             acked: BTreeMap::new(),
             leaders: BTreeMap::new(),
@@ -101,7 +103,7 @@
             reads: 0,
             count: 0,
         };
-        (0..SLOTS).for_each(|it| sim.restart(it));
+        (0..sim.slots.len()).for_each(|it| sim.restart(it));
         sim.step(0, Event::Found { group: 7, addr: addr(0) });
         sim.settle();
         sim
@@ -112,6 +114,7 @@
             return;
         }
         self.count += 1;
+        let replicas = self.slots.len();
         let slot = &mut self.slots[at];
         // Another process counts from another zero.
         slot.clock.zero = slot.clock.zero + self.count * 17;
@@ -128,8 +131,9 @@
             }
             Err(err) => panic!("{err}"),
         };
-        let (core, actions) = Core::open(now, config(), journal.id(), durable, self.count);
+        let (core, actions) = Core::open(now, config(replicas), journal.id(), durable, self.count);
         slot.frozen = false;
+        slot.id = Some(journal.id());
         slot.node = Some(Node {
             core,
             journal,
@@ -155,12 +159,13 @@
         self.slots[at].pick = pick;
     }
 
-    /// Loses a disk if all three replicas vote by what the leader has committed: the repair before it is done.
+    /// Loses a disk, if a quorum is left then; returns whether it did.
     pub(crate) fn lose_disk(&mut self, at: usize) -> bool {
-        if !self.is_whole() {
+        if !self.can_lose() {
             return false;
         }
         self.slots[at].node = None;
+        self.slots[at].id = None;
         self.slots[at].disk = Disk::default();
         true
     }
@@ -243,17 +248,17 @@
     /// Lets time pass as on a good day, but for cuts, frozen replicas and stalled disks.
     pub(crate) fn round(&mut self) {
         self.pass(ROUND);
-        for at in 0..SLOTS {
+        for at in 0..self.slots.len() {
             self.tick(at);
         }
         self.rounds += 1;
         if self.rounds.is_multiple_of(10) {
-            (0..SLOTS).for_each(|it| self.ask_to_join(it));
+            (0..self.slots.len()).for_each(|it| self.ask_to_join(it));
         }
         for _ in 0..self.net.len() {
             self.deliver(None);
         }
-        for at in 0..SLOTS {
+        for at in 0..self.slots.len() {
             if !self.slots[at].stalled {
                 self.sync(at);
             }
@@ -263,11 +268,11 @@
         }
     }
 
-    /// Ends all faults and waits until all three replicas vote and have applied the same.
+    /// Ends all faults and waits until all replicas vote and have applied the same.
     pub(crate) fn settle(&mut self) {
         self.net.heal();
         self.delay = 0;
-        for at in 0..SLOTS {
+        for at in 0..self.slots.len() {
             self.slots[at].frozen = false;
             self.slots[at].stalled = false;
             self.crash(at, 1);
@@ -298,7 +303,9 @@
         }
         let message = Message::Join { addr: addr(at) };
         let envelope = Envelope { group, from: id, to: id, term: Term(0), message };
-        (0..SLOTS).filter(|it| *it != at).for_each(|it| self.net.send(at, it, envelope.clone()));
+        (0..self.slots.len())
+            .filter(|it| *it != at)
+            .for_each(|it| self.net.send(at, it, envelope.clone()));
     }
 
     fn step(&mut self, at: usize, event: Event) {
