Replace connections that went silent in one direction

Cause: a new test makes all present connections carry nothing while new ones work; no commit came within 5 s. A replica took frames from the other side's new connection as a sign that its own old connection worked. Ruled out: waiting for the pings of the wire (7 s), and what each replica hears of the other. Change: each frame is answered on its stream; half an election timeout without an answer replaces the connection. Conclusion: a group goes on within 5 s after all its connections went silent at once.

--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -13,7 +13,7 @@
     bytes::Bytes,
     model::{MILLISECOND, ReplicaId, Term, Time},
     quorum::{Action, Actions, Core, Entry, Envelope, Event, Message, Payload, Snapshot},
-    std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
     store::StoreError,
     tokio::{
         sync::{mpsc, oneshot},
@@ -83,9 +83,8 @@
         dialer: Dialer,
         inputs: mpsc::Sender<Input>,
     ) -> Driver<M> {
-        let silence = config.election_ms * MILLISECOND;
-        let clock = shared.clock;
-        let link = |it: &SocketAddr| (*it, Link::spawn(*it, dialer.clone(), clock, silence));
+        let silence = Duration::from_millis(config.election_ms / 2);
+        let link = |it: &SocketAddr| (*it, Link::spawn(*it, dialer.clone(), silence));
         Driver {
             links: config.peers.iter().map(link).collect(),
             founding: Founding::new(config.addr, config.peers.clone()),
@@ -191,9 +190,6 @@
 
     fn on_frame(&mut self, frame: Frame) -> Option<End> {
         let Frame { from, body } = frame;
-        if let Some(link) = self.links.get(&from) {
-            link.note_heard(self.shared.clock.now());
-        }
         match body {
             Body::Consensus(envelope) => {
                 self.addrs.insert(envelope.from, from);
--- a/crates/replica/src/link.rs
+++ b/crates/replica/src/link.rs
@@ -2,19 +2,15 @@
 
 use {
     derive_more::Debug,
-    model::Time,
     quorum::Envelope,
     serde::{Deserialize, Serialize},
-    std::{
-        net::SocketAddr,
-        sync::{
-            Arc,
-            atomic::{AtomicU64, Ordering},
-        },
-        time::Duration,
+    std::{net::SocketAddr, time::Duration},
+    tokio::{
+        sync::mpsc,
+        task,
+        time::{Instant, sleep, sleep_until, timeout},
     },
-    tokio::{sync::mpsc, task, time::sleep},
-    wire::{Clock, Dialer, Peer, WireError, msg::REPLICA_PATH},
+    wire::{Dialer, Peer, SendHalf, Step, WireError, msg::REPLICA_PATH},
 };
 
 /// Messages that wait for a connection; more are dropped, as the consensus sends again what matters.
@@ -50,49 +46,43 @@
     },
 }
 
+/// Tells the sender, on the stream that a frame came on, that it arrived.
+#[derive(Clone, Copy, Serialize, Deserialize, Debug)]
+pub(crate) struct Arrived;
+
 /// The way to one other replica.
 pub(crate) struct Link {
     frames: mpsc::Sender<Frame>,
-    heard: Arc<AtomicU64>,
 }
 
 /// The task that sends.
 struct Sender {
     peer: Peer,
-    clock: Clock,
-    /// When the peer was last heard of, in microseconds of the clock.
-    heard: Arc<AtomicU64>,
-    /// After how many microseconds without hearing of the peer its connection is replaced.
-    silence: u64,
+    /// How long a frame may go without an answer before its connection is replaced.
+    silence: Duration,
 }
 
 impl Link {
-    /// Starts to send to `addr`. A connection on which nothing comes back for `silence` microseconds is replaced.
-    pub(crate) fn spawn(addr: SocketAddr, dialer: Dialer, clock: Clock, silence: u64) -> Link {
+    /// Starts to send to `addr`. A connection on which frames go unanswered for `silence` is replaced: something
+    /// between the two ends may have lost track of it, in one direction only or in both.
+    pub(crate) fn spawn(addr: SocketAddr, dialer: Dialer, silence: Duration) -> Link {
         let (frames, queue) = mpsc::channel(MAX_FRAMES);
-        let heard = Arc::new(AtomicU64::new(0));
-        let peer = Peer::new(addr, dialer);
-        task::spawn(Sender { peer, clock, heard: heard.clone(), silence }.run(queue));
-        Link { frames, heard }
+        task::spawn(Sender { peer: Peer::new(addr, dialer), silence }.run(queue));
+        Link { frames }
     }
 
     /// Sends a frame, or drops it if too many wait.
     pub(crate) fn send(&self, frame: Frame) {
         let _ = self.frames.try_send(frame);
     }
-
-    /// Notes that the peer was heard of.
-    pub(crate) fn note_heard(&self, now: Time) {
-        self.heard.store(now.0, Ordering::Relaxed);
-    }
 }
 
 impl Sender {
     async fn run(self, mut queue: mpsc::Receiver<Frame>) {
         while let Some(first) = queue.recv().await {
-            let addr = self.peer.addr();
             if let Err(err) = self.stream(first, &mut queue).await {
-                tracing::debug!("replica: sending to {addr} failed: {err}");
+                tracing::debug!("replica: sending to {} failed: {err}", self.peer.addr());
+                self.peer.retire().await;
                 sleep(Duration::from_millis(RETRY_MS)).await;
                 // What waited is old by now.
                 while queue.try_recv().is_ok() {}
@@ -106,19 +96,36 @@
         first: Frame,
         queue: &mut mpsc::Receiver<Frame>,
     ) -> Result<(), WireError> {
-        let (mut send, _recv) = self.peer.open(REPLICA_PATH).await?.split();
-        let opened = self.clock.now();
-        send.send(&first).await?;
-        while let Some(frame) = queue.recv().await {
-            let heard = Time(self.heard.load(Ordering::Relaxed)).max(opened);
-            if self.clock.now().since(heard) > self.silence {
-                tracing::debug!("replica: {} is silent, connecting again", self.peer.addr());
-                self.peer.retire().await;
-                return Ok(());
+        let (mut send, mut recv) = self.peer.open(REPLICA_PATH).await?.split();
+        self.send(&mut send, &first).await?;
+        let mut answer_by = Some(Instant::now() + self.silence);
+        loop {
+            let late = answer_by.unwrap_or_else(|| Instant::now() + self.silence);
+            tokio::select! {
+                frame = queue.recv() => {
+                    let Some(frame) = frame else { break };
+                    self.send(&mut send, &frame).await?;
+                    answer_by = answer_by.or_else(|| Some(Instant::now() + self.silence));
+                }
+                arrived = recv.recv::<Arrived>() => match arrived? {
+                    Some(Arrived) => answer_by = None,
+                    None => break,
+                },
+                () = sleep_until(late), if answer_by.is_some() => {
+                    return Err(self.error(Step::Receive, "no answer in time"));
+                }
             }
-            send.send(&frame).await?;
         }
         send.finish();
         Ok(())
     }
+
+    async fn send(&self, send: &mut SendHalf, frame: &Frame) -> Result<(), WireError> {
+        let sent = timeout(self.silence, send.send(frame)).await;
+        sent.unwrap_or_else(|_| Err(self.error(Step::Send, "not sent in time")))
+    }
+
+    fn error(&self, step: Step, text: &'static str) -> WireError {
+        WireError::new(step, self.peer.addr(), text)
+    }
 }
--- a/crates/replica/src/serve.rs
+++ b/crates/replica/src/serve.rs
@@ -1,17 +1,19 @@
 //! Receiving from another replica.
 
 use {
-    crate::{driver::Input, link::Frame},
+    crate::{
+        driver::Input,
+        link::{Arrived, Frame},
+    },
     std::{net::SocketAddr, sync::Arc},
     tokio::sync::mpsc,
     wire::Stream,
 };
 
-/// Hands the frames of a stream to the driver until the stream or the driver ends; frames that claim to come from
+/// Hands the frames of a stream to the driver, and answers that they arrived, until the stream or the driver ends; frames that claim to come from
 /// somewhere else than the known replicas are dropped.
 pub(crate) async fn receive(stream: Stream, peers: Arc<[SocketAddr]>, inputs: mpsc::Sender<Input>) {
-    // The sending half stays: dropping it would reset the stream.
-    let (_send, mut recv) = stream.split();
+    let (mut send, mut recv) = stream.split();
     loop {
         let frame = tokio::select! {
             frame = recv.recv::<Frame>() => frame,
@@ -19,7 +21,8 @@
         };
         match frame {
             Ok(Some(frame)) if peers.contains(&frame.from) => {
-                if inputs.send(Input::Frame(frame)).await.is_err() {
+                let taken = inputs.send(Input::Frame(frame)).await.is_ok();
+                if !taken || send.send(&Arrived).await.is_err() {
                     return;
                 }
             }
--- a/crates/replica/tests/group/mod.rs
+++ b/crates/replica/tests/group/mod.rs
@@ -1,6 +1,9 @@
 //! Three replicas in one process, over loopback and real files.
 
+mod proxy;
+
 use {
+    proxy::Proxy,
     replica::{Machine, Progress, Replica, ReplicaConfig, RestoreError},
     std::{
         net::SocketAddr,
@@ -43,6 +46,7 @@
     pub(crate) folders: Vec<TempDir>,
     pub(crate) addrs: Vec<SocketAddr>,
     slots: Vec<Slot>,
+    proxies: Vec<Proxy>,
     snapshot: u64,
     batching: bool,
     /// Heartbeat and election timeout, in milliseconds.
@@ -70,20 +74,46 @@
         timeouts: (u64, u64),
     ) -> Group {
         let (folders, addrs, slots) = (Vec::new(), Vec::new(), Vec::new());
-        let mut group = Group { folders, addrs, slots, snapshot, batching, timeouts };
+        let proxies = Vec::new();
+        let mut group = Group { folders, addrs, slots, proxies, snapshot, batching, timeouts };
+        group.bind(count, false).await;
+        group
+    }
+
+    /// As [`Group::start`], with connections that [`Group::silence`] can make go silent.
+    pub(crate) async fn behind_proxies(count: usize) -> Group {
+        let (folders, addrs, slots) = (Vec::new(), Vec::new(), Vec::new());
+        let proxies = Vec::new();
+        let (snapshot, batching, timeouts) = (u64::MAX, true, (50, 600));
+        let mut group = Group { folders, addrs, slots, proxies, snapshot, batching, timeouts };
+        group.bind(count, true).await;
+        group
+    }
+
+    /// Lets all present connections between replicas carry nothing any more, without closing them.
+    pub(crate) fn silence(&self) {
+        self.proxies.iter().for_each(Proxy::silence);
+    }
+
+    async fn bind(&mut self, count: usize, proxied: bool) {
         for _ in 0..count {
             let any = "127.0.0.1:0".parse().unwrap();
             let listener = Listener::bind(any, None, Traffic::default()).await.unwrap();
-            group.addrs.push(listener.addr());
-            group.folders.push(tempfile::tempdir().unwrap());
+            let mut addr = listener.addr();
+            if proxied {
+                let proxy = Proxy::spawn(addr).await;
+                addr = proxy.addr;
+                self.proxies.push(proxy);
+            }
+            self.addrs.push(addr);
+            self.folders.push(tempfile::tempdir().unwrap());
             let slot = Slot::default();
-            group.slots.push(slot.clone());
+            self.slots.push(slot.clone());
             tokio::spawn(serve(listener, slot));
         }
         for at in 0..count {
-            group.open(at).await;
+            self.open(at).await;
         }
-        group
     }
 
     pub(crate) fn config(&self, at: usize) -> ReplicaConfig {
--- a/crates/replica/tests/three.rs
+++ b/crates/replica/tests/three.rs
@@ -5,6 +5,8 @@
 use {
     group::{Group, wait, within},
     replica::ProposeError,
+    std::time::Duration,
+    tokio::time::timeout,
 };
 
 const NO_SNAPSHOT: u64 = 1 << 30;
@@ -134,3 +136,16 @@
     assert_eq!(refused, Err(ProposeError::NotLeader { leader: None }));
     assert_eq!(replica.with(|it| it.0.len()), 5);
 }
+
+#[tokio::test]
+async fn connections_that_went_silent_are_replaced_long_before_their_pings_fail() {
+    let group = Group::behind_proxies(3).await;
+    fill(&group, 0, 5).await;
+    group.silence();
+    let commit = async {
+        while group.get(group.leader().await).propose(b"5".to_vec()).await.is_err() {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(Duration::from_secs(5), commit).await.expect("a commit over new connections");
+}
