--- a/crates/load/src/call.rs
+++ b/crates/load/src/call.rs
@@ -4,7 +4,7 @@
     crate::{
         keys::KeyAnswer,
         usage::Usage,
-        verdict::{Verdict, judge},
+        verdict::{Verdict, describe, judge},
         workload::{ChatTurn, KeyedCall},
     },
     bytes::Bytes,
@@ -43,6 +43,8 @@
     pub(crate) times: Times,
     /// What broke the body off, if anything did.
     pub(crate) broken: Option<String>,
+    /// Where an answer that is not whole differs, and where it ran.
+    pub(crate) fault: Option<String>,
 }
 
 /// When the parts of a body came.
@@ -69,13 +71,16 @@
         return Ok(ChatResult::Refused(refusal(&response)));
     }
     let request = text(response.headers(), "jasminefront-request").to_owned();
+    let endpoint = text(response.headers(), "jasminefront-endpoint").to_owned();
     let (body, times, broken) = receive(response.into_body(), started).await;
     let answer = Answer::new(&turn.request, &request);
     let body = String::from_utf8_lossy(&body);
     let verdict = judge(&answer, &request, &body);
     let usage = Usage::find(&body);
+    let fault = (verdict != Verdict::Whole)
+        .then(|| format!("request {request} on {endpoint}: {}", describe(&answer, &body)));
     let text = answer.text();
-    Ok(ChatResult::Answer(ChatAnswer { verdict, usage, text, times, broken }))
+    Ok(ChatResult::Answer(ChatAnswer { verdict, usage, text, times, broken, fault }))
 }
 
 /// Sends a call that may not be repeated; returns how it was answered and, if refused, how.
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -8,7 +8,6 @@
         keys::{KeyAnswer, KeyBook},
         plot,
         report::Report,
-        verdict::Verdict,
         watch,
         workload::{ChatTurn, KeyedCall, Shape, Step, Workload},
     },
@@ -136,9 +135,10 @@
         for (gap, tokens) in &answer.times.gaps {
             counts.between.note(*gap / *tokens as u32, *tokens);
         }
-        if answer.verdict != Verdict::Whole {
+        if let Some(fault) = answer.fault {
             let why = answer.broken.unwrap_or_else(|| "ended in order".to_owned());
-            eprintln!("jf-load: {} turn {}: {} ({why})", turn.chat, turn.turn, answer.verdict);
+            let (chat, verdict) = (&turn.chat, answer.verdict);
+            eprintln!("jf-load: {chat} turn {}: {verdict} ({why}), {fault}", turn.turn);
         }
         drop(counts);
         self.workload.lock().answered(turn, answer.text);
--- a/crates/load/src/verdict.rs
+++ b/crates/load/src/verdict.rs
@@ -48,6 +48,23 @@
     }
 }
 
+/// Says where a body parts from the answer that it must be, for a person to read.
+pub(crate) fn describe(answer: &Answer, body: &str) -> String {
+    let (expected, body) = (masked(&answer.body(0)), masked(body));
+    let same = expected.bytes().zip(body.bytes()).take_while(|(a, b)| a == b).count();
+    let around = |it: &str| {
+        let part: Vec<u8> = it.bytes().skip(same.saturating_sub(20)).take(60).collect();
+        String::from_utf8_lossy(&part).into_owned()
+    };
+    format!(
+        "{} of {} bytes, first difference at {same}: {:?} instead of {:?}",
+        body.len(),
+        expected.len(),
+        around(&body),
+        around(&expected)
+    )
+}
+
 /// Returns a body whose count of cached tokens is masked.
 fn masked(body: &str) -> String {
     let Some(at) = body.find(CACHED_KEY).map(|it| it + CACHED_KEY.len()) else {
