--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -39,6 +39,7 @@
     let answered = match (request.method(), request.uri().path()) {
         (&Method::GET, "/health") => Ok(Response::new(full("ok\n"))),
         (&Method::GET, "/ready") => Ok(ready(&shared)),
+        (&Method::GET, "/metrics") => metrics(&shared),
         _ => operate(&shared, request).await,
     };
     Ok(answered.unwrap_or_else(reply::fault))
@@ -54,6 +55,11 @@
     }
 }
 
+fn metrics(shared: &Shared) -> Answered {
+    let metrics = shared.metrics.get().ok_or(Fault::Path)?;
+    Ok(Response::new(full(metrics.page(shared))))
+}
+
 async fn operate(shared: &Shared, request: Request<Incoming>) -> Answered {
     let operator = operator(shared, &request)?;
     if !shared.log.leads() {
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -5,6 +5,7 @@
         admin, claims, feed,
         fleet::Fleet,
         log::{Log, ReplicaAddr},
+        metrics::Metrics,
         news::{self, News},
         operators::Operators,
         orders,
@@ -34,6 +35,7 @@
     pub(crate) membership: Mutex<Option<Membership>>,
     pub(crate) orders: Mutex<OrderProgress>,
     pub(crate) news: watch::Sender<News>,
+    pub(crate) metrics: OnceLock<Metrics>,
     pub(crate) clock: Clock,
     pub(crate) traffic: Traffic,
 }
@@ -115,6 +117,7 @@
             membership: Mutex::default(),
             orders: Mutex::default(),
             news: watch::Sender::default(),
+            metrics: OnceLock::new(),
             clock,
             traffic,
         });
@@ -129,6 +132,11 @@
         Ok(Control { shared, inner: own.inner, server, tasks })
     }
 
+    /// Serves a metrics page on the admin address.
+    pub fn serve_metrics(&self, metrics: telemetry::Metrics) {
+        self.shared.metrics.get_or_init(|| Metrics::new(metrics));
+    }
+
     /// Returns once this replica leads.
     pub async fn lead(&self) {
         self.shared.log.lead().await;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,6 +18,7 @@
 mod feed;
 mod fleet;
 mod log;
+mod metrics;
 mod news;
 mod operators;
 mod orders;
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -1,35 +1,52 @@
 //! The `jf-control` binary.
 
+mod flags;
+
 use {
     control::Control,
     eyre::Result,
     settings::ControlSettings,
+    std::process::ExitCode,
     tokio::signal::{
         ctrl_c,
         unix::{SignalKind, signal},
     },
 };
 
-mod flags {
-    #![allow(missing_docs, unreachable_pub, reason = "the macro writes these items")]
-
-    use std::path::PathBuf;
+/// The exit code for bad settings.
+const BAD_INPUT: u8 = 2;
 
-    xflags::xflags! {
-        /// Runs a control replica.
-        cmd jf-control {
-            /// The file of settings.
-            required settings: PathBuf
+#[tokio::main]
+async fn main() -> ExitCode {
+    let flags = flags::JfControl::from_env_or_exit();
+    if flags.version {
+        println!("jf-control {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(file) = flags.settings else {
+        eprintln!("jf-control: expected a settings file; see --help");
+        return ExitCode::from(BAD_INPUT);
+    };
+    let settings = match settings::load(&file) {
+        Ok(settings) => settings,
+        Err(err) => {
+            eprintln!("jf-control: {err}");
+            return ExitCode::from(BAD_INPUT);
+        }
+    };
+    match run(settings).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("jf-control: {err:#}");
+            ExitCode::FAILURE
         }
     }
 }
 
-#[tokio::main]
-async fn main() -> Result<()> {
-    let flags = flags::JfControl::from_env_or_exit();
-    let settings: ControlSettings = settings::load(&flags.settings)?;
-    let _metrics = telemetry::open(&settings.log)?;
+async fn run(settings: ControlSettings) -> Result<()> {
+    let metrics = telemetry::open(&settings.log)?;
     let control = Control::spawn(settings).await?;
+    control.serve_metrics(metrics);
     stopped().await?;
     control.shutdown().await;
     Ok(())
--- a/crates/control/tests/replica.rs
+++ b/crates/control/tests/replica.rs
@@ -4,9 +4,11 @@
 
 use {
     common::Bench,
+    edge::empty,
     ledger::{Call, ClaimKey, RecordedAnswer, Reply, Step},
     model::{Config, Digest, Domain, HostName, RequestId, Revision, RouterId, ServiceId, TeamId},
     serde_json::Value,
+    settings::LogSettings,
     std::sync::Arc,
     wire::{
         Class, Dialer, Peer, Stream, Traffic,
@@ -189,3 +191,16 @@
     assert_eq!(config.revision, Revision(1));
     bench.control.shutdown().await;
 }
+
+#[tokio::test]
+async fn the_metrics_page_shows_the_revision() {
+    let bench = Bench::open().await;
+    assert_eq!(bench.bring("base", INTENT).await, 1);
+    bench.control.serve_metrics(telemetry::open(&LogSettings::default()).unwrap());
+    let called = bench.client.call(bench.control.admin(), "GET", "/metrics", None, empty()).await;
+    let (status, page) = called.unwrap();
+    let page = String::from_utf8(page.to_vec()).unwrap();
+    assert_eq!(status, 200);
+    assert!(page.contains("jasminefront_control_state{value=\"revision\"} 1"), "{page}");
+    bench.control.shutdown().await;
+}
--- a/crates/control/tests/three.rs
+++ b/crates/control/tests/three.rs
@@ -6,12 +6,14 @@
     common::{Ask, TOKEN, settings},
     control::{Control, Sockets},
     edge::{Client, empty},
-    model::Digest,
+    ledger::{ClaimKey, Reply},
+    model::{Digest, RequestId, RouterId, ServiceId, TeamId},
     serde_json::Value,
     settings::ControlPeer,
     std::{net::SocketAddr, time::Duration},
     tempfile::TempDir,
     tokio::time::{sleep, timeout},
+    wire::{Class, Dialer, Peer, Traffic, msg::LEDGER_PATH},
 };
 
 const LIMIT: Duration = Duration::from_secs(30);
@@ -143,3 +145,37 @@
     assert_eq!(status["revision"], 1);
     assert_ne!(status["digest"], Digest::default().to_string());
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_replica_without_quorum_commits_nothing_and_shows_nothing_as_current() {
+    let mut group = Group::open().await;
+    group.whole().await;
+    let (leader, ..) = group.post("/v1/plans", "op-1", INTENT).await;
+    group.stop((leader + 1) % 3).await;
+    group.stop((leader + 2) % 3).await;
+    let to = group.addrs[leader];
+    let confirm = Ask {
+        method: "POST",
+        path: "/v1/plans/plan-1/confirm",
+        operation: "op-2",
+        body: "",
+        token: TOKEN,
+    };
+    let status = Ask { method: "GET", path: "/v1/status", ..confirm };
+    for ask in [confirm, status] {
+        let (code, value) = ask.send(&group.client, to).await;
+        assert!(matches!(code, 421 | 503), "{code}: {value}");
+    }
+    let claim = ledger::Call {
+        key: ClaimKey::new(TeamId(1), ServiceId(1), b"approval-1"),
+        router: RouterId(1),
+        id: RequestId(1),
+        step: ledger::Step::Claim { request: Digest::default() },
+    };
+    let dialer = Dialer { identity: None, traffic: Traffic::default(), class: Class::Control };
+    let inner = group.replicas[leader].as_ref().unwrap().inner();
+    let mut stream = Peer::new(inner, dialer).open(LEDGER_PATH).await.unwrap();
+    stream.send.send(&claim).await.unwrap();
+    let reply: Reply = stream.recv.recv().await.unwrap().unwrap();
+    assert!(matches!(reply, Reply::NotLeader { .. } | Reply::NoQuorum), "{reply:?}");
+}
