--- a/crates/router/src/owner.rs
+++ b/crates/router/src/owner.rs
@@ -10,6 +10,7 @@
     bytes::Bytes,
     edge::{EndpointError, EndpointEvent, EndpointRequest, EndpointStream, Fault},
     http::{HeaderMap, HeaderName, HeaderValue, Method},
+    member::Right,
     model::{
         Endpoint, EndpointId, EndpointState, MILLISECOND, Outcome, Reason, Refusal, ServiceKind,
         Time, Work,
@@ -212,6 +213,12 @@
         let _ = frames.send(ForwardReply::Refused(Refusal::not_run(Reason::BadRequest, 0))).await;
         return;
     };
+    if !may_send(shared, endpoint.id) {
+        let epoch = view.roster.epoch;
+        drop(run);
+        let _ = frames.send(ForwardReply::Moved { epoch }).await;
+        return;
+    }
     let stream = shared.client(endpoint, kind).send(request);
     let passed = tokio::select! {
         passed = pass(shared, &run, stream, &frames) => passed,
@@ -230,6 +237,13 @@
     let _ = frames.send(last).await;
 }
 
+/// Whether this router still has a right on the endpoint: the process may have been frozen since the start was decided.
+fn may_send(shared: &Shared, endpoint: EndpointId) -> bool {
+    let now = shared.clock.now();
+    let right = || shared.owned.lock().member.right(now, endpoint);
+    shared.settings.routing != Routing::Owner || !matches!(right(), Right::None | Right::Wait)
+}
+
 fn request(shared: &Shared, forward: &Forward) -> Option<EndpointRequest> {
     let until = deadline(shared.clock.now(), forward.budget_ms);
     Some(EndpointRequest {
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -1,13 +1,14 @@
 //! Asking owned endpoints for their load and their cache events.
 //!
-//! Only the owner of an endpoint asks, so the traffic of probes does not grow with the number of routers. Reports lag
-//! and events have gaps; both only correct what the owner counted itself.
+//! Only the owner of an endpoint asks, and its standbys while they have no lease, so the traffic of probes does not grow
+//! with the number of routers. Reports lag and events have gaps; both only correct what the owner counted itself.
 
 use {
     crate::shared::Shared,
     edge::{Client, empty},
     model::{EndpointId, RequestId, ServiceKind, Time, Work},
     serde::{Deserialize, de::DeserializeOwned},
+    settings::Routing,
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         task::JoinSet,
@@ -61,7 +62,7 @@
     loop {
         ticks.tick().await;
         let mut probes = JoinSet::new();
-        for (endpoint, addr, kind) in owned(&shared) {
+        for (endpoint, addr, kind) in watched(&shared) {
             let after =
                 (kind == ServiceKind::Model).then(|| seen.get(&endpoint).copied().unwrap_or(0));
             let (client, asked) = (client.clone(), shared.clock.now());
@@ -73,12 +74,17 @@
     }
 }
 
-fn owned(shared: &Shared) -> Vec<(EndpointId, SocketAddr, ServiceKind)> {
+/// The endpoints whose load this router needs to know.
+fn watched(shared: &Shared) -> Vec<(EndpointId, SocketAddr, ServiceKind)> {
     let view = shared.view();
-    let mine = view.config.endpoints.values().filter(|it| shared.owns(&view, it.id));
+    let ids = match shared.settings.routing {
+        Routing::LeastReported => view.config.endpoints.keys().copied().collect(),
+        _ => shared.owned.lock().member.watched(shared.clock.now()),
+    };
     let kind =
         |service| view.config.services.get(&service).map_or(ServiceKind::Plain, |it| it.kind);
-    mine.map(|it| (it.id, it.addr, kind(it.service))).collect()
+    let endpoints = ids.into_iter().filter_map(|it| view.endpoint(it));
+    endpoints.map(|it| (it.id, it.addr, kind(it.service))).collect()
 }
 
 async fn probe(
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -259,14 +259,6 @@
         }
     }
 
-    /// Whether this router probes an endpoint.
-    pub(crate) fn owns(&self, view: &View, endpoint: EndpointId) -> bool {
-        match self.settings.routing {
-            Routing::LeastReported => true,
-            _ => view.owners.owner(endpoint).is_some_and(|it| self.is_me(it)),
-        }
-    }
-
     /// The endpoints that a call is tried on, in order, by the routing of this router.
     pub(crate) fn choose(
         &self,
--- a/crates/router/tests/fleet/kill.rs
+++ b/crates/router/tests/fleet/kill.rs
@@ -1,10 +1,16 @@
 //! Routers and control that are killed.
 
-use crate::{
-    bench::{Fleet, assert_whole},
-    calls::futures_of,
+use {
+    crate::{
+        bench::{Fleet, assert_whole},
+        calls::futures_of,
+    },
+    std::time::{Duration, Instant},
 };
 
+/// Leases have run out and fixed shares may be used after this.
+const SHARES: Duration = Duration::from_secs(18);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn chats_are_answered_while_a_router_dies() {
     let mut fleet = Fleet::open(4, 6).await;
@@ -34,3 +40,21 @@
     assert_eq!((refused.status, refused.outcome.as_str()), (503, "not-run"), "{refused:?}");
     assert_eq!(fleet.runs("finding-2").await, 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chats_are_answered_by_fixed_shares_long_after_control_is_gone() {
+    let mut fleet = Fleet::open(3, 4).await;
+    fleet.control.kill();
+    let start = Instant::now();
+    let mut round = 0;
+    while start.elapsed() < SHARES {
+        round += 1;
+        let fleet = &fleet;
+        let calls = (0..6).map(|it| async move {
+            let (chat, text) = (format!("chat-{it}"), format!("question {round}"));
+            let got = fleet.chat(it % 3, &chat, &text, 10).await;
+            assert_whole(&got, &text, 10);
+        });
+        futures_of(calls).await;
+    }
+}
