--- a/crates/replica/tests/group/mod.rs
+++ b/crates/replica/tests/group/mod.rs
@@ -1,6 +1,9 @@
 //! Three replicas in one process, over loopback and real files.
 
+mod proxy;
+
 use {
+    proxy::Proxy,
     replica::{Machine, Progress, Replica, ReplicaConfig, RestoreError},
     std::{
         net::SocketAddr,
@@ -43,7 +46,11 @@
     pub(crate) folders: Vec<TempDir>,
     pub(crate) addrs: Vec<SocketAddr>,
     slots: Vec<Slot>,
+    proxies: Vec<Proxy>,
     snapshot: u64,
+    batching: bool,
+    /// Heartbeat and election timeout, in milliseconds.
+    timeouts: (u64, u64),
 }
 
 pub(crate) async fn within<F>(future: F) -> F::Output
@@ -56,28 +63,65 @@
 impl Group {
     /// Binds `count` hosts and opens a replica on each; a snapshot is taken every so many bytes.
     pub(crate) async fn start(count: usize, snapshot: u64) -> Group {
-        let mut group =
-            Group { folders: Vec::new(), addrs: Vec::new(), slots: Vec::new(), snapshot };
+        Group::open_with(count, snapshot, true, (50, 600)).await
+    }
+
+    /// As [`Group::start`], with group commit on or off and a heartbeat and election timeout in milliseconds.
+    pub(crate) async fn open_with(
+        count: usize,
+        snapshot: u64,
+        batching: bool,
+        timeouts: (u64, u64),
+    ) -> Group {
+        let (folders, addrs, slots) = (Vec::new(), Vec::new(), Vec::new());
+        let proxies = Vec::new();
+        let mut group = Group { folders, addrs, slots, proxies, snapshot, batching, timeouts };
+        group.bind(count, false).await;
+        group
+    }
+
+    /// As [`Group::start`], with connections that [`Group::silence`] can make go silent.
+    pub(crate) async fn behind_proxies(count: usize) -> Group {
+        let (folders, addrs, slots) = (Vec::new(), Vec::new(), Vec::new());
+        let proxies = Vec::new();
+        let (snapshot, batching, timeouts) = (u64::MAX, true, (50, 600));
+        let mut group = Group { folders, addrs, slots, proxies, snapshot, batching, timeouts };
+        group.bind(count, true).await;
+        group
+    }
+
+    /// Lets all present connections between replicas carry nothing any more, without closing them.
+    pub(crate) fn silence(&self) {
+        self.proxies.iter().for_each(Proxy::silence);
+    }
+
+    async fn bind(&mut self, count: usize, proxied: bool) {
         for _ in 0..count {
             let any = "127.0.0.1:0".parse().unwrap();
             let listener = Listener::bind(any, None, Traffic::default()).await.unwrap();
-            group.addrs.push(listener.addr());
-            group.folders.push(tempfile::tempdir().unwrap());
+            let mut addr = listener.addr();
+            if proxied {
+                let proxy = Proxy::spawn(addr).await;
+                addr = proxy.addr;
+                self.proxies.push(proxy);
+            }
+            self.addrs.push(addr);
+            self.folders.push(tempfile::tempdir().unwrap());
             let slot = Slot::default();
-            group.slots.push(slot.clone());
+            self.slots.push(slot.clone());
             tokio::spawn(serve(listener, slot));
         }
         for at in 0..count {
-            group.open(at).await;
+            self.open(at).await;
         }
-        group
     }
 
     pub(crate) fn config(&self, at: usize) -> ReplicaConfig {
         let peers = self.addrs.iter().copied().filter(|it| *it != self.addrs[at]).collect();
         let folder: PathBuf = self.folders[at].path().join("data");
         let mut config = ReplicaConfig::new(folder, self.addrs[at], peers);
-        config.set_timeouts(50, 600).unwrap();
+        config.set_timeouts(self.timeouts.0, self.timeouts.1).unwrap();
+        config.set_batching(self.batching);
         config.set_snapshot(self.snapshot);
         config
     }
