Serve TLS towards callers, and read all keys again each ten seconds

Cause: the keys were checked and passed over, so the settings refused them. Change: the router serves its callers over TLS where keys are given; routers and control replicas read their keys again for new connections. The settings case that expected the refusal goes with it.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -106,7 +106,8 @@
         let operators = Operators::open(&settings.operators)?;
         let own = ReplicaAddr { inner: sockets.inner(), admin: sockets.admin() };
         let Sockets { identity, traffic, listener, server, slot } = sockets;
-        let dialer = Dialer { identity, traffic: traffic.clone(), class: Class::Control };
+        let dialer =
+            Dialer { identity: identity.clone(), traffic: traffic.clone(), class: Class::Control };
         let clock = Clock::start();
         let log = Log::open(&settings, own, dialer, clock).await?;
         let shared = Arc::new(Shared {
@@ -122,12 +123,13 @@
             traffic,
         });
         slot.get_or_init(|| shared.clone());
-        let tasks = vec![
+        let mut tasks = vec![
             tokio::spawn(accept(shared.clone(), listener)),
             tokio::spawn(roster::run(shared.clone())),
             tokio::spawn(orders::run(shared.clone())),
             tokio::spawn(news::run(shared.clone())),
         ];
+        tasks.extend(identity.map(|it| tokio::spawn(it.keep_fresh())));
         tracing::info!("control: serves routers on {}, operators on {}", own.inner, own.admin);
         Ok(Control { shared, inner: own.inner, server, tasks })
     }
--- a/crates/edge/src/tls.rs
+++ b/crates/edge/src/tls.rs
@@ -8,13 +8,18 @@
         error::Error as StdError,
         path::{Path, PathBuf},
         sync::Arc,
+        time::Duration,
     },
+    tokio::time::interval,
     tokio_rustls::{
         TlsAcceptor,
         rustls::{ServerConfig, crypto::ring::default_provider},
     },
 };
 
+/// How often files are read again.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(10);
+
 /// The certificate that callers see.
 #[derive(Clone, Debug)]
 pub struct CallerTls {
@@ -46,6 +51,18 @@
         Ok(())
     }
 
+    /// Reads the files again each `RELOAD_INTERVAL`, for the life of the process; files that cannot be read change
+    /// nothing.
+    pub async fn keep_fresh(self) {
+        let mut ticks = interval(RELOAD_INTERVAL);
+        loop {
+            ticks.tick().await;
+            if let Err(err) = self.reload() {
+                tracing::warn!("edge: keys not reloaded: {err}");
+            }
+        }
+    }
+
     pub(crate) fn acceptor(&self) -> TlsAcceptor {
         TlsAcceptor::from(self.config.load_full())
     }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -8,7 +8,7 @@
         probe,
         shared::Shared,
     },
-    edge::{Server, ServerLimits},
+    edge::{CallerTls, Server, ServerLimits},
     eyre::{Result, eyre},
     model::SECOND,
     settings::RouterSettings,
@@ -53,6 +53,8 @@
     pub async fn spawn(settings: RouterSettings, telemetry: telemetry::Metrics) -> Result<Router> {
         let identity = settings.tls_inner.as_ref().map(Identity::open).transpose();
         let identity = identity.map_err(|it| eyre!("router: read keys: {it}"))?;
+        let tls = settings.tls_callers.as_ref().map(|it| CallerTls::open(&it.cert, &it.key));
+        let tls = tls.transpose().map_err(|it| eyre!("router: read keys towards callers: {it}"))?;
         let traffic = Traffic::default();
         let listener = Listener::bind(settings.inner, identity.clone(), traffic.clone()).await?;
         let metrics = Metrics::new(telemetry);
@@ -62,20 +64,23 @@
             header_bytes: settings.limits.header_bytes,
             ..ServerLimits::default()
         };
-        let shared = Arc::new(Shared::open(settings, identity, listener.addr(), traffic, metrics));
+        let shared =
+            Arc::new(Shared::open(settings, identity.clone(), listener.addr(), traffic, metrics));
         let entry = shared.clone();
         let callers = service_fn(move |request| entry::answer(entry.clone(), request));
-        let callers = Server::bind(listen, limits, callers).await?;
+        let callers = Server::bind_with(listen, limits, tls.clone(), callers).await?;
         let pages = shared.clone();
         let pages = service_fn(move |request| admin::answer(pages.clone(), request));
         let admin = Server::bind(admin, ServerLimits::default(), pages).await?;
-        let tasks = vec![
+        let mut tasks = vec![
             tokio::spawn(accept(shared.clone(), listener)),
             tokio::spawn(feed::run(shared.clone())),
             tokio::spawn(probe::run(shared.clone())),
             tokio::spawn(tick(shared.clone())),
             tokio::spawn(clean(shared.clone())),
         ];
+        tasks.extend(identity.map(|it| tokio::spawn(it.keep_fresh())));
+        tasks.extend(tls.map(|it| tokio::spawn(it.keep_fresh())));
         tracing::info!("router: serves callers on {}, routers on {}", callers.addr(), shared.inner);
         Ok(Router { shared, callers, admin, tasks })
     }
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -98,8 +98,6 @@
         let limits = &self.limits;
         rule("host", !self.host.0.is_empty(), "expected a name, found an empty one")?;
         rule("domain", !self.domain.0.is_empty(), "expected a name, found an empty one")?;
-        let tls = "expected no table: TLS towards callers is not served yet";
-        rule("tls-callers", self.tls_callers.is_none(), tls)?;
         rule("control", !self.control.is_empty(), "expected at least one address")?;
         rule("control", distinct(&self.control), "expected each address once")?;
         rule("limits.body-bytes", in_range(limits.body_bytes), "expected 1 to 16777216")?;
--- a/crates/wire/src/tls.rs
+++ b/crates/wire/src/tls.rs
@@ -8,7 +8,8 @@
         pem::{Error as PemError, PemObject},
     },
     settings::TlsFiles,
-    std::{error::Error as StdError, sync::Arc},
+    std::{error::Error as StdError, sync::Arc, time::Duration},
+    tokio::time::interval,
     tokio_rustls::{
         TlsAcceptor, TlsConnector,
         rustls::{
@@ -18,6 +19,9 @@
     },
 };
 
+/// How often keys are read again.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(10);
+
 /// The name that the certificates of all inner processes carry.
 pub(crate) const INNER_NAME: &str = "jasminefront";
 
@@ -58,6 +62,17 @@
         Ok(())
     }
 
+    /// Reads the keys again each `RELOAD_INTERVAL`, for the life of the process; keys that cannot be read change nothing.
+    pub async fn keep_fresh(self) {
+        let mut ticks = interval(RELOAD_INTERVAL);
+        loop {
+            ticks.tick().await;
+            if let Err(err) = self.reload() {
+                tracing::warn!("wire: keys not reloaded: {err}");
+            }
+        }
+    }
+
     pub(crate) fn acceptor(&self) -> TlsAcceptor {
         TlsAcceptor::from(self.configs.load().server.clone())
     }
