--- a/crates/jf/src/keys.rs
+++ b/crates/jf/src/keys.rs
@@ -29,8 +29,10 @@
         return Err(BadInput::new(format!("DIR: expected no keys yet, found {found}")).into());
     }
     let authority = authority(dir)?;
-    issue(dir, "inner", &[INNER_NAME], &authority)?;
-    issue(dir, "callers", CALLER_NAMES, &authority)?;
+    let both = [ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
+    issue(dir, "inner", &[INNER_NAME], &both, &authority)?;
+    // Whoever holds the key towards callers must not pass for one of the system's own processes.
+    issue(dir, "callers", CALLER_NAMES, &both[..1], &authority)?;
     println!("wrote {} to {}", FILES.join(", "), dir.display());
     Ok(())
 }
@@ -47,14 +49,19 @@
     Ok(Issuer::new(params, key))
 }
 
-fn issue(dir: &Path, part: &str, names: &[&str], issuer: &Issuer<'_, KeyPair>) -> Result<()> {
+fn issue(
+    dir: &Path,
+    part: &str,
+    names: &[&str],
+    usages: &[ExtendedKeyUsagePurpose],
+    issuer: &Issuer<'_, KeyPair>,
+) -> Result<()> {
     let names: Vec<String> = names.iter().map(|it| (*it).to_owned()).collect();
     let step = || format!("keys: {part}");
     let mut params = CertificateParams::new(names).wrap_err_with(step)?;
     params.distinguished_name.push(DnType::CommonName, INNER_NAME);
     params.use_authority_key_identifier_extension = true;
-    params.extended_key_usages =
-        vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
+    params.extended_key_usages = usages.to_vec();
     let key = KeyPair::generate().wrap_err_with(step)?;
     let cert = params.signed_by(&key, issuer).wrap_err_with(step)?;
     write(&dir.join(format!("{part}.pem")), &cert.pem())?;
