--- a/crates/load/tests/verdict.rs
+++ b/crates/load/tests/verdict.rs
@@ -56,7 +56,7 @@
 
     /// Another caller's answer is foreign, under its own request id or under this one.
     #[test]
-    fn another_answer_is_foreign(stream: bool, content in "[a-z]{2,20}") {
+    fn another_answer_is_foreign(stream: bool, content in "[a-z]{2,200}") {
         let answer_of_this = answer("x", "r1", stream);
         let other = answer(&content, "r2", stream).body(0);
         prop_assert_eq!(judge(&answer_of_this, "r1", &other), Verdict::Foreign);
--- a/crates/load/tests/workload.rs
+++ b/crates/load/tests/workload.rs
@@ -47,6 +47,7 @@
                     let known = lengths.get(&turn.chat).copied().unwrap_or(0);
                     prop_assert_eq!(turn.request.messages.len(), known + 1);
                     prop_assert!(turn.turn <= turns);
+                    prop_assert_eq!(turn.turn as usize, turn.request.messages.len().div_ceil(2));
                     open.push(turn);
                 }
                 Step::Keyed(call) => {
@@ -66,6 +67,19 @@
         }
     }
 
+    /// A request of a team is that team's, resends included.
+    #[test]
+    fn a_team_sends_only_its_own(teams in vec(0..3usize, 1..60), seed: u64) {
+        let mut workload = Workload::new(shape(&[1, 1, 1], 3, 3), seed);
+        for team in teams {
+            let sender = match workload.draw_of(team) {
+                Step::Chat(turn) => turn.team,
+                Step::Keyed(call) => call.team,
+            };
+            prop_assert_eq!(sender, team);
+        }
+    }
+
     /// The same seed gives the same requests.
     #[test]
     fn a_seed_is_a_workload(seed: u64) {
