Let a request wait only as long as a large engine takes to compute its prefix

Cause: in a surge (600 requests/s, threefold for two teams) requests waited at 0.5 ms a cached token in one place after another; an engine computes a token in about 0.1 ms.

--- a/crates/router/src/owned.rs
+++ b/crates/router/src/owned.rs
@@ -27,6 +27,13 @@
 /// A queue that has not moved for so long although nothing runs is given up, in microseconds.
 const STALL_US: u64 = SECOND / 4;
 
+/// How long a request waits for each cached token of its prompt before it spills, in microseconds: about what a large
+/// engine takes to compute one.
+const HOLD_US: u64 = 100;
+
+/// The longest that a request waits before it spills, in microseconds.
+const HOLD_LIMIT_US: u64 = SECOND / 2;
+
 /// Requests whose chats are remembered, so that cache events can name them.
 const RECENT: usize = 1 << 16;
 
@@ -90,7 +97,7 @@
     pub(crate) fn new(_: Time) -> Owned {
         Owned {
             member: Member::new(Timing::default()),
-            table: Table::new(Settings::default()),
+            table: Table::new(Settings::default().with_hold(HOLD_US, HOLD_LIMIT_US)),
             suspects: Suspects::new(SuspectLimits::default()),
             isolation: Isolation::default(),
             queues: HashMap::new(),
