Let the end of an answer not overtake its last part

The body was http_body_util's Channel, which polls its frames and then its error half: a sender that sends the last frame and goes away between the two polls ends the body in order without that frame. Ruled out: stand-in and resume (their properties hold at every offset). Change: the driver's own channel is the body; parts and end travel over it in order, and a driver that ends without a word breaks the body off. The pump task is gone.

--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -11,11 +11,17 @@
     bytes::Bytes,
     edge::{Body, BodyError, read_all, refusal_response},
     http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header},
-    http_body_util::{BodyExt, channel::Channel},
-    hyper::body::Incoming,
-    model::{Digest, MILLISECOND, Reason, Refusal, RequestId, Team, TeamId, Time},
+    http_body_util::BodyExt,
+    hyper::body::{Body as HttpBody, Frame, Incoming},
+    model::{Digest, MILLISECOND, Outcome, Reason, Refusal, RequestId, Team, TeamId, Time},
     rand::random,
-    std::{convert::Infallible, sync::Arc, time::Duration},
+    std::{
+        convert::Infallible,
+        pin::Pin,
+        sync::Arc,
+        task::{Context, Poll, ready},
+        time::Duration,
+    },
     tokio::sync::mpsc,
     wire::msg::Header,
 };
@@ -32,8 +38,9 @@
 /// Seconds that two parts of a caller's body may be apart.
 const BODY_STALL: Duration = Duration::from_secs(10);
 
-/// Parts of an answer that may wait in the caller's connection.
-const PARTS: usize = 8;
+/// What a caller is told when the driver of its request ended without a word.
+const DRIVER_LOST: Refusal =
+    Refusal { outcome: Outcome::Unknown, reason: Reason::EndpointFailed, retry_ms: 0 };
 
 /// A refusal with a text for the caller.
 type Refused = (Refusal, &'static str);
@@ -140,44 +147,47 @@
 }
 
 fn respond(view: &View, head: Head, permit: Permit) -> Response<Body> {
-    let (mut sender, channel) = Channel::<Bytes, BodyError>::new(PARTS);
-    let mut response = Response::new(channel.boxed_unsync());
+    let body = AnswerBody { parts: head.body, ended: false, _permit: permit };
+    let mut response = Response::new(body.boxed_unsync());
     *response.status_mut() = head.status.try_into().unwrap_or_default();
     copy_headers(&head.headers, response.headers_mut());
     let endpoint = view.endpoint(head.endpoint).map(|it| it.name.clone());
     if let Some(value) = endpoint.and_then(|it| HeaderValue::try_from(&*it).ok()) {
         response.headers_mut().insert(ENDPOINT_HEADER, value);
     }
-    tokio::spawn(async move {
-        let _permit = permit;
-        let mut body = head.body;
-        if let Some(refusal) = pump(&mut body, &mut sender).await {
-            sender.abort(Box::new(refusal));
-        }
-    });
     response
 }
 
-/// Passes the body on; returns the refusal if it breaks off.
-async fn pump(
-    body: &mut mpsc::Receiver<Part>,
-    sender: &mut http_body_util::channel::Sender<Bytes, BodyError>,
-) -> Option<Refusal> {
-    loop {
-        match body.recv().await {
-            Some(Part::Bytes(bytes)) => {
-                // An error means that the caller is gone; dropping `body` tells the driver.
-                sender.send_data(bytes).await.ok()?;
-            }
-            Some(Part::End) => return None,
-            Some(Part::Abort(refusal)) => return Some(refusal),
-            None => {
-                return Some(Refusal {
-                    outcome: model::Outcome::Unknown,
-                    reason: Reason::EndpointFailed,
-                    retry_ms: 0,
-                });
-            }
+/// The body of an answer, as its driver sends it; it ends in order by [`Part::End`] alone.
+///
+/// Parts and end come over one channel, so that the end cannot overtake the last part. Dropping the body tells the
+/// driver that the caller is gone.
+struct AnswerBody {
+    parts: mpsc::Receiver<Part>,
+    ended: bool,
+    _permit: Permit,
+}
+
+impl HttpBody for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        let part = ready!(self.parts.poll_recv(cx));
+        if let Some(Part::Bytes(bytes)) = part {
+            return Poll::Ready(Some(Ok(Frame::data(bytes))));
+        }
+        self.ended = true;
+        match part {
+            Some(Part::End) => Poll::Ready(None),
+            Some(Part::Abort(refusal)) => Poll::Ready(Some(Err(Box::new(refusal)))),
+            _ => Poll::Ready(Some(Err(Box::new(DRIVER_LOST)))),
         }
     }
 }
