Judge a repeated part as doubled also where it cuts a request id

Cause: the property a_repeated_part_is_doubled failed (stream = true, at = 935, len = 299): a repeat that begins inside an id reads like another id, which was judged foreign. Change: a body that holds every expected byte in order and one of its own parts again is doubled before ids are looked at; every count of cached tokens is masked, not the first.

--- a/crates/load/src/verdict.rs
+++ b/crates/load/src/verdict.rs
@@ -37,6 +37,8 @@
         Verdict::Whole
     } else if expected.starts_with(&body) {
         Verdict::Lost
+    } else if repeats(&expected, &body) {
+        Verdict::Doubled
     } else if body.split(ID_PREFIX).skip(1).any(|it| !it.starts_with(request)) {
         Verdict::Foreign
     } else if body.len() > expected.len() {
@@ -48,6 +50,21 @@
     }
 }
 
+/// Whether a body is the expected one with one of its own parts in it a second time.
+fn repeats(expected: &str, body: &str) -> bool {
+    let (expected, body) = (expected.as_bytes(), body.as_bytes());
+    let Some(extra) = body.len().checked_sub(expected.len()).filter(|it| *it > 0) else {
+        return false;
+    };
+    let ahead = expected.iter().zip(body).take_while(|(a, b)| a == b).count();
+    let behind = expected.iter().rev().zip(body.iter().rev()).take_while(|(a, b)| a == b).count();
+    if ahead + behind < expected.len() {
+        return false;
+    }
+    let part = body.get(ahead..ahead + extra);
+    part.is_some_and(|part| expected.windows(extra).any(|it| it == part))
+}
+
 /// Says where a body parts from the answer that it must be, for a person to read.
 pub(crate) fn describe(answer: &Answer, body: &str) -> String {
     let (expected, body) = (masked(&answer.body(0)), masked(body));
@@ -65,16 +82,20 @@
     )
 }
 
-/// Returns a body whose count of cached tokens is masked.
+/// Returns a body whose counts of cached tokens are masked.
 fn masked(body: &str) -> String {
-    let Some(at) = body.find(CACHED_KEY).map(|it| it + CACHED_KEY.len()) else {
-        return body.to_owned();
-    };
-    let end = (at + CACHED_BYTES).min(body.len());
-    match (body.get(..at), body.get(at..end), body.get(end..)) {
-        (Some(before), Some(number), Some(after)) => {
-            format!("{before}{}{after}", "#".repeat(number.len()))
+    let mut parts = body.split(CACHED_KEY);
+    let mut masked = parts.next().unwrap_or_default().to_owned();
+    for part in parts {
+        masked.push_str(CACHED_KEY);
+        let end = CACHED_BYTES.min(part.len());
+        match (part.get(..end), part.get(end..)) {
+            (Some(number), Some(after)) => {
+                masked.push_str(&"#".repeat(number.len()));
+                masked.push_str(after);
+            }
+            _ => masked.push_str(part),
         }
-        _ => body.to_owned(),
     }
+    masked
 }
