Wait for short prefixes too, before a chat spills

Cause: in jf-load's chats most cached prefixes are shorter than the 512 tokens below which a request spilled at once, so each busy home cost a whole prompt.

--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -60,6 +60,11 @@
         Settings { hold: token, longest, ..self }
     }
 
+    /// Sets below how many prompt tokens a prefix is computed again rather than sought or waited for.
+    pub fn with_seek(self, tokens: u32) -> Settings {
+        Settings { seek: tokens, ..self }
+    }
+
     /// Sets how long after an endpoint joined chats are sent back to where their prefix is, in microseconds; zero:
     /// never.
     pub fn with_moving(self, micros: u64) -> Settings {
--- a/crates/router/src/owned.rs
+++ b/crates/router/src/owned.rs
@@ -29,10 +29,13 @@
 
 /// How long a request waits for each cached token of its prompt before it spills, in microseconds: about what a large
 /// engine takes to compute one.
-const HOLD_US: u64 = 100;
+const HOLD_US: u64 = 300;
 
 /// The longest that a request waits before it spills, in microseconds.
-const HOLD_LIMIT_US: u64 = SECOND / 2;
+const HOLD_LIMIT_US: u64 = SECOND * 3 / 5;
+
+/// A shorter cached prefix is computed again rather than waited for, in tokens.
+const SEEK_TOKENS: u32 = 64;
 
 /// Requests whose chats are remembered, so that cache events can name them.
 const RECENT: usize = 1 << 16;
@@ -97,7 +100,7 @@
     pub(crate) fn new(_: Time) -> Owned {
         Owned {
             member: Member::new(Timing::default()),
-            table: Table::new(Settings::default().with_hold(HOLD_US, HOLD_LIMIT_US)),
+            table: Table::new(settings()),
             suspects: Suspects::new(SuspectLimits::default()),
             isolation: Isolation::default(),
             queues: HashMap::new(),
@@ -405,6 +408,10 @@
     }
 }
 
+fn settings() -> Settings {
+    Settings::default().with_hold(HOLD_US, HOLD_LIMIT_US).with_seek(SEEK_TOKENS)
+}
+
 /// Milliseconds of a budget as a deadline.
 pub(crate) fn deadline(now: Time, budget_ms: u32) -> Time {
     now + u64::from(budget_ms) * MILLISECOND
