End a router's tasks with its shutdown in the fleet test

Cause: a_graceful_shutdown_cuts_nothing_off passed on a router that waits for nothing at its shutdown, for the test's runtime outlived it, unlike a process.

--- a/crates/router/tests/fleet/bench.rs
+++ b/crates/router/tests/fleet/bench.rs
@@ -61,10 +61,15 @@
 }
 
 impl Node<Router> {
-    /// Shuts the router down in order, in the background.
+    /// Shuts the router down in order, in the background; all its tasks end with it, as in a process.
     pub(crate) fn shutdown(&mut self) -> tokio::task::JoinHandle<()> {
         let router = self.handle.take().expect("a running router");
-        self.runtime.as_ref().expect("a running router").spawn(router.shutdown())
+        let runtime = self.runtime.take().expect("a running router");
+        tokio::spawn(async move {
+            let stopped = runtime.spawn(router.shutdown()).await;
+            runtime.shutdown_background();
+            stopped.unwrap();
+        })
     }
 }
 
