Carry out the procedures of OPERATIONS.md under load: cargo xtask drill

Cause: the procedures were written from the code, and none of them had been carried out with real processes under load. Change: cargo xtask drill starts a whole fleet of the examples and jf-load, drains an engine, restarts a router in order, kills the leading control replica, deletes a follower's data folder, kills a router, and judges jf-load's report. jf-load's judgement is as before; its report says besides, by router, how many lost answers had their connection broken, and its lines name the router. Only those broken off by the killed router are counted apart in the drill's verdict. The drill fails on any lost, doubled, foreign answer, any lost, doubled or differing key and any false not-run.

--- a/crates/load/src/counts.rs
+++ b/crates/load/src/counts.rs
@@ -72,6 +72,8 @@
     pub refused: BTreeMap<String, u64>,
     /// Requests that got no answer at all, by what failed.
     pub unanswered: BTreeMap<String, u64>,
+    /// Lost answers whose connection to the router broke, by the router's address.
+    pub broken: BTreeMap<String, u64>,
     /// Prompt tokens held by the engines that answered.
     pub cached: u64,
     /// Prompt tokens that some engine had computed in an earlier turn.
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -44,6 +44,8 @@
     pub refused: BTreeMap<String, u64>,
     /// Requests without any answer, by what failed.
     pub unanswered: BTreeMap<String, u64>,
+    /// Of the lost answers, those whose connection to the router broke, by the router's address.
+    pub broken: BTreeMap<String, u64>,
     /// What became of the keys of calls that may not be repeated; nothing if the runners could not be asked.
     pub keys: Option<KeyVerdict>,
     /// Cached tokens over the prompt tokens of earlier turns.
@@ -83,6 +85,7 @@
             answers: counts.verdicts.clone(),
             refused: counts.refused.clone(),
             unanswered: counts.unanswered.clone(),
+            broken: counts.broken.clone(),
             keys,
             reuse: ratio(counts.cached as f64, counts.known as f64),
             skew_work: skew(&work, &running),
@@ -120,6 +123,7 @@
         );
         self.refused.iter().for_each(|(key, count)| println!("  refused {key}: {count}"));
         self.unanswered.iter().for_each(|(key, count)| println!("  unanswered {key}: {count}"));
+        self.broken.iter().for_each(|(key, count)| println!("  broken off by {key}: {count}"));
         if let Some(keys) = &self.keys {
             println!("keys: {keys:?}");
         }
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -8,6 +8,7 @@
         keys::{KeyAnswer, KeyBook},
         plot,
         report::Report,
+        verdict::Verdict,
         watch,
         workload::{ChatTurn, KeyedCall, Shape, Step, Workload},
     },
@@ -112,9 +113,10 @@
     }
 
     async fn chat(&self, turn: ChatTurn) {
-        let sent = call::chat(&self.client, self.router(), &self.tokens[turn.team], &turn).await;
+        let router = self.router();
+        let sent = call::chat(&self.client, router, &self.tokens[turn.team], &turn).await;
         match sent {
-            Ok(ChatResult::Answer(answer)) => self.answered(turn, answer),
+            Ok(ChatResult::Answer(answer)) => self.answered(turn, answer, router),
             Ok(ChatResult::Refused(refusal)) => {
                 self.workload.lock().refused(turn);
                 *self.counts.lock().refused.entry(refusal).or_default() += 1;
@@ -126,7 +128,7 @@
         }
     }
 
-    fn answered(&self, turn: ChatTurn, answer: ChatAnswer) {
+    fn answered(&self, turn: ChatTurn, answer: ChatAnswer, router: SocketAddr) {
         let known = known_tokens(&turn);
         let mut counts = self.counts.lock();
         counts.answer(answer.verdict, answer.usage, known);
@@ -136,9 +138,15 @@
             counts.between.note(*gap / *tokens as u32, *tokens);
         }
         if let Some(fault) = answer.fault {
+            if answer.broken.is_some() && answer.verdict == Verdict::Lost {
+                *counts.broken.entry(router.to_string()).or_default() += 1;
+            }
             let why = answer.broken.unwrap_or_else(|| "ended in order".to_owned());
             let (chat, verdict) = (&turn.chat, answer.verdict);
-            eprintln!("jf-load: {chat} turn {}: {verdict} ({why}), {fault}", turn.turn);
+            eprintln!(
+                "jf-load: {chat} turn {} through {router}: {verdict} ({why}), {fault}",
+                turn.turn
+            );
         }
         drop(counts);
         self.workload.lock().answered(turn, answer.text);
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -10,6 +10,7 @@
 mod usage;
 
 pub(crate) use crate::demo::{
+    child::Child,
     files::RunFolder,
     fleet::{Fleet, build},
 };
--- a/xtask/src/demo/child.rs
+++ b/xtask/src/demo/child.rs
@@ -4,9 +4,9 @@
     crate::demo::usage::{self, Used},
     eyre::{Result, WrapErr, bail},
     std::{
-        fs::{self, File},
+        fs::{self, OpenOptions},
         path::{Path, PathBuf},
-        process::Stdio,
+        process::{ExitStatus, Stdio},
         time::Duration,
     },
     tokio::{
@@ -28,7 +28,8 @@
 impl Child {
     pub(crate) fn spawn(binary: &Path, args: &[&str], folder: &Path, name: &str) -> Result<Child> {
         let log = folder.join(format!("{name}.log"));
-        let file = File::create(&log).wrap_err("demo: create log")?;
+        let file = OpenOptions::new().create(true).append(true).open(&log);
+        let file = file.wrap_err("demo: create log")?;
         let copy = file.try_clone().wrap_err("demo: create log")?;
         let process = Command::new(binary)
             .args(args)
@@ -79,6 +80,23 @@
         }
     }
 
+    /// Kills the process, as a lost host would end it.
+    pub(crate) async fn kill(&mut self) -> Result<()> {
+        self.process.kill().await.wrap_err_with(|| format!("demo: kill {}", self.name))
+    }
+
+    /// Waits until the process ends, with whatever exit code.
+    pub(crate) async fn wait(&mut self, limit: Duration) -> Result<ExitStatus> {
+        let ended = timeout(limit, self.process.wait()).await;
+        let ended = ended.wrap_err_with(|| format!("demo: {} takes too long", self.name))?;
+        ended.wrap_err_with(|| format!("demo: wait for {}", self.name))
+    }
+
+    /// Returns whether the process runs.
+    pub(crate) fn runs(&mut self) -> bool {
+        matches!(self.process.try_wait(), Ok(None))
+    }
+
     /// Prints the last lines of its log.
     pub(crate) fn print_log(&self) {
         let text = fs::read_to_string(&self.log).unwrap_or_default();
--- a/xtask/src/demo/fleet.rs
+++ b/xtask/src/demo/fleet.rs
@@ -3,7 +3,7 @@
 use {
     crate::demo::{child::Child, files::RunFolder},
     edge::{Client, empty},
-    eyre::{OptionExt, Result, WrapErr, bail},
+    eyre::{OptionExt, Result, WrapErr, bail, eyre},
     settings::{LoadSettings, OperatorSettings},
     std::{
         env, fs,
@@ -140,6 +140,40 @@
         ended
     }
 
+    /// Starts one of the binaries outside the fleet.
+    pub(crate) fn beside(&self, binary: &str, args: &[&str]) -> Result<Child> {
+        Child::spawn(&self.binaries.join(binary), args, self.folder.path(), binary)
+    }
+
+    /// Asks a process to end and waits for its orderly end.
+    pub(crate) async fn stop(&mut self, name: &str) -> Result<()> {
+        let at = self.place(name)?;
+        let child = &mut self.children[at];
+        child.terminate().await;
+        child.join().await
+    }
+
+    /// Kills a process.
+    pub(crate) async fn kill(&mut self, name: &str) -> Result<()> {
+        let at = self.place(name)?;
+        self.children[at].kill().await
+    }
+
+    /// Starts a process that has ended again and waits until the page at `admin` says that it is ready.
+    pub(crate) async fn start_again(&mut self, name: &str, admin: SocketAddr) -> Result<()> {
+        let at = self.place(name)?;
+        let binary = format!("jf-{}", name.split('-').next().unwrap_or(name));
+        let file = format!("{name}.toml");
+        let path = self.binaries.join(binary);
+        self.children[at] = Child::spawn(&path, &[&file], self.folder.path(), name)?;
+        self.wait_for_page(admin, "/ready").await
+    }
+
+    fn place(&self, name: &str) -> Result<usize> {
+        let at = self.children.iter().position(|it| it.name == name);
+        at.ok_or_else(|| eyre!("demo: no process {name}"))
+    }
+
     pub(crate) fn print_logs(&self) {
         self.children.iter().for_each(Child::print_log);
     }
--- a/xtask/src/flags.rs
+++ b/xtask/src/flags.rs
@@ -25,6 +25,17 @@
             /// How routers choose endpoints: owner, round-robin, least-reported or rendezvous.
             optional --routing routing: String
         }
+        /// Carries out the procedures of docs/OPERATIONS.md on a whole small fleet under load, and judges every answer.
+        cmd drill {
+            /// Which fleet of the examples folder: auditex or sahm. Default: auditex.
+            optional --deployment deployment: String
+            /// Builds with optimisation.
+            optional --release
+            /// How long to send, in seconds. Default: 75.
+            optional --seconds seconds: u64
+            /// Requests a second. Default: 60.
+            optional --rate rate: u32
+        }
         /// Runs one load on a whole small fleet, once for each way of routing, and prints a table.
         cmd bench {
             /// Which fleet of the examples folder: auditex or sahm. Default: auditex.
