Leave idle time out of an endpoint's drain rate

Ruled out: the shares themselves (the chats before and after were answered). Change: the average begins anew when the first request waits.

--- a/crates/admission/src/drain.rs
+++ b/crates/admission/src/drain.rs
@@ -27,12 +27,16 @@
         Drain { rate: rate.max(1), done: 0, since: now }
     }
 
+    /// Begins a time in which requests wait; what passed before it says nothing.
+    pub(crate) fn begin(&mut self, now: Time) {
+        self.done = 0;
+        self.since = now;
+    }
+
     /// Counts work that ended; `busy` says whether requests were waiting.
     pub(crate) fn ended(&mut self, now: Time, work: Work, busy: bool) {
         if !busy {
-            self.done = 0;
-            self.since = now;
-            return;
+            return self.begin(now);
         }
         self.done = self.done.saturating_add(work.0);
         let span = now.since(self.since);
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -145,6 +145,9 @@
             let over = wait.saturating_sub(waiting.deadline.since(now));
             return Err(Refusal::not_run(Reason::Overloaded, self.retry_ms(over)));
         }
+        if self.waiting.is_empty() {
+            self.drain.begin(now);
+        }
         self.insert(waiting);
         Ok(())
     }
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -219,3 +219,18 @@
         }
     }
 }
+
+/// Time in which nothing waited once counted as time in which the endpoint was slow: after a pause the first work that
+/// ended made the rate collapse, and requests with ample time were refused.
+#[test]
+fn idle_time_does_not_lower_the_drain_rate() {
+    let config = QueueConfig { rate: 1_000, ..QueueConfig::default() };
+    let mut queue = FairQueue::new(Time(0), config);
+    let idle = Time(60_000_000);
+    let ample = idle + 20_000_000;
+    queue.offer(idle, waiting(1, 1, 1, 100, ample)).unwrap();
+    queue.offer(idle, waiting(2, 1, 1, 100, ample)).unwrap();
+    assert_eq!(queue.room(idle, Room { work: Work(0), idle: true }).len(), 1);
+    queue.ended(idle + 100_000, Work(100));
+    assert!(queue.offer(idle + 100_000, waiting(3, 1, 1, 100, ample)).is_ok());
+}
