--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -38,6 +38,9 @@
 /// Seconds that two parts of a caller's body may be apart.
 const BODY_STALL: Duration = Duration::from_secs(10);
 
+/// When to come back to a router that has no configuration yet, in milliseconds.
+const START_RETRY_MS: u32 = 1_000;
+
 /// What a caller is told when the driver of its request ended without a word.
 const DRIVER_LOST: Refusal =
     Refusal { outcome: Outcome::Unknown, reason: Reason::EndpointFailed, retry_ms: 0 };
@@ -110,7 +113,10 @@
         .ok_or(refused(Reason::Unauthorized, "no bearer token"))?;
     // The table is searched by digest, so the time of the search says nothing about the token.
     let team = view.team(&Digest::of(token.trim().as_bytes()));
-    team.cloned().ok_or(refused(Reason::Unauthorized, "unknown token"))
+    team.cloned().ok_or_else(|| match view.config.revision.0 {
+        0 => (Refusal::not_run(Reason::Unavailable, START_RETRY_MS), "no configuration yet"),
+        _ => refused(Reason::Unauthorized, "unknown token"),
+    })
 }
 
 fn deadline(shared: &Shared, headers: &HeaderMap) -> Result<Time, Refused> {
--- a/crates/router/tests/fleet/bench.rs
+++ b/crates/router/tests/fleet/bench.rs
@@ -294,7 +294,8 @@
     Node { inner, admin, callers: admin, runtime: Some(runtime), handle: Some(control) }
 }
 
-fn router(at: usize, control: SocketAddr) -> Node<Router> {
+/// Starts a router that looks for control at an address.
+pub(crate) fn router(at: usize, control: SocketAddr) -> Node<Router> {
     let any = "127.0.0.1:0".parse().unwrap();
     let settings = RouterSettings {
         host: HostName(format!("e{at}").into()),
--- a/crates/router/tests/fleet/calls.rs
+++ b/crates/router/tests/fleet/calls.rs
@@ -1,7 +1,7 @@
 //! Ordinary calls, and calls that are refused.
 
 use {
-    crate::bench::{Fleet, TOKEN, assert_whole},
+    crate::bench::{Fleet, TOKEN, assert_whole, router},
     edge::full,
     http::Request,
     rstest::rstest,
@@ -33,6 +33,18 @@
     }
 }
 
+/// A router that was just started knows no token yet, so it cannot call one wrong.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_without_a_configuration_does_not_call_a_token_wrong() {
+    let mut fleet = Fleet::open(1, 1).await;
+    // Nothing listens there, so this router never gets a configuration.
+    let nowhere = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    fleet.routers.push(router(1, nowhere));
+    let got = fleet.chat(1, "early", "hello", 2).await;
+    assert_eq!((got.status, got.outcome.as_str()), (503, "not-run"), "{got:?}");
+    assert!(got.body.as_ref().is_ok_and(|it| it.contains("unavailable")), "{got:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_keyed_call_runs_once_however_often_it_is_sent() {
     let fleet = Fleet::open(3, 2).await;
