Tell a settled roster from a changing one in the test of fixed shares

Cause: one of 10 runs of chats_are_answered_by_fixed_shares_long_after_control_is_gone gave a 504 after the whole deadline. Control was killed within a second of the last roster change: a router without a lease counts every roster that may be in force, and where its rank differs between them it may not exceed its share, which is zero without load.

--- a/crates/router/tests/fleet/bench.rs
+++ b/crates/router/tests/fleet/bench.rs
@@ -28,6 +28,9 @@
 
 const OPERATOR: &str = "secret-of-alice";
 const DOMAINS: [&str; 3] = ["prg-a", "prg-b", "brno"];
+/// Two heartbeats of every router fit in it.
+const HEARTBEATS: Duration = Duration::from_millis(2_500);
+
 const PATIENCE: Duration = Duration::from_secs(40);
 
 /// One node in a runtime of its own.
@@ -178,6 +181,26 @@
         assert!(confirmed["revision"].is_u64(), "{confirmed}");
     }
 
+    /// Waits until all routers have acknowledged one roster and have had the answer to that.
+    pub(crate) async fn settled(&self) {
+        let start = Instant::now();
+        let mut since: Option<Instant> = None;
+        while since.is_none_or(|it| it.elapsed() < HEARTBEATS) {
+            let token = Some(OPERATOR);
+            let (_, page) = self
+                .client
+                .call(self.control.admin, "GET", "/v1/status", token, empty())
+                .await
+                .unwrap();
+            let status: Value = serde_json::from_slice(&page).unwrap();
+            let routers = status["routers"].as_array().unwrap();
+            let same = routers.iter().all(|it| it["epoch"] == status["epoch"]);
+            since = since.filter(|_| same).or(same.then(Instant::now));
+            assert!(start.elapsed() < PATIENCE, "the roster does not settle: {status}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     async fn operate(&self, path: &str, operation: &str, body: &str) -> Value {
         let start = Instant::now();
         loop {
