Read the platform's host list, so that a router lost for good gives up its shares

Cause: an owner leaves room for the shares of a missing router, and starts no single request above the bound where that router owned the endpoint; only the host list or a new process at the address ended that, and control did not read the list. A service of one endpoint would have stayed idle after its owner's host was lost. Ruled out: giving both the one request above the bound, which breaks the proved bound.

--- a/crates/control/examples/feeds.rs
+++ b/crates/control/examples/feeds.rs
@@ -96,6 +96,7 @@
         peers: Vec::new(),
         operators,
         tls_inner: None,
+        host_list: None,
         weights: WeightLimits::default(),
         log: LogSettings::default(),
     })
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -4,6 +4,7 @@
     crate::{
         admin, claims, feed,
         fleet::Fleet,
+        hosts,
         log::{Log, ReplicaAddr},
         metrics::Metrics,
         news::{self, News},
@@ -129,6 +130,8 @@
             tokio::spawn(orders::run(shared.clone())),
             tokio::spawn(news::run(shared.clone())),
         ];
+        let hosts = shared.settings.host_list;
+        tasks.extend(hosts.map(|it| tokio::spawn(hosts::run(shared.clone(), it))));
         tasks.extend(identity.map(|it| tokio::spawn(it.keep_fresh())));
         tracing::info!("control: serves routers on {}, operators on {}", own.inner, own.admin);
         Ok(Control { shared, inner: own.inner, server, tasks })
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 mod control;
 mod feed;
 mod fleet;
+mod hosts;
 mod log;
 mod metrics;
 mod news;
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -38,6 +38,7 @@
         peers: Vec::new(),
         operators,
         tls_inner: None,
+        host_list: None,
         // A load each 10 ms.
         weights: WeightLimits { image_bytes: 1, rate_bytes: 100 },
         log: LogSettings::default(),
--- a/crates/member/tests/lease.rs
+++ b/crates/member/tests/lease.rs
@@ -149,3 +149,25 @@
     }
     assert_eq!(waits, [2, 4, 8, 16]);
 }
+
+/// A router that was lost for good once kept its shares until its process came back: nobody could start work on an idle
+/// endpoint that it had owned.
+#[test]
+fn a_missing_router_is_removed_once_its_host_has_been_off_the_list_for_long() {
+    let mut members = heard();
+    let (here, elsewhere) = ([HostName("h".into())].into(), [HostName("other".into())].into());
+    for second in 5..30 {
+        commit(&mut members, at(second));
+    }
+    assert_eq!(state(&members), Some(RouterState::Missing));
+    for second in 30..200 {
+        members.hosts(at(second), &here);
+        commit(&mut members, at(second));
+    }
+    assert_eq!(state(&members), Some(RouterState::Missing), "its host is still listed");
+    members.hosts(at(200), &elsewhere);
+    commit(&mut members, at(259));
+    assert_eq!(state(&members), Some(RouterState::Missing), "the list may lag");
+    commit(&mut members, at(261));
+    assert_eq!(state(&members), None);
+}
--- a/crates/router/tests/fleet/bench.rs
+++ b/crates/router/tests/fleet/bench.rs
@@ -311,6 +311,7 @@
         peers: Vec::new(),
         operators,
         tls_inner: None,
+        host_list: None,
         weights: WeightLimits::default(),
         log: quiet(),
     };
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -59,6 +59,8 @@
     pub operators: PathBuf,
     /// Keys between the system's own processes; without them these connections are in the clear.
     pub tls_inner: Option<TlsFiles>,
+    /// Where the platform's host list is read; without it a router that is lost for good keeps its shares.
+    pub host_list: Option<SocketAddr>,
     /// What the weight store allows.
     #[serde(default)]
     pub weights: WeightLimits,
