--- a/crates/router/src/owned.rs
+++ b/crates/router/src/owned.rs
@@ -3,8 +3,11 @@
 //! One table under one lock: the decisions of `member`, `placement`, `admission` and `retry` for one endpoint must
 //! see one state. Every method takes `now` and does no I/O; what is to be sent is returned or put into a channel.
 
+mod waiting;
+
 use {
-    admission::{FairQueue, QueueConfig, Room, Waiting},
+    self::waiting::Queued,
+    admission::FairQueue,
     member::{Timing, View as Member},
     model::{
         AttemptNo, ChatKey, Config, Digest, EndpointId, Epoch, MILLISECOND, Reason, Refusal,
@@ -13,22 +16,14 @@
     placement::{CacheEvent, Homes, Settings, Start, Started, Table},
     retry::{Isolation, SuspectLimits, Suspects, Verdict},
     smallvec::SmallVec,
-    std::{
-        collections::{HashMap, VecDeque},
-        sync::Arc,
-    },
-    tokio::sync::oneshot,
+    std::collections::{HashMap, VecDeque},
     wire::msg::{LoadSum, Mean, ToControl},
 };
 
 /// How long an endpoint that refused a connection gets nothing new, in microseconds.
 const DOWN_US: u64 = SECOND / 2;
 
-/// A queue that has not moved for so long although nothing runs is given up, in microseconds.
-const STALL_US: u64 = SECOND / 4;
-
-/// How long a request waits for each cached token of its prompt before it spills, in microseconds: about what a large
-/// engine takes to compute one.
+/// How long a request waits for each cached token of its prompt before it spills, in microseconds.
 const HOLD_US: u64 = 300;
 
 /// The longest that a request waits before it spills, in microseconds.
@@ -68,14 +63,6 @@
 /// What a waiting request is told.
 pub(crate) type Turn = Result<Running, NotStarted>;
 
-/// A request that waits for room.
-struct Queued {
-    start: Start,
-    homes: Arc<Homes>,
-    struck: bool,
-    turn: oneshot::Sender<Turn>,
-}
-
 /// The owner's side of a router.
 pub(crate) struct Owned {
     pub(crate) member: Member,
@@ -97,7 +84,7 @@
 
 impl Owned {
     /// Returns the tables of a router that owns nothing.
-    pub(crate) fn new(_: Time) -> Owned {
+    pub(crate) fn new() -> Owned {
         Owned {
             member: Member::new(Timing::default()),
             table: Table::new(settings()),
@@ -260,32 +247,6 @@
         }
     }
 
-    /// Queues a request until there is room; its turn comes over the returned channel.
-    pub(crate) fn wait(
-        &mut self,
-        now: Time,
-        waiting: Waiting,
-        start: Start,
-        homes: Arc<Homes>,
-        struck: bool,
-    ) -> Result<oneshot::Receiver<Turn>, Refusal> {
-        let fresh = || FairQueue::new(now, QueueConfig::default());
-        self.queues.entry(start.endpoint).or_insert_with(fresh).offer(now, waiting)?;
-        let (turn, receiver) = oneshot::channel();
-        self.waiting.insert((start.endpoint, start.request), Queued { start, homes, struck, turn });
-        self.serve_queue(now, start.endpoint);
-        Ok(receiver)
-    }
-
-    /// Takes a request out of the queue whose caller went away.
-    pub(crate) fn cancel(&mut self, endpoint: EndpointId, request: RequestId) {
-        if self.waiting.remove(&(endpoint, request)).is_some()
-            && let Some(queue) = self.queues.get_mut(&endpoint)
-        {
-            queue.cancel(request);
-        }
-    }
-
     /// Notes how much work of a running request is left.
     pub(crate) fn progress(&mut self, running: &Running, left: Work) {
         self.table.progress(running.endpoint, running.request, running.attempt, left);
@@ -335,67 +296,6 @@
         crashers
     }
 
-    /// Takes out what waited too long, and starts what has room; to be called several times a second.
-    pub(crate) fn tick(&mut self, now: Time) {
-        let busy: SmallVec<[EndpointId; 16]> =
-            self.queues.iter().filter(|it| !it.1.is_empty()).map(|it| *it.0).collect();
-        for endpoint in busy {
-            self.expire(now, endpoint);
-            self.serve_queue(now, endpoint);
-        }
-        self.suspects.expire(now);
-    }
-
-    fn expire(&mut self, now: Time, endpoint: EndpointId) {
-        let Some(queue) = self.queues.get_mut(&endpoint) else { return };
-        for (request, refusal) in queue.expire(now) {
-            self.tell(endpoint, request, Err(NotStarted::Refused(refusal)));
-        }
-    }
-
-    fn serve_queue(&mut self, now: Time, endpoint: EndpointId) {
-        let Some(queue) = self.queues.get_mut(&endpoint).filter(|it| !it.is_empty()) else {
-            return;
-        };
-        let room = self.table.room(now, &self.member, endpoint);
-        if room == placement::Room::NONE && self.table.running(endpoint) == 0 {
-            return self.stall(now, endpoint);
-        }
-        self.stalled.remove(&endpoint);
-        let starts = queue.room(now, Room { work: room.work, idle: room.one });
-        for (request, _) in starts {
-            let Some(queued) = self.waiting.get(&(endpoint, request)) else { continue };
-            let (start, homes, struck) = (queued.start, queued.homes.clone(), queued.struck);
-            let turn = self.start(now, &homes, &start, struck);
-            self.tell(endpoint, request, turn);
-        }
-    }
-
-    /// Sends what waits elsewhere once the queue has not moved for a while although this router runs nothing there:
-    /// the endpoint is leaving, its owner changes, or its room belongs to missing routers.
-    fn stall(&mut self, now: Time, endpoint: EndpointId) {
-        let since = *self.stalled.entry(endpoint).or_insert(now);
-        if now.since(since) < STALL_US {
-            return;
-        }
-        self.stalled.remove(&endpoint);
-        let waiting = self.waiting.keys().filter(|it| it.0 == endpoint);
-        let waiting: SmallVec<[RequestId; 8]> = waiting.map(|it| it.1).collect();
-        for request in waiting {
-            if let Some(queue) = self.queues.get_mut(&endpoint) {
-                queue.cancel(request);
-            }
-            self.tell(endpoint, request, Err(NotStarted::Elsewhere(SmallVec::new())));
-        }
-    }
-
-    /// Tells a waiting request its turn. Its receiver is there: it leaves the queue before it goes (see `owner`).
-    fn tell(&mut self, endpoint: EndpointId, request: RequestId, turn: Turn) {
-        if let Some(queued) = self.waiting.remove(&(endpoint, request)) {
-            let _ = queued.turn.send(turn);
-        }
-    }
-
     fn remember(&mut self, request: RequestId, chat: ChatKey) {
         if self.chats.insert(request, chat).is_none() {
             self.recent.push_back(request);
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -86,7 +86,7 @@
             inner,
             process: random(),
             limits: Mutex::new(TeamLimits::new(1)),
-            owned: Mutex::new(Owned::new(clock.now())),
+            owned: Mutex::new(Owned::new()),
             budget: Budget::new(RETRY_PERMILLE, RETRY_RESERVE),
             metrics,
             leaving: Notify::new(),
