--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -24,6 +24,9 @@
         Some(routing) => vec![routing],
         None => ROUTINGS.to_vec(),
     };
+    if let Some(dir) = &flags.svg_dir {
+        fs::create_dir_all(dir).wrap_err("bench: create the folder of plots")?;
+    }
     let mut rows = Vec::new();
     for routing in routings {
         println!("bench: {deployment}, routing {routing}");
