Keep the leader's lease under large documents, know commits after a restart, fetch prompts from where they are

Change: resend only after half an election timeout without progress; documents compressed in the log; the commit index noted on disk up to what is synced, 200 ms apart; a stopping gateway refuses what could outlast its grace; prompt parts told to other gateways, fetched from whoever holds most; a starting gateway says when to come back.

--- a/crates/control/src/layouts.rs
+++ b/crates/control/src/layouts.rs
@@ -5,11 +5,12 @@
         command::{Command, Output},
         control::Shared,
         log::NotCommitted,
+        packed::{pack, unpack},
     },
     bytes::Bytes,
     derive_more::{Debug, Display, Error},
     route::{Layout, Verdict},
-    std::{net::SocketAddr, sync::Arc},
+    std::{io::Error as IoError, net::SocketAddr, sync::Arc},
 };
 
 /// How routing configurations are written.
@@ -76,7 +77,8 @@
             NotPublished::Invalid { reason }
         })?;
         let version = layout.version;
-        let command = Command::Publish { version, document: document.into() };
+        let document = pack(&document).map_err(|it| unreadable(&it))?;
+        let command = Command::Publish { version, document };
         match self.shared.log.propose(&command).await {
             Ok(Output::Published(verdict)) => {
                 tracing::info!(event = "layout-published", version, ?verdict, "control: published");
@@ -97,7 +99,9 @@
     /// [`NotPublished::NotLeader`] or [`NotPublished::Unknown`].
     pub async fn read(&self) -> Result<Bytes, NotPublished> {
         self.shared.log.read().await.map_err(|it| self.fault(it))?;
-        Ok(self.shared.log.with(|it| Bytes::copy_from_slice(it.published.document())))
+        let packed = self.shared.log.with(|it| it.published.document().to_vec());
+        let document = unpack(&packed).map_err(|it| unreadable(&it))?;
+        Ok(document.into())
     }
 
     fn fault(&self, err: NotCommitted) -> NotPublished {
@@ -110,6 +114,11 @@
     }
 }
 
+fn unreadable(err: &IoError) -> NotPublished {
+    tracing::error!(event = "layout-unreadable", %err, "control: document cannot be packed");
+    NotPublished::Unknown
+}
+
 /// Decodes each configuration that is committed, for the routers that watch.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let mut changes = shared.log.changes();
@@ -128,13 +137,22 @@
         changed.then(|| it.published.document().to_vec())
     });
     let Some(document) = document else { return };
-    match shared.format.decode(&document) {
+    let unpacked = unpack(&document).map_err(|it| it.to_string());
+    match unpacked.and_then(|it| shared.format.decode(&it)) {
         Ok(layout) => {
-            tracing::info!(event = "layout-committed", version = layout.version, "control: in force");
+            tracing::info!(
+                event = "layout-committed",
+                version = layout.version,
+                "control: in force"
+            );
             shared.layout.send_replace(Some(Arc::new(layout)));
         }
         Err(reason) => {
-            tracing::error!(event = "layout-unreadable", reason, "control: committed, not readable");
+            tracing::error!(
+                event = "layout-unreadable",
+                reason,
+                "control: committed, not readable"
+            );
         }
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -24,6 +24,7 @@
 mod news;
 mod operators;
 mod orders;
+mod packed;
 mod quarantine;
 mod reply;
 mod roster;
--- a/crates/control/src/watching.rs
+++ b/crates/control/src/watching.rs
@@ -75,11 +75,7 @@
     served
 }
 
-async fn tell(
-    shared: &Shared,
-    version: Option<u64>,
-    send: &mut SendHalf,
-) -> Result<(), WireError> {
+async fn tell(shared: &Shared, version: Option<u64>, send: &mut SendHalf) -> Result<(), WireError> {
     let mut layouts = shared.layout.subscribe();
     let mut fleet = shared.watchers.changed.subscribe();
     let mut sent = Sent::new(version);
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -7,7 +7,7 @@
         listing::{Change, Listed},
         load::LoadReport,
         lobby::{Ticket, Waiter},
-        service::{Ask, Pick, Service, affinity},
+        service::{Ask, Pick, Service},
     },
     derive_more::Debug,
     model::{Domain, MILLISECOND, Name, Time},
@@ -54,6 +54,8 @@
     last_ticket: u64,
     /// The mean time that a request holds its place, by service, in milliseconds.
     holds: HashMap<Name, f64>,
+    /// Prompt parts that endpoints began to read for this router, which others have not been told of.
+    placed: Vec<(u64, u64)>,
 }
 
 impl Dispatcher {
@@ -66,6 +68,7 @@
             last_no: 0,
             last_ticket: 0,
             holds: HashMap::new(),
+            placed: Vec::new(),
         }
     }
 
@@ -81,7 +84,7 @@
     }
 
     /// Takes a whole listing; returns what it changed.
-    pub fn refresh(&mut self, now: Time, listing: &[Listed]) -> Vec<Change> {
+    pub fn refresh(&mut self, listing: &[Listed]) -> Vec<Change> {
         let mut changes = Vec::new();
         let listed: HashSet<_> = listing.iter().map(|it| &it.id).collect();
         for service in self.services.values_mut() {
@@ -94,21 +97,21 @@
                 kept
             });
         }
-        listing.iter().for_each(|it| changes.extend(self.take_listed(now, it)));
+        listing.iter().for_each(|it| changes.extend(self.take_listed(it)));
         changes
     }
 
-    fn take_listed(&mut self, now: Time, listed: &Listed) -> Option<Change> {
+    fn take_listed(&mut self, listed: &Listed) -> Option<Change> {
         let known = self.find_by_id(&listed.id);
         let Some((service, no)) = known else {
-            self.join(now, listed.clone());
+            self.join(listed.clone());
             return Some(Change::Added(listed.clone()));
         };
         let endpoint = self.services.get_mut(&service)?.get_mut(no)?;
         let reborn = endpoint.listed.born.zip(listed.born).is_some_and(|(old, new)| old != new);
         if endpoint.listed.addr != listed.addr || service != listed.service || reborn {
             self.remove(&service, no);
-            self.join(now, listed.clone());
+            self.join(listed.clone());
             return Some(Change::Restarted(listed.id.clone()));
         }
         let leaves = listed.draining && !endpoint.listed.draining;
@@ -116,12 +119,12 @@
         leaves.then(|| Change::Draining(listed.id.clone()))
     }
 
-    fn join(&mut self, now: Time, listed: Listed) {
+    fn join(&mut self, listed: Listed) {
         self.last_no += 1;
         let no = EndpointNo(self.last_no);
         let name = listed.service.clone();
         self.numbers.insert(no, name.clone());
-        self.services.entry(name).or_default().join(now, no, listed);
+        self.services.entry(name).or_default().join(no, listed);
     }
 
     fn remove(&mut self, service: &Name, no: EndpointNo) {
@@ -176,7 +179,11 @@
         let Some(endpoint) = service.get_mut(pick.no) else { return };
         endpoint.load.add(pick.tokens);
         if let Some(prompt) = &ask.prompt {
-            endpoint.remember(now, affinity(prompt).0);
+            for part in prompt.shared() {
+                if endpoint.remember(now, part.id) {
+                    self.placed.push((endpoint.hash, part.id));
+                }
+            }
         }
     }
 
@@ -205,6 +212,24 @@
         }
     }
 
+    /// Returns up to `most` prompt parts that endpoints began to read for this router since the last call, by the hash
+    /// of the endpoints' ids.
+    pub fn take_placed(&mut self, most: usize) -> Vec<(u64, u64)> {
+        let from = self.placed.len().saturating_sub(most);
+        self.placed.split_off(from)
+    }
+
+    /// Takes prompt parts that endpoints read for another router.
+    pub fn learn(&mut self, now: Time, placed: &[(u64, u64)]) {
+        let endpoints = self.services.values_mut().flat_map(|it| &mut it.endpoints);
+        let mut endpoints: HashMap<_, _> = endpoints.map(|it| (it.hash, it)).collect();
+        for (hash, part) in placed {
+            if let Some(endpoint) = endpoints.get_mut(hash) {
+                endpoint.remember(now, *part);
+            }
+        }
+    }
+
     /// What this router runs, by the hash of the endpoints' ids; endpoints without are left out.
     pub fn own_loads(&self) -> Vec<(u64, LoadReport)> {
         let endpoints = self.services.values().flat_map(|it| &it.endpoints);
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -1,13 +1,10 @@
 //! One endpoint as a router sees it.
 
 use {
-    crate::{health::Health, listing::Listed, load::Load},
+    crate::{health::Health, listing::Listed, load::Load, service::Part},
     derive_more::{Debug, Display},
     model::{Time, hash64, mix2},
-    std::{
-        collections::HashMap,
-        net::SocketAddr,
-    },
+    std::{collections::HashMap, net::SocketAddr},
 };
 
 /// An endpoint's number in one router; an endpoint that started again has another one.
@@ -27,14 +24,12 @@
     pub(crate) hash: u64,
     pub(crate) load: Load,
     pub(crate) health: Health,
-    /// Whether it joined while others were at work, and until when it counts as having no prompts in memory.
-    pub(crate) young_until: Time,
-    /// The prompt parts that this router sent there, and when last.
+    /// The prompt parts that routers sent there, and when last.
     parts: HashMap<u64, Time>,
 }
 
 impl Endpoint {
-    pub(crate) fn new(no: EndpointNo, listed: Listed, young_until: Time) -> Endpoint {
+    pub(crate) fn new(no: EndpointNo, listed: Listed) -> Endpoint {
         let hash = hash64(listed.id.as_bytes());
         Endpoint {
             no,
@@ -42,7 +37,6 @@
             listed,
             load: Load::default(),
             health: Health::default(),
-            young_until,
             parts: HashMap::new(),
         }
     }
@@ -56,13 +50,14 @@
         mix2(self.hash, self.listed.born.unwrap_or(u64::from(self.no.0)))
     }
 
-    /// Whether this router sent a prompt part there.
-    pub(crate) fn holds(&self, part: u64) -> bool {
-        self.parts.contains_key(&part)
+    /// How many tokens at the beginning of a prompt it should have in memory.
+    pub(crate) fn held_tokens(&self, shared: &[Part]) -> u32 {
+        let held = shared.iter().take_while(|it| self.parts.contains_key(&it.id));
+        held.map(|it| it.tokens).sum()
     }
 
-    /// Takes note of a prompt part that it reads.
-    pub(crate) fn remember(&mut self, now: Time, part: u64) {
+    /// Takes note of a prompt part that it reads; returns whether that is new.
+    pub(crate) fn remember(&mut self, now: Time, part: u64) -> bool {
         if self.parts.len() >= MAX_PARTS && !self.parts.contains_key(&part) {
             // Half of the parts go, so that this is rare.
             let mut times: Vec<_> = self.parts.values().copied().collect();
@@ -70,6 +65,6 @@
             let middle = times[times.len() / 2];
             self.parts.retain(|_, at| *at > middle);
         }
-        self.parts.insert(part, now);
+        self.parts.insert(part, now).is_none()
     }
 }
--- a/crates/dispatch/src/lobby.rs
+++ b/crates/dispatch/src/lobby.rs
@@ -50,7 +50,8 @@
 
     /// Removes the requests whose time is over.
     pub(crate) fn expire(&mut self, now: Time) -> Vec<Waiter> {
-        let (late, kept) = std::mem::take(&mut self.waiters).into_iter().partition(|it| it.expires <= now);
+        let (late, kept) =
+            std::mem::take(&mut self.waiters).into_iter().partition(|it| it.expires <= now);
         self.waiters = kept;
         late
     }
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -8,7 +8,7 @@
         order::order,
     },
     derive_more::Debug,
-    model::{Domain, Name, SECOND, Time},
+    model::{Domain, Name, Time},
     smallvec::SmallVec,
     std::net::SocketAddr,
 };
@@ -22,6 +22,13 @@
     pub tokens: u32,
 }
 
+impl Prompt {
+    /// The parts that other prompts may share: all but the last one.
+    pub(crate) fn shared(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |it| it.1)
+    }
+}
+
 /// The prompt of a request.
 #[derive(Clone, PartialEq, Eq, Default, Debug)]
 pub struct Prompt {
@@ -84,11 +91,8 @@
 /// How much above the best failure rate of the service an endpoint's may be.
 const WORSE_RATE: f64 = 0.25;
 
-/// How long an endpoint that joined a running service counts as having no prompts in memory, in microseconds.
-const YOUTH: u64 = 20 * SECOND;
-
-/// Shared tokens below which no fetch is asked for: reading them is as quick.
-const FETCH_TOKENS: u32 = 256;
+/// Tokens of which another endpoint must have more in memory before a fetch is asked for: reading fewer is as quick.
+const FETCH_TOKENS: u32 = 128;
 
 /// Requests beyond its slots that a plain endpoint may be sent, as a fraction of the slots: its queue, short enough
 /// to be served in time.
@@ -104,11 +108,8 @@
 }
 
 impl Service {
-    pub(crate) fn join(&mut self, now: Time, no: EndpointNo, listed: Listed) {
-        // Those of the first listing may all have been at work for long.
-        let settled = self.endpoints.iter().any(|it| it.young_until <= now);
-        let young_until = if settled { now + YOUTH } else { now };
-        self.endpoints.push(Endpoint::new(no, listed, young_until));
+    pub(crate) fn join(&mut self, no: EndpointNo, listed: Listed) {
+        self.endpoints.push(Endpoint::new(no, listed));
     }
 
     pub(crate) fn get_mut(&mut self, no: EndpointNo) -> Option<&mut Endpoint> {
@@ -129,11 +130,7 @@
     }
 
     /// The endpoints that answer, and fail no more than others.
-    fn sound<'a>(
-        &self,
-        now: Time,
-        ready: &[(usize, &'a Endpoint)],
-    ) -> Vec<(usize, &'a Endpoint)> {
+    fn sound<'a>(&self, now: Time, ready: &[(usize, &'a Endpoint)]) -> Vec<(usize, &'a Endpoint)> {
         let answering = ready.iter().filter(|(_, it)| !it.health.is_avoided(now));
         let rates = answering.clone().map(|(_, it)| it.health.failure_rate(now));
         let best = rates.fold(1.0, f64::min);
@@ -190,8 +187,8 @@
         let within = walk.iter().find(|it| load(it) + 1.0 <= bound && room(it));
         let least = || walk.iter().filter(|it| room(it)).min_by(|a, b| load(a).total_cmp(&load(b)));
         let chosen = *within.or_else(least)?;
-        let fetch = (shared >= FETCH_TOKENS).then(|| self.source(now, key, local, home, chosen));
-        Some(pick(now, &self.endpoints[chosen], prompt.tokens, fetch.flatten()))
+        let fetch = self.source(now, prompt, chosen);
+        Some(pick(now, &self.endpoints[chosen], prompt.tokens, fetch))
     }
 
     /// The most requests that an endpoint may have to take one that would wait shorter elsewhere.
@@ -201,37 +198,24 @@
         mean * SPILL_FACTOR + SPILL_SLACK
     }
 
-    /// Returns an endpoint that probably has more of a prompt in memory than the chosen one: one that comes before it
-    /// in the prompt's order, or the next one behind it if the chosen one has just joined.
-    fn source(
-        &self,
-        now: Time,
-        key: u64,
-        local: bool,
-        home: &Domain,
-        chosen: usize,
-    ) -> Option<SocketAddr> {
+    /// Returns the endpoint that should have most of a prompt in memory, if that is more than the chosen one has.
+    fn source(&self, now: Time, prompt: &Prompt, chosen: usize) -> Option<SocketAddr> {
+        let shared = prompt.shared();
         let target = &self.endpoints[chosen];
-        if target.holds(key) {
-            return None;
-        }
-        let in_reach = |it: &Endpoint| !local || it.listed.domain == *home;
-        let warm = |it: &Endpoint| now >= it.young_until || it.holds(key);
-        let young = now < target.young_until;
-        let ranked = order(key, self.endpoints.iter().enumerate().filter(|it| in_reach(it.1)));
-        let before = ranked.iter().take_while(|it| **it != chosen);
-        let after = ranked.iter().skip_while(|it| **it != chosen).skip(1).filter(|_| young);
-        let mut sources = before.chain(after).map(|it| &self.endpoints[*it]);
-        sources.find(|it| warm(it) && !it.health.is_avoided(now)).map(Endpoint::addr)
+        let least = target.held_tokens(shared) + FETCH_TOKENS;
+        // An endpoint that is leaving may still be fetched from.
+        let others = self.endpoints.iter().filter(|it| it.no != target.no);
+        let sound = others.filter(|it| !it.health.is_avoided(now));
+        let near = |it: &Endpoint| it.listed.domain == target.listed.domain;
+        let ranked = sound.map(|it| (it.held_tokens(shared), near(it), it.addr()));
+        let best = ranked.filter(|it| it.0 >= least).max_by_key(|it| (it.0, it.1));
+        best.map(|it| it.2)
     }
 }
 
 /// What a prompt is placed by: its last shared part, and the tokens up to there.
-pub(crate) fn affinity(prompt: &Prompt) -> (u64, u32) {
-    let shared = match prompt.parts.as_slice() {
-        [shared @ .., _] if !shared.is_empty() => shared,
-        own => own,
-    };
+fn affinity(prompt: &Prompt) -> (u64, u32) {
+    let shared = if prompt.parts.len() > 1 { prompt.shared() } else { &prompt.parts };
     let key = shared.last().map_or(0, |it| it.id);
     (key, shared.iter().map(|it| it.tokens).sum())
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -93,11 +93,7 @@
     }
 
     /// As [`Attempt::run`], for a stream that goes on after `events`.
-    pub(crate) async fn send(
-        self,
-        call: &mut Call,
-        events: Events,
-    ) -> Result<Answer, Failure> {
+    pub(crate) async fn send(self, call: &mut Call, events: Events) -> Result<Answer, Failure> {
         let shared = call.shared.clone();
         let left_ms = call.left_ms();
         if left_ms == 0 {
@@ -209,14 +205,8 @@
         if parts.status.is_success() && is_events(&parts.headers) {
             let running = self.running;
             let first = Bytes::new();
-            let opened = Opened {
-                running,
-                _connection: connection,
-                incoming,
-                events,
-                first,
-                ended: false,
-            };
+            let opened =
+                Opened { running, _connection: connection, incoming, events, first, ended: false };
             return opened.start(call, parts, limit).await;
         }
         let whole = Limited::new(incoming, MAX_ANSWER_BYTES).collect();
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -28,6 +28,12 @@
 /// A request without a target may wait for room so many milliseconds.
 const DEFAULT_PATIENCE_MS: u64 = 500;
 
+/// How long after its start a gateway usually knows its configuration, in milliseconds, if control restarts too.
+const CONFIGURATION_MS: u64 = 2_000;
+
+/// The shortest time after which a caller may come back, in milliseconds.
+const LEAST_RETRY_MS: u64 = 300;
+
 /// How often a request may be sent beyond its attempts while each endpoint proves that it did not run it.
 const EXTRA_SENDS: u32 = 2;
 
@@ -56,15 +62,25 @@
 
 /// Finds the route of a request, and the team that sends it.
 fn admit(shared: &Shared, head: &Head, parts: &request::Parts) -> Result<Admitted, Refusal> {
-    let table = shared.table.load_full().ok_or(Refusal::NoConfiguration)?;
+    let table = shared.table.load_full().ok_or_else(|| no_configuration(shared))?;
     let path = parts.uri.path();
     let found = table.find(&head.host, path, rand::random()).ok_or(Refusal::NoRoute)?;
     let team = team_of(&table, &found, head)?;
+    if shared.is_too_late(found.route.timeout_ms) {
+        return Err(Refusal::Stopping);
+    }
     let priority = team.as_ref().and_then(|it| it.1).unwrap_or(found.route.priority);
     let limit = table.layout().limits.body_bytes as usize;
     Ok((found, team.map(|it| it.0), priority, limit))
 }
 
+/// A caller should come back when a process that has just started is expected to know its configuration.
+fn no_configuration(shared: &Shared) -> Refusal {
+    let age_ms = shared.now().since(shared.started) / MILLISECOND;
+    let left_ms = CONFIGURATION_MS.saturating_sub(age_ms);
+    Refusal::NoConfiguration { retry_ms: left_ms.max(LEAST_RETRY_MS) }
+}
+
 fn team_of(
     table: &Table,
     found: &Found,
@@ -108,7 +124,10 @@
 }
 
 impl Call {
-    #[allow(clippy::too_many_arguments, reason = "one argument a field, in the order of their discovery")]
+    #[allow(
+        clippy::too_many_arguments,
+        reason = "one argument a field, in the order of their discovery"
+    )]
     fn new(
         shared: Arc<Shared>,
         found: Found,
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -53,7 +53,10 @@
         match directory.list().await {
             Ok(listing) => {
                 if failing {
-                    tracing::info!(event = "directory-found", "gateway: endpoints are listed again");
+                    tracing::info!(
+                        event = "directory-found",
+                        "gateway: endpoints are listed again"
+                    );
                 }
                 failing = false;
                 calls = listing.calls;
@@ -83,7 +86,7 @@
 fn take(shared: &Shared, listing: &Listing) {
     let now = shared.now();
     let mut dispatcher = shared.dispatcher.lock();
-    let changes = dispatcher.refresh(now, &listing.endpoints);
+    let changes = dispatcher.refresh(&listing.endpoints);
     for service in listing.endpoints.iter().map(|it| &it.service) {
         let next = dispatcher.start_waiting(now, service);
         shared.hand_out(&mut dispatcher, next);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
         metrics::Metrics,
         names::Names,
         server,
-        shared::{Fleet, Refused, Shared},
+        shared::{Fleet, LEAVE_MS, Refused, Shared},
         watch as control,
     },
     arc_swap::ArcSwapOption,
@@ -25,7 +25,7 @@
         net::SocketAddr,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -38,12 +38,6 @@
     wire::{Class, Clock, Dialer, Identity, Traffic},
 };
 
-/// How long a stopping gateway goes on accepting connections: until the balancer before it has noticed.
-const LEAVE_MS: u64 = 3_000;
-
-/// How long before the end of its grace a stopping gateway gives up on what still runs, in milliseconds.
-const RESERVE_MS: u64 = 300;
-
 /// How often a stopping gateway looks whether it is idle.
 const IDLE_POLL: Duration = Duration::from_millis(50);
 
@@ -83,11 +77,13 @@
         settings.inner = socket.local_addr().wrap_err("gateway: read the bound address")?;
         let (seeds, watched) = watch::channel(settings.control.clone());
         let (listen, admin) = (settings.listen, settings.admin);
+        let clock = Clock::start();
         let shared = Arc::new(Shared {
             dispatcher: Mutex::new(Dispatcher::new(settings.domain.clone())),
             settings,
             names,
-            clock: Clock::start(),
+            clock,
+            started: clock.now(),
             process: rand::random(),
             table: ArcSwapOption::empty(),
             waiters: Mutex::new(HashMap::new()),
@@ -95,7 +91,7 @@
             crashes: Mutex::new(Crashes::default()),
             fleet: Mutex::new(Fleet::default()),
             strikes: Mutex::new(Vec::new()),
-            stopping: AtomicBool::new(false),
+            stopped_at: AtomicU64::new(0),
             stop: Notify::new(),
             listed: AtomicBool::new(false),
             settled: AtomicBool::new(false),
@@ -150,10 +146,10 @@
         let shared = &self.shared;
         let began = shared.now();
         tracing::info!(event = "stopping", "gateway: takes no new callers");
-        shared.stopping.store(true, Ordering::Relaxed);
+        shared.stopped_at.store(began.0, Ordering::Relaxed);
         shared.stop.notify_waiters();
         let leave_at = began + LEAVE_MS * MILLISECOND;
-        let give_up_at = began + shared.settings.grace_ms.saturating_sub(RESERVE_MS) * MILLISECOND;
+        let give_up_at = shared.give_up_at(began);
         loop {
             let now = shared.now();
             let open = shared.connections.load(Ordering::Relaxed);
@@ -168,7 +164,7 @@
 }
 
 fn is_ready(shared: &Shared) -> bool {
-    !shared.stopping.load(Ordering::Relaxed)
+    shared.stopped_at().is_none()
         && shared.settled.load(Ordering::Relaxed)
         && shared.listed.load(Ordering::Relaxed)
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -25,6 +25,9 @@
 /// Unchanged loads are told again after so many intervals, before others forget them.
 const REPEAT: u32 = 4;
 
+/// The most prompt parts in one datagram.
+const MAX_PLACED: usize = 128;
+
 /// The largest datagram, in bytes.
 const MAX_BYTES: usize = 16 << 10;
 
@@ -34,6 +37,8 @@
     router: u64,
     /// What it runs, by the hash of the endpoints' ids.
     loads: Vec<(u64, LoadReport)>,
+    /// Prompt parts that endpoints began to read, by the hash of the endpoints' ids.
+    placed: Vec<(u64, u64)>,
     /// Fingerprints of requests and the endpoints' incarnations that crashed while they ran them.
     strikes: Vec<(u64, u64)>,
 }
@@ -53,16 +58,20 @@
             fleet.routers.iter().map(|it| it.0).filter(|it| *it != own).collect()
         };
         sleep(Duration::from_millis(INTERVAL_MS + INTERVAL_EACH_MS * peers.len() as u64)).await;
-        let mut loads = shared.dispatcher.lock().own_loads();
+        let (mut loads, placed) = {
+            let mut dispatcher = shared.dispatcher.lock();
+            (dispatcher.own_loads(), dispatcher.take_placed(MAX_PLACED))
+        };
         loads.sort_unstable_by_key(|it| it.0);
         let strikes = std::mem::take(&mut *shared.strikes.lock());
         unchanged = if loads == before { unchanged + 1 } else { 0 };
         let idle = loads.is_empty() && unchanged > 0;
-        if strikes.is_empty() && (idle || !unchanged.is_multiple_of(REPEAT)) {
+        let news = !strikes.is_empty() || !placed.is_empty();
+        if !news && (idle || !unchanged.is_multiple_of(REPEAT)) {
             continue;
         }
         before = loads.clone();
-        let report = Report { router: shared.process, loads, strikes };
+        let report = Report { router: shared.process, loads, placed, strikes };
         let Ok(bytes) = encode_to_vec(&report, standard()) else { continue };
         for peer in peers {
             if let Err(err) = socket.send_to(&bytes, peer).await {
@@ -97,7 +106,10 @@
         return;
     }
     let now = shared.now();
-    shared.dispatcher.lock().report(now, report.router, &report.loads);
+    let mut dispatcher = shared.dispatcher.lock();
+    dispatcher.report(now, report.router, &report.loads);
+    dispatcher.learn(now, &report.placed);
+    drop(dispatcher);
     let mut crashes = shared.crashes.lock();
     for (fingerprint, incarnation) in &report.strikes {
         crashes.strike(now, *fingerprint, *incarnation);
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -154,7 +154,11 @@
 }
 
 /// Reads what an answer proves about the request `attempt`.
-pub(crate) fn prove(names: &Names, attempt: Option<&HeaderValue>, answer: &response::Parts) -> Proof {
+pub(crate) fn prove(
+    names: &Names,
+    attempt: Option<&HeaderValue>,
+    answer: &response::Parts,
+) -> Proof {
     let headers = &answer.headers;
     let echoed = headers.get(&names.attempt);
     if echoed.is_some() && echoed != attempt {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Display)]
 pub(crate) enum Refusal {
     #[display("no configuration yet")]
-    NoConfiguration,
+    NoConfiguration { retry_ms: u64 },
     #[display("no route")]
     NoRoute,
     #[display("unknown key")]
@@ -19,6 +19,8 @@
     TooLarge,
     #[display("body not received")]
     BadBody,
+    #[display("this process ends before the request could")]
+    Stopping,
     #[display("no endpoint known")]
     NoEndpoint,
     #[display("no room before the request would be late")]
@@ -31,10 +33,13 @@
     Late,
 }
 
-/// After how many milliseconds callers should come back if nothing better is known: about as long as an endpoint or
-/// a configuration takes to be found.
+/// After how many milliseconds callers should come back when no endpoint is known: about as long as one takes to be
+/// listed.
 const DEFAULT_RETRY_MS: u64 = 500;
 
+/// After how many milliseconds a caller may try another gateway, as this one stops.
+const STOPPING_RETRY_MS: u64 = 50;
+
 /// After how many milliseconds the caller of a request that crashes endpoints may come back.
 const QUARANTINE_RETRY_MS: u64 = 5_000;
 
@@ -42,7 +47,8 @@
     /// The name in logs and metrics.
     pub(crate) fn label(self) -> &'static str {
         match self {
-            Refusal::NoConfiguration => "no-configuration",
+            Refusal::NoConfiguration { .. } => "no-configuration",
+            Refusal::Stopping => "stopping",
             Refusal::NoRoute => "no-route",
             Refusal::UnknownKey => "unknown-key",
             Refusal::TooLarge => "too-large",
@@ -61,7 +67,8 @@
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::BadBody => StatusCode::BAD_REQUEST,
-            Refusal::NoConfiguration
+            Refusal::NoConfiguration { .. }
+            | Refusal::Stopping
             | Refusal::NoEndpoint
             | Refusal::NoRoom { .. }
             | Refusal::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
@@ -72,8 +79,9 @@
 
     fn retry_ms(self) -> Option<u64> {
         match self {
-            Refusal::NoRoom { retry_ms } => Some(retry_ms),
-            Refusal::NoConfiguration | Refusal::NoEndpoint => Some(DEFAULT_RETRY_MS),
+            Refusal::NoRoom { retry_ms } | Refusal::NoConfiguration { retry_ms } => Some(retry_ms),
+            Refusal::Stopping => Some(STOPPING_RETRY_MS),
+            Refusal::NoEndpoint => Some(DEFAULT_RETRY_MS),
             Refusal::Quarantined => Some(QUARANTINE_RETRY_MS),
             _ => None,
         }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -92,7 +92,7 @@
     let limits = table.as_ref().map(|it| it.layout().limits);
     let idle_ms = limits.map_or(DEFAULT_IDLE_MS, |it| it.idle_ms) + IDLE_SLACK_MS;
     let header_bytes = limits.map_or(LEAST_BUFFER, |it| it.header_bytes as usize);
-    let stopping = shared.stopping.load(Ordering::Relaxed);
+    let stopping = shared.stopped_at().is_some();
     let service = service_fn(|request| {
         let shared = shared.clone();
         async move { Ok::<_, Infallible>(call::serve(shared, request).await) }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,8 +7,8 @@
     crate::{metrics::Metrics, names::Names},
     arc_swap::ArcSwapOption,
     derive_more::Debug,
-    dispatch::{Ask, Arrival, Budget, BudgetLimits, Crashes, Dispatcher, Ending, Pick, Ticket},
-    model::{Domain, Name, Time},
+    dispatch::{Arrival, Ask, Budget, BudgetLimits, Crashes, Dispatcher, Ending, Pick, Ticket},
+    model::{Domain, MILLISECOND, Name, Time},
     parking_lot::Mutex,
     route::Table,
     settings::GatewaySettings,
@@ -17,13 +17,20 @@
         net::SocketAddr,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicUsize},
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
     },
     tokio::sync::{Notify, oneshot},
     wire::Clock,
 };
 
+/// How long a stopping gateway takes all requests, in milliseconds: until the balancer before it has noticed, and what
+/// was under way has arrived.
+pub(crate) const LEAVE_MS: u64 = 3_000;
+
+/// How long before the end of its grace a stopping gateway gives up on what still runs, in milliseconds.
+const RESERVE_MS: u64 = 300;
+
 /// The answer to a request that waits for room.
 pub(crate) type Placed = Result<Pick, Refused>;
 
@@ -45,6 +52,7 @@
     pub(crate) settings: GatewaySettings,
     pub(crate) names: Names,
     pub(crate) clock: Clock,
+    pub(crate) started: Time,
     /// The number of this process among gateways.
     pub(crate) process: u64,
     pub(crate) table: ArcSwapOption<Table>,
@@ -55,7 +63,8 @@
     pub(crate) fleet: Mutex<Fleet>,
     /// Crashes that other gateways have not been told of yet.
     pub(crate) strikes: Mutex<Vec<(u64, u64)>>,
-    pub(crate) stopping: AtomicBool,
+    /// When this process was told to stop, in microseconds of its clock; zero: it was not.
+    pub(crate) stopped_at: AtomicU64,
     pub(crate) stop: Notify,
     /// Whether endpoints were listed at least once.
     pub(crate) listed: AtomicBool,
@@ -72,6 +81,27 @@
         self.clock.now()
     }
 
+    /// When this process was told to stop.
+    pub(crate) fn stopped_at(&self) -> Option<Time> {
+        let at = self.stopped_at.load(Ordering::Relaxed);
+        (at > 0).then_some(Time(at))
+    }
+
+    /// Until when this process serves what it has, once it was told to stop.
+    pub(crate) fn give_up_at(&self, stopped: Time) -> Time {
+        stopped + self.settings.grace_ms.saturating_sub(RESERVE_MS) * MILLISECOND
+    }
+
+    /// Whether a request that may take `timeout_ms` must be refused, as this process could end before it.
+    ///
+    /// Just after the signal, requests still come that were under way to it; they are taken.
+    pub(crate) fn is_too_late(&self, timeout_ms: u64) -> bool {
+        let Some(stopped) = self.stopped_at() else { return false };
+        let now = self.now();
+        let ends = now + timeout_ms.saturating_mul(MILLISECOND);
+        now >= stopped + LEAVE_MS * MILLISECOND && ends > self.give_up_at(stopped)
+    }
+
     /// Waits for a place for a request.
     pub(crate) async fn place(&self, ask: Ask) -> Placed {
         let service = ask.service.clone();
--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -11,7 +11,7 @@
         transfer::Partial,
     },
     derive_more::Debug,
-    model::{ReplicaId, Term, Time},
+    model::{MILLISECOND, ReplicaId, Term, Time},
     rand::{Rng, SeedableRng, rngs::StdRng},
     smallvec::SmallVec,
     std::collections::VecDeque,
@@ -47,6 +47,10 @@
     OwnVote(Term),
 }
 
+/// How often the disk is told what is committed: what was committed within this time before a restart is known only
+/// once a leader has said so.
+pub(crate) const NOTE_INTERVAL: u64 = 200 * MILLISECOND;
+
 /// The consensus of one replica.
 ///
 /// Invariants: `snapshot.index <= applied <= commit <= log.last()`; an entry at or before `commit` never changes; a
@@ -75,6 +79,8 @@
     pub(crate) unsynced: VecDeque<(u64, u64)>,
     /// Up to where the log is on disk.
     pub(crate) durable: u64,
+    /// When the disk is told next what is committed.
+    pub(crate) note_at: Time,
 }
 
 impl Core {
@@ -108,6 +114,7 @@
             synced: 0,
             held: VecDeque::new(),
             unsynced: VecDeque::new(),
+            note_at: now,
         };
         if !core.is_alone() {
             core.delay_election(now);
@@ -116,6 +123,7 @@
         if core.snapshot.index > 0 {
             actions.push(Action::Restore(core.snapshot.clone()));
         }
+        core.commit_to(hard.commit, &mut actions);
         (core, actions)
     }
 
@@ -131,6 +139,7 @@
             Event::Snapshot { index, data } => self.on_snapshot(index, data, &mut actions),
             Event::Found { group, members } => self.on_found(now, group, members, &mut actions),
         }
+        self.note_commit(now, &mut actions);
         actions
     }
 
@@ -226,13 +235,7 @@
         true
     }
 
-    fn on_found(
-        &mut self,
-        now: Time,
-        group: u64,
-        members: Members,
-        actions: &mut Actions,
-    ) {
+    fn on_found(&mut self, now: Time, group: u64, members: Members, actions: &mut Actions) {
         if !self.is_fresh() || group == 0 || members.get(self.id).is_none() {
             return;
         }
--- a/crates/quorum/src/disk.rs
+++ b/crates/quorum/src/disk.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        core::{Core, Held},
+        core::{Core, Held, NOTE_INTERVAL},
         entry::{Entry, Snapshot},
         event::{Action, Actions, Write},
         log::Log,
@@ -30,6 +30,18 @@
         self.advance_commit(now, actions);
     }
 
+    /// Writes down what is committed and on disk, so that a restarted replica need not wait for a leader to know it.
+    /// What is not on disk yet must not be noted: after a crash an older entry may stand there.
+    pub(crate) fn note_commit(&mut self, now: Time, actions: &mut Actions) {
+        let known = self.commit.min(self.durable);
+        if known <= self.hard.commit || now < self.note_at {
+            return;
+        }
+        self.note_at = now + NOTE_INTERVAL;
+        self.hard.commit = known;
+        self.write(Write::State(self.hard), actions);
+    }
+
     pub(crate) fn on_snapshot(&mut self, index: u64, data: Bytes, actions: &mut Actions) {
         if index <= self.snapshot.index || index > self.applied {
             return;
--- a/crates/quorum/src/entry.rs
+++ b/crates/quorum/src/entry.rs
@@ -89,6 +89,8 @@
     pub term: Term,
     /// Whom it voted for in that term.
     pub vote: Option<ReplicaId>,
+    /// Up to where the log on its disk is known to be committed. It lags, so that a commit costs no write of its own.
+    pub commit: u64,
 }
 
 /// The replicated state up to an index.
--- a/crates/quorum/src/lead.rs
+++ b/crates/quorum/src/lead.rs
@@ -37,8 +37,8 @@
     pub(crate) next: u64,
     /// Up to where its log is this one's and on disk.
     pub(crate) matched: u64,
-    /// What `matched` was at the last heartbeat.
-    mark: u64,
+    /// What `matched` was when it last changed or nothing was under way, and when that was.
+    mark: (u64, Time),
     /// When the latest message that it answered was sent; zero before the first.
     pub(crate) acked: Time,
     /// When it became a member, or this replica began to lead.
@@ -53,6 +53,19 @@
     pub(crate) asked: Time,
 }
 
+impl Peer {
+    /// Sends again what went unacknowledged for `patience`; a large entry may take some heartbeats on a slow link.
+    fn resend_if_stuck(&mut self, now: Time, patience: u64) {
+        let idle = self.next == self.matched + 1;
+        if idle || self.matched != self.mark.0 {
+            self.mark = (self.matched, now);
+        } else if now.since(self.mark.1) >= patience {
+            self.mark = (self.matched, now);
+            self.next = self.matched + 1;
+        }
+    }
+}
+
 impl Lead {
     pub(crate) fn fail_reads(&self, actions: &mut Actions) {
         actions.extend(self.reads.iter().map(|it| Action::ReadFailed { token: it.token }));
@@ -90,10 +103,7 @@
         }
         lead.heartbeat_at = now + self.config.heartbeat;
         for peer in lead.peers.values_mut() {
-            if peer.matched == peer.mark {
-                peer.next = peer.matched + 1;
-            }
-            peer.mark = peer.matched;
+            peer.resend_if_stuck(now, self.config.election / 2);
         }
         for id in self.peer_ids() {
             self.replicate(now, id, true, actions);
@@ -220,7 +230,11 @@
         let members = self.log.members();
         lead.peers.retain(|id, _| members.get(*id).is_some());
         for member in members.0.iter().filter(|it| it.id != self.id) {
-            lead.peers.entry(member.id).or_insert_with(|| Peer { next, since: now, ..Peer::default() });
+            lead.peers.entry(member.id).or_insert_with(|| Peer {
+                next,
+                since: now,
+                ..Peer::default()
+            });
         }
     }
 
--- a/crates/quorum/tests/rules.rs
+++ b/crates/quorum/tests/rules.rs
@@ -48,7 +48,7 @@
 
 #[test]
 fn an_entry_of_an_earlier_term_is_not_committed_by_count() {
-    let hard = HardState { group: 7, term: Term(3), vote: None };
+    let hard = HardState { group: 7, term: Term(3), vote: None, commit: 0 };
     let mut core = open(Time(SECOND), hard, &[1, 2]);
     let now = core.deadline();
     core.step(now, Event::Tick);
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -12,7 +12,9 @@
     },
     bytes::Bytes,
     model::{MILLISECOND, ReplicaId, Term, Time},
-    quorum::{Action, Actions, Core, Entry, Envelope, Event, Member, Members, Message, Payload, Snapshot},
+    quorum::{
+        Action, Actions, Core, Entry, Envelope, Event, Member, Members, Message, Payload, Snapshot,
+    },
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -13,7 +13,7 @@
     },
     bytes::Bytes,
     model::ReplicaId,
-    quorum::{Action, Core},
+    quorum::{Action, Core, Payload},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     store::RealDisk,
     tokio::{
@@ -56,8 +56,8 @@
 {
     /// Opens the data folder, replays it into `machine` and starts to take part in the group.
     ///
-    /// The state comes back as far as the last snapshot; what follows it is applied once a leader has said how much
-    /// of it is committed. A replica without peers leads when this returns.
+    /// The state comes back as far as the disk says that it is committed; what follows is applied once a leader has
+    /// said how much of it is. A replica without peers leads when this returns.
     ///
     /// # Errors
     ///
@@ -81,10 +81,19 @@
         let (core, actions) = Core::open(now, config.consensus(), id, durable, rand::random());
         let shared = Arc::new(Shared::new(id, clock, machine));
         for action in actions {
-            if let Action::Restore(snapshot) = action {
-                let mut state = shared.state.write();
-                state.machine.restore(&snapshot.data)?;
-                state.applied = snapshot.index;
+            let mut state = shared.state.write();
+            match action {
+                Action::Restore(snapshot) => {
+                    state.machine.restore(&snapshot.data)?;
+                    state.applied = snapshot.index;
+                }
+                Action::Apply(entry) => {
+                    state.applied = entry.index;
+                    if let Payload::Command(command) = entry.payload {
+                        state.machine.apply(entry.index, &command);
+                    }
+                }
+                _ => {}
             }
         }
         tracing::info!("replica: {id} opened at {}, last entry {}", core.commit(), core.last());
--- a/crates/route/src/delta.rs
+++ b/crates/route/src/delta.rs
@@ -52,7 +52,11 @@
             services: (old.services != new.services).then(|| new.services.clone()),
             limits: (old.limits != new.limits).then_some(new.limits),
             teams: new.teams.iter().filter(altered).cloned().collect(),
-            disbanded: teams.keys().filter(|it| !named.contains(*it)).map(|it| (*it).clone()).collect(),
+            disbanded: teams
+                .keys()
+                .filter(|it| !named.contains(*it))
+                .map(|it| (*it).clone())
+                .collect(),
         }
     }
 
@@ -67,7 +71,8 @@
         }
         let replaced: HashSet<_> = self.routes.iter().map(place).chain(self.gone.clone()).collect();
         let routes = old.routes.iter().filter(|it| !replaced.contains(&place(it)));
-        let renamed: HashSet<_> = self.teams.iter().map(|it| &it.name).chain(&self.disbanded).collect();
+        let renamed: HashSet<_> =
+            self.teams.iter().map(|it| &it.name).chain(&self.disbanded).collect();
         let teams = old.teams.iter().filter(|it| !renamed.contains(&it.name));
         Ok(Layout {
             version: self.version,
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -37,7 +37,8 @@
         let services = layout.services.iter().map(|it| (it.name.clone(), Arc::new(it.clone())));
         let services = services.collect();
         let numbered = layout.teams.iter().enumerate();
-        let keys = numbered.flat_map(|(at, it)| it.keys.iter().map(move |key| (*key, at))).collect();
+        let keys =
+            numbered.flat_map(|(at, it)| it.keys.iter().map(move |key| (*key, at))).collect();
         Table { layout, hosts, services, keys }
     }
 
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -7,8 +7,8 @@
         AttemptNo, ChatKey, Config, Delta, Digest, Domain, EndpointId, Epoch, HostName, Image,
         Name, Refusal, RequestId, Revision, Roster, RouterId, ServiceId, TeamId, Work,
     },
-    serde::{Deserialize, Serialize},
     route::{Layout, RouteDelta},
+    serde::{Deserialize, Serialize},
     smallvec::SmallVec,
     std::{net::SocketAddr, sync::Arc},
 };
