--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -31,6 +31,9 @@
 /// The most requests that wait for one service.
 const MAX_WAITING: usize = 512;
 
+/// The most waiting requests that a new one is compared with: more that cannot start do not matter.
+const MAX_COMPARED: usize = 16;
+
 /// A caller should not come back earlier than this, in milliseconds.
 const LEAST_RETRY_MS: u64 = 150;
 
@@ -163,10 +166,12 @@
         Arrival::Waits(ticket)
     }
 
-    /// Starts a request if there is room and no request waits that goes before it.
+    /// Starts a request if there is room and no request waits that goes before it and could use the room.
     fn start(&mut self, now: Time, ask: &Ask) -> Option<Pick> {
         let service = self.services.get(&ask.service)?;
-        if service.lobby.ahead(ask.priority) > 0 {
+        let ahead = service.lobby.ahead(ask.priority).min(MAX_COMPARED);
+        let could_start = |it: &Waiter| service.choose(now, &self.domain, &it.ask).is_some();
+        if service.lobby.iter().take(ahead).any(could_start) {
             return None;
         }
         let pick = service.choose(now, &self.domain, ask)?;
--- /dev/null
+++ b/crates/dispatch/tests/waiting.rs
@@ -0,0 +1,202 @@
+//! Requests for which there is no room.
+
+mod common;
+
+use {
+    common::{NOW, chat, dispatcher, plain},
+    dispatch::{Arrival, Ask, Dispatcher, Ending, Pick, Ticket},
+    model::{MILLISECOND, SECOND, Time},
+    proptest::prelude::*,
+};
+
+/// Fills all plain endpoints.
+fn full() -> (Dispatcher, Vec<Pick>) {
+    let (mut dispatcher, _) = dispatcher(1, 64);
+    let mut picks = Vec::new();
+    // Some requests have ended before, so that the time that one holds its place is known.
+    for _ in 0..200 {
+        let Arrival::Started(pick) = dispatcher.arrive(NOW, plain(NOW)) else { unreachable!() };
+        dispatcher.end(NOW, &pick, Ending::Served, 30.0);
+    }
+    while let Arrival::Started(pick) = dispatcher.arrive(NOW, impatient(NOW)) {
+        picks.push(pick);
+    }
+    (dispatcher, picks)
+}
+
+fn impatient(now: Time) -> Ask {
+    Ask { patience: now, ..plain(now) }
+}
+
+fn ticket(arrival: Arrival) -> Ticket {
+    match arrival {
+        Arrival::Waits(ticket) => ticket,
+        other => panic!("expected to wait, found {other:?}"),
+    }
+}
+
+#[test]
+fn a_request_that_cannot_be_served_in_time_is_refused_at_once() {
+    let (mut dispatcher, picks) = full();
+    assert!(picks.len() >= 18, "at least all slots are used");
+    let refused = dispatcher.arrive(NOW, impatient(NOW));
+    let Arrival::Refused { retry_ms } = refused else { panic!("{refused:?}") };
+    assert!((100..=2_000).contains(&retry_ms));
+}
+
+#[test]
+fn an_unknown_service_has_no_room() {
+    let (mut dispatcher, _) = dispatcher(1, 64);
+    let ask = Ask { service: "other".into(), ..plain(NOW) };
+    assert!(matches!(dispatcher.arrive(NOW, ask), Arrival::Refused { .. }));
+}
+
+#[test]
+fn a_waiting_request_starts_when_a_place_is_free() {
+    let (mut dispatcher, picks) = full();
+    let waiting = ticket(dispatcher.arrive(NOW, plain(NOW)));
+    let next = dispatcher.end(NOW, &picks[0], Ending::Served, 30.0);
+    assert_eq!(next.iter().map(|it| it.0).collect::<Vec<_>>(), [waiting]);
+    assert_eq!(next[0].1.id, picks[0].id);
+}
+
+#[test]
+fn urgent_requests_start_first_and_the_older_ones_of_a_rank() {
+    let (mut dispatcher, picks) = full();
+    let mut wait = |priority| ticket(dispatcher.arrive(NOW, Ask { priority, ..plain(NOW) }));
+    let (late, first, second, urgent) = (wait(2), wait(1), wait(1), wait(0));
+    let ends = picks.iter().flat_map(|it| dispatcher.end(NOW, it, Ending::Served, 30.0));
+    let order: Vec<_> = ends.map(|it| it.0).collect();
+    assert_eq!(order, [urgent, first, second, late]);
+}
+
+#[test]
+fn a_request_does_not_overtake_one_that_could_start() {
+    let (mut dispatcher, picks) = full();
+    let first = ticket(dispatcher.arrive(NOW, plain(NOW)));
+    // Room comes by an endpoint that another router told of, so that nobody has started the waiting request yet.
+    dispatcher.leave(&"plain".into(), first);
+    dispatcher.end(NOW, &picks[0], Ending::Abandoned, 0.0);
+    assert!(matches!(dispatcher.arrive(NOW, plain(NOW)), Arrival::Started(_)));
+}
+
+#[test]
+fn a_request_that_nothing_can_serve_holds_up_no_other() {
+    let (mut dispatcher, picks) = full();
+    // It has been to every endpoint.
+    let tried = picks.iter().map(|it| it.no).collect();
+    ticket(dispatcher.arrive(NOW, Ask { tried, priority: 0, ..plain(NOW) }));
+    dispatcher.end(NOW, &picks[0], Ending::Served, 30.0);
+    assert!(matches!(dispatcher.arrive(NOW, plain(NOW)), Arrival::Started(_)));
+}
+
+#[test]
+fn a_request_waits_no_longer_than_it_can() {
+    let (mut dispatcher, _) = full();
+    let waiting = ticket(dispatcher.arrive(NOW, plain(NOW)));
+    assert_eq!(dispatcher.deadline(), NOW + 100 * MILLISECOND);
+    assert!(dispatcher.expire(NOW + 99 * MILLISECOND).is_empty());
+    let expired = dispatcher.expire(NOW + 100 * MILLISECOND);
+    assert_eq!(expired.iter().map(|it| it.0).collect::<Vec<_>>(), [waiting]);
+    assert_eq!(dispatcher.deadline(), Time::NEVER);
+}
+
+#[test]
+fn a_request_whose_caller_left_gets_no_place() {
+    let (mut dispatcher, picks) = full();
+    let waiting = ticket(dispatcher.arrive(NOW, plain(NOW)));
+    dispatcher.leave(&"plain".into(), waiting);
+    assert!(dispatcher.end(NOW, &picks[0], Ending::Served, 30.0).is_empty());
+}
+
+#[test]
+fn prompts_do_not_overfill_the_memory_of_an_engine() {
+    let (mut dispatcher, _) = dispatcher(1, 64);
+    let mut tokens = 0;
+    for own in 0..64 {
+        let ask = Ask { patience: NOW, ..chat(NOW, own, 29_500, own) };
+        if let Arrival::Started(pick) = dispatcher.arrive(NOW, ask) {
+            tokens += pick.tokens;
+        }
+    }
+    assert!((400_000..=600_000).contains(&tokens), "{tokens} tokens");
+}
+
+/// One step of a load.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Arrive { priority: u8, patience_ms: u64 },
+    End(usize),
+    Leave(usize),
+    Pass { ms: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0_u8..3, 0_u64..300).prop_map(|(priority, patience_ms)| Step::Arrive { priority, patience_ms }),
+        3 => any::<usize>().prop_map(Step::End),
+        1 => any::<usize>().prop_map(Step::Leave),
+        1 => (1_u64..100).prop_map(|ms| Step::Pass { ms }),
+    ]
+}
+
+proptest! {
+    /// Each request gets exactly one of: a place, a refusal, its caller's leave; and no endpoint gets more than its
+    /// slots and its short queue.
+    #[test]
+    fn each_request_is_settled_once(steps in proptest::collection::vec(step(), 1..400)) {
+        let (mut dispatcher, _) = dispatcher(1, 64);
+        let (mut now, mut running, mut waiting) = (NOW, Vec::<Pick>::new(), Vec::<Ticket>::new());
+        let (mut arrived, mut settled) = (0, 0);
+        for step in steps {
+            let started = match step {
+                Step::Arrive { priority, patience_ms } => {
+                    arrived += 1;
+                    let patience = now + patience_ms * MILLISECOND;
+                    match dispatcher.arrive(now, Ask { priority, patience, ..plain(now) }) {
+                        Arrival::Started(pick) => {
+                            settled += 1;
+                            running.push(pick);
+                        }
+                        Arrival::Refused { .. } => settled += 1,
+                        Arrival::Waits(ticket) => waiting.push(ticket),
+                    }
+                    Vec::new()
+                }
+                Step::End(at) if !running.is_empty() => {
+                    let pick = running.swap_remove(at % running.len());
+                    dispatcher.end(now, &pick, Ending::Served, 30.0)
+                }
+                Step::Leave(at) if !waiting.is_empty() => {
+                    let ticket = waiting.swap_remove(at % waiting.len());
+                    dispatcher.leave(&"plain".into(), ticket);
+                    settled += 1;
+                    Vec::new()
+                }
+                Step::End(_) | Step::Leave(_) => Vec::new(),
+                Step::Pass { ms } => {
+                    now = now + ms * MILLISECOND;
+                    for (ticket, _) in dispatcher.expire(now) {
+                        let at = waiting.iter().position(|it| *it == ticket);
+                        waiting.swap_remove(at.expect("a waiting request"));
+                        settled += 1;
+                    }
+                    Vec::new()
+                }
+            };
+            for (ticket, pick) in started {
+                let at = waiting.iter().position(|it| *it == ticket);
+                waiting.swap_remove(at.expect("a waiting request"));
+                settled += 1;
+                running.push(pick);
+            }
+            prop_assert_eq!(arrived, settled + waiting.len());
+            for pick in &running {
+                let load = running.iter().filter(|it| it.no == pick.no).count();
+                prop_assert!(load <= 9, "{load} requests on an endpoint with 6 slots");
+            }
+        }
+        now = now + SECOND;
+        prop_assert_eq!(dispatcher.expire(now).len(), waiting.len());
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/common/caller.rs
@@ -0,0 +1,157 @@
+//! A caller that looks at the bytes it gets.
+
+use {
+    super::KEY,
+    std::{net::SocketAddr, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::{Instant, timeout},
+    },
+};
+
+/// How long a caller waits for the end of an answer.
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// What a caller got.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    /// The headers in lower case.
+    pub(crate) head: String,
+    pub(crate) body: String,
+    /// Whether the body is as long as its framing says.
+    pub(crate) whole: bool,
+    pub(crate) after: Duration,
+}
+
+impl Answer {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let line = self.head.lines().find_map(|it| it.strip_prefix(&format!("{name}: ")));
+        line.map(str::trim)
+    }
+}
+
+/// A request that is being made up.
+#[derive(Clone, Debug)]
+pub(crate) struct Caller {
+    addr: SocketAddr,
+    key: Option<String>,
+    deadline_ms: u64,
+    headers: String,
+    body: String,
+}
+
+impl Caller {
+    pub(crate) fn new(addr: SocketAddr) -> Caller {
+        Caller {
+            addr,
+            key: Some(KEY.to_owned()),
+            deadline_ms: 4_000,
+            headers: String::new(),
+            body: String::new(),
+        }
+    }
+
+    pub(crate) fn key(mut self, key: Option<&str>) -> Caller {
+        self.key = key.map(str::to_owned);
+        self
+    }
+
+    pub(crate) fn deadline(mut self, ms: u64) -> Caller {
+        self.deadline_ms = ms;
+        self
+    }
+
+    pub(crate) fn header(mut self, line: &str) -> Caller {
+        self.headers.push_str(line);
+        self.headers.push_str("\r\n");
+        self
+    }
+
+    pub(crate) fn body(mut self, body: &str) -> Caller {
+        self.body = body.to_owned();
+        self
+    }
+
+    /// Sends the request on a connection of its own.
+    pub(crate) async fn send(&self, path: &str) -> TcpStream {
+        let mut socket = TcpStream::connect(self.addr).await.expect("a connection");
+        let method = if self.body.is_empty() { "GET" } else { "POST" };
+        let key = self.key.as_ref().map(|it| format!("team-key: {it}\r\n")).unwrap_or_default();
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nhost: h\r\nattempt-id: a1\r\ndeadline-ms: {}\r\n{key}{}content-length: {}\r\n\r\n{}",
+            self.deadline_ms,
+            self.headers,
+            self.body.len(),
+            self.body
+        );
+        socket.write_all(request.as_bytes()).await.expect("sent");
+        socket
+    }
+
+    /// Sends the request and returns the answer.
+    pub(crate) async fn call(&self, path: &str) -> Answer {
+        let began = Instant::now();
+        let mut socket = self.send(path).await;
+        read(&mut socket, began).await
+    }
+}
+
+/// Reads one answer, to its end by its own framing or to the end of the connection.
+pub(crate) async fn read(socket: &mut TcpStream, began: Instant) -> Answer {
+    let mut bytes = Vec::new();
+    loop {
+        if let Some(answer) = parse(&bytes, began) {
+            return answer;
+        }
+        let read = timeout(LIMIT, socket.read_buf(&mut bytes)).await.expect("an answer in time");
+        if matches!(read, Ok(0) | Err(_)) {
+            return cut_off(&bytes, began);
+        }
+    }
+}
+
+fn split(bytes: &[u8]) -> Option<(u16, String, &[u8])> {
+    let end = bytes.windows(4).position(|it| it == b"\r\n\r\n")? + 4;
+    let head = String::from_utf8_lossy(&bytes[..end]).to_lowercase().replace('\r', "");
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some((status, head, &bytes[end..]))
+}
+
+fn parse(bytes: &[u8], began: Instant) -> Option<Answer> {
+    let (status, head, rest) = split(bytes)?;
+    let body = if head.contains("transfer-encoding: chunked") {
+        dechunk(rest).filter(|it| it.1)?.0
+    } else {
+        let line = head.lines().find_map(|it| it.strip_prefix("content-length: "))?;
+        rest.get(..line.trim().parse().ok()?)?.to_vec()
+    };
+    let body = String::from_utf8_lossy(&body).into_owned();
+    Some(Answer { status, head, body, whole: true, after: began.elapsed() })
+}
+
+fn cut_off(bytes: &[u8], began: Instant) -> Answer {
+    let (status, head, rest) = split(bytes).unwrap_or((0, String::new(), &[]));
+    let body = dechunk(rest).map_or_else(|| rest.to_vec(), |it| it.0);
+    let body = String::from_utf8_lossy(&body).into_owned();
+    Answer { status, head, body, whole: false, after: began.elapsed() }
+}
+
+/// The data of chunks, and whether the last one is there.
+fn dechunk(mut rest: &[u8]) -> Option<(Vec<u8>, bool)> {
+    let mut data = Vec::new();
+    loop {
+        let Some(end) = rest.windows(2).position(|it| it == b"\r\n") else {
+            return Some((data, false));
+        };
+        let length = usize::from_str_radix(str::from_utf8(&rest[..end]).ok()?, 16).ok()?;
+        rest = &rest[end + 2..];
+        if length == 0 {
+            return Some((data, rest.starts_with(b"\r\n")));
+        }
+        let Some(chunk) = rest.get(..length) else { return Some((data, false)) };
+        data.extend_from_slice(chunk);
+        rest = rest.get(length + 2..).unwrap_or_default();
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/common/endpoint.rs
@@ -0,0 +1,254 @@
+//! Endpoints that answer as a script says, sound or not.
+
+use {
+    gateway::Listed,
+    model::Domain,
+    std::{
+        collections::VecDeque,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        task::JoinHandle,
+        time::sleep,
+    },
+};
+
+/// How an endpoint treats one request.
+#[derive(Clone, Debug)]
+pub(crate) enum Script {
+    /// A whole answer.
+    Answer,
+    /// Its own failure with this status.
+    Fail(u16),
+    /// A status, and that it did not run.
+    NotRun(u16),
+    /// Closes the connection without an answer.
+    Close,
+    /// Reads the request and never answers.
+    Silent,
+    /// An answer that ends before its length.
+    Truncated,
+    /// Bytes that are no answer.
+    Garbage,
+    /// The answer to another request.
+    Foreign,
+    /// A whole answer without a signature.
+    Unsigned,
+    /// A whole answer in an encoding that nobody asked for.
+    Encoded,
+    /// A whole answer without a length, which ends with the connection.
+    Unframed,
+    /// A whole answer, and then another one.
+    Extra,
+    /// An answer before the body was read.
+    Early,
+    /// Events of these numbers; then a whole end.
+    Events(std::ops::Range<u64>),
+    /// Events of these numbers; then the connection breaks in the middle of the next one.
+    Broken(std::ops::Range<u64>),
+    /// Events of these numbers; then nothing.
+    Stalled(std::ops::Range<u64>),
+}
+
+/// A request as an endpoint got it.
+#[derive(Clone, Debug)]
+pub(crate) struct Got {
+    /// The head, headers in lower case.
+    pub(crate) head: String,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Got {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let line = self.head.lines().find_map(|it| it.strip_prefix(&format!("{name}: ")));
+        line.map(str::trim)
+    }
+}
+
+#[derive(Default)]
+struct State {
+    scripts: VecDeque<Script>,
+    got: Vec<Got>,
+    /// Connections on which a request is being worked on.
+    working: usize,
+}
+
+/// An endpoint; it answers by its scripts in turn, and whole when there is none left.
+pub(crate) struct Endpoint {
+    pub(crate) addr: SocketAddr,
+    state: Arc<Mutex<State>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Endpoint {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Endpoint {
+    pub(crate) async fn start<I>(scripts: I) -> Endpoint
+    where
+        I: IntoIterator<Item = Script>,
+    {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+        let addr = listener.local_addr().expect("its address");
+        let scripts = scripts.into_iter().collect();
+        let state = Arc::new(Mutex::new(State { scripts, ..State::default() }));
+        let shared = state.clone();
+        let task = tokio::spawn(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                tokio::spawn(serve(socket, shared.clone()));
+            }
+        });
+        Endpoint { addr, state, task }
+    }
+
+    /// Replaces the scripts.
+    pub(crate) fn follow<I>(&self, scripts: I)
+    where
+        I: IntoIterator<Item = Script>,
+    {
+        self.state.lock().expect("state").scripts = scripts.into_iter().collect();
+    }
+
+    pub(crate) fn listed(&self, service: &str, id: &str) -> Listed {
+        Listed {
+            id: id.into(),
+            service: service.into(),
+            addr: self.addr,
+            domain: Domain("d0".into()),
+            slots: 8,
+            draining: false,
+            born: None,
+        }
+    }
+
+    pub(crate) fn got(&self) -> Vec<Got> {
+        self.state.lock().expect("state").got.clone()
+    }
+
+    pub(crate) fn working(&self) -> usize {
+        self.state.lock().expect("state").working
+    }
+}
+
+async fn serve(mut socket: TcpStream, state: Arc<Mutex<State>>) {
+    let Some(got) = read(&mut socket).await else { return };
+    let script = {
+        let mut state = state.lock().expect("state");
+        state.got.push(got.clone());
+        state.working += 1;
+        state.scripts.pop_front().unwrap_or(Script::Answer)
+    };
+    let mut probe = [0; 1];
+    let bytes = answer(&script, got.header("attempt-id").unwrap_or("-"));
+    let _ = socket.write_all(&bytes).await;
+    match script {
+        Script::Silent | Script::Stalled(_) => {
+            // Until the gateway closes.
+            let _ = socket.read(&mut probe).await;
+        }
+        Script::Broken(_) | Script::Close | Script::Truncated => {
+            sleep(Duration::from_millis(20)).await;
+            let _ = socket.set_zero_linger();
+        }
+        _ => {
+            let _ = socket.shutdown().await;
+        }
+    }
+    state.lock().expect("state").working -= 1;
+}
+
+async fn read(socket: &mut TcpStream) -> Option<Got> {
+    let mut bytes = Vec::new();
+    let end = loop {
+        if let Some(at) = bytes.windows(4).position(|it| it == b"\r\n\r\n") {
+            break at + 4;
+        }
+        if socket.read_buf(&mut bytes).await.ok()? == 0 {
+            return None;
+        }
+    };
+    let text = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let (first, headers) = text.split_once("\r\n")?;
+    let lower = headers.lines().map(|it| match it.split_once(':') {
+        Some((name, value)) => format!("{}:{value}\n", name.to_ascii_lowercase()),
+        None => String::new(),
+    });
+    let head = format!("{first}\n{}", lower.collect::<String>());
+    let mut got = Got { head, body: bytes.split_off(end) };
+    let length = got.header("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+    while got.body.len() < length {
+        if socket.read_buf(&mut got.body).await.ok()? == 0 {
+            return None;
+        }
+    }
+    Some(got)
+}
+
+const SIGNED: &str = "endpoint-signature: s\r\nendpoint-load: 1,0,8\r\n";
+
+fn answer(script: &Script, id: &str) -> Vec<u8> {
+    let head = |status: u16, id: &str, rest: &str| {
+        format!("HTTP/1.1 {status} X\r\nattempt-id: {id}\r\n{rest}")
+    };
+    let whole = format!("{SIGNED}content-length: 5\r\n\r\nwhole");
+    match script {
+        Script::Answer => head(200, id, &whole).into_bytes(),
+        Script::Fail(status) => head(*status, id, &whole).into_bytes(),
+        Script::NotRun(status) => {
+            head(*status, id, "not-run: 1\r\ncontent-length: 0\r\n\r\n").into_bytes()
+        }
+        Script::Close | Script::Silent => Vec::new(),
+        Script::Truncated => {
+            head(200, id, &format!("{SIGNED}content-length: 9\r\n\r\nwhole")).into_bytes()
+        }
+        Script::Garbage => b"\x00\x01 no answer\r\n\r\n".to_vec(),
+        Script::Foreign => head(200, "other", &whole).into_bytes(),
+        Script::Unsigned => head(200, id, "content-length: 5\r\n\r\nwhole").into_bytes(),
+        Script::Encoded => {
+            head(200, id, &format!("content-encoding: gzip\r\n{whole}")).into_bytes()
+        }
+        Script::Unframed => head(200, id, &format!("{SIGNED}\r\nwhole")).into_bytes(),
+        Script::Extra => {
+            let answer = head(200, id, &whole);
+            format!("{answer}{answer}").into_bytes()
+        }
+        Script::Early => head(413, id, "not-run: 1\r\ncontent-length: 0\r\n\r\n").into_bytes(),
+        Script::Events(events) => {
+            let mut bytes = events_head(id);
+            events.clone().for_each(|it| bytes.extend(chunk(&event(it))));
+            bytes.extend(b"0\r\n\r\n");
+            bytes
+        }
+        Script::Broken(events) => {
+            let mut bytes = events_head(id);
+            events.clone().for_each(|it| bytes.extend(chunk(&event(it))));
+            bytes.extend(chunk(&event(events.end)[..6]));
+            bytes
+        }
+        Script::Stalled(events) => {
+            let mut bytes = events_head(id);
+            events.clone().for_each(|it| bytes.extend(chunk(&event(it))));
+            bytes
+        }
+    }
+}
+
+fn events_head(id: &str) -> Vec<u8> {
+    let kind = "content-type: text/event-stream\r\ntransfer-encoding: chunked";
+    format!("HTTP/1.1 200 X\r\nattempt-id: {id}\r\n{SIGNED}{kind}\r\n\r\n").into_bytes()
+}
+
+pub(crate) fn event(number: u64) -> String {
+    format!("id: {number}\ndata: word-{number}\n\n")
+}
+
+fn chunk(text: &str) -> Vec<u8> {
+    format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
+}
--- /dev/null
+++ b/crates/gateway/tests/common/mod.rs
@@ -0,0 +1,203 @@
+//! A gateway with a control replica of its own and endpoints that answer as a script says.
+
+#![allow(dead_code, reason = "each test file uses some of these")]
+#![allow(clippy::disallowed_methods, reason = "tests read the clock")]
+
+mod caller;
+mod endpoint;
+
+pub(crate) use {
+    caller::{Answer, Caller},
+    endpoint::{Endpoint, Got, Script, event},
+};
+
+use {
+    control::{Control, Layouts},
+    gateway::{Directory, DirectoryError, Gateway, Listed, Listing, Names},
+    model::{Digest, Domain, HostName},
+    route::{CallerLimits, Engine, Kind, Layout, Route, Service, Share, Team},
+    settings::{
+        ControlSettings, GatewaySettings, LogLevel, LogSettings, RetrySettings, WeightLimits,
+    },
+    smallvec::smallvec,
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tempfile::TempDir,
+    tokio::time::{Instant, sleep},
+};
+
+/// How long a test may wait for something that should happen.
+const LIMIT: Duration = Duration::from_secs(15);
+
+pub(crate) const KEY: &str = "key-of-one";
+
+/// Endpoints that tests list.
+#[derive(Clone, Default)]
+pub(crate) struct StaticList(Arc<Mutex<Vec<Listed>>>);
+
+impl Directory for StaticList {
+    async fn list(&self) -> Result<Listing, DirectoryError> {
+        let endpoints = self.0.lock().map_err(|it| DirectoryError { reason: it.to_string() })?;
+        Ok(Listing { endpoints: endpoints.clone(), calls: 1 })
+    }
+}
+
+pub(crate) struct Bench {
+    pub(crate) gateway: Gateway,
+    pub(crate) layouts: Layouts,
+    pub(crate) addr: SocketAddr,
+    pub(crate) admin: SocketAddr,
+    list: StaticList,
+    _control: Control,
+    _data: TempDir,
+}
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn free_port() -> SocketAddr {
+    let listener = std::net::TcpListener::bind(any()).expect("a free port");
+    listener.local_addr().expect("its address")
+}
+
+impl Bench {
+    /// Starts a gateway that serves `layout` with these endpoints, and waits until it is ready.
+    pub(crate) async fn start(layout: &Layout, endpoints: &[Listed]) -> Bench {
+        let bench = Bench::start_empty(endpoints).await;
+        bench.publish(layout).await;
+        until(|| bench.gateway.is_ready()).await;
+        bench
+    }
+
+    /// Starts a gateway for which there is no configuration.
+    pub(crate) async fn start_empty(endpoints: &[Listed]) -> Bench {
+        let data = tempfile::tempdir().expect("a folder");
+        let control = Control::spawn(control_settings(&data)).await.expect("control");
+        control.lead().await;
+        let list = StaticList(Arc::new(Mutex::new(endpoints.to_vec())));
+        let settings = gateway_settings(control.inner());
+        let admin = settings.admin;
+        let metrics = telemetry::open(&settings.log).expect("metrics");
+        let gateway = Gateway::spawn(settings, Names::default(), list.clone(), metrics).await;
+        let gateway = gateway.expect("a gateway");
+        let (addr, layouts) = (gateway.addr(), control.layouts());
+        Bench { gateway, layouts, addr, admin, list, _control: control, _data: data }
+    }
+
+    pub(crate) async fn publish(&self, layout: &Layout) {
+        let document = serde_json::to_vec(layout).expect("a document");
+        self.layouts.publish(document.into()).await.expect("published");
+    }
+
+    pub(crate) fn list(&self, endpoints: &[Listed]) {
+        *self.list.0.lock().expect("the list") = endpoints.to_vec();
+    }
+
+    pub(crate) fn caller(&self) -> Caller {
+        Caller::new(self.addr)
+    }
+}
+
+/// Waits until something holds.
+pub(crate) async fn until<F>(mut holds: F)
+where
+    F: FnMut() -> bool,
+{
+    let deadline = Instant::now() + LIMIT;
+    while !holds() {
+        assert!(Instant::now() < deadline, "not in time");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+fn control_settings(data: &TempDir) -> ControlSettings {
+    ControlSettings {
+        host: HostName("c1".into()),
+        domain: Domain("d0".into()),
+        data: data.path().join("data"),
+        inner: any(),
+        admin: any(),
+        seeds: Vec::new(),
+        bootstrap: false,
+        peers: Vec::new(),
+        operators: None,
+        tls_inner: None,
+        host_list: None,
+        weights: WeightLimits::default(),
+        log: LogSettings { level: LogLevel::Error, ..LogSettings::default() },
+    }
+}
+
+fn gateway_settings(control: SocketAddr) -> GatewaySettings {
+    GatewaySettings {
+        host: HostName("g1".into()),
+        domain: Domain("d0".into()),
+        listen: any(),
+        admin: free_port(),
+        inner: any(),
+        control: vec![control],
+        tls_inner: None,
+        grace_ms: 5_000,
+        connections: 100,
+        listing_ms: 50,
+        listing_rate: 1_000.0,
+        retries: RetrySettings { ratio: 0.2, slack: 50.0 },
+        log: LogSettings { level: LogLevel::Error, ..LogSettings::default() },
+    }
+}
+
+/// A route below `/NAME/` to a service.
+pub(crate) fn route(name: &str, kind: Kind, service: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "h".into(),
+        prefix: format!("/{name}/").into(),
+        kind,
+        timeout_ms: 4_000,
+        target_ms: 150,
+        gap_ms: 100,
+        priority: 1,
+        split: smallvec![Share { service: service.into(), weight: 1 }],
+        attempts: 2,
+        open: false,
+        affine: false,
+        resumable: false,
+    }
+}
+
+/// Routes `read`, `write`, `stream` and `resume` to the services `plain` and `model`.
+pub(crate) fn layout(version: u64) -> Layout {
+    let engine = Engine { slots: 8, kv_tokens: 100_000, kv_bytes: 1_000 };
+    let service = |name: &str, engine| Service {
+        name: name.into(),
+        health: "/health".into(),
+        connections: 100,
+        engine,
+    };
+    let resume = Route { resumable: true, ..route("resume", Kind::Stream, "model") };
+    Layout {
+        version,
+        routes: vec![
+            route("read", Kind::Idempotent, "plain"),
+            route("write", Kind::NonIdempotent, "plain"),
+            route("stream", Kind::Stream, "model"),
+            resume,
+        ],
+        services: vec![service("plain", None), service("model", Some(engine))],
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 10_000,
+            header_ms: 3_000,
+            idle_ms: 15_000,
+        },
+        teams: vec![Team {
+            name: "one".into(),
+            keys: vec![Digest::of(KEY.as_bytes())],
+            priority: None,
+        }],
+    }
+}
--- /dev/null
+++ b/crates/route/tests/layout.rs
@@ -0,0 +1,166 @@
+//! Rules of configurations, which of several is in force, and the steps between them.
+
+use {
+    model::Digest,
+    proptest::prelude::*,
+    route::{
+        Broken, CallerLimits, Kind, Layout, Published, Route, RouteDelta, Service, Share, Table,
+        Team, Verdict,
+    },
+    rstest::rstest,
+    smallvec::smallvec,
+};
+
+fn route(host: &str, prefix: &str, service: &str) -> Route {
+    Route {
+        name: format!("{host}{prefix}").into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: Kind::Idempotent,
+        timeout_ms: 1_000,
+        target_ms: 100,
+        gap_ms: 0,
+        priority: 0,
+        split: smallvec![Share { service: service.into(), weight: 1 }],
+        attempts: 2,
+        open: false,
+        affine: false,
+        resumable: false,
+    }
+}
+
+fn service(name: &str) -> Service {
+    Service { name: name.into(), health: "/".into(), connections: 10, engine: None }
+}
+
+fn team(name: &str, keys: &[&str]) -> Team {
+    let keys = keys.iter().map(|it| Digest::of(it.as_bytes())).collect();
+    Team { name: name.into(), keys, priority: None }
+}
+
+fn layout(version: u64) -> Layout {
+    Layout {
+        version,
+        routes: vec![route("a", "/", "s"), route("a", "/x/", "t"), route("a", "/x/y/", "s")],
+        services: vec![service("s"), service("t")],
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 1_000,
+            header_ms: 3_000,
+            idle_ms: 15_000,
+        },
+        teams: vec![team("one", &["k1", "k1"]), team("two", &["k2"])],
+    }
+}
+
+#[test]
+fn a_valid_layout_is_accepted() {
+    assert_eq!(layout(1).check(), Ok(()));
+}
+
+#[rstest]
+#[case::unknown_service(|it: &mut Layout| it.routes[0].split[0].service = "u".into())]
+#[case::same_place(|it: &mut Layout| it.routes[1].prefix = "/".into())]
+#[case::no_weight(|it: &mut Layout| it.routes[0].split[0].weight = 0)]
+#[case::no_share(|it: &mut Layout| it.routes[0].split.clear())]
+#[case::no_timeout(|it: &mut Layout| it.routes[0].timeout_ms = 0)]
+#[case::prefix(|it: &mut Layout| it.routes[0].prefix = "/z".into())]
+#[case::same_service(|it: &mut Layout| it.services[1].name = "s".into())]
+#[case::shared_key(|it: &mut Layout| it.teams[1].keys.push(Digest::of(b"k1")))]
+#[case::same_team(|it: &mut Layout| it.teams[1].name = "one".into())]
+fn a_layout_that_breaks_a_rule_is_refused(#[case] spoil: fn(&mut Layout)) {
+    let mut layout = layout(1);
+    spoil(&mut layout);
+    assert!(layout.check().is_err());
+}
+
+#[test]
+fn the_broken_rule_is_named() {
+    let mut layout = layout(1);
+    layout.routes[0].split[0].service = "u".into();
+    let broken = Broken::UnknownService { route: "a/".into(), service: "u".into() };
+    assert_eq!(layout.check(), Err(broken));
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = Table::new(layout(1));
+    let found =
+        |host: &str, path: &str| table.find(host, path, 0).map(|it| it.route.prefix.clone());
+    assert_eq!(found("a", "/x/y/z").as_deref(), Some("/x/y/"));
+    assert_eq!(found("A", "/x/z").as_deref(), Some("/x/"));
+    assert_eq!(found("a", "/x").as_deref(), Some("/"));
+    assert_eq!(found("b", "/x/"), None);
+}
+
+#[test]
+fn shares_follow_their_weights() {
+    let mut layout = layout(1);
+    layout.routes[0].split = smallvec![
+        Share { service: "s".into(), weight: 9 },
+        Share { service: "t".into(), weight: 1 }
+    ];
+    let table = Table::new(layout);
+    let to_t = |draw| &*table.find("a", "/", draw).expect("a route").service.name == "t";
+    assert_eq!((0..1_000).filter(|it| to_t(*it)).count(), 100);
+}
+
+#[test]
+fn a_key_names_its_team() {
+    let table = Table::new(layout(1));
+    assert_eq!(table.team(b"k2").map(|it| &*it.name), Some("two"));
+    assert_eq!(table.team(b"k3"), None);
+}
+
+proptest! {
+    /// Whatever is sent in whatever order, the highest version is in force with the content that came first under it.
+    #[test]
+    fn the_highest_version_is_in_force(sent in proptest::collection::vec((0_u64..20, any::<u8>()), 1..60)) {
+        let mut published = Published::default();
+        let mut expected: Option<(u64, u8)> = None;
+        for (version, content) in sent {
+            let newer = expected.is_none_or(|it| version > it.0);
+            let verdict = published.publish(version, vec![content]);
+            prop_assert_eq!(verdict == Verdict::InForce, newer);
+            if newer {
+                expected = Some((version, content));
+            }
+            prop_assert_eq!(published.version(), expected.map(|it| it.0));
+            prop_assert_eq!(published.document(), &[expected.expect("one was sent").1]);
+        }
+    }
+
+    /// A delta leads to the layout that it was made for, up to the order of routes and teams.
+    #[test]
+    fn a_delta_leads_to_its_layout(old in any_layout(1), new in any_layout(2)) {
+        let delta = RouteDelta::between(&old, &new);
+        let sorted = |mut it: Layout| {
+            it.routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+            it.teams.sort_by(|a, b| a.name.cmp(&b.name));
+            it
+        };
+        prop_assert_eq!(delta.apply(&old).map(sorted), Ok(sorted(new.clone())));
+        prop_assert!(delta.apply(&new).is_err());
+    }
+}
+
+fn any_layout(version: u64) -> impl Strategy<Value = Layout> {
+    let routes = proptest::collection::btree_map(0_u8..12, (1_u64..4, 0_u8..2), 0..10);
+    let teams = proptest::collection::btree_map(0_u8..8, 0_u8..4, 0..6);
+    (routes, teams, 1_usize..3, 1_u64..3).prop_map(move |(routes, teams, services, idle)| {
+        let names = ["s", "t"];
+        let routes = routes.into_iter().map(|(at, (timeout, service))| {
+            let mut route = route("a", &format!("/{at}/"), names[usize::from(service)]);
+            route.timeout_ms = timeout;
+            route
+        });
+        let teams =
+            teams.into_iter().map(|(at, key)| team(&format!("{at}"), &[&format!("{at}.{key}")]));
+        let mut layout = layout(version);
+        layout.routes = routes.collect();
+        layout.teams = teams.collect();
+        layout.services.truncate(services);
+        layout.limits.idle_ms = idle;
+        layout
+    })
+}
