--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -40,7 +40,7 @@
     /// It is here.
     Whole(response::Parts, Bytes),
     /// It goes on.
-    Stream(response::Parts, Opened),
+    Stream(response::Parts, Box<Opened>),
 }
 
 /// A stream whose first events are here.
@@ -297,7 +297,7 @@
                 }
             }
         }
-        Ok(Answer::Stream(parts, self))
+        Ok(Answer::Stream(parts, Box::new(self)))
     }
 
     /// Returns the next whole events, or nothing at the end of the stream; an error says why it broke.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -41,8 +41,8 @@
 
 impl StreamAnswer {
     /// Returns the body of an answer; when the caller leaves, it is dropped and the endpoint stops.
-    pub(crate) fn body(call: Call, opened: Opened) -> Body {
-        let state = Some(StreamAnswer { call, opened: Some(opened) });
+    pub(crate) fn body(call: Call, opened: Box<Opened>) -> Body {
+        let state = Some(StreamAnswer { call, opened: Some(*opened) });
         StreamBody::new(unfold(state, |state| async { state?.step().await })).boxed_unsync()
     }
 
@@ -116,7 +116,7 @@
             events.resume();
             match attempt.send(&mut self.call, events).await {
                 Ok(Answer::Stream(_, opened)) => {
-                    self.opened = Some(opened);
+                    self.opened = Some(*opened);
                     return Ok(());
                 }
                 Ok(Answer::Whole(parts, _)) => {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A gateway with a control replica of its own and endpoints that answer as a script says.
 
-#![allow(dead_code, reason = "each test file uses some of these")]
+#![allow(dead_code, unused_imports, reason = "each test file uses some of these")]
 #![allow(clippy::disallowed_methods, reason = "tests read the clock")]
 
 mod caller;
