--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
-        admin, claims, feed,
+        admin, claims,
+        discovery::{self, Discovery},
+        feed,
         fleet::Fleet,
         hosts,
         layouts::{self, LayoutFormat, Layouts, OwnFormat},
@@ -12,8 +14,10 @@
         operators::Operators,
         orders,
         roster::{self, Membership},
+        topic::Topic,
         watching::{self, Watchers},
     },
+    directory::Directory,
     edge::{Server, ServerLimits},
     eyre::{Result, eyre},
     intent::{OrderProgress, WeightStore},
@@ -40,7 +44,8 @@
     pub(crate) orders: Mutex<OrderProgress>,
     pub(crate) news: watch::Sender<News>,
     pub(crate) format: Arc<dyn LayoutFormat>,
-    pub(crate) layout: watch::Sender<Option<Arc<Layout>>>,
+    pub(crate) layout: watch::Sender<Option<Arc<Topic<Layout>>>>,
+    pub(crate) discovery: Discovery,
     pub(crate) watchers: Watchers,
     pub(crate) metrics: OnceLock<Metrics>,
     pub(crate) clock: Clock,
@@ -140,6 +145,7 @@
             news: watch::Sender::default(),
             format,
             layout: watch::Sender::default(),
+            discovery: Discovery::default(),
             watchers: Watchers::default(),
             metrics: OnceLock::new(),
             clock,
@@ -152,6 +158,7 @@
             tokio::spawn(orders::run(shared.clone())),
             tokio::spawn(news::run(shared.clone())),
             tokio::spawn(layouts::run(shared.clone())),
+            tokio::spawn(watching::run(shared.clone())),
         ];
         let hosts = shared.settings.host_list;
         tasks.extend(hosts.map(|it| tokio::spawn(hosts::run(shared.clone(), it))));
@@ -165,6 +172,18 @@
         self.shared.metrics.get_or_init(|| Metrics::new(metrics));
     }
 
+    /// Reads the list of endpoints and tells the routers that watch.
+    ///
+    /// # Panics
+    ///
+    /// If called outside of a `tokio` runtime.
+    pub fn serve_directory<D>(&mut self, directory: D)
+    where
+        D: Directory,
+    {
+        self.tasks.push(tokio::spawn(discovery::run(self.shared.clone(), directory)));
+    }
+
     /// Returns the way to publish and read routing configurations.
     pub fn layouts(&self) -> Layouts {
         Layouts::new(self.shared.clone())
@@ -199,6 +218,12 @@
         SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |it| it.as_millis() as u64)
     }
 
+    /// A number from 0 to 1 that differs between replicas, to spread what they do at regular intervals.
+    pub(crate) fn spread(&self) -> f64 {
+        let now = self.clock.now().0;
+        (model::mix2(self.log.id(), now) % 1_000) as f64 / 1_000.0
+    }
+
     /// The limits of the weight store.
     pub(crate) fn weights(&self) -> WeightStore {
         let limits = self.settings.weights;
--- a/crates/control/src/layouts.rs
+++ b/crates/control/src/layouts.rs
@@ -5,12 +5,13 @@
         command::{Command, Output},
         control::Shared,
         log::NotCommitted,
-        packed::{pack, unpack},
+        topic::Topic,
     },
     bytes::Bytes,
     derive_more::{Debug, Display, Error},
-    route::{Layout, Verdict},
-    std::{io::Error as IoError, net::SocketAddr, sync::Arc},
+    route::{Layout, RouteDelta, Verdict},
+    std::{net::SocketAddr, sync::Arc},
+    wire::{Encoded, PackError, Packed, msg::WatchNews},
 };
 
 /// How routing configurations are written.
@@ -77,8 +78,8 @@
             NotPublished::Invalid { reason }
         })?;
         let version = layout.version;
-        let document = pack(&document).map_err(|it| unreadable(&it))?;
-        let command = Command::Publish { version, document };
+        let packed = Packed::of_bytes(&document).map_err(|it| unreadable(&it))?;
+        let command = Command::Publish { version, document: packed.packed().to_vec() };
         match self.shared.log.propose(&command).await {
             Ok(Output::Published(verdict)) => {
                 tracing::info!(event = "layout-published", version, ?verdict, "control: published");
@@ -100,7 +101,7 @@
     pub async fn read(&self) -> Result<Bytes, NotPublished> {
         self.shared.log.read().await.map_err(|it| self.fault(it))?;
         let packed = self.shared.log.with(|it| it.published.document().to_vec());
-        let document = unpack(&packed).map_err(|it| unreadable(&it))?;
+        let document = Packed::from_packed(packed).to_bytes().map_err(|it| unreadable(&it))?;
         Ok(document.into())
     }
 
@@ -114,7 +115,17 @@
     }
 }
 
-fn unreadable(err: &IoError) -> NotPublished {
+fn encode(layout: &Layout) -> Option<Encoded> {
+    match Packed::of(layout) {
+        Ok(packed) => Encoded::new(&WatchNews::Layout(packed)),
+        Err(err) => {
+            tracing::error!(event = "layout-unpacked", %err, "control: configuration cannot be told");
+            None
+        }
+    }
+}
+
+fn unreadable(err: &PackError) -> NotPublished {
     tracing::error!(event = "layout-unreadable", %err, "control: document cannot be packed");
     NotPublished::Unknown
 }
@@ -131,13 +142,14 @@
 }
 
 fn update(shared: &Shared) {
-    let held = shared.layout.borrow().as_ref().map(|it| it.version);
+    let held = shared.layout.borrow().clone();
+    let version = held.as_ref().map(|it| it.value().version);
     let document = shared.log.with(|it| {
-        let changed = it.published.version() != held;
+        let changed = it.published.version() != version;
         changed.then(|| it.published.document().to_vec())
     });
     let Some(document) = document else { return };
-    let unpacked = unpack(&document).map_err(|it| it.to_string());
+    let unpacked = Packed::from_packed(document).to_bytes().map_err(|it| it.to_string());
     match unpacked.and_then(|it| shared.format.decode(&it)) {
         Ok(layout) => {
             tracing::info!(
@@ -145,7 +157,14 @@
                 version = layout.version,
                 "control: in force"
             );
-            shared.layout.send_replace(Some(Arc::new(layout)));
+            let topic = match held {
+                None => Topic::first(layout, encode),
+                Some(held) => {
+                    let step = RouteDelta::between(held.value(), &layout);
+                    held.next(layout, Encoded::new(&WatchNews::LayoutStep(step)))
+                }
+            };
+            shared.layout.send_replace(Some(Arc::new(topic)));
         }
         Err(reason) => {
             tracing::error!(
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,6 +15,7 @@
 mod claims;
 mod command;
 mod control;
+mod discovery;
 mod feed;
 mod fleet;
 mod hosts;
@@ -24,7 +25,6 @@
 mod news;
 mod operators;
 mod orders;
-mod packed;
 mod quarantine;
 mod reply;
 mod roster;
@@ -32,6 +32,7 @@
 mod routers;
 mod state;
 mod status;
+mod topic;
 mod watching;
 
 pub use crate::{
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -72,7 +72,13 @@
             ReplicaConfig::new(settings.data.clone(), own.inner, peers)
         } else {
             let (seeds, bootstrap) = (settings.seeds.clone(), settings.bootstrap);
-            ReplicaConfig::seeded(settings.data.clone(), own.inner, seeds, bootstrap)
+            ReplicaConfig::seeded(
+                settings.data.clone(),
+                own.inner,
+                seeds,
+                bootstrap,
+                2 * settings.tolerance + 1,
+            )
         };
         config.set_snapshot(SNAPSHOT_BYTES);
         let replica = Replica::open(config, State::default(), dialer, clock).await;
@@ -142,6 +148,11 @@
         self.replica.addr_of(self.replica.leader()?)
     }
 
+    /// The number of this replica.
+    pub(crate) fn id(&self) -> u64 {
+        self.replica.id().0
+    }
+
     /// Where the replicas of the group listen, as far as it is known.
     pub(crate) fn replicas(&self) -> Vec<SocketAddr> {
         self.replica.addrs()
--- a/crates/control/src/watching.rs
+++ b/crates/control/src/watching.rs
@@ -1,21 +1,22 @@
-//! Telling routers of routing configurations, of each other and of the replicas.
+//! Telling routers of routing configurations, of endpoints, of each other and of the replicas.
 //!
-//! Any replica serves this: it tells only what it knows to be committed, and a router that watches all replicas takes
-//! the highest version, so that a change reaches it however the replicas see each other.
+//! Any replica serves this: it tells only what it knows to be committed, and a router that watches some replicas takes
+//! the highest version, so that a change reaches it however the replicas see each other. Each change is encoded once
+//! for all streams.
 
 use {
-    crate::control::Shared,
+    crate::{control::Shared, topic::Topic},
     derive_more::Debug,
     model::Domain,
     parking_lot::Mutex,
-    route::{Layout, RouteDelta},
+    route::Layout,
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         sync::watch,
-        time::{Instant, sleep_until, timeout},
+        time::{Instant, sleep, sleep_until, timeout},
     },
     wire::{
-        SendHalf, Stream, WireError,
+        Encoded, SendHalf, Stream, WireError,
         msg::{WatchHello, WatchNews},
     },
 };
@@ -23,8 +24,21 @@
 /// How long a router may take to introduce itself.
 const HELLO_LIMIT: Duration = Duration::from_millis(3_000);
 
-/// How often a router hears from this replica at least; it looks for another connection after three of these.
-const BEAT: Duration = Duration::from_millis(800);
+/// How often a router hears from this replica; it looks for another connection after three of these.
+const BEAT: Duration = Duration::from_millis(1_000);
+
+/// The shortest time between two lists of routers, in milliseconds.
+const FLEET_MS: u64 = 300;
+
+/// By how much that grows with each router, in milliseconds: each list goes to all of them.
+const FLEET_EACH_MS: u64 = 10;
+
+/// The routers and replicas, as they are told.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub(crate) struct FleetList {
+    routers: Vec<(SocketAddr, Domain)>,
+    replicas: Vec<SocketAddr>,
+}
 
 /// The routers that watch this replica.
 #[derive(Default, Debug)]
@@ -32,13 +46,12 @@
     #[debug(skip)]
     routers: Mutex<BTreeMap<SocketAddr, (Domain, usize)>>,
     #[debug(skip)]
-    changed: watch::Sender<u64>,
+    fleet: watch::Sender<Option<Arc<Topic<FleetList>>>>,
 }
 
 impl Watchers {
     fn enter(&self, addr: SocketAddr, domain: Domain) {
         self.routers.lock().entry(addr).or_insert((domain, 0)).1 += 1;
-        self.changed.send_modify(|it| *it += 1);
     }
 
     fn leave(&self, addr: SocketAddr) {
@@ -47,8 +60,6 @@
             *streams -= 1;
         }
         routers.retain(|_, (_, streams)| *streams > 0);
-        drop(routers);
-        self.changed.send_modify(|it| *it += 1);
     }
 
     fn list(&self) -> Vec<(SocketAddr, Domain)> {
@@ -57,13 +68,36 @@
     }
 }
 
+/// Makes the list of routers and replicas known when it changed, for as long as the process runs.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    loop {
+        let list = FleetList { routers: shared.watchers.list(), replicas: shared.log.replicas() };
+        let pause_ms = FLEET_MS + FLEET_EACH_MS * list.routers.len() as u64;
+        shared.watchers.fleet.send_if_modified(|topic| {
+            let next = match topic {
+                None => Topic::first(list, encode_fleet),
+                Some(topic) if *topic.value() == list => return false,
+                Some(topic) => topic.next(list, None),
+            };
+            *topic = Some(Arc::new(next));
+            true
+        });
+        sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+fn encode_fleet(list: &FleetList) -> Option<Encoded> {
+    let FleetList { routers, replicas } = list.clone();
+    Encoded::new(&WatchNews::Fleet { routers, replicas })
+}
+
 /// Serves a router until either end closes the stream.
 pub(crate) async fn serve(shared: Arc<Shared>, stream: Stream) -> Result<(), WireError> {
     let (mut send, mut recv) = stream.split();
     let Ok(hello) = timeout(HELLO_LIMIT, recv.recv::<WatchHello>()).await else { return Ok(()) };
     let Some(hello) = hello? else { return Ok(()) };
     let addr = hello.addr;
-    tracing::info!(event = "router-watches", router = %addr, version = ?hello.version, "control: watched");
+    tracing::info!(event = "router-watches", router = %addr, version = hello.version, "control: watched");
     shared.watchers.enter(addr, hello.domain);
     let served = tokio::select! {
         sent = tell(&shared, hello.version, &mut send) => sent,
@@ -77,55 +111,74 @@
 
 async fn tell(shared: &Shared, version: Option<u64>, send: &mut SendHalf) -> Result<(), WireError> {
     let mut layouts = shared.layout.subscribe();
-    let mut fleet = shared.watchers.changed.subscribe();
-    let mut sent = Sent::new(version);
-    send.send(&fleet_news(shared)).await?;
-    fleet.mark_unchanged();
+    let mut catalogs = shared.discovery.catalog.subscribe();
+    let mut fleets = shared.watchers.fleet.subscribe();
+    let (mut layout, mut catalog, mut fleet) = (LayoutTold { version, number: None }, None, None);
+    let mut beat_at = Instant::now();
     loop {
-        let layout = layouts.borrow_and_update().clone();
-        if let Some(news) = sent.news(layout) {
-            send.send(&news).await?;
+        let topic = layouts.borrow_and_update().clone();
+        if let Some(news) = topic.as_ref().and_then(|it| layout.news(it)) {
+            send.send_encoded(news).await?;
+        }
+        let topic = catalogs.borrow_and_update().clone();
+        tell_topic(topic.as_deref(), &mut catalog, send).await?;
+        let topic = fleets.borrow_and_update().clone();
+        tell_topic(topic.as_deref(), &mut fleet, send).await?;
+        if Instant::now() >= beat_at {
+            beat_at = Instant::now() + BEAT;
+            send.send(&beat(shared)).await?;
         }
-        let beat_at = Instant::now() + BEAT;
-        tokio::select! {
-            changed = layouts.changed() => if changed.is_err() { return Ok(()) },
-            changed = fleet.changed() => {
-                if changed.is_err() {
-                    return Ok(());
-                }
-                send.send(&fleet_news(shared)).await?;
-            }
-            () = sleep_until(beat_at) => send.send(&WatchNews::Beat).await?,
+        let ended = tokio::select! {
+            changed = layouts.changed() => changed.is_err(),
+            changed = catalogs.changed() => changed.is_err(),
+            changed = fleets.changed() => changed.is_err(),
+            () = sleep_until(beat_at) => false,
+        };
+        if ended {
+            return Ok(());
         }
     }
 }
 
-fn fleet_news(shared: &Shared) -> WatchNews {
-    WatchNews::Fleet { routers: shared.watchers.list(), replicas: shared.log.replicas() }
+fn beat(shared: &Shared) -> WatchNews {
+    let current = shared.log.leads() || shared.log.leader_inner().is_some();
+    WatchNews::Beat { current, listed: shared.discovery.is_recent(shared.clock.now()) }
 }
 
-/// What a router was sent on one stream.
-struct Sent {
-    version: Option<u64>,
-    layout: Option<Arc<Layout>>,
+async fn tell_topic<T>(
+    topic: Option<&Topic<T>>,
+    told: &mut Option<u64>,
+    send: &mut SendHalf,
+) -> Result<(), WireError> {
+    let Some(topic) = topic else { return Ok(()) };
+    if let Some(news) = topic.news(*told) {
+        send.send_encoded(news).await?;
+    }
+    *told = Some(topic.number());
+    Ok(())
 }
 
-impl Sent {
-    fn new(version: Option<u64>) -> Sent {
-        Sent { version, layout: None }
-    }
+/// What a router was told of routing configurations on one stream.
+struct LayoutTold {
+    /// The version that it has.
+    version: Option<u64>,
+    /// The number of the value that it has, if this process told it or has the same.
+    number: Option<u64>,
+}
 
-    /// Returns what the router lacks of a configuration.
-    fn news(&mut self, layout: Option<Arc<Layout>>) -> Option<WatchNews> {
-        let layout = layout?;
-        if self.version.is_some_and(|it| it >= layout.version) {
+impl LayoutTold {
+    /// Returns what the router lacks; it may be ahead of this replica.
+    fn news<'a>(&mut self, topic: &'a Topic<Layout>) -> Option<&'a Encoded> {
+        let version = topic.value().version;
+        if self.version.is_some_and(|it| it > version) {
+            return None;
+        }
+        if self.version == Some(version) {
+            self.number = Some(topic.number());
             return None;
         }
-        self.version = Some(layout.version);
-        let before = self.layout.replace(layout.clone());
-        Some(match before {
-            Some(before) => WatchNews::Delta(RouteDelta::between(&before, &layout)),
-            None => WatchNews::Layout(layout),
-        })
+        let news = topic.news(self.number);
+        (self.version, self.number) = (Some(version), Some(topic.number()));
+        news
     }
 }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -9,7 +9,7 @@
     http_body_util::BodyExt,
     model::{Digest, Domain, HostName},
     serde_json::Value,
-    settings::{ControlSettings, LogSettings, WeightLimits},
+    settings::{ControlSettings, ListingSettings, LogSettings, WeightLimits},
     std::{fs, net::SocketAddr, path::Path},
     tempfile::TempDir,
 };
@@ -39,6 +39,8 @@
         operators: Some(operators),
         seeds: Vec::new(),
         bootstrap: false,
+        tolerance: 1,
+        listing: ListingSettings::default(),
         tls_inner: None,
         host_list: None,
         // A load each 10 ms.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,12 +4,13 @@
     crate::{
         endpoint::EndpointNo,
         health::Ending,
-        listing::{Change, Listed},
+        listing::Change,
         load::LoadReport,
         lobby::{Ticket, Waiter},
         service::{Ask, Pick, Service},
     },
     derive_more::Debug,
+    directory::Listed,
     model::{Domain, MILLISECOND, Name, Time},
     std::collections::{HashMap, HashSet},
 };
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -1,8 +1,9 @@
 //! One endpoint as a router sees it.
 
 use {
-    crate::{health::Health, listing::Listed, load::Load, service::Part},
+    crate::{health::Health, load::Load, service::Part},
     derive_more::{Debug, Display},
+    directory::Listed,
     model::{Time, hash64, mix2},
     std::{collections::HashMap, net::SocketAddr},
 };
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,7 +22,7 @@
     dispatcher::{Arrival, Dispatcher},
     endpoint::EndpointNo,
     health::Ending,
-    listing::{Change, Listed},
+    listing::Change,
     load::LoadReport,
     lobby::Ticket,
     service::{Ask, Part, Pick, Prompt},
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -3,11 +3,11 @@
 use {
     crate::{
         endpoint::{Endpoint, EndpointNo},
-        listing::Listed,
         lobby::Lobby,
         order::order,
     },
     derive_more::Debug,
+    directory::Listed,
     model::{Domain, Name, Time},
     smallvec::SmallVec,
     std::net::SocketAddr,
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -3,7 +3,8 @@
 #![allow(dead_code, reason = "each test file uses some of these")]
 
 use {
-    dispatch::{Ask, Dispatcher, Listed, Part, Prompt},
+    directory::Listed,
+    dispatch::{Ask, Dispatcher, Part, Prompt},
     model::{Domain, MILLISECOND, SECOND, Time},
     smallvec::SmallVec,
 };
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -32,7 +32,7 @@
 #[test]
 fn a_new_endpoint_takes_over_few_chats_and_fetches_their_prompts() {
     let (mut dispatcher, mut listing) = dispatcher(12, 64);
-    let mut place = |it: &mut Dispatcher, own| -> HashMap<u64, Pick> {
+    let place = |it: &mut Dispatcher, own| -> HashMap<u64, Pick> {
         let picks = (0..300).map(|at| {
             let pick = started(it.arrive(NOW, chat(NOW, at, 5_000, own + at)));
             it.end(NOW, &pick, Ending::Served, 10.0);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,8 +2,7 @@
 
 use {
     crate::{
-        directory::{self, Directory},
-        gossip,
+        gossip, listing,
         metrics::Metrics,
         names::Names,
         server,
@@ -11,6 +10,7 @@
         watch as control,
     },
     arc_swap::ArcSwapOption,
+    directory::Directory,
     dispatch::{Crashes, Dispatcher},
     edge::{Body, Server, ServerLimits, full},
     eyre::{Result, WrapErr, eyre},
@@ -93,6 +93,7 @@
             strikes: Mutex::new(Vec::new()),
             stopped_at: AtomicU64::new(0),
             stop: Notify::new(),
+            told_at: AtomicU64::new(clock.now().0),
             listed: AtomicBool::new(false),
             settled: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
@@ -104,7 +105,7 @@
         let tasks = vec![
             server,
             tokio::spawn(control::run(shared.clone(), dialer, watched)),
-            tokio::spawn(directory::run(shared.clone(), directory)),
+            tokio::spawn(listing::run(shared.clone(), directory)),
             tokio::spawn(gossip::send(shared.clone(), socket.clone())),
             tokio::spawn(gossip::receive(shared.clone(), socket)),
             tokio::spawn(expire(shared.clone())),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,16 +1,15 @@
 //! A gateway: a router that stands between callers and endpoints and decides by itself where each request runs.
 //!
-//! It watches control for routing configurations ([`route`]), reads the list of endpoints from a [`Directory`], places
-//! requests by [`dispatch`] and exchanges them with endpoints over HTTP/1.1. Other gateways tell it by UDP what they
-//! run. All of its state is in memory; any gateway can be lost at any time.
+//! It watches control for routing configurations ([`route`]) and endpoints ([`directory`]), places requests by
+//! [`dispatch`] and exchanges them with endpoints over HTTP/1.1. Other gateways tell it by UDP what they run. All of its state is in memory; any gateway can be lost at any time.
 
 mod attempt;
 mod call;
 mod crash;
-mod directory;
 mod events;
 mod gateway;
 mod gossip;
+mod listing;
 mod message;
 mod metrics;
 mod names;
@@ -21,9 +20,4 @@
 mod upstream;
 mod watch;
 
-pub use crate::{
-    directory::{Directory, DirectoryError, Listing},
-    gateway::Gateway,
-    names::Names,
-};
-pub use dispatch::Listed;
+pub use crate::{gateway::Gateway, names::Names};
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -66,6 +66,8 @@
     /// When this process was told to stop, in microseconds of its clock; zero: it was not.
     pub(crate) stopped_at: AtomicU64,
     pub(crate) stop: Notify,
+    /// When control last told of endpoints, in microseconds of this process's clock.
+    pub(crate) told_at: AtomicU64,
     /// Whether endpoints were listed at least once.
     pub(crate) listed: AtomicBool,
     /// Whether enough replicas were heard of to know the newest configuration.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,100 +1,234 @@
-//! Watching control for routing configurations and for other gateways.
+//! Watching control for routing configurations, endpoints and other gateways.
 //!
-//! Every replica is watched, and the highest version that any of them tells is in force: a change that a majority
-//! holds reaches this router as long as it reaches one replica that knows of it. A version never goes down.
+//! Some replicas are watched, chosen by a hash of both addresses so that replicas share the routers, and others beside
+//! them while one of these is not reached or hears of no leader. The highest version that any of them tells is in
+//! force; a version never goes down. Endpoints are taken from one replica at a time, so that lists that were read at
+//! different moments do not alternate.
 
 use {
-    crate::shared::Shared,
+    crate::{listing, shared::Shared},
+    derive_more::Debug,
+    directory::Catalog,
     dispatch::Dispatcher,
-    model::Domain,
+    model::{Domain, MILLISECOND, Time, hash64, mix2},
     route::{Layout, Table},
     std::{
-        collections::{HashMap, HashSet},
+        collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
     tokio::{
         sync::{mpsc, watch},
-        task::JoinSet,
+        task::AbortHandle,
         time::{sleep, timeout},
     },
     wire::{
-        Dialer, Peer, WireError,
+        Dialer, PackError, Peer, Step, WireError,
         msg::{WATCH_PATH, WatchHello, WatchNews},
     },
 };
 
+/// How many replicas are watched while all of them are sound: with two lost, one still tells.
+const WATCHED: usize = 3;
+
 /// How long a replica may be silent before its connection is replaced: three of its beats.
-const SILENCE: Duration = Duration::from_millis(2_400);
+const SILENCE: Duration = Duration::from_millis(3_000);
 
 /// How long opening a stream may take.
 const OPEN_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// How long a replica may take to become sound before another one is watched beside it, in milliseconds.
+const TRIAL_MS: u64 = 1_500;
+
 /// The pause after a failed connection.
 const PAUSE: Duration = Duration::from_millis(250);
 
+/// How often the choice of replicas is made again.
+const REVIEW: Duration = Duration::from_millis(500);
+
 /// How long a router waits for further replicas once it has a configuration, to know the newest one.
-const SETTLE: Duration = Duration::from_millis(1_500);
+const SETTLE: Duration = Duration::from_millis(1_000);
 
-/// What one replica tells of the fleet.
-struct Told {
+/// What a stream reports.
+struct Report {
     replica: SocketAddr,
+    event: Event,
+}
+
+enum Event {
+    Fleet { routers: Vec<(SocketAddr, Domain)>, replicas: Vec<SocketAddr> },
+    Catalog(Catalog),
+    Beat { current: bool, listed: bool },
+    Lost,
+}
+
+/// What is known of one replica.
+#[derive(Debug)]
+struct Watched {
+    #[debug(skip)]
+    task: AbortHandle,
+    /// Until when it counts as sound without having proved it.
+    trial_until: Time,
+    current: bool,
+    listed: bool,
     routers: Vec<(SocketAddr, Domain)>,
     replicas: Vec<SocketAddr>,
+    catalog: Option<Catalog>,
 }
 
-/// Watches all replicas for as long as the process runs; `seeds` are those known by settings.
+/// Watches replicas for as long as the process runs; `seeds` are those known by settings.
 pub(crate) async fn run(
     shared: Arc<Shared>,
     dialer: Dialer,
     mut seeds: watch::Receiver<Vec<SocketAddr>>,
 ) {
-    let (sender, mut news) = mpsc::channel(64);
-    let mut watched: HashMap<SocketAddr, tokio::task::AbortHandle> = HashMap::new();
-    let mut told: HashMap<SocketAddr, Told> = HashMap::new();
-    let mut tasks = JoinSet::new();
+    let (sender, mut reports) = mpsc::channel(64);
+    let mut watcher = Watcher { shared, dialer, sender, watched: BTreeMap::new(), primary: None };
     loop {
-        let wanted = wanted(&seeds.borrow_and_update(), &told);
-        watched.retain(|addr, task| {
+        let addrs = seeds.borrow_and_update().clone();
+        watcher.review(&addrs);
+        tokio::select! {
+            report = reports.recv() => match report {
+                Some(report) => watcher.take(report),
+                None => return,
+            },
+            changed = seeds.changed() => if changed.is_err() {
+                // The settings are not watched any more; the seeds stay as they are.
+                sleep(REVIEW).await;
+            },
+            () = sleep(REVIEW) => {}
+        }
+    }
+}
+
+struct Watcher {
+    shared: Arc<Shared>,
+    dialer: Dialer,
+    sender: mpsc::Sender<Report>,
+    watched: BTreeMap<SocketAddr, Watched>,
+    /// The replica whose list of endpoints is in force.
+    primary: Option<SocketAddr>,
+}
+
+impl Watcher {
+    /// Watches the replicas that should be watched, and no others.
+    fn review(&mut self, seeds: &[SocketAddr]) {
+        let wanted = self.wanted(seeds);
+        self.watched.retain(|addr, it| {
             let kept = wanted.contains(addr);
             if !kept {
-                task.abort();
+                it.task.abort();
             }
             kept
         });
-        told.retain(|addr, _| wanted.contains(addr));
         for addr in wanted {
-            let spawn = || {
-                let peer = Peer::new(addr, dialer.clone());
-                tasks.spawn(watch_replica(shared.clone(), peer, sender.clone()))
-            };
-            watched.entry(addr).or_insert_with(spawn);
+            if !self.watched.contains_key(&addr) {
+                let watched = self.spawn(addr);
+                self.watched.insert(addr, watched);
+            }
         }
-        tokio::select! {
-            news = news.recv() => {
-                let Some(news) = news else { return };
-                told.insert(news.replica, news);
-                let routers = told.values().flat_map(|it| it.routers.iter().cloned()).collect();
-                let replicas = told.values().flat_map(|it| it.replicas.iter().copied()).collect();
-                let mut fleet = shared.fleet.lock();
-                fleet.routers = routers;
-                fleet.replicas = replicas;
+    }
+
+    fn wanted(&self, seeds: &[SocketAddr]) -> BTreeSet<SocketAddr> {
+        let now = self.shared.now();
+        let learned = self.watched.values().flat_map(|it| it.replicas.iter().copied());
+        let mut learned: BTreeSet<_> = learned.collect();
+        if learned.is_empty() {
+            learned.extend(seeds);
+        }
+        let own = hash64(self.shared.settings.inner.to_string().as_bytes());
+        let mut ranked: Vec<_> = learned.into_iter().collect();
+        ranked.sort_unstable_by_key(|it| mix2(own, hash64(it.to_string().as_bytes())));
+        let mut sound = 0;
+        let mut wanted = BTreeSet::new();
+        for addr in ranked {
+            if sound == WATCHED {
+                break;
             }
-            changed = seeds.changed() => if changed.is_err() {
-                // The settings are not watched any more; the seeds stay as they are.
-                std::future::pending::<()>().await;
-            },
+            let known = self.watched.get(&addr);
+            sound += usize::from(known.is_none_or(|it| it.current || now < it.trial_until));
+            wanted.insert(addr);
+        }
+        // With none that answers, the seeds may name replicas that nobody has told of.
+        if !self.watched.values().any(|it| it.current) {
+            wanted.extend(seeds);
+        }
+        wanted
+    }
+
+    fn spawn(&self, addr: SocketAddr) -> Watched {
+        let peer = Peer::new(addr, self.dialer.clone());
+        let task = tokio::spawn(watch_replica(self.shared.clone(), peer, self.sender.clone()));
+        Watched {
+            task: task.abort_handle(),
+            trial_until: self.shared.now() + TRIAL_MS * MILLISECOND,
+            current: false,
+            listed: false,
+            routers: Vec::new(),
+            replicas: Vec::new(),
+            catalog: None,
         }
     }
-}
 
-fn wanted(seeds: &[SocketAddr], told: &HashMap<SocketAddr, Told>) -> HashSet<SocketAddr> {
-    let learned = told.values().flat_map(|it| it.replicas.iter().copied());
-    seeds.iter().copied().chain(learned).collect()
+    fn take(&mut self, report: Report) {
+        let Report { replica, event } = report;
+        let Some(watched) = self.watched.get_mut(&replica) else { return };
+        match event {
+            Event::Fleet { routers, replicas } => {
+                (watched.routers, watched.replicas) = (routers, replicas);
+                self.update_fleet();
+            }
+            Event::Catalog(catalog) => {
+                watched.catalog = Some(catalog);
+                if self.primary == Some(replica) {
+                    self.take_catalog(replica);
+                }
+            }
+            Event::Beat { current, listed } => {
+                (watched.current, watched.listed) = (current, listed);
+                self.update_primary();
+            }
+            Event::Lost => {
+                (watched.current, watched.listed) = (false, false);
+                self.update_primary();
+            }
+        }
+    }
+
+    fn update_fleet(&self) {
+        let watched = || self.watched.values();
+        let mut fleet = self.shared.fleet.lock();
+        fleet.routers = watched().flat_map(|it| it.routers.iter().cloned()).collect();
+        fleet.replicas = watched().flat_map(|it| it.replicas.iter().copied()).collect();
+    }
+
+    /// Keeps the present replica's list of endpoints as long as that replica reads it.
+    fn update_primary(&mut self) {
+        let listed = |it: &Watched| it.listed && it.catalog.is_some();
+        let present = self.primary.and_then(|it| self.watched.get(&it));
+        if !present.is_some_and(listed) {
+            let found = self.watched.iter().find(|it| listed(it.1)).map(|it| *it.0);
+            if found.is_some() && found != self.primary {
+                self.primary = found;
+                found.into_iter().for_each(|it| self.take_catalog(it));
+            }
+        }
+        let primary = self.primary.and_then(|it| self.watched.get(&it));
+        if primary.is_some_and(listed) {
+            self.shared.told_at.store(self.shared.now().0, Ordering::Relaxed);
+        }
+    }
+
+    fn take_catalog(&self, replica: SocketAddr) {
+        let catalog = self.watched.get(&replica).and_then(|it| it.catalog.as_ref());
+        if let Some(catalog) = catalog {
+            listing::take(&self.shared, &catalog.endpoints());
+        }
+    }
 }
 
-async fn watch_replica(shared: Arc<Shared>, peer: Peer, sender: mpsc::Sender<Told>) {
+async fn watch_replica(shared: Arc<Shared>, peer: Peer, sender: mpsc::Sender<Report>) {
     let replica = peer.addr();
     loop {
         match follow(&shared, &peer, &sender).await {
@@ -103,79 +237,108 @@
                 tracing::info!(event = "control-lost", %replica, %err, "gateway: not watching");
             }
         }
+        // The receiver ends with the process.
+        let _ = sender.send(Report { replica, event: Event::Lost }).await;
         peer.retire().await;
         sleep(PAUSE).await;
     }
 }
 
+/// What one stream told so far.
+struct Told {
+    layout: Option<Arc<Layout>>,
+    catalog: Option<Catalog>,
+}
+
 /// Follows one replica until its stream ends or goes silent.
 async fn follow(
     shared: &Arc<Shared>,
     peer: &Peer,
-    sender: &mpsc::Sender<Told>,
+    sender: &mpsc::Sender<Report>,
 ) -> Result<(), WireError> {
+    let replica = peer.addr();
     let Ok(stream) = timeout(OPEN_LIMIT, peer.open(WATCH_PATH)).await else { return Ok(()) };
     let (mut send, mut recv) = stream?.split();
-    let version = shared.table.load().as_ref().map(|it| it.layout().version);
+    let layout = shared.table.load().as_ref().map(|it| it.layout().clone());
+    let version = layout.as_ref().map(|it| it.version);
     let (addr, domain) = (shared.settings.inner, shared.settings.domain.clone());
     send.send(&WatchHello { addr, domain, version }).await?;
-    let mut held: Option<Arc<Layout>> = None;
-    let mut greeted = false;
+    let mut told = Told { layout, catalog: None };
+    tracing::info!(event = "control-found", %replica, version, "gateway: watching");
     loop {
         let Ok(news) = timeout(SILENCE, recv.recv::<WatchNews>()).await else { return Ok(()) };
-        match news? {
-            None => return Ok(()),
-            Some(WatchNews::Beat) => {}
-            Some(WatchNews::Layout(layout)) => {
-                put_in_force(shared, peer.addr(), &layout);
-                held = Some(layout);
+        let Some(news) = news? else { return Ok(()) };
+        let event = told.take(shared, replica, news);
+        let event = event.map_err(|it| WireError::new(Step::Receive, replica, it))?;
+        if let Some(event) = event
+            && sender.send(Report { replica, event }).await.is_err()
+        {
+            return Ok(());
+        }
+    }
+}
+
+impl Told {
+    /// Takes one message; returns what the watcher should know.
+    fn take(
+        &mut self,
+        shared: &Arc<Shared>,
+        replica: SocketAddr,
+        news: WatchNews,
+    ) -> Result<Option<Event>, PackError> {
+        match news {
+            WatchNews::Layout(packed) => self.put_in_force(shared, replica, packed.get()?),
+            WatchNews::LayoutStep(step) => {
+                let held = self.layout.as_ref();
+                let next = held.map(|it| step.apply(it)).transpose();
+                let next = next.map_err(|it| PackError { reason: it.to_string() })?;
+                next.into_iter().for_each(|it| self.put_in_force(shared, replica, it));
             }
-            Some(WatchNews::Delta(delta)) => {
-                let applied = held.as_ref().map(|it| delta.apply(it));
-                let Some(Ok(layout)) = applied else {
-                    tracing::warn!(event = "delta-misfit", "gateway: delta does not fit");
-                    return Ok(());
-                };
-                let layout = Arc::new(layout);
-                put_in_force(shared, peer.addr(), &layout);
-                held = Some(layout);
+            WatchNews::Catalog(packed) => {
+                let catalog: Catalog = packed.get()?;
+                self.catalog = Some(catalog.clone());
+                return Ok(Some(Event::Catalog(catalog)));
             }
-            Some(WatchNews::Fleet { routers, replicas }) => {
-                if !greeted {
-                    greeted = true;
-                    tracing::info!(event = "control-found", replica = %peer.addr(), "gateway: watching");
-                }
-                let told = Told { replica: peer.addr(), routers, replicas };
-                if sender.send(told).await.is_err() {
-                    return Ok(());
-                }
+            WatchNews::CatalogStep(step) => {
+                let Some(catalog) = &mut self.catalog else { return Ok(None) };
+                catalog.apply(&step);
+                return Ok(Some(Event::Catalog(catalog.clone())));
+            }
+            WatchNews::Fleet { routers, replicas } => {
+                return Ok(Some(Event::Fleet { routers, replicas }));
+            }
+            WatchNews::Beat { current, listed } => {
+                return Ok(Some(Event::Beat { current, listed }));
             }
         }
+        Ok(None)
     }
-}
 
-/// Puts a configuration in force if it is newer than the present one.
-fn put_in_force(shared: &Arc<Shared>, replica: SocketAddr, layout: &Arc<Layout>) {
-    let held = shared.table.load().as_ref().map(|it| it.layout().version);
-    if held.is_some_and(|it| it >= layout.version) {
-        return;
-    }
-    set_services(&mut shared.dispatcher.lock(), layout);
-    shared.table.store(Some(Arc::new(Table::new((**layout).clone()))));
-    tracing::info!(
-        event = "configuration",
-        version = layout.version,
-        before = held,
-        %replica,
-        routes = layout.routes.len(),
-        "gateway: configuration in force"
-    );
-    if held.is_none() {
-        let shared = shared.clone();
-        tokio::spawn(async move {
-            sleep(SETTLE).await;
-            shared.settled.store(true, Ordering::Relaxed);
-        });
+    /// Puts a configuration in force if it is newer than the present one.
+    fn put_in_force(&mut self, shared: &Arc<Shared>, replica: SocketAddr, layout: Layout) {
+        let layout = Arc::new(layout);
+        self.layout = Some(layout.clone());
+        let held = shared.table.load().as_ref().map(|it| it.layout().version);
+        if held.is_some_and(|it| it >= layout.version) {
+            return;
+        }
+        tracing::info!(
+            event = "configuration",
+            version = layout.version,
+            before = held,
+            %replica,
+            routes = layout.routes.len(),
+            "gateway: configuration in force"
+        );
+        set_services(&mut shared.dispatcher.lock(), &layout);
+        shared.table.store(Some(Arc::new(Table::new(layout))));
+        if held.is_none() {
+            let shared = shared.clone();
+            tokio::spawn(async move {
+                sleep(SETTLE).await;
+                shared.settled.store(true, Ordering::Relaxed);
+            });
+        }
     }
 }
 
--- a/crates/gateway/tests/common/endpoint.rs
+++ b/crates/gateway/tests/common/endpoint.rs
@@ -1,7 +1,7 @@
 //! Endpoints that answer as a script says, sound or not.
 
 use {
-    gateway::Listed,
+    directory::Listed,
     model::Domain,
     std::{
         collections::VecDeque,
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -13,16 +13,18 @@
 
 use {
     control::{Control, Layouts},
-    gateway::{Directory, DirectoryError, Gateway, Listed, Listing, Names},
+    directory::{Directory, DirectoryError, Listed, Listing},
+    gateway::{Gateway, Names},
     model::{Digest, Domain, HostName},
     route::{CallerLimits, Engine, Kind, Layout, Route, Service, Share, Team},
     settings::{
-        ControlSettings, GatewaySettings, LogLevel, LogSettings, RetrySettings, WeightLimits,
+        ControlSettings, GatewaySettings, ListingSettings, LogLevel, LogSettings, RetrySettings,
+        WeightLimits,
     },
     smallvec::smallvec,
     std::{
         net::SocketAddr,
-        sync::{Arc, Mutex},
+        sync::{Arc, Mutex, OnceLock},
         time::Duration,
     },
     tempfile::TempDir,
@@ -32,6 +34,8 @@
 /// How long a test may wait for something that should happen.
 const LIMIT: Duration = Duration::from_secs(15);
 
+static METRICS: OnceLock<telemetry::Metrics> = OnceLock::new();
+
 pub(crate) const KEY: &str = "key-of-one";
 
 /// Endpoints that tests list.
@@ -76,12 +80,15 @@
     /// Starts a gateway for which there is no configuration.
     pub(crate) async fn start_empty(endpoints: &[Listed]) -> Bench {
         let data = tempfile::tempdir().expect("a folder");
-        let control = Control::spawn(control_settings(&data)).await.expect("control");
+        let mut control = Control::spawn(control_settings(&data)).await.expect("control");
         control.lead().await;
         let list = StaticList(Arc::new(Mutex::new(endpoints.to_vec())));
+        control.serve_directory(list.clone());
         let settings = gateway_settings(control.inner());
         let admin = settings.admin;
-        let metrics = telemetry::open(&settings.log).expect("metrics");
+        // Telemetry is opened once for each process.
+        let open = || telemetry::open(&settings.log).expect("metrics");
+        let metrics = METRICS.get_or_init(open).clone();
         let gateway = Gateway::spawn(settings, Names::default(), list.clone(), metrics).await;
         let gateway = gateway.expect("a gateway");
         let (addr, layouts) = (gateway.addr(), control.layouts());
@@ -123,6 +130,8 @@
         admin: any(),
         seeds: Vec::new(),
         bootstrap: false,
+        tolerance: 1,
+        listing: ListingSettings { interval_ms: 50, rate: 1_000.0 },
         peers: Vec::new(),
         operators: None,
         tls_inner: None,
@@ -143,8 +152,7 @@
         tls_inner: None,
         grace_ms: 5_000,
         connections: 100,
-        listing_ms: 50,
-        listing_rate: 1_000.0,
+        listing: ListingSettings { interval_ms: 50, rate: 1_000.0 },
         retries: RetrySettings { ratio: 0.2, slack: 50.0 },
         log: LogSettings { level: LogLevel::Error, ..LogSettings::default() },
     }
--- a/crates/replica/src/config.rs
+++ b/crates/replica/src/config.rs
@@ -31,6 +31,8 @@
     pub(crate) addrs: Vec<SocketAddr>,
     /// Whether no group exists yet.
     pub(crate) bootstrap: bool,
+    /// How many voters the group should have.
+    pub(crate) voters: usize,
 }
 
 /// A setting that cannot be.
@@ -78,19 +80,20 @@
     ///
     /// Replicas that start with `bootstrap` set, an empty folder and their own address among the seeds found the group
     /// together: each of them derives the same first membership from the seeds, so a founder that restarts meanwhile
-    /// founds no other group. All others ask the seeds to be taken in. The group keeps as many voters as there were
-    /// seeds; a replica at a new address replaces a voter that has been silent for [`FORGET_MS`].
+    /// founds no other group. All others ask the seeds to be taken in. The group grows to
+    /// `voters`; further replicas have no vote, and replace a voter that has been silent for [`FORGET_MS`].
     pub fn seeded(
         folder: PathBuf,
         addr: SocketAddr,
         mut seeds: Vec<SocketAddr>,
         bootstrap: bool,
+        voters: usize,
     ) -> ReplicaConfig {
         seeds.sort_unstable();
         seeds.dedup();
         let peers = seeds.iter().copied().filter(|it| *it != addr).collect();
         let mut config = ReplicaConfig::new(folder, addr, peers);
-        config.seeds = Some(Seeds { addrs: seeds, bootstrap });
+        config.seeds = Some(Seeds { addrs: seeds, bootstrap, voters });
         config
     }
 
@@ -121,7 +124,7 @@
             self.drift_percent,
         );
         let replicas = match &self.seeds {
-            Some(seeds) => seeds.addrs.len(),
+            Some(seeds) => seeds.voters,
             None => self.peers.len() + 1,
         };
         config.set_voters(replicas / 2 + 1);
--- a/crates/replica/tests/sim/check.rs
+++ b/crates/replica/tests/sim/check.rs
@@ -79,7 +79,10 @@
             if let (Some(joined), Some(node)) = (joined, nodes.find(|it| it.core.id() == id)) {
                 // Nothing was committed before the first entry.
                 let first = joined.index == 1;
-                assert!(first || node.core.last() >= joined.index, "{id} votes without what was committed");
+                assert!(
+                    first || node.core.last() >= joined.index,
+                    "{id} votes without what was committed"
+                );
             }
         }
     }
--- a/crates/replica/tests/sim/mod.rs
+++ b/crates/replica/tests/sim/mod.rs
@@ -175,7 +175,8 @@
             }
             Err(err) => panic!("{err}"),
         };
-        let (core, actions) = Core::open(now, config(replicas, seeded), journal.id(), durable, self.count);
+        let (core, actions) =
+            Core::open(now, config(replicas, seeded), journal.id(), durable, self.count);
         slot.frozen = false;
         slot.id = Some(journal.id());
         slot.node = Some(Node {
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -19,7 +19,7 @@
 /// A configuration, compiled for look-ups.
 #[derive(Debug)]
 pub struct Table {
-    layout: Layout,
+    layout: Arc<Layout>,
     /// The routes of each host, longest prefix first.
     hosts: HashMap<Name, Vec<Arc<Route>>>,
     services: HashMap<Name, Arc<Service>>,
@@ -28,7 +28,7 @@
 
 impl Table {
     /// Compiles a configuration; one that breaks a rule is compiled as far as it goes.
-    pub fn new(layout: Layout) -> Table {
+    pub fn new(layout: Arc<Layout>) -> Table {
         let mut hosts: HashMap<Name, Vec<Arc<Route>>> = HashMap::new();
         for route in &layout.routes {
             hosts.entry(route.host.clone()).or_default().push(Arc::new(route.clone()));
@@ -43,7 +43,7 @@
     }
 
     /// The configuration.
-    pub fn layout(&self) -> &Layout {
+    pub fn layout(&self) -> &Arc<Layout> {
         &self.layout
     }
 
--- a/crates/route/tests/layout.rs
+++ b/crates/route/tests/layout.rs
@@ -84,7 +84,7 @@
 
 #[test]
 fn the_longest_prefix_of_the_host_wins() {
-    let table = Table::new(layout(1));
+    let table = Table::new(layout(1).into());
     let found =
         |host: &str, path: &str| table.find(host, path, 0).map(|it| it.route.prefix.clone());
     assert_eq!(found("a", "/x/y/z").as_deref(), Some("/x/y/"));
@@ -100,14 +100,14 @@
         Share { service: "s".into(), weight: 9 },
         Share { service: "t".into(), weight: 1 }
     ];
-    let table = Table::new(layout);
+    let table = Table::new(layout.into());
     let to_t = |draw| &*table.find("a", "/", draw).expect("a route").service.name == "t";
     assert_eq!((0..1_000).filter(|it| to_t(*it)).count(), 100);
 }
 
 #[test]
 fn a_key_names_its_team() {
-    let table = Table::new(layout(1));
+    let table = Table::new(layout(1).into());
     assert_eq!(table.team(b"k2").map(|it| &*it.name), Some("two"));
     assert_eq!(table.team(b"k3"), None);
 }
--- a/crates/router/tests/fleet/bench.rs
+++ b/crates/router/tests/fleet/bench.rs
@@ -312,6 +312,8 @@
         operators: Some(operators),
         seeds: Vec::new(),
         bootstrap: false,
+        tolerance: 1,
+        listing: settings::ListingSettings::default(),
         tls_inner: None,
         host_list: None,
         weights: WeightLimits::default(),
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        listing::ListingSettings,
         load::{Check, rule},
         log::LogSettings,
         tls::TlsFiles,
@@ -39,7 +40,7 @@
 }
 
 /// The settings of a control replica.
-#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
+#[derive(Clone, PartialEq, Serialize, Deserialize, Debug)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct ControlSettings {
     /// The platform's name for this host.
@@ -59,6 +60,12 @@
     /// Whether no group exists yet; with `seeds` only.
     #[serde(default)]
     pub bootstrap: bool,
+    /// How many replicas may be lost at once; with `seeds` only, the group has twice as many voters and one; default 1.
+    #[serde(default = "default_tolerance")]
+    pub tolerance: usize,
+    /// How often the list of endpoints is read.
+    #[serde(default)]
+    pub listing: ListingSettings,
     /// The other replicas; none: this replica alone is the quorum.
     #[serde(default, rename = "peer")]
     pub peers: Vec<ControlPeer>,
@@ -77,6 +84,10 @@
     pub log: LogSettings,
 }
 
+fn default_tolerance() -> usize {
+    1
+}
+
 impl Check for ControlSettings {
     fn check(&self) -> Result<(), (&'static str, String)> {
         let inner: BTreeSet<_> = self.peers.iter().map(|it| it.inner).collect();
@@ -87,6 +98,8 @@
         rule("inner", !inner.contains(&self.inner), "expected an address that no peer has")?;
         rule("admin", !admin.contains(&self.admin), "expected an address that no peer has")?;
         rule("seeds", self.seeds.is_empty() || count == 0, "expected either seeds or peers")?;
+        rule("tolerance", self.tolerance <= 8, "expected at most 8")?;
+        self.listing.check()?;
         rule("peer", inner.len() == count && admin.len() == count, "expected each address once")?;
         rule("weights.rate-bytes", self.weights.rate_bytes > 0, "expected at least 1")?;
         rule("weights.image-bytes", self.weights.image_bytes > 0, "expected at least 1")
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        listing::ListingSettings,
         load::{Check, rule},
         log::LogSettings,
         tls::TlsFiles,
@@ -52,12 +53,9 @@
     /// Callers' connections at once; default 1500.
     #[serde(default = "default_connections")]
     pub connections: usize,
-    /// Milliseconds between two listings of endpoints; default 1000.
-    #[serde(default = "default_listing")]
-    pub listing_ms: u64,
-    /// Listings a second that all gateways together may ask for; default 20.
-    #[serde(default = "default_rate")]
-    pub listing_rate: f64,
+    /// How often the list of endpoints is read while control tells of none.
+    #[serde(default)]
+    pub listing: ListingSettings,
     /// How much may be sent again.
     #[serde(default)]
     pub retries: RetrySettings,
@@ -74,14 +72,6 @@
     1_500
 }
 
-fn default_listing() -> u64 {
-    1_000
-}
-
-fn default_rate() -> f64 {
-    20.0
-}
-
 impl Check for GatewaySettings {
     fn check(&self) -> Result<(), (&'static str, String)> {
         rule("host", !self.host.0.is_empty(), "expected a name, found an empty one")?;
@@ -89,8 +79,7 @@
         rule("control", !self.control.is_empty(), "expected at least one address")?;
         rule("connections", self.connections > 0, "expected at least 1")?;
         rule("grace-ms", self.grace_ms >= 1_000, "expected at least 1000")?;
-        rule("listing-ms", self.listing_ms > 0, "expected at least 1")?;
-        rule("listing-rate", self.listing_rate > 0.0, "expected more than zero")?;
+        self.listing.check()?;
         rule("retries.ratio", self.retries.ratio >= 0.0, "expected zero or more")?;
         rule("retries.slack", self.retries.slack >= 0.0, "expected zero or more")
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,6 +6,7 @@
 mod control;
 mod error;
 mod gateway;
+mod listing;
 mod load;
 mod load_tool;
 mod log;
@@ -17,6 +18,7 @@
     control::{ControlPeer, ControlSettings, WeightLimits},
     error::SettingsError,
     gateway::{GatewaySettings, RetrySettings},
+    listing::ListingSettings,
     load::{Check, load, parse, rule},
     load_tool::{LoadEngine, LoadPlain, LoadRouter, LoadSettings, LoadTeam},
     log::{LogFormat, LogLevel, LogSettings},
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -25,6 +25,21 @@
     Cut,
 }
 
+/// A message that was encoded once to be sent on several streams.
+#[derive(Clone, Debug)]
+#[debug("Encoded({} bytes)", _0.len())]
+pub struct Encoded(pub(crate) Bytes);
+
+impl Encoded {
+    /// Encodes a message; nothing if it is too long.
+    pub fn new<M>(message: &M) -> Option<Encoded>
+    where
+        M: Serialize,
+    {
+        encode(message).ok().map(Encoded)
+    }
+}
+
 /// Encodes one message with its length.
 pub(crate) fn encode<M>(message: &M) -> Result<Bytes, FrameError>
 where
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,7 @@
 mod error;
 mod frame;
 pub mod msg;
+mod packed;
 mod peer;
 mod server;
 mod stream;
@@ -21,7 +22,8 @@
 pub use crate::{
     clock::Clock,
     error::{Step, WireError},
-    frame::MAX_FRAME_BYTES,
+    frame::{Encoded, MAX_FRAME_BYTES},
+    packed::{PackError, Packed},
     peer::{Dialer, Peer},
     server::{Incoming, Listener},
     stream::{RecvHalf, SendHalf, Stream},
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -1,13 +1,15 @@
 //! The messages between routers, and between a router and the control replicas.
 
 use {
+    crate::packed::Packed,
     bytes::Bytes,
     derive_more::Debug,
+    directory::CatalogStep,
     model::{
         AttemptNo, ChatKey, Config, Delta, Digest, Domain, EndpointId, Epoch, HostName, Image,
         Name, Refusal, RequestId, Revision, Roster, RouterId, ServiceId, TeamId, Work,
     },
-    route::{Layout, RouteDelta},
+    route::RouteDelta,
     serde::{Deserialize, Serialize},
     smallvec::SmallVec,
     std::{net::SocketAddr, sync::Arc},
@@ -254,14 +256,14 @@
     },
 }
 
-/// How a router introduces itself to a replica whose routing configurations it watches.
+/// How a router or another replica introduces itself to a replica that it watches.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
 pub struct WatchHello {
     /// Where other routers reach it.
     pub addr: SocketAddr,
     /// Its failure domain.
     pub domain: Domain,
-    /// The version that it has in force.
+    /// The version of the routing configuration that it has in force.
     pub version: Option<u64>,
 }
 
@@ -269,9 +271,13 @@
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
 pub enum WatchNews {
     /// The whole routing configuration that this replica knows to be committed.
-    Layout(Arc<Layout>),
-    /// The step from the last one that was sent on this stream.
-    Delta(RouteDelta),
+    Layout(Packed),
+    /// The step from the last one that was sent on this stream, or from the one that the router had at first.
+    LayoutStep(RouteDelta),
+    /// All endpoints.
+    Catalog(Packed),
+    /// The step from the last list of endpoints that was sent on this stream.
+    CatalogStep(CatalogStep),
     /// The routers that watch this replica and the replicas of the group, by their inner addresses.
     Fleet {
         /// The routers and their failure domains.
@@ -279,6 +285,11 @@
         /// The replicas.
         replicas: Vec<SocketAddr>,
     },
-    /// Nothing new.
-    Beat,
+    /// Sent at regular intervals.
+    Beat {
+        /// Whether this replica hears of a leader: it would know of a newer configuration.
+        current: bool,
+        /// Whether it has read the list of endpoints of late.
+        listed: bool,
+    },
 }
--- /dev/null
+++ b/crates/wire/src/packed.rs
@@ -0,0 +1,99 @@
+//! Compressed values: hosts of control have slow links, and what is told is mostly names.
+
+use {
+    bincode::{
+        config::standard,
+        serde::{decode_from_slice, encode_to_vec},
+    },
+    bytes::Bytes,
+    derive_more::{Debug, Display, Error},
+    flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::io::{Read, Write},
+};
+
+/// The longest value, in bytes before it is compressed.
+const MAX_BYTES: u64 = 64 << 20;
+
+/// A compressed value.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
+#[debug("Packed({} bytes)", _0.len())]
+pub struct Packed(Bytes);
+
+/// A value that cannot be compressed or restored.
+#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[display("packed value: {reason}")]
+pub struct PackError {
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+fn fault<E>(err: E) -> PackError
+where
+    E: std::fmt::Display,
+{
+    PackError { reason: err.to_string() }
+}
+
+impl Packed {
+    /// Compresses bytes.
+    ///
+    /// # Errors
+    ///
+    /// The compressor failed.
+    pub fn of_bytes(bytes: &[u8]) -> Result<Packed, PackError> {
+        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+        encoder.write_all(bytes).map_err(fault)?;
+        encoder.finish().map(|it| Packed(it.into())).map_err(fault)
+    }
+
+    /// Returns the compressed form of bytes that were compressed before.
+    pub fn from_packed<B>(bytes: B) -> Packed
+    where
+        B: Into<Bytes>,
+    {
+        Packed(bytes.into())
+    }
+
+    /// The compressed bytes.
+    pub fn packed(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// Restores the bytes.
+    ///
+    /// # Errors
+    ///
+    /// They are too long, or not what [`Packed::of_bytes`] made.
+    pub fn to_bytes(&self) -> Result<Vec<u8>, PackError> {
+        let mut bytes = Vec::new();
+        let mut decoder = DeflateDecoder::new(&self.0[..]).take(MAX_BYTES);
+        decoder.read_to_end(&mut bytes).map_err(fault)?;
+        if bytes.len() as u64 == MAX_BYTES { Err(fault("too long")) } else { Ok(bytes) }
+    }
+
+    /// Encodes and compresses a value.
+    ///
+    /// # Errors
+    ///
+    /// It cannot be encoded.
+    pub fn of<T>(value: &T) -> Result<Packed, PackError>
+    where
+        T: Serialize,
+    {
+        Packed::of_bytes(&encode_to_vec(value, standard()).map_err(fault)?)
+    }
+
+    /// Restores and decodes a value.
+    ///
+    /// # Errors
+    ///
+    /// It is too long or has another type.
+    pub fn get<T>(&self) -> Result<T, PackError>
+    where
+        T: DeserializeOwned,
+    {
+        let bytes = self.to_bytes()?;
+        decode_from_slice(&bytes, standard()).map(|it| it.0).map_err(fault)
+    }
+}
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         error::{Step, WireError},
-        frame::{self, FrameError},
+        frame::{self, Encoded, FrameError},
     },
     bytes::{Bytes, BytesMut},
     h2::{Reason, RecvStream, SendStream},
@@ -47,6 +47,15 @@
         self.send_bytes(bytes).await
     }
 
+    /// As [`SendHalf::send`], for a message that goes to several streams.
+    ///
+    /// # Errors
+    ///
+    /// The connection or stream is gone.
+    pub async fn send_encoded(&mut self, message: &Encoded) -> Result<(), WireError> {
+        self.send_bytes(message.0.clone()).await
+    }
+
     /// Ends the stream in order.
     pub fn finish(&mut self) {
         self.done = true;
