--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -4,6 +4,7 @@
     crate::{
         command::{Command, Output},
         control::Shared,
+        layouts::{Layouts, NotPublished},
         log::NotCommitted,
         reply::{self, Fault},
         status,
@@ -13,6 +14,8 @@
     hyper::body::Incoming,
     intent::{Action, Document, Operation, PlanId},
     model::{Digest, Name, OperationId},
+    route::Verdict,
+    serde_json::json,
     std::{convert::Infallible, sync::Arc, time::Duration},
 };
 
@@ -60,7 +63,7 @@
     Ok(Response::new(full(metrics.page(shared))))
 }
 
-async fn operate(shared: &Shared, request: Request<Incoming>) -> Answered {
+async fn operate(shared: &Arc<Shared>, request: Request<Incoming>) -> Answered {
     let operator = operator(shared, &request)?;
     if !shared.log.leads() {
         return Err(not_leader(shared));
@@ -76,6 +79,8 @@
             current(shared).await?;
             Ok(reply::json(StatusCode::OK, &status::audit(shared)))
         }
+        (&Method::GET, ["v1", "layout"]) => layout(shared).await,
+        (&Method::PUT, ["v1", "layout"]) => publish(shared, request).await,
         (&Method::POST, ["v1", "plans"]) => {
             let id = operation_id(&request)?;
             let action = document(request).await?;
@@ -95,6 +100,32 @@
     }
 }
 
+async fn layout(shared: &Arc<Shared>) -> Answered {
+    let document = Layouts::new(shared.clone()).read().await;
+    let document = document.map_err(|it| not_published(shared, &it))?;
+    Ok(Response::new(full(document)))
+}
+
+async fn publish(shared: &Arc<Shared>, request: Request<Incoming>) -> Answered {
+    let read = read_all(request.into_body(), MAX_DOCUMENT_BYTES, STALL_LIMIT).await;
+    let document = read.map_err(Fault::Body)?;
+    match Layouts::new(shared.clone()).publish(document).await {
+        Ok(Verdict::InForce) => Ok(reply::json(StatusCode::OK, &json!({ "overtaken": null }))),
+        Ok(Verdict::Overtaken { version }) => {
+            Ok(reply::json(StatusCode::OK, &json!({ "overtaken": version })))
+        }
+        Err(NotPublished::Invalid { reason }) => Ok(reply::invalid(&reason)),
+        Err(err) => Err(not_published(shared, &err)),
+    }
+}
+
+fn not_published(shared: &Shared, err: &NotPublished) -> Fault {
+    match err {
+        NotPublished::NotLeader { .. } => not_leader(shared),
+        NotPublished::Invalid { .. } | NotPublished::Unknown => Fault::NoQuorum,
+    }
+}
+
 fn not_leader(shared: &Shared) -> Fault {
     Fault::NotLeader(shared.log.leader().map(|it| it.admin))
 }
--- a/crates/control/src/reply.rs
+++ b/crates/control/src/reply.rs
@@ -67,6 +67,11 @@
     json(status, &error_body("request", rule, &fault.to_string()))
 }
 
+/// Returns the answer to a routing configuration that is not valid.
+pub(crate) fn invalid(reason: &str) -> Response<Body> {
+    json(StatusCode::UNPROCESSABLE_ENTITY, &error_body("layout", "invalid", reason))
+}
+
 /// Returns the answer to an operation.
 pub(crate) fn answer(answer: &Answer) -> Response<Body> {
     match answer {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -123,6 +123,9 @@
         };
         let waited = shared.now().since(self.running.started);
         shared.metrics.first_byte(waited as f64 / MILLISECOND as f64);
+        if call.first_ms == 0 {
+            call.first_ms = shared.now().since(call.arrived) / MILLISECOND;
+        }
         self.read(call, response, connection, events, limit).await
     }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,7 +9,7 @@
         stream::StreamAnswer,
     },
     bytes::Bytes,
-    dispatch::{Ask, EndpointNo},
+    dispatch::{Ask, EndpointNo, Pick},
     edge::{Body, full, read_all},
     http::{Request, Response, StatusCode, request},
     hyper::body::Incoming,
@@ -46,19 +46,35 @@
         Ok(it) => it,
         Err(refusal) => return refuse(&shared, &head, refusal),
     };
-    let (found, team, priority, limit) = admitted;
-    let timeout_ms = found.route.timeout_ms;
+    let timeout_ms = admitted.found.route.timeout_ms;
     let left_ms = head.deadline_ms.unwrap_or(timeout_ms).min(timeout_ms);
-    let deadline = arrived + left_ms.saturating_mul(MILLISECOND);
-    let body = match read_all(body, limit, Duration::from_millis(left_ms)).await {
+    let stall = Duration::from_millis(left_ms);
+    let body = match read_all(body, admitted.body_limit, stall).await {
         Ok(body) => body,
         Err(reason) => return refuse(&shared, &head, Refusal::of_body(reason)),
     };
-    let call = Call::new(shared, found, team, priority, parts, head, body, arrived, deadline);
-    call.run().await
+    let deadline = arrived + left_ms.saturating_mul(MILLISECOND);
+    let caller = CallerRequest { parts, head, body, arrived, deadline };
+    Call::new(shared, admitted, caller).run().await
+}
+
+/// What the configuration says of a request.
+struct Admitted {
+    found: Found,
+    team: Option<Name>,
+    priority: u8,
+    body_limit: usize,
+    version: u64,
 }
 
-type Admitted = (Found, Option<Name>, u8, usize);
+/// What a caller sent.
+struct CallerRequest {
+    parts: request::Parts,
+    head: Head,
+    body: Bytes,
+    arrived: Time,
+    deadline: Time,
+}
 
 /// Finds the route of a request, and the team that sends it.
 fn admit(shared: &Shared, head: &Head, parts: &request::Parts) -> Result<Admitted, Refusal> {
@@ -70,8 +86,9 @@
         return Err(Refusal::Stopping);
     }
     let priority = team.as_ref().and_then(|it| it.1).unwrap_or(found.route.priority);
-    let limit = table.layout().limits.body_bytes as usize;
-    Ok((found, team.map(|it| it.0), priority, limit))
+    let body_limit = table.layout().limits.body_bytes as usize;
+    let team = team.map(|it| it.0);
+    Ok(Admitted { found, team, priority, body_limit, version: table.layout().version })
 }
 
 /// A caller should come back when a process that has just started is expected to know its configuration.
@@ -121,24 +138,20 @@
     pub(crate) sends: u32,
     /// Sends after which the request may have run.
     pub(crate) runs: u32,
+    /// The version of the configuration by which it was routed.
+    version: u64,
+    /// Where it was sent last.
+    last: Option<Pick>,
+    /// How long it waited for room, in milliseconds.
+    waited_ms: u64,
+    /// When its answer began, in milliseconds after it arrived.
+    pub(crate) first_ms: u64,
 }
 
 impl Call {
-    #[allow(
-        clippy::too_many_arguments,
-        reason = "one argument a field, in the order of their discovery"
-    )]
-    fn new(
-        shared: Arc<Shared>,
-        found: Found,
-        team: Option<Name>,
-        priority: u8,
-        parts: request::Parts,
-        head: Head,
-        body: Bytes,
-        arrived: Time,
-        deadline: Time,
-    ) -> Call {
+    fn new(shared: Arc<Shared>, admitted: Admitted, request: CallerRequest) -> Call {
+        let Admitted { found, team, priority, version, .. } = admitted;
+        let CallerRequest { parts, head, body, arrived, deadline } = request;
         let path = parts.uri.path_and_query().map_or("", |it| it.as_str());
         let caller = team.as_deref().unwrap_or_default();
         let named = mix2(hash64(path.as_bytes()), hash64(caller.as_bytes()));
@@ -160,6 +173,10 @@
             tried,
             sends: 0,
             runs: 0,
+            version,
+            last: None,
+            waited_ms: 0,
+            first_ms: 0,
         }
     }
 
@@ -198,7 +215,11 @@
         let no_endpoint = !self.shared.dispatcher.lock().has_endpoints(&ask.service);
         let placed = self.shared.place(ask).await;
         match placed {
-            Ok(pick) => Ok(Attempt::new(&self.shared, pick)),
+            Ok(pick) => {
+                self.waited_ms += self.shared.now().since(now) / MILLISECOND;
+                self.last = Some(pick.clone());
+                Ok(Attempt::new(&self.shared, pick))
+            }
             Err(Refused { .. }) if self.runs > 0 => Err(Refusal::Broken),
             Err(Refused { .. }) if no_endpoint => Err(Refusal::NoEndpoint),
             Err(Refused { retry_ms }) => Err(Refusal::NoRoom { retry_ms }),
@@ -241,6 +262,7 @@
             event = "retry",
             request = self.head.id(),
             sends = self.sends,
+            endpoint = %self.last.as_ref().map_or("", |it| &it.id),
             cause = %failure,
             "gateway: sent again"
         );
@@ -248,6 +270,9 @@
 
     fn answer(self, answer: Answer) -> Response<Body> {
         self.shared.metrics.request("answered");
+        if matches!(answer, Answer::Whole(..)) {
+            self.log_served();
+        }
         match answer {
             Answer::Whole(parts, body) => Response::from_parts(parts, full(body)),
             Answer::Stream(parts, first) => {
@@ -281,6 +306,31 @@
         self.refuse(refusal)
     }
 
+    /// Logs a request that was served: each one that was late or sent again, and some of the others.
+    pub(crate) fn log_served(&self) {
+        let now = self.shared.now();
+        let after_ms = now.since(self.arrived) / MILLISECOND;
+        let eventful = self.sends > 1 || self.first_ms > self.found.route.target_ms;
+        if !eventful && !self.shared.sampler.take(now) {
+            return;
+        }
+        tracing::info!(
+            event = "served",
+            request = self.head.id(),
+            route = %self.found.route.name,
+            team = self.team.as_deref(),
+            endpoint = %self.last.as_ref().map_or("", |it| &it.id),
+            load = self.last.as_ref().map(|it| it.load),
+            fetch = ?self.last.as_ref().and_then(|it| it.fetch),
+            version = self.version,
+            sends = self.sends,
+            waited_ms = self.waited_ms,
+            first_ms = self.first_ms,
+            after_ms,
+            "gateway: served"
+        );
+    }
+
     fn refuse(&self, refusal: Refusal) -> Response<Body> {
         self.log_end(refusal.label(), &refusal.to_string());
         self.shared.metrics.request(refusal.label());
@@ -296,6 +346,10 @@
             reason,
             sends = self.sends,
             runs = self.runs,
+            version = self.version,
+            endpoint = %self.last.as_ref().map_or("", |it| &it.id),
+            waited_ms = self.waited_ms,
+            left_ms = self.left_ms(),
             after_ms = self.shared.now().since(self.arrived) / MILLISECOND,
             "gateway: not served"
         );
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
         gossip, listing,
         metrics::Metrics,
         names::Names,
+        sampler::Sampler,
         server,
         shared::{Fleet, LEAVE_MS, Refused, Shared},
         watch as control,
@@ -99,6 +100,7 @@
             connections: AtomicUsize::new(0),
             waiting: Notify::new(),
             metrics: Metrics::default(),
+            sampler: Sampler::default(),
         });
         let (addr, server) = server::bind(shared.clone(), listen).await?;
         let admin = serve_admin(shared.clone(), admin, metrics).await?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,15 +9,17 @@
 mod events;
 mod gateway;
 mod gossip;
+mod http_directory;
 mod listing;
 mod message;
 mod metrics;
 mod names;
 mod refusal;
+mod sampler;
 mod server;
 mod shared;
 mod stream;
 mod upstream;
 mod watch;
 
-pub use crate::{gateway::Gateway, names::Names};
+pub use crate::{gateway::Gateway, http_directory::HttpDirectory, names::Names};
--- /dev/null
+++ b/crates/gateway/src/main.rs
@@ -0,0 +1,78 @@
+//! The `jf-gateway` binary.
+
+use {
+    eyre::{OptionExt, Result},
+    gateway::{Gateway, HttpDirectory, Names},
+    settings::GatewaySettings,
+    std::{path::Path, process::ExitCode},
+    tokio::{
+        runtime::Builder,
+        signal::unix::{SignalKind, signal},
+    },
+};
+
+mod flags {
+    #![allow(missing_docs, reason = "the macro takes doc comments as help texts")]
+
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Stands between callers and endpoints, and decides by itself where each request runs.
+        cmd jf-gateway {
+            /// The settings file.
+            required settings: PathBuf
+        }
+    }
+}
+
+/// The exit code for bad settings.
+const BAD_INPUT: u8 = 2;
+
+fn main() -> ExitCode {
+    let file = flags::JfGateway::from_env_or_exit().settings;
+    let settings = match settings::load::<GatewaySettings>(&file) {
+        Ok(settings) => settings,
+        Err(err) => {
+            eprintln!("jf-gateway: {err}");
+            return ExitCode::from(BAD_INPUT);
+        }
+    };
+    match run(&file, settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("jf-gateway: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(file: &Path, settings: GatewaySettings) -> Result<()> {
+    let metrics = telemetry::open(&settings.log)?;
+    let directory = settings.directory.ok_or_eyre("directory: expected an address")?;
+    Builder::new_current_thread().enable_all().build()?.block_on(async {
+        let mut hangup = signal(SignalKind::hangup())?;
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let directory = HttpDirectory::new(directory);
+        let gateway = Gateway::spawn(settings, Names::default(), directory, metrics).await?;
+        loop {
+            tokio::select! {
+                _ = hangup.recv() => reload(&gateway, file),
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+            }
+        }
+        gateway.shutdown().await;
+        Ok(())
+    })
+}
+
+/// Takes new addresses of control; all other settings need a restart.
+fn reload(gateway: &Gateway, file: &Path) {
+    match settings::load::<GatewaySettings>(file) {
+        Ok(settings) => gateway.set_control(settings.control),
+        Err(err) => {
+            tracing::warn!(event = "reload-failed", %err, "gateway: settings stay as they were");
+        }
+    }
+}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,7 +4,7 @@
 //! await.
 
 use {
-    crate::{metrics::Metrics, names::Names},
+    crate::{metrics::Metrics, names::Names, sampler::Sampler},
     arc_swap::ArcSwapOption,
     derive_more::Debug,
     dispatch::{Arrival, Ask, Budget, BudgetLimits, Crashes, Dispatcher, Ending, Pick, Ticket},
@@ -76,6 +76,7 @@
     /// Wakes the task that refuses requests that waited too long.
     pub(crate) waiting: Notify,
     pub(crate) metrics: Metrics,
+    pub(crate) sampler: Sampler,
 }
 
 impl Shared {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -55,6 +55,7 @@
                         opened.running.ending = Ending::Served;
                     }
                     self.call.shared.metrics.send("served");
+                    self.call.log_served();
                     self.call.shared.crashes.lock().clear(self.call.fingerprint);
                     return None;
                 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -149,6 +149,7 @@
         admin: free_port(),
         inner: any(),
         control: vec![control],
+        directory: None,
         tls_inner: None,
         grace_ms: 5_000,
         connections: 100,
--- a/crates/jf/src/check.rs
+++ b/crates/jf/src/check.rs
@@ -6,8 +6,11 @@
     eyre::Result,
     intent::{Action, Answer, Document, Intents, Operation, WeightStore},
     model::OperationId,
+    route::Layout,
     serde::Deserialize,
-    settings::{Check, ControlSettings, LoadSettings, OperatorSettings, RouterSettings},
+    settings::{
+        Check, ControlSettings, GatewaySettings, LoadSettings, OperatorSettings, RouterSettings,
+    },
     std::{fs, path::Path},
 };
 
@@ -29,6 +32,12 @@
     /// What an operator wants.
     #[display("intent")]
     Intent,
+    /// The settings of a gateway.
+    #[display("gateway settings")]
+    Gateway,
+    /// A routing configuration in the product's own format.
+    #[display("routing configuration")]
+    Layout,
 }
 
 /// An intent, read as settings are.
@@ -54,6 +63,8 @@
         Kind::Operator => drop(settings::load::<OperatorSettings>(file)?),
         Kind::Load => drop(settings::load::<LoadSettings>(file)?),
         Kind::Intent => check_intent(file)?,
+        Kind::Gateway => drop(settings::load::<GatewaySettings>(file)?),
+        Kind::Layout => drop(check_layout(file)?),
     }
     println!("{}: {kind} hold", file.display());
     Ok(())
@@ -78,6 +89,15 @@
     }
 }
 
+/// Reads a routing configuration and checks the rules that control applies.
+pub(crate) fn check_layout(file: &Path) -> Result<Vec<u8>> {
+    let refused = |reason: String| BadInput::new(format!("{}: {reason}", file.display()));
+    let bytes = fs::read(file).map_err(|it| refused(it.to_string()))?;
+    let layout: Layout = serde_json::from_slice(&bytes).map_err(|it| refused(it.to_string()))?;
+    layout.check().map_err(|it| refused(it.to_string()))?;
+    Ok(bytes)
+}
+
 fn named(name: &str) -> Result<Kind> {
     Ok(match name {
         "router" => Kind::Router,
@@ -85,8 +105,10 @@
         "operator" => Kind::Operator,
         "load" => Kind::Load,
         "intent" => Kind::Intent,
+        "gateway" => Kind::Gateway,
+        "layout" => Kind::Layout,
         _ => {
-            let expected = "expected router, control, operator, load or intent";
+            let expected = "expected router, gateway, control, operator, load, layout or intent";
             return Err(BadInput::new(format!("--kind: {expected}, found {name:?}")).into());
         }
     })
@@ -102,6 +124,10 @@
         Kind::Intent
     } else if has("operators") || has("data ") {
         Kind::Control
+    } else if has("[listing]") || has("grace-ms") {
+        Kind::Gateway
+    } else if text.trim_start().starts_with('{') {
+        Kind::Layout
     } else if has("token-file") {
         Kind::Operator
     } else {
--- a/crates/jf/src/flags.rs
+++ b/crates/jf/src/flags.rs
@@ -53,11 +53,25 @@
             /// Prints JSON.
             optional --json
         }
+        /// Puts a whole routing configuration in force, unless one with this version or a higher one is.
+        cmd publish {
+            /// The JSON routing configuration.
+            required file: PathBuf
+        }
+        /// Prints the routing configuration in force.
+        cmd layout {}
+        /// Tells the story of a request, an endpoint or a version from the logs of several processes.
+        cmd explain {
+            /// The id of a request or an endpoint, or a version.
+            required word: String
+            /// Log files; each is named in the output by its file name. None: standard input.
+            repeated files: PathBuf
+        }
         /// Checks a file without starting anything.
         cmd check {
             /// The TOML file.
             required file: PathBuf
-            /// What it is: router, control, operator, load or intent. Default: as its keys tell.
+            /// What it is: router, gateway, control, operator, load, layout or intent. Default: as its keys tell.
             optional --kind kind: String
         }
         /// Makes a development authority and keys for the system's own processes and for callers.
--- a/crates/jf/src/main.rs
+++ b/crates/jf/src/main.rs
@@ -1,4 +1,5 @@
-//! The `jf` operator command line: plan, confirm, status, drain, audit, check and keys.
+//! The `jf` operator command line: plan, confirm, status, drain, audit, publish,
+//! layout, explain, check and keys.
 //!
 //! It ends with 0 when done, 1 when the system refused or could not be reached, and 2 on bad input.
 
@@ -7,6 +8,7 @@
 mod api;
 mod audit;
 mod check;
+mod explain;
 mod failure;
 mod flags;
 mod keys;
@@ -43,6 +45,7 @@
 fn run(flags: &Jf) -> Result<()> {
     match &flags.subcommand {
         JfCmd::Check(it) => return check::run(it),
+        JfCmd::Explain(it) => return explain::run(it),
         JfCmd::Keys(it) => return keys::run(&it.dir),
         JfCmd::Version(_) => {
             version();
@@ -62,6 +65,8 @@
         JfCmd::Drain(it) => operate::drain(api, it).await,
         JfCmd::Status(it) => status::run(api, it).await,
         JfCmd::Audit(it) => audit::run(api, it).await,
-        JfCmd::Check(_) | JfCmd::Keys(_) | JfCmd::Version(_) => Ok(()),
+        JfCmd::Publish(it) => operate::publish(api, it).await,
+        JfCmd::Layout(_) => operate::layout(api).await,
+        JfCmd::Check(_) | JfCmd::Explain(_) | JfCmd::Keys(_) | JfCmd::Version(_) => Ok(()),
     }
 }
--- a/crates/jf/src/operate.rs
+++ b/crates/jf/src/operate.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         api::{Api, Call},
-        check::check_intent,
+        check::{check_intent, check_layout},
         failure::BadInput,
         flags,
     },
@@ -52,6 +52,24 @@
     Ok(())
 }
 
+pub(crate) async fn publish(api: &Api, flags: &flags::Publish) -> Result<()> {
+    let body = Bytes::from(check_layout(&flags.file)?);
+    let path = "/v1/layout".to_owned();
+    let published = api.call(&Call { method: Method::PUT, path, operation: None, body }).await?;
+    match published["overtaken"].as_u64() {
+        Some(version) => println!("version {version} is in force; nothing changed"),
+        None => println!("published"),
+    }
+    Ok(())
+}
+
+pub(crate) async fn layout(api: &Api) -> Result<()> {
+    let path = "/v1/layout".to_owned();
+    let call = Call { method: Method::GET, path, operation: None, body: Bytes::new() };
+    println!("{}", api.call(&call).await?);
+    Ok(())
+}
+
 async fn operate(api: &Api, path: String, operation: Option<&str>, body: Vec<u8>) -> Result<Value> {
     let fresh = fresh_operation()?;
     let operation = operation.unwrap_or(&fresh);
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -45,6 +45,8 @@
     pub inner: SocketAddr,
     /// The inner addresses of control replicas; others are learned from them.
     pub control: Vec<SocketAddr>,
+    /// Where the list of endpoints is read (`GET /endpoints`); a deployment with a directory of its own needs none.
+    pub directory: Option<SocketAddr>,
     /// Keys between the system's own processes; without them these connections are in the clear.
     pub tls_inner: Option<TlsFiles>,
     /// Milliseconds from a termination signal until the process must have ended; default 8000.
--- a/crates/settings/src/log.rs
+++ b/crates/settings/src/log.rs
@@ -40,12 +40,24 @@
     Json,
 }
 
-/// How a process logs; lines go to standard error.
-#[derive(Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize, Debug)]
+/// How a process logs; lines go to standard output.
+#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
 #[serde(rename_all = "kebab-case", default, deny_unknown_fields)]
 pub struct LogSettings {
     /// The least severity that is logged; default `info`.
     pub level: LogLevel,
     /// How lines are written; default `text`.
     pub format: LogFormat,
+    /// Bytes of log lines a second; more lines are dropped and counted; default 65536.
+    pub bytes_per_second: u64,
+}
+
+impl Default for LogSettings {
+    fn default() -> LogSettings {
+        LogSettings {
+            level: LogLevel::default(),
+            format: LogFormat::default(),
+            bytes_per_second: 64 << 10,
+        }
+    }
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,6 +1,6 @@
 //! Logs and metrics, set up once for each process.
 //!
-//! Log lines go to standard error. Metrics are kept by `opentelemetry` and read as a Prometheus page, which each
+//! Log lines go to standard output and never block. Metrics are kept by `opentelemetry` and read as a Prometheus page, which each
 //! process serves on its admin address; all names start with `jasminefront_`.
 
 mod log;
