--- a/crates/control/src/layouts.rs
+++ b/crates/control/src/layouts.rs
@@ -4,14 +4,14 @@
     crate::{
         command::{Command, Output},
         control::Shared,
+        layout_topic::LayoutTopic,
         log::NotCommitted,
-        topic::Topic,
     },
     bytes::Bytes,
     derive_more::{Debug, Display, Error},
-    route::{Layout, RouteDelta, Verdict},
+    route::{Layout, Verdict},
     std::{net::SocketAddr, sync::Arc},
-    wire::{Encoded, PackError, Packed, msg::WatchNews},
+    wire::{PackError, Packed},
 };
 
 /// How routing configurations are written.
@@ -115,16 +115,6 @@
     }
 }
 
-fn encode(layout: &Layout) -> Option<Encoded> {
-    match Packed::of(layout) {
-        Ok(packed) => Encoded::new(&WatchNews::Layout(packed)),
-        Err(err) => {
-            tracing::error!(event = "layout-unpacked", %err, "control: configuration cannot be told");
-            None
-        }
-    }
-}
-
 fn unreadable(err: &PackError) -> NotPublished {
     tracing::error!(event = "layout-unreadable", %err, "control: document cannot be packed");
     NotPublished::Unknown
@@ -143,7 +133,7 @@
 
 fn update(shared: &Shared) {
     let held = shared.layout.borrow().clone();
-    let version = held.as_ref().map(|it| it.value().version);
+    let version = held.as_ref().map(|it| it.version());
     let document = shared.log.with(|it| {
         let changed = it.published.version() != version;
         changed.then(|| it.published.document().to_vec())
@@ -158,11 +148,8 @@
                 "control: in force"
             );
             let topic = match held {
-                None => Topic::first(layout, encode),
-                Some(held) => {
-                    let step = RouteDelta::between(held.value(), &layout);
-                    held.next(layout, Encoded::new(&WatchNews::LayoutStep(step)))
-                }
+                None => LayoutTopic::first(layout),
+                Some(held) => held.next(layout),
             };
             shared.layout.send_replace(Some(Arc::new(topic)));
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,6 +19,7 @@
 mod feed;
 mod fleet;
 mod hosts;
+mod layout_topic;
 mod layouts;
 mod log;
 mod metrics;
--- a/crates/control/src/watching.rs
+++ b/crates/control/src/watching.rs
@@ -1,23 +1,23 @@
 //! Telling routers of routing configurations, of endpoints, of each other and of the replicas.
 //!
 //! Any replica serves this: it tells only what it knows to be committed, and a router that watches some replicas takes
-//! the highest version, so that a change reaches it however the replicas see each other. Each change is encoded once
-//! for all streams.
+//! the highest version, so that a change reaches it however the replicas see each other. A replica announces a version,
+//! and a router asks one of the replicas that did for it: links are slow, and a configuration can be large. Each change
+//! is encoded once for all streams.
 
 use {
     crate::{control::Shared, topic::Topic},
     derive_more::Debug,
     model::Domain,
     parking_lot::Mutex,
-    route::Layout,
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         sync::watch,
         time::{Instant, sleep, sleep_until, timeout},
     },
     wire::{
-        Encoded, SendHalf, Stream, WireError,
-        msg::{WatchHello, WatchNews},
+        Encoded, RecvHalf, SendHalf, Stream, WireError,
+        msg::{WatchAsk, WatchHello, WatchNews},
     },
 };
 
@@ -99,26 +99,24 @@
     let addr = hello.addr;
     tracing::info!(event = "router-watches", router = %addr, version = hello.version, "control: watched");
     shared.watchers.enter(addr, hello.domain);
-    let served = tokio::select! {
-        sent = tell(&shared, hello.version, &mut send) => sent,
-        // A router says nothing more; this ends when it closes the stream.
-        closed = recv.recv::<WatchHello>() => closed.map(drop),
-    };
+    let served = tell(&shared, &mut send, &mut recv).await;
     shared.watchers.leave(addr);
     tracing::info!(event = "router-left", router = %addr, "control: no longer watched");
     served
 }
 
-async fn tell(shared: &Shared, version: Option<u64>, send: &mut SendHalf) -> Result<(), WireError> {
+/// Tells a router what changes, and answers what it asks for, until either end closes the stream.
+async fn tell(shared: &Shared, send: &mut SendHalf, recv: &mut RecvHalf) -> Result<(), WireError> {
     let mut layouts = shared.layout.subscribe();
     let mut catalogs = shared.discovery.catalog.subscribe();
     let mut fleets = shared.watchers.fleet.subscribe();
-    let (mut layout, mut catalog, mut fleet) = (LayoutTold { version, number: None }, None, None);
+    let (mut announced, mut catalog, mut fleet) = (None, None, None);
     let mut beat_at = Instant::now();
     loop {
-        let topic = layouts.borrow_and_update().clone();
-        if let Some(news) = topic.as_ref().and_then(|it| layout.news(it)) {
-            send.send_encoded(news).await?;
+        let version = layouts.borrow_and_update().as_ref().map(|it| it.version());
+        if let Some(version) = version.filter(|_| version != announced) {
+            announced = Some(version);
+            send.send(&WatchNews::Announce { version }).await?;
         }
         let topic = catalogs.borrow_and_update().clone();
         tell_topic(topic.as_deref(), &mut catalog, send).await?;
@@ -132,6 +130,13 @@
             changed = layouts.changed() => changed.is_err(),
             changed = catalogs.changed() => changed.is_err(),
             changed = fleets.changed() => changed.is_err(),
+            asked = recv.recv::<WatchAsk>() => match asked? {
+                Some(ask) => {
+                    answer(shared, &ask, send).await?;
+                    false
+                }
+                None => true,
+            },
             () = sleep_until(beat_at) => false,
         };
         if ended {
@@ -140,6 +145,14 @@
     }
 }
 
+async fn answer(shared: &Shared, ask: &WatchAsk, send: &mut SendHalf) -> Result<(), WireError> {
+    let Some(topic) = shared.layout.borrow().clone() else { return Ok(()) };
+    for message in topic.answer(ask.have) {
+        send.send_encoded(message).await?;
+    }
+    Ok(())
+}
+
 fn beat(shared: &Shared) -> WatchNews {
     let current = shared.log.leads() || shared.log.leader_inner().is_some();
     WatchNews::Beat { current, listed: shared.discovery.is_recent(shared.clock.now()) }
@@ -157,28 +170,3 @@
     *told = Some(topic.number());
     Ok(())
 }
-
-/// What a router was told of routing configurations on one stream.
-struct LayoutTold {
-    /// The version that it has.
-    version: Option<u64>,
-    /// The number of the value that it has, if this process told it or has the same.
-    number: Option<u64>,
-}
-
-impl LayoutTold {
-    /// Returns what the router lacks; it may be ahead of this replica.
-    fn news<'a>(&mut self, topic: &'a Topic<Layout>) -> Option<&'a Encoded> {
-        let version = topic.value().version;
-        if self.version.is_some_and(|it| it > version) {
-            return None;
-        }
-        if self.version == Some(version) {
-            self.number = Some(topic.number());
-            return None;
-        }
-        let news = topic.news(self.number);
-        (self.version, self.number) = (Some(version), Some(topic.number()));
-        news
-    }
-}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -94,6 +94,7 @@
             strikes: Mutex::new(Vec::new()),
             stopped_at: AtomicU64::new(0),
             stop: Notify::new(),
+            asked: Mutex::new(None),
             told_at: AtomicU64::new(clock.now().0),
             listed: AtomicBool::new(false),
             settled: AtomicBool::new(false),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -20,7 +20,10 @@
             atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
     },
-    tokio::sync::{Notify, oneshot},
+    tokio::{
+        sync::{Notify, oneshot},
+        time::Instant,
+    },
     wire::Clock,
 };
 
@@ -66,6 +69,8 @@
     /// When this process was told to stop, in microseconds of its clock; zero: it was not.
     pub(crate) stopped_at: AtomicU64,
     pub(crate) stop: Notify,
+    /// The version of the configuration that a replica was asked for, and until when its answer is waited for.
+    pub(crate) asked: Mutex<Option<(u64, Instant)>>,
     /// When control last told of endpoints, in microseconds of this process's clock.
     pub(crate) told_at: AtomicU64,
     /// Whether endpoints were listed at least once.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -11,7 +11,7 @@
     directory::Catalog,
     dispatch::Dispatcher,
     model::{Domain, MILLISECOND, Time, hash64, mix2},
-    route::{Layout, Table},
+    route::{Layout, RouteDelta, Table},
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
@@ -21,11 +21,11 @@
     tokio::{
         sync::{mpsc, watch},
         task::AbortHandle,
-        time::{sleep, timeout},
+        time::{Instant, sleep, timeout, timeout_at},
     },
     wire::{
         Dialer, PackError, Peer, Step, WireError,
-        msg::{WATCH_PATH, WatchHello, WatchNews},
+        msg::{WATCH_PATH, WatchAsk, WatchHello, WatchNews},
     },
 };
 
@@ -47,6 +47,9 @@
 /// How often the choice of replicas is made again.
 const REVIEW: Duration = Duration::from_millis(500);
 
+/// How long a replica may take to tell a configuration before another one is asked for it.
+const ASK_INTERVAL: Duration = Duration::from_millis(700);
+
 /// How long a router waits for further replicas once it has a configuration, to know the newest one.
 const SETTLE: Duration = Duration::from_millis(1_000);
 
@@ -244,12 +247,6 @@
     }
 }
 
-/// What one stream told so far.
-struct Told {
-    layout: Option<Arc<Layout>>,
-    catalog: Option<Catalog>,
-}
-
 /// Follows one replica until its stream ends or goes silent.
 async fn follow(
     shared: &Arc<Shared>,
@@ -259,15 +256,25 @@
     let replica = peer.addr();
     let Ok(stream) = timeout(OPEN_LIMIT, peer.open(WATCH_PATH)).await else { return Ok(()) };
     let (mut send, mut recv) = stream?.split();
-    let layout = shared.table.load().as_ref().map(|it| it.layout().clone());
-    let version = layout.as_ref().map(|it| it.version);
+    let version = version_in_force(shared);
     let (addr, domain) = (shared.settings.inner, shared.settings.domain.clone());
     send.send(&WatchHello { addr, domain, version }).await?;
-    let mut told = Told { layout, catalog: None };
     tracing::info!(event = "control-found", %replica, version, "gateway: watching");
+    let mut told = Told { announced: None, ask_at: None, catalog: None };
+    let mut silent_at = Instant::now() + SILENCE;
     loop {
-        let Ok(news) = timeout(SILENCE, recv.recv::<WatchNews>()).await else { return Ok(()) };
+        if told.is_due(shared) {
+            send.send(&WatchAsk { have: version_in_force(shared) }).await?;
+        }
+        let wake_at = told.ask_at.unwrap_or(silent_at).min(silent_at);
+        let Ok(news) = timeout_at(wake_at, recv.recv::<WatchNews>()).await else {
+            if Instant::now() >= silent_at {
+                return Ok(());
+            }
+            continue;
+        };
         let Some(news) = news? else { return Ok(()) };
+        silent_at = Instant::now() + SILENCE;
         let event = told.take(shared, replica, news);
         let event = event.map_err(|it| WireError::new(Step::Receive, replica, it))?;
         if let Some(event) = event
@@ -278,7 +285,42 @@
     }
 }
 
+fn version_in_force(shared: &Shared) -> Option<u64> {
+    shared.table.load().as_ref().map(|it| it.layout().version)
+}
+
+/// What one replica told so far.
+struct Told {
+    /// The highest version that it announced.
+    announced: Option<u64>,
+    /// When it is asked for that version, if it is not in force by then.
+    ask_at: Option<Instant>,
+    catalog: Option<Catalog>,
+}
+
 impl Told {
+    /// Whether this replica is to be asked for a configuration now: it announced a newer one than is in force, and no
+    /// other replica was asked for it just now.
+    fn is_due(&mut self, shared: &Shared) -> bool {
+        let newer = self.announced > version_in_force(shared);
+        if !newer {
+            self.ask_at = None;
+            return false;
+        }
+        let now = Instant::now();
+        if self.ask_at.is_some_and(|it| now < it) {
+            return false;
+        }
+        self.ask_at = Some(now + ASK_INTERVAL);
+        let mut asked = shared.asked.lock();
+        let pending =
+            asked.is_some_and(|(version, until)| self.announced <= Some(version) && now < until);
+        if !pending {
+            *asked = self.announced.map(|it| (it, now + ASK_INTERVAL));
+        }
+        !pending
+    }
+
     /// Takes one message; returns what the watcher should know.
     fn take(
         &mut self,
@@ -287,12 +329,17 @@
         news: WatchNews,
     ) -> Result<Option<Event>, PackError> {
         match news {
-            WatchNews::Layout(packed) => self.put_in_force(shared, replica, packed.get()?),
-            WatchNews::LayoutStep(step) => {
-                let held = self.layout.as_ref();
-                let next = held.map(|it| step.apply(it)).transpose();
-                let next = next.map_err(|it| PackError { reason: it.to_string() })?;
-                next.into_iter().for_each(|it| self.put_in_force(shared, replica, it));
+            WatchNews::Announce { version } => {
+                self.announced = self.announced.max(Some(version));
+                self.ask_at = None;
+            }
+            WatchNews::Layout(packed) => put_in_force(shared, replica, packed.get()?),
+            WatchNews::LayoutStep(packed) => {
+                let step: RouteDelta = packed.get()?;
+                let held = shared.table.load_full();
+                // Another replica may have told the same meanwhile.
+                let next = held.and_then(|it| step.apply(it.layout()).ok());
+                next.into_iter().for_each(|it| put_in_force(shared, replica, it));
             }
             WatchNews::Catalog(packed) => {
                 let catalog: Catalog = packed.get()?;
@@ -313,32 +360,30 @@
         }
         Ok(None)
     }
+}
 
-    /// Puts a configuration in force if it is newer than the present one.
-    fn put_in_force(&mut self, shared: &Arc<Shared>, replica: SocketAddr, layout: Layout) {
-        let layout = Arc::new(layout);
-        self.layout = Some(layout.clone());
-        let held = shared.table.load().as_ref().map(|it| it.layout().version);
-        if held.is_some_and(|it| it >= layout.version) {
-            return;
-        }
-        tracing::info!(
-            event = "configuration",
-            version = layout.version,
-            before = held,
-            %replica,
-            routes = layout.routes.len(),
-            "gateway: configuration in force"
-        );
-        set_services(&mut shared.dispatcher.lock(), &layout);
-        shared.table.store(Some(Arc::new(Table::new(layout))));
-        if held.is_none() {
-            let shared = shared.clone();
-            tokio::spawn(async move {
-                sleep(SETTLE).await;
-                shared.settled.store(true, Ordering::Relaxed);
-            });
-        }
+/// Puts a configuration in force if it is newer than the present one.
+fn put_in_force(shared: &Arc<Shared>, replica: SocketAddr, layout: Layout) {
+    let held = version_in_force(shared);
+    if held.is_some_and(|it| it >= layout.version) {
+        return;
+    }
+    tracing::info!(
+        event = "configuration",
+        version = layout.version,
+        before = held,
+        %replica,
+        routes = layout.routes.len(),
+        "gateway: configuration in force"
+    );
+    set_services(&mut shared.dispatcher.lock(), &layout);
+    shared.table.store(Some(Arc::new(Table::new(Arc::new(layout)))));
+    if held.is_none() {
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            sleep(SETTLE).await;
+            shared.settled.store(true, Ordering::Relaxed);
+        });
     }
 }
 
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -263,6 +263,7 @@
 
 #[rstest]
 #[case::broken(Script::Broken(0..3))]
+#[case::torn(Script::Torn(0..3))]
 #[tokio::test]
 async fn a_stream_that_may_not_be_resumed_does_not_look_complete(#[case] script: Script) {
     let (bench, endpoints) = of_service("model", [vec![script.clone()], vec![script]]).await;
--- a/crates/gateway/tests/common/endpoint.rs
+++ b/crates/gateway/tests/common/endpoint.rs
@@ -50,6 +50,8 @@
     Events(std::ops::Range<u64>),
     /// Events of these numbers; then the connection breaks in the middle of the next one.
     Broken(std::ops::Range<u64>),
+    /// Events of these numbers, a part of the next one, and an end that looks whole.
+    Torn(std::ops::Range<u64>),
     /// Events of these numbers; then nothing.
     Stalled(std::ops::Range<u64>),
 }
@@ -232,6 +234,13 @@
             bytes.extend(chunk(&event(events.end)[..6]));
             bytes
         }
+        Script::Torn(events) => {
+            let mut bytes = events_head(id);
+            events.clone().for_each(|it| bytes.extend(chunk(&event(it))));
+            bytes.extend(chunk(&event(events.end)[..6]));
+            bytes.extend(b"0\r\n\r\n");
+            bytes
+        }
         Script::Stalled(events) => {
             let mut bytes = events_head(id);
             events.clone().for_each(|it| bytes.extend(chunk(&event(it))));
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -9,7 +9,6 @@
         AttemptNo, ChatKey, Config, Delta, Digest, Domain, EndpointId, Epoch, HostName, Image,
         Name, Refusal, RequestId, Revision, Roster, RouterId, ServiceId, TeamId, Work,
     },
-    route::RouteDelta,
     serde::{Deserialize, Serialize},
     smallvec::SmallVec,
     std::{net::SocketAddr, sync::Arc},
@@ -22,8 +21,8 @@
 /// The one long-lived stream between a router and a control replica: [`ToControl`] and [`FromControl`] frames.
 pub const FEED_PATH: &str = "/feed";
 
-/// The long-lived stream by which any replica tells a router of routing configurations: one [`WatchHello`], then
-/// [`WatchNews`] frames.
+/// The long-lived stream by which any replica tells a router of routing configurations: one [`WatchHello`] and then
+/// [`WatchAsk`] frames one way, [`WatchNews`] frames the other.
 pub const WATCH_PATH: &str = "/watch";
 
 /// Streams between control replicas, each one way.
@@ -267,13 +266,25 @@
     pub version: Option<u64>,
 }
 
+/// Asks a replica for the routing configuration that it announced.
+#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
+pub struct WatchAsk {
+    /// The version that the router has in force.
+    pub have: Option<u64>,
+}
+
 /// What a replica tells a router that watches it.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
 pub enum WatchNews {
-    /// The whole routing configuration that this replica knows to be committed.
+    /// The version of the routing configuration that this replica knows to be committed.
+    Announce {
+        /// The version.
+        version: u64,
+    },
+    /// Answers [`WatchAsk`]: the whole routing configuration.
     Layout(Packed),
-    /// The step from the last one that was sent on this stream, or from the one that the router had at first.
-    LayoutStep(RouteDelta),
+    /// Answers [`WatchAsk`]: a `route::RouteDelta` from the version that the router has; more may follow.
+    LayoutStep(Packed),
     /// All endpoints.
     Catalog(Packed),
     /// The step from the last list of endpoints that was sent on this stream.
