--- a/crates/control/examples/feeds.rs
+++ b/crates/control/examples/feeds.rs
@@ -98,6 +98,7 @@
         seeds: Vec::new(),
         bootstrap: false,
         tolerance: 1,
+        link_mbps: 1_000.0,
         listing: settings::ListingSettings::default(),
         tls_inner: None,
         host_list: None,
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -24,6 +24,41 @@
 /// After how many bytes of commands the state is written out: a replica reads so much again at most when it starts.
 const SNAPSHOT_BYTES: u64 = 4 << 20;
 
+/// The interval of heartbeats, in milliseconds.
+const HEARTBEAT_MS: u64 = 100;
+
+/// The election timeout on a link that carries documents in no time, in milliseconds.
+const ELECTION_MS: f64 = 1_000.0;
+
+/// What a leader may have to send before a heartbeat, in bits: a large compressed document to the four others of five
+/// replicas, and as much again to routers.
+const BACKLOG_BITS: f64 = 8.0 * 100_000.0 * 8.0;
+
+/// The share of the link's bandwidth for a second that one message may take.
+const MESSAGE_SECONDS: f64 = 0.05;
+
+/// The bounds of a message, in bytes.
+const MESSAGE_BYTES: (f64, f64) = (16_384.0, 1_048_576.0);
+
+/// Timeouts and sizes that follow from the bandwidth of a host's link.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+struct Timing {
+    election_ms: u64,
+    message_bytes: usize,
+}
+
+impl Timing {
+    /// A heartbeat that waits behind a document must not end a lease, and a message must not hold up heartbeats.
+    fn of(link_mbps: f64) -> Timing {
+        let bits = link_mbps * 1_000_000.0;
+        let message = (bits / 8.0 * MESSAGE_SECONDS).clamp(MESSAGE_BYTES.0, MESSAGE_BYTES.1);
+        Timing {
+            election_ms: (ELECTION_MS + BACKLOG_BITS / bits * 1_000.0 / 2.0) as u64,
+            message_bytes: message as usize,
+        }
+    }
+}
+
 /// How often a lease is looked for.
 const LEASE_POLL: Duration = Duration::from_millis(20);
 
@@ -81,6 +116,9 @@
             )
         };
         config.set_snapshot(SNAPSHOT_BYTES);
+        let timing = Timing::of(settings.link_mbps);
+        config.set_message(timing.message_bytes);
+        config.set_timeouts(HEARTBEAT_MS, timing.election_ms).wrap_err("control: timeouts")?;
         let replica = Replica::open(config, State::default(), dialer, clock).await;
         let replica = replica.wrap_err("control: open the replicated log")?;
         let peer = |it: &settings::ControlPeer| ReplicaAddr { inner: it.inner, admin: it.admin };
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -40,6 +40,7 @@
         seeds: Vec::new(),
         bootstrap: false,
         tolerance: 1,
+        link_mbps: 1_000.0,
         listing: ListingSettings::default(),
         tls_inner: None,
         host_list: None,
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -131,6 +131,7 @@
         seeds: Vec::new(),
         bootstrap: false,
         tolerance: 1,
+        link_mbps: 1_000.0,
         listing: ListingSettings { interval_ms: 50, rate: 1_000.0 },
         peers: Vec::new(),
         operators: None,
--- a/crates/replica/src/config.rs
+++ b/crates/replica/src/config.rs
@@ -22,6 +22,7 @@
     pub(crate) drift_percent: u64,
     pub(crate) snapshot_bytes: u64,
     pub(crate) batching: bool,
+    pub(crate) message_bytes: usize,
     pub(crate) seeds: Option<Seeds>,
 }
 
@@ -72,6 +73,7 @@
             drift_percent: 10,
             snapshot_bytes: 16 << 20,
             batching: true,
+            message_bytes: 1 << 20,
             seeds: None,
         }
     }
@@ -128,6 +130,8 @@
             None => self.peers.len() + 1,
         };
         config.set_voters(replicas / 2 + 1);
+        config.set_batch(self.message_bytes);
+        config.set_chunk(self.message_bytes);
         if self.seeds.is_some() {
             config.set_size(replicas, FORGET_MS * MILLISECOND);
         }
@@ -166,6 +170,11 @@
         self.snapshot_bytes = bytes.max(1 << 10);
     }
 
+    /// Sets how many bytes of entries or of a snapshot go into one message, but for a single entry that is longer.
+    pub fn set_message(&mut self, bytes: usize) {
+        self.message_bytes = bytes.max(1 << 10);
+    }
+
     /// Sets whether commands that wait for the disk are synced together; off only to measure what it gives.
     pub fn set_batching(&mut self, batching: bool) {
         self.batching = batching;
--- a/crates/router/tests/fleet/bench.rs
+++ b/crates/router/tests/fleet/bench.rs
@@ -313,6 +313,7 @@
         seeds: Vec::new(),
         bootstrap: false,
         tolerance: 1,
+        link_mbps: 1_000.0,
         listing: settings::ListingSettings::default(),
         tls_inner: None,
         host_list: None,
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -63,6 +63,10 @@
     /// How many replicas may be lost at once; with `seeds` only, the group has twice as many voters and one; default 1.
     #[serde(default = "default_tolerance")]
     pub tolerance: usize,
+    /// The bandwidth of this host's link in Mbit/s, which the timeouts of the group and the size of its messages follow;
+    /// default 1000.
+    #[serde(default = "default_link")]
+    pub link_mbps: f64,
     /// How often the list of endpoints is read.
     #[serde(default)]
     pub listing: ListingSettings,
@@ -84,6 +88,10 @@
     pub log: LogSettings,
 }
 
+fn default_link() -> f64 {
+    1_000.0
+}
+
 fn default_tolerance() -> usize {
     1
 }
@@ -99,6 +107,7 @@
         rule("admin", !admin.contains(&self.admin), "expected an address that no peer has")?;
         rule("seeds", self.seeds.is_empty() || count == 0, "expected either seeds or peers")?;
         rule("tolerance", self.tolerance <= 8, "expected at most 8")?;
+        rule("link-mbps", self.link_mbps > 0.0, "expected more than zero")?;
         self.listing.check()?;
         rule("peer", inner.len() == count && admin.len() == count, "expected each address once")?;
         rule("weights.rate-bytes", self.weights.rate_bytes > 0, "expected at least 1")?;
