--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -284,9 +284,10 @@
 
     /// Gives up on a request, and says what is known.
     fn fail(self, failure: Failure) -> Response<Body> {
+        let cause = failure.to_string();
         let refusal = match failure {
             Failure::Failed(answer) => {
-                self.log_end("failed", "the endpoint's own failure");
+                self.log_end("failed", &cause);
                 self.shared.metrics.request("failed");
                 let (mut parts, body) = *answer;
                 // These statuses would say that the request has not run.
@@ -303,7 +304,9 @@
             Failure::NotSent { .. } | Failure::Late => Refusal::NoRoom { retry_ms: 300 },
             Failure::NotRun { .. } => Refusal::NoRoom { retry_ms: 300 },
         };
-        self.refuse(refusal)
+        self.log_end(refusal.label(), &cause);
+        self.shared.metrics.request(refusal.label());
+        refusal.answer()
     }
 
     /// Logs a request that was served: each one that was late or sent again, and some of the others.
--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -284,7 +284,8 @@
     }
 
     pub(crate) fn delay_election(&mut self, now: Time) {
-        let spread = self.rng.random_range(0..self.config.election);
+        // Votes seldom collide, as a candidate asks first; a wider spread only delays the next leader.
+        let spread = self.rng.random_range(0..self.config.election / 2);
         self.election_at = now + self.config.election + spread;
     }
 
