--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         attempt::{Answer, Attempt, Failure},
-        message::{Head, is_events},
+        message::Head,
         refusal::Refusal,
         shared::{Refused, Shared},
         stream::StreamAnswer,
@@ -276,7 +276,6 @@
         match answer {
             Answer::Whole(parts, body) => Response::from_parts(parts, full(body)),
             Answer::Stream(parts, first) => {
-                debug_assert!(is_events(&parts.headers) || first.events.passed() == 0);
                 Response::from_parts(parts, StreamAnswer::body(self, first))
             }
         }
@@ -289,12 +288,11 @@
             Failure::Failed(answer) => {
                 self.log_end("failed", &cause);
                 self.shared.metrics.request("failed");
-                let (mut parts, body) = *answer;
+                let (parts, body) = *answer;
                 // These statuses would say that the request has not run.
                 if says_not_run(parts.status) {
                     return Refusal::Broken.answer();
                 }
-                parts.extensions.clear();
                 return Response::from_parts(parts, full(body));
             }
             Failure::Late if self.runs > 0 => Refusal::Late,
