Let replicas found by seeds become ready, and read the product's own list

Cause: a replica of a group formed by seeds knows where the leader serves replicas but not operators, and /ready asked for the latter: followers said "no quorum" for ever. The feed and the ledger told routers of no leader for the same reason. Ruled out: the group itself (it is founded and commits). Change: readiness, feed and ledger ask where the leader serves replicas. jf-control reads the product's list (`directory`) and may be reached at another address than it binds (`advertise`), both needed to run beside a proxy. Before: replicas_found_by_seeds_become_ready fails after 30 s; after: passes.

--- a/crates/control/examples/feeds.rs
+++ b/crates/control/examples/feeds.rs
@@ -88,6 +88,8 @@
     fs::write(&operators, format!("[[operator]]\nname = \"alice\"\ntoken = \"sha256:{token}\"\n"))?;
     let any = ([127, 0, 0, 1], 0).into();
     Ok(ControlSettings {
+        advertise: None,
+        directory: None,
         host: HostName("c1".into()),
         domain: Domain("prg-a".into()),
         data: folder.join("data"),
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -51,7 +51,7 @@
 /// A replica is ready once it counts towards the quorum and knows a leader: until then, losing another one may leave
 /// no quorum.
 fn ready(shared: &Shared) -> Response<Body> {
-    match shared.log.leader() {
+    match shared.log.leader_inner() {
         Some(_) if shared.log.votes() => Response::new(full("ready\n")),
         Some(_) => reply::fault(Fault::NoVote),
         None => reply::fault(Fault::NoQuorum),
--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -31,7 +31,7 @@
         Ok(Output::Ledger(reply)) => reply,
         Ok(_) | Err(NotCommitted::Unknown) => Reply::NoQuorum,
         Err(NotCommitted::NotLeader) => {
-            Reply::NotLeader { leader: shared.log.leader().map(|it| it.inner) }
+            Reply::NotLeader { leader: shared.log.leader_inner() }
         }
     }
 }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -128,7 +128,8 @@
         format: Arc<dyn LayoutFormat>,
     ) -> Result<Control> {
         let operators = Operators::open(settings.operators.as_deref())?;
-        let own = ReplicaAddr { inner: sockets.inner(), admin: sockets.admin() };
+        let inner = settings.advertise.unwrap_or(sockets.inner());
+        let own = ReplicaAddr { inner, admin: sockets.admin() };
         let Sockets { identity, traffic, listener, server, slot } = sockets;
         let dialer =
             Dialer { identity: identity.clone(), traffic: traffic.clone(), class: Class::Control };
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -59,7 +59,7 @@
 }
 
 async fn refuse(shared: &Shared, send: &mut SendHalf) -> Result<(), WireError> {
-    let leader = shared.log.leader().map(|it| it.inner);
+    let leader = shared.log.leader_inner();
     send.send(&FromControl::NotLeader { leader }).await?;
     send.finish();
     Ok(())
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -175,7 +175,7 @@
         }
     }
 
-    /// Where the leader is, as far as it is known.
+    /// Where the leader is, as far as it is known; a replica that was found by seeds tells no address for operators.
     pub(crate) fn leader(&self) -> Option<ReplicaAddr> {
         let inner = self.replica.addr_of(self.replica.leader()?)?;
         self.addrs.iter().find(|it| it.inner == inner).copied()
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -4,6 +4,7 @@
 
 use {
     control::Control,
+    edge::HttpDirectory,
     eyre::Result,
     settings::ControlSettings,
     std::process::ExitCode,
@@ -45,7 +46,11 @@
 
 async fn run(settings: ControlSettings) -> Result<()> {
     let metrics = telemetry::open(&settings.log)?;
-    let control = Control::spawn(settings).await?;
+    let directory = settings.directory.map(HttpDirectory::new);
+    let mut control = Control::spawn(settings).await?;
+    if let Some(directory) = directory {
+        control.serve_directory(directory);
+    }
     control.serve_metrics(metrics);
     stopped().await?;
     control.shutdown().await;
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -30,6 +30,8 @@
     fs::write(&operators, text).unwrap();
     let any = "127.0.0.1:0".parse().unwrap();
     ControlSettings {
+        advertise: None,
+        directory: None,
         host: HostName("c1".into()),
         domain: Domain("prg-a".into()),
         data: folder.join("data"),
--- a/crates/control/tests/three.rs
+++ b/crates/control/tests/three.rs
@@ -9,7 +9,7 @@
     ledger::{ClaimKey, Reply},
     model::{Digest, RequestId, RouterId, ServiceId, TeamId},
     serde_json::Value,
-    settings::ControlPeer,
+    settings::{ControlPeer, ControlSettings},
     std::{net::SocketAddr, time::Duration},
     tempfile::TempDir,
     tokio::time::{sleep, timeout},
@@ -38,7 +38,28 @@
 }
 
 impl Group {
+    /// A group whose replicas know each other from the start.
     async fn open() -> Group {
+        Group::open_with(|settings, peers, at| {
+            settings.peers = peers.to_vec();
+            settings.peers.remove(at);
+        })
+        .await
+    }
+
+    /// A group whose replicas find each other by seeds.
+    async fn open_seeded() -> Group {
+        Group::open_with(|settings, peers, _| {
+            settings.seeds = peers.iter().map(|it| it.inner).collect();
+            settings.bootstrap = true;
+        })
+        .await
+    }
+
+    async fn open_with<F>(introduce: F) -> Group
+    where
+        F: Fn(&mut ControlSettings, &[ControlPeer], usize),
+    {
         let folders: Vec<_> = (0..3).map(|_| tempfile::tempdir().unwrap()).collect();
         let mut bound = Vec::new();
         for folder in &folders {
@@ -50,8 +71,7 @@
         let peers: Vec<_> = bound.iter().map(|it| peer(&it.1)).collect();
         let mut replicas = Vec::new();
         for (at, (mut settings, sockets)) in bound.into_iter().enumerate() {
-            settings.peers = peers.clone();
-            settings.peers.remove(at);
+            introduce(&mut settings, &peers, at);
             replicas.push(Some(Control::start(settings, sockets).await.unwrap()));
         }
         let addrs = peers.iter().map(|it| it.admin).collect();
@@ -179,3 +199,10 @@
     let reply: Reply = stream.recv.recv().await.unwrap().unwrap();
     assert!(matches!(reply, Reply::NotLeader { .. } | Reply::NoQuorum), "{reply:?}");
 }
+
+/// Replicas that were found by seeds do not know where the leader serves operators, which is no reason not to be ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn replicas_found_by_seeds_become_ready() {
+    let group = Group::open_seeded().await;
+    group.whole().await;
+}
--- a/crates/gateway/src/http_directory.rs
+++ b/crates/edge/src/directory.rs
@@ -1,9 +1,9 @@
 //! The product's own list of endpoints: `GET /endpoints`, a JSON array of [`Listed`].
 
 use {
+    crate::{body::empty, client::Client},
     derive_more::Debug,
     directory::{Directory, DirectoryError, Listed, Listing},
-    edge::{Client, empty},
     std::net::SocketAddr,
 };
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,6 +9,7 @@
 mod auth;
 mod body;
 mod client;
+mod directory;
 mod endpoint;
 mod error;
 mod refusal;
@@ -19,6 +20,7 @@
     auth::Tokens,
     body::{Body, BodyError, empty, full, read_all},
     client::Client,
+    directory::HttpDirectory,
     endpoint::{
         EndpointClient, EndpointError, EndpointEvent, EndpointLimits, EndpointRequest,
         EndpointStream, Fault,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,6 @@
 mod events;
 mod gateway;
 mod gossip;
-mod http_directory;
 mod listing;
 mod message;
 mod metrics;
@@ -22,4 +21,4 @@
 mod upstream;
 mod watch;
 
-pub use crate::{gateway::Gateway, http_directory::HttpDirectory, names::Names};
+pub use crate::{gateway::Gateway, names::Names};
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,8 +1,9 @@
 //! The `jf-gateway` binary.
 
 use {
+    edge::HttpDirectory,
     eyre::{OptionExt, Result},
-    gateway::{Gateway, HttpDirectory, Names},
+    gateway::{Gateway, Names},
     settings::GatewaySettings,
     std::{path::Path, process::ExitCode},
     tokio::{
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -123,6 +123,8 @@
 
 fn control_settings(data: &TempDir) -> ControlSettings {
     ControlSettings {
+        advertise: None,
+        directory: None,
         host: HostName("c1".into()),
         domain: Domain("d0".into()),
         data: data.path().join("data"),
--- a/crates/router/tests/fleet/bench.rs
+++ b/crates/router/tests/fleet/bench.rs
@@ -303,6 +303,8 @@
         .unwrap();
     let any = "127.0.0.1:0".parse().unwrap();
     let settings = ControlSettings {
+        advertise: None,
+        directory: None,
         host: HostName("c1".into()),
         domain: Domain("prg-a".into()),
         data: data.join("data"),
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -53,6 +53,8 @@
     pub inner: SocketAddr,
     /// Where operators connect.
     pub admin: SocketAddr,
+    /// Where replicas and routers reach this one if that is not `inner`, as behind a forwarder.
+    pub advertise: Option<SocketAddr>,
     /// The inner addresses that the group is formed from and found by, in place of `peer`; replicas may have moved to
     /// other addresses since.
     #[serde(default)]
@@ -67,6 +69,8 @@
     /// default 1000.
     #[serde(default = "default_link")]
     pub link_mbps: f64,
+    /// Where the list of endpoints is read (`GET /endpoints`) for the gateways; without it they read it themselves.
+    pub directory: Option<SocketAddr>,
     /// How often the list of endpoints is read.
     #[serde(default)]
     pub listing: ListingSettings,
--- /dev/null
+++ b/soak/src/site.rs
@@ -0,0 +1,174 @@
+//! The settings of the processes and the routing configurations of a run.
+
+use {
+    crate::record::{BUDGET_RATIO, BUDGET_SLACK},
+    eyre::{Result, WrapErr},
+    model::{Digest, Domain, HostName},
+    route::{CallerLimits, Engine, Kind, Layout, Route, Service, Share, Team},
+    settings::{
+        ControlSettings, GatewaySettings, ListingSettings, LogFormat, LogSettings, RetrySettings,
+        WeightLimits,
+    },
+    smallvec::smallvec,
+    std::{
+        net::{SocketAddr, TcpListener},
+        path::Path,
+    },
+};
+
+/// The team of all callers.
+pub const TEAM: &str = "one";
+
+/// Its key.
+pub(crate) const KEY: &str = "key-of-one";
+
+/// The token of the operator.
+pub(crate) const TOKEN: &str = "operator-token";
+
+/// The host that callers name.
+pub(crate) const HOST: &str = "h";
+
+/// How long a request of any route may take, in milliseconds.
+pub(crate) const TIMEOUT_MS: u64 = 4_000;
+
+/// How long a gateway may take to stop, in milliseconds: longer than any request.
+pub(crate) const GRACE_MS: u64 = 6_000;
+
+/// Requests that an endpoint runs at once.
+pub(crate) const SLOTS: u32 = 16;
+
+/// Connections of callers that a gateway accepts.
+const CONNECTIONS: usize = 200;
+
+/// A configuration; the route `only-VERSION` is in no other one.
+pub(crate) fn layout(version: u64) -> Layout {
+    let engine = Engine { slots: SLOTS, kv_tokens: 100_000, kv_bytes: 1_000 };
+    let service = |name: &str, engine| Service {
+        name: name.into(),
+        health: "/health".into(),
+        connections: 1_000,
+        engine,
+    };
+    Layout {
+        version,
+        routes: vec![
+            route("read", Kind::Idempotent, "plain"),
+            route("write", Kind::NonIdempotent, "plain"),
+            Route { resumable: true, affine: true, ..route("stream", Kind::Stream, "model") },
+            route(&format!("only-{version}"), Kind::Idempotent, "plain"),
+        ],
+        services: vec![service("plain", None), service("model", Some(engine))],
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 10_000,
+            header_ms: 3_000,
+            idle_ms: 15_000,
+        },
+        teams: vec![Team {
+            name: TEAM.into(),
+            keys: vec![Digest::of(KEY.as_bytes())],
+            priority: None,
+        }],
+    }
+}
+
+fn route(name: &str, kind: Kind, service: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: HOST.into(),
+        prefix: format!("/{name}/").into(),
+        kind,
+        timeout_ms: TIMEOUT_MS,
+        target_ms: 150,
+        gap_ms: 100,
+        priority: 1,
+        split: smallvec![Share { service: service.into(), weight: 1 }],
+        attempts: 2,
+        open: false,
+        affine: false,
+        resumable: false,
+    }
+}
+
+/// The settings of a gateway.
+pub(crate) fn gateway(
+    number: usize,
+    listen: SocketAddr,
+    control: &[SocketAddr],
+    directory: SocketAddr,
+) -> Result<GatewaySettings> {
+    Ok(GatewaySettings {
+        host: HostName(format!("g{number}").into()),
+        domain: domain(number),
+        listen,
+        admin: free_addr()?,
+        inner: free_addr()?,
+        control: control.to_vec(),
+        directory: Some(directory),
+        tls_inner: None,
+        grace_ms: GRACE_MS,
+        connections: CONNECTIONS,
+        listing: listing(),
+        retries: RetrySettings { ratio: BUDGET_RATIO, slack: BUDGET_SLACK },
+        log: log(),
+    })
+}
+
+/// The settings of a control replica; `advertise` is where others reach it, one of `seeds`.
+pub(crate) fn control(
+    number: usize,
+    folder: &Path,
+    inner: SocketAddr,
+    advertise: SocketAddr,
+    seeds: &[SocketAddr],
+    directory: SocketAddr,
+) -> Result<ControlSettings> {
+    Ok(ControlSettings {
+        host: HostName(format!("c{number}").into()),
+        domain: domain(number),
+        data: folder.join(format!("control-{number}")),
+        inner,
+        admin: free_addr()?,
+        advertise: Some(advertise),
+        seeds: seeds.to_vec(),
+        bootstrap: true,
+        tolerance: seeds.len() / 2,
+        link_mbps: 1_000.0,
+        directory: Some(directory),
+        listing: listing(),
+        peers: Vec::new(),
+        operators: Some(folder.join("operators.toml")),
+        tls_inner: None,
+        host_list: None,
+        weights: WeightLimits::default(),
+        log: log(),
+    })
+}
+
+/// The file of operators.
+pub(crate) fn operators() -> String {
+    let digest = Digest::of(TOKEN.as_bytes());
+    format!("[[operator]]\nname = \"soak\"\ntoken = \"sha256:{digest}\"\n")
+}
+
+fn domain(number: usize) -> Domain {
+    Domain(format!("d{}", number % 3).into())
+}
+
+fn listing() -> ListingSettings {
+    ListingSettings { interval_ms: 500, rate: 100.0 }
+}
+
+fn log() -> LogSettings {
+    LogSettings { format: LogFormat::Json, ..LogSettings::default() }
+}
+
+/// An address on loopback that nobody listens on at the moment.
+///
+/// # Errors
+///
+/// No port can be bound.
+pub(crate) fn free_addr() -> Result<SocketAddr> {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).wrap_err("find a free port")?;
+    listener.local_addr().wrap_err("find a free port")
+}
