--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -30,8 +30,6 @@
     match shared.log.propose(&command).await {
         Ok(Output::Ledger(reply)) => reply,
         Ok(_) | Err(NotCommitted::Unknown) => Reply::NoQuorum,
-        Err(NotCommitted::NotLeader) => {
-            Reply::NotLeader { leader: shared.log.leader_inner() }
-        }
+        Err(NotCommitted::NotLeader) => Reply::NotLeader { leader: shared.log.leader_inner() },
     }
 }
--- a/soak/src/endpoints.rs
+++ b/soak/src/endpoints.rs
@@ -7,7 +7,7 @@
         plan::{Harm, Mood, Part, Size},
         proxy::Proxy,
         record::Shared,
-        site::{SLOTS, free_addr},
+        site::{SLOTS, any_addr},
     },
     derive_more::Debug,
     directory::Listed,
@@ -79,8 +79,7 @@
             let answer = list(&listed.lock());
             async move { Ok(answer) }
         });
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let server = Server::bind(any, ServerLimits::default(), service).await?;
+        let server = Server::bind(any_addr(), ServerLimits::default(), service).await?;
         Ok(Endpoints { record, inner, list: server.addr(), _server: server })
     }
 
@@ -179,7 +178,7 @@
     record: Shared,
 ) -> Result<Place> {
     let identity = Identity { number, id: format!("{service}-{number}-{generation}"), service };
-    let endpoint = Endpoint::bind(free_addr()?, identity.clone(), record).await?;
+    let endpoint = Endpoint::bind(any_addr(), identity.clone(), record).await?;
     let addr = endpoint.addr();
     let proxy = Proxy::bind(addr).await.wrap_err("proxy of an endpoint")?;
     let (endpoint, born) = (Some(endpoint), wall_ms());
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -27,7 +27,8 @@
 pub use crate::{
     calm::{CONTACT, Calm, Cause},
     plan::{Fault, Harm, Mood, Part, Plan, Size, Step},
-    record::{Arrival, Counts, End, Kind, Record, Sent, answer_of, event_of, signature_of},
+    process::binaries,
+    record::{Arrival, Counts, End, Kind, Record, Sent, Tally, answer_of, event_of, signature_of},
     run::{Verdict, play},
     site::TEAM,
 };
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,15 +1,20 @@
 //! The `jf-soak` binary: plays plans and prints a line for each seed.
 
 use {
-    eyre::{Result, WrapErr, bail},
-    soak::{Plan, Size, Verdict, play},
+    eyre::{Result, WrapErr},
+    soak::{Plan, Size, Verdict, binaries, play},
     std::{
-        env,
         path::PathBuf,
         process::ExitCode,
         time::{Duration, UNIX_EPOCH},
     },
-    tokio::runtime::Runtime,
+    tokio::{
+        runtime::Runtime,
+        signal::{
+            ctrl_c,
+            unix::{SignalKind, signal},
+        },
+    },
 };
 
 mod flags {
@@ -51,8 +56,7 @@
 }
 
 fn run(flags: &flags::JfSoak) -> Result<bool> {
-    let here = env::current_exe().wrap_err("find the programs")?;
-    let Some(binaries) = here.parent() else { bail!("find the programs") };
+    let binaries = binaries()?;
     #[allow(clippy::disallowed_methods, reason = "the seed of a run with no given one")]
     let fresh = || UNIX_EPOCH.elapsed().map_or(1, |it| it.as_millis() as u64);
     let first = flags.seed.unwrap_or_else(fresh);
@@ -68,7 +72,16 @@
             None => folder.path().to_owned(),
         };
         std::fs::create_dir_all(&path).wrap_err("folder of a run")?;
-        let played = runtime.block_on(play(&plan, binaries, &path));
+        let played = runtime.block_on(async {
+            // A run that is ended from outside still ends its processes, which are killed as they are dropped.
+            let mut terminate = signal(SignalKind::terminate())?;
+            tokio::select! {
+                played = play(&plan, &binaries, &path) => played.map(Some),
+                _ = ctrl_c() => Ok(None),
+                _ = terminate.recv() => Ok(None),
+            }
+        });
+        let Some(played) = played.transpose() else { return Ok(false) };
         kept &= matches!(&played, Ok(it) if it.is_kept());
         if !matches!(&played, Ok(it) if it.is_kept()) {
             folder.disable_cleanup(true);
@@ -83,7 +96,8 @@
         Ok(verdict) => verdict,
         Err(err) => return println!("seed {seed}: not played: {err:#}; see {}", path.display()),
     };
-    let counts: Vec<_> = verdict.counts.0.iter().map(|it| format!("{} {}", it.0, it.1)).collect();
+    let counts: Vec<_> =
+        verdict.counts.0.iter().map(|it| format!("{} {}", it.0, it.1.count)).collect();
     println!("seed {seed}: {} faults; {}", verdict.faults, counts.join(", "));
     for violation in verdict.violations.iter().take(PRINTED) {
         println!("  broken: {violation}");
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -2,9 +2,10 @@
 
 use {
     derive_more::Debug,
-    eyre::{Result, WrapErr, eyre},
+    eyre::{OptionExt, Result, WrapErr, eyre},
     rustix::process::{Pid, Signal, kill_process},
     std::{
+        env,
         fs::{self, OpenOptions},
         path::{Path, PathBuf},
         process::{ExitStatus, Stdio},
@@ -16,6 +17,19 @@
     },
 };
 
+/// The folder of the programs, which were built with this one.
+///
+/// # Errors
+///
+/// They were not built: `cargo build` builds them.
+pub fn binaries() -> Result<PathBuf> {
+    let here = env::current_exe().wrap_err("find the programs")?;
+    // Tests are built into a folder of their own below it.
+    let mut folders = here.ancestors().skip(1).take(2);
+    let found = folders.find(|it| it.join("jf-gateway").exists() && it.join("jf-control").exists());
+    found.map(Path::to_owned).ok_or_eyre("jf-gateway and jf-control are not built: run cargo build")
+}
+
 /// A program with its settings; it is killed when dropped.
 #[derive(Debug)]
 pub(crate) struct Process {
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -1,7 +1,7 @@
 //! A proxy on loopback that delays, silences and resets the connections to one address.
 
 use {
-    crate::plan::Harm,
+    crate::{plan::Harm, site::any_addr},
     eyre::{Result, WrapErr},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -49,7 +49,7 @@
     ///
     /// No port can be bound.
     pub(crate) async fn bind(target: SocketAddr) -> Result<Proxy> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.wrap_err("bind a proxy")?;
+        let listener = TcpListener::bind(any_addr()).await.wrap_err("bind a proxy")?;
         let addr = listener.local_addr().wrap_err("address of a proxy")?;
         let state = Arc::new(watch::Sender::new(State::default()));
         let (resets, _) = broadcast::channel(1);
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -1,5 +1,7 @@
 //! What callers sent and got and what endpoints ran, and the promises that are checked against it while a run goes on.
 
+mod check;
+
 use {
     crate::{
         calm::{Calm, Cause},
@@ -19,21 +21,12 @@
 /// How long after its deadline an answer may still arrive.
 const LATE: Duration = Duration::from_millis(1_000);
 
-/// How long after a caller left its request may go on: the time to notice a closed connection and to close another.
-const CANCEL: Duration = Duration::from_millis(1_000);
-
 /// How long after its acknowledgement a configuration must be in force.
 pub(crate) const APPLY: Duration = Duration::from_millis(2_500);
 
-/// How long after a gateway acted by a configuration it may still act by an older one: requests under way.
-const DOWNGRADE: Duration = Duration::from_millis(250);
-
 /// How long a request that crosses the end of a connection may stay unanswered.
 const CROSSING: Duration = Duration::from_millis(500);
 
-/// The window over which repeated sends are counted.
-const BUDGET_WINDOW: Duration = Duration::from_secs(10);
-
 /// Repeated sends for each request in that window.
 pub(crate) const BUDGET_RATIO: f64 = 0.2;
 
@@ -154,9 +147,18 @@
     more: usize,
 }
 
-/// How many requests ended in which way.
+/// The requests that ended in one way.
 #[derive(Clone, PartialEq, Eq, Default, Debug)]
-pub struct Counts(pub BTreeMap<String, usize>);
+pub struct Tally {
+    /// How many there are.
+    pub count: usize,
+    /// The id of one of them.
+    pub example: String,
+}
+
+/// The requests of a run by their kind and by how they ended, as in `write 504`.
+#[derive(Clone, PartialEq, Eq, Default, Debug)]
+pub struct Counts(pub BTreeMap<String, Tally>);
 
 /// The service that a kind of request goes to.
 pub(crate) fn service_of(kind: Kind) -> &'static str {
@@ -314,26 +316,6 @@
         before
     }
 
-    /// Checks that a gateway may still act by a version.
-    fn check_version(&mut self, id: &str, sent: &Sent, version: u64, now: Instant) {
-        let bound = sent.at.checked_sub(APPLY).and_then(|it| self.acknowledged(it));
-        if bound.is_some_and(|it| it > version) && self.in_touch(sent.gateway, sent.at - APPLY, now)
-        {
-            let text = format!("{id} runs by version {version}, acknowledged is {bound:?}");
-            self.violation("configuration", &text);
-        }
-        let life = (sent.gateway, sent.life);
-        let seen = self.seen.get(&life).copied();
-        match seen {
-            Some((highest, at)) if highest > version && sent.at > at + DOWNGRADE => {
-                let text = format!("{id} runs by version {version} after version {highest}");
-                self.violation("configuration", &text);
-            }
-            Some((highest, _)) if highest >= version => {}
-            _ => drop(self.seen.insert(life, (version, now))),
-        }
-    }
-
     fn ended(&mut self, id: &str, end: End, now: Instant) {
         let Some(entry) = self.entries.get_mut(id) else { return };
         let (sent, runs) = (entry.sent.clone(), entry.runs.clone());
@@ -358,125 +340,9 @@
         }
     }
 
-    fn check_answer(
-        &mut self,
-        id: &str,
-        sent: &Sent,
-        runs: &[Run],
-        (status, signature, body): (u16, Option<&str>, &Bytes),
-        now: Instant,
-    ) {
-        let ran = |it: &str| runs.iter().any(|run| it == signature_of(run.endpoint, id));
-        if signature.is_some_and(|it| !ran(it)) {
-            self.violation("mixed", &format!("{id} gets an answer signed {signature:?}"));
-        }
-        match status {
-            200 if signature.is_none() => {
-                self.violation("mixed", &format!("{id} gets a success that no endpoint gave"));
-            }
-            200 if sent.kind == Kind::Stream => self.check_events(id, sent, body, true),
-            200 if *body != answer_of(id) => {
-                self.violation("mixed", &format!("{id} gets {body:?}"));
-            }
-            408 | 421 | 429 | 503 if !runs.is_empty() => {
-                self.violation(
-                    "refused",
-                    &format!("{id} is refused with {status} and ran: {runs:?}"),
-                );
-            }
-            404 => self.check_denied(id, sent, now),
-            400 | 401 | 403 | 413 => {
-                self.violation("denied", &format!("{id} gets {status}"));
-            }
-            _ => {}
-        }
-    }
-
-    /// Checks that a request was rightly found to have no route.
-    fn check_denied(&mut self, id: &str, sent: &Sent, now: Instant) {
-        let Kind::Only(version) = sent.kind else {
-            return self.violation("denied", &format!("{id} gets 404"));
-        };
-        let newest = self.versions.keys().next_back().copied();
-        let in_force = sent.at.checked_sub(APPLY).and_then(|it| self.acknowledged(it));
-        if newest == Some(version)
-            && in_force == Some(version)
-            && self.in_touch(sent.gateway, sent.at - APPLY, now)
-        {
-            let text = format!("{id} gets 404, version {version} was acknowledged");
-            self.violation("configuration", &text);
-        }
-    }
-
-    /// Checks the events of a stream: in order, each once, and all of them if it ended as whole.
-    fn check_events(&mut self, id: &str, sent: &Sent, body: &Bytes, whole: bool) {
-        if sent.kind != Kind::Stream {
-            return;
-        }
-        let expected: String = (1..=EVENTS).map(|it| event_of(id, it)).collect();
-        let begins = expected.as_bytes().starts_with(body);
-        if !begins || whole && body.len() != expected.len() {
-            self.violation("order", &format!("{id} gets {body:?}"));
-        }
-    }
-
-    /// Checks that a connection was not closed on a request without need.
-    fn check_cut(&mut self, id: &str, sent: &Sent, runs: &[Run], now: Instant) {
-        let gateway = Part::Gateway(sent.gateway);
-        let calm = self.calm.holds(gateway, sent.at, now, Some(Cause::Planned));
-        let endpoints = |it| matches!(it, Part::Endpoint(_));
-        let sound = self.calm.all_hold(sent.at, now, endpoints);
-        let read = !runs.is_empty() || now > sent.at + CROSSING;
-        if calm && sound && read && now < sent.deadline {
-            self.violation("lost", &format!("{id} to {gateway} is cut off, runs: {runs:?}"));
-        }
-    }
-
-    /// Checks that requests whose callers left ended soon.
-    fn check_left(&mut self) {
-        let mut late = Vec::new();
-        for (id, Entry { sent, runs, end }) in &self.entries {
-            let Some((End::Left, at)) = end else { continue };
-            let calm = |run: &Run| {
-                let to = *at + CANCEL;
-                self.calm.holds(Part::Gateway(sent.gateway), sent.at, to, None)
-                    && self.calm.holds(Part::Endpoint(run.endpoint), sent.at, to, None)
-            };
-            let over = |run: &&Run| run.ended.is_none_or(|it| it > *at + CANCEL) && calm(run);
-            let open = runs.iter().find(over);
-            late.extend(open.map(|it| format!("{id} goes on after its caller left: {it:?}")));
-        }
-        late.iter().for_each(|it| self.violation("gone", it));
-    }
-
-    /// Checks that repeated sends stayed within the budget in each window.
-    fn check_budget(&mut self) {
-        for service in ["plain", "model"] {
-            let entries = || self.entries.values().filter(|it| service_of(it.sent.kind) == service);
-            let mut sent: Vec<_> = entries().map(|it| it.sent.at).collect();
-            let repeats =
-                |it: &Entry| it.runs.iter().skip(1).map(|it| it.began).collect::<Vec<_>>();
-            let mut repeated: Vec<_> = entries().flat_map(repeats).collect();
-            sent.sort_unstable();
-            repeated.sort_unstable();
-            let within = |times: &[Instant], from: Instant| {
-                let until = from + BUDGET_WINDOW;
-                times.partition_point(|it| *it < until) - times.partition_point(|it| *it < from)
-            };
-            let over = repeated.iter().find(|it| {
-                let before = **it - BUDGET_WINDOW.min(it.elapsed());
-                let allowed = within(&sent, **it).max(within(&sent, before)) as f64;
-                within(&repeated, **it) as f64 > BUDGET_RATIO * allowed + BUDGET_SLACK
-            });
-            if over.is_some() {
-                self.violation("budget", &format!("too many repeated sends to {service}"));
-            }
-        }
-    }
-
     fn counts(&self) -> Counts {
-        let mut counts = BTreeMap::new();
-        for entry in self.entries.values() {
+        let mut counts: BTreeMap<String, Tally> = BTreeMap::new();
+        for (id, entry) in &self.entries {
             let end = match &entry.end {
                 Some((End::Answered { status, .. }, _)) => status.to_string(),
                 Some((End::Cut { .. }, _)) => "cut".to_owned(),
@@ -487,7 +353,9 @@
                 Kind::Only(_) => "only".to_owned(),
                 kind => kind.to_string(),
             };
-            *counts.entry(format!("{kind} {end}")).or_default() += 1;
+            let tally = counts.entry(format!("{kind} {end}")).or_default();
+            tally.count += 1;
+            tally.example.clone_from(id);
         }
         Counts(counts)
     }
--- a/soak/src/site.rs
+++ b/soak/src/site.rs
@@ -11,8 +11,13 @@
     },
     smallvec::smallvec,
     std::{
-        net::{SocketAddr, TcpListener},
+        io::ErrorKind,
+        net::{Ipv4Addr, SocketAddr, TcpListener},
         path::Path,
+        sync::{
+            LazyLock,
+            atomic::{AtomicU16, Ordering},
+        },
     },
 };
 
@@ -163,12 +168,35 @@
     LogSettings { format: LogFormat::Json, ..LogSettings::default() }
 }
 
-/// An address on loopback that nobody listens on at the moment.
+/// An address of this run that nobody listens on, for a process that binds it again with each start.
 ///
 /// # Errors
 ///
 /// No port can be bound.
 pub(crate) fn free_addr() -> Result<SocketAddr> {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).wrap_err("find a free port")?;
-    listener.local_addr().wrap_err("find a free port")
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    let mut addr = any_addr();
+    loop {
+        addr.set_port(NEXT.fetch_add(1, Ordering::Relaxed));
+        match TcpListener::bind(addr) {
+            Ok(_) => return Ok(addr),
+            Err(err) if err.kind() == ErrorKind::AddrInUse => {}
+            Err(err) => return Err(err).wrap_err("find a free port"),
+        }
+    }
+}
+
+/// The first port of processes: below those that the system chooses by itself.
+const FIRST_PORT: u16 = 10_000;
+
+/// A free port of this run, to be chosen when it is bound.
+///
+/// Each run listens on a loopback address of its own: ports that it frees while its processes restart are then taken
+/// neither by another run nor by an outgoing connection, which comes from 127.0.0.1.
+pub(crate) fn any_addr() -> SocketAddr {
+    static ADDR: LazyLock<Ipv4Addr> = LazyLock::new(|| {
+        let [high, low, last]: [u8; 3] = rand::random();
+        Ipv4Addr::new(127, high.clamp(1, 254), low, last.clamp(1, 254))
+    });
+    SocketAddr::from((*ADDR, 0))
 }
