--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -19,7 +19,7 @@
     },
     hyper_util::rt::TokioIo,
     parking_lot::Mutex,
-    rand::random_bool,
+    rand::{random_bool, random_range},
     std::{
         future::pending,
         io,
@@ -37,11 +37,15 @@
     },
 };
 
-/// How long a request that is no stream takes.
-const WORK: Duration = Duration::from_millis(20);
+/// How long a request that is no stream takes, or how long all events of a stream, in milliseconds.
+const WORK_MS: u64 = 100;
 
-/// The pause between the events of a stream.
-const GAP: Duration = Duration::from_millis(15);
+/// The share of requests that take up to [`LONG_MS`].
+const LONG_SHARE: f64 = 0.08;
+
+/// The longest work, in milliseconds: within the time of a route, and longer than a gateway that stops waits for
+/// callers that have nothing open.
+const LONG_MS: u64 = 2_500;
 
 /// How long after it was listed as leaving an endpoint may still be sent requests.
 const DRAIN: Duration = Duration::from_millis(4_000);
@@ -173,7 +177,7 @@
     if state.identity.service == "model" {
         return stream_events(&state, running, &parts, mood);
     }
-    sleep(WORK).await;
+    sleep(work()).await;
     let head = head(&state, &id);
     match mood {
         Mood::Failing if random_bool(0.5) => whole(head.status(500), Bytes::from("failed")),
@@ -215,12 +219,12 @@
 ) -> io::Result<Response<Body>> {
     let last = header(parts, "last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
     let breaks = matches!(mood, Mood::Breaking | Mood::Failing) && random_bool(0.5);
-    let id = running.id.clone();
+    let (id, gap) = (running.id.clone(), work() / EVENTS as u32);
     let frames = stream::unfold((last + 1, running), move |(number, running)| async move {
         if number > EVENTS {
             return None;
         }
-        sleep(GAP).await;
+        sleep(gap).await;
         let frame = if breaks && number > EVENTS / 2 {
             Err(io::Error::other("broken off"))
         } else {
@@ -232,6 +236,11 @@
     head.body(StreamBody::new(frames).boxed_unsync()).map_err(io::Error::other)
 }
 
+fn work() -> Duration {
+    let most_ms = if random_bool(LONG_SHARE) { LONG_MS } else { WORK_MS };
+    Duration::from_millis(random_range(0..most_ms))
+}
+
 fn header(parts: &Parts, name: &str) -> Option<String> {
     Some(parts.headers.get(name)?.to_str().ok()?.to_owned())
 }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -24,7 +24,7 @@
 
 impl Size {
     /// A dozen processes.
-    pub const SMALL: Size = Size { gateways: 4, replicas: 3, models: 4, plains: 2, callers: 6 };
+    pub const SMALL: Size = Size { gateways: 4, replicas: 3, models: 4, plains: 3, callers: 6 };
 
     /// A hundred processes.
     pub const LARGE: Size = Size { gateways: 90, replicas: 5, models: 60, plains: 6, callers: 2 };
@@ -134,8 +134,9 @@
     pub steps: Vec<Step>,
 }
 
-/// The mean time between two faults, in milliseconds, for a dozen processes: several overlap at any time.
-const BETWEEN_MS: u64 = 800;
+/// The mean times between two faults, in milliseconds, for a dozen processes, one of which a plan draws: faults overlap
+/// at any time, or parts stay undisturbed for long enough that promises with a time bound are checked.
+const BETWEEN_MS: [u64; 3] = [500, 1_000, 3_000];
 
 /// The longest fault, in milliseconds: longer than the four seconds after which control replaces a silent replica.
 const LONGEST_MS: u64 = 6_000;
@@ -149,6 +150,7 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let end_ms = lasts.as_millis() as u64;
         let scale = (size.gateways as u64 / Size::SMALL.gateways as u64).clamp(1, 8);
+        let between_ms = BETWEEN_MS[rng.random_range(0..BETWEEN_MS.len())];
         let mut steps = Vec::new();
         let mut at_ms = 0;
         while at_ms < end_ms {
@@ -166,7 +168,7 @@
                     steps.push(Step { at, lasts, fault });
                 }
             }
-            at_ms += rng.random_range(1..=2 * BETWEEN_MS / scale);
+            at_ms += rng.random_range(1..=2 * between_ms / scale);
         }
         steps.sort_by_key(|it| it.at);
         Plan { seed, size, lasts, steps }
