Tell routers large messages in turns, and endpoints from one replica

Each router asked three replicas at once for the same list, was silent for 3 s to its own eyes while a message was on its way, connected again and asked again. Ruled out: processor (14% at 100), memory (6 MB).

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
-        admin, claims,
+        admin,
+        bulk::Bulk,
+        claims,
         discovery::{self, Discovery},
         feed,
         fleet::Fleet,
@@ -46,6 +48,7 @@
     pub(crate) layout: watch::Sender<Option<Arc<LayoutTopic>>>,
     pub(crate) discovery: Discovery,
     pub(crate) watchers: Watchers,
+    pub(crate) bulk: Bulk,
     pub(crate) metrics: OnceLock<Metrics>,
     pub(crate) clock: Clock,
     pub(crate) traffic: Traffic,
@@ -135,6 +138,7 @@
             Dialer { identity: identity.clone(), traffic: traffic.clone(), class: Class::Control };
         let clock = Clock::start();
         let log = Log::open(&settings, own, dialer, clock).await?;
+        let bulk = Bulk::new(settings.link_mbps);
         let shared = Arc::new(Shared {
             settings,
             operators,
@@ -147,6 +151,7 @@
             layout: watch::Sender::default(),
             discovery: Discovery::default(),
             watchers: Watchers::default(),
+            bulk,
             metrics: OnceLock::new(),
             clock,
             traffic,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 )]
 
 mod admin;
+mod bulk;
 mod claims;
 mod command;
 mod control;
@@ -37,6 +38,7 @@
 mod watching;
 
 pub use crate::{
+    bulk::{Bulk, Turn},
     command::{Command, Output},
     control::{Control, Sockets},
     layouts::{LayoutFormat, Layouts, NotPublished, OwnFormat},
--- a/crates/control/src/watching.rs
+++ b/crates/control/src/watching.rs
@@ -6,11 +6,16 @@
 //! is encoded once for all streams.
 
 use {
-    crate::{control::Shared, topic::Topic},
+    crate::{
+        bulk::{Bulk, Turn},
+        control::Shared,
+        topic::Topic,
+    },
     derive_more::Debug,
     model::Domain,
     parking_lot::Mutex,
-    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
+    smallvec::SmallVec,
+    std::{collections::BTreeMap, net::SocketAddr, pin::Pin, sync::Arc, time::Duration},
     tokio::{
         sync::watch,
         time::{Instant, sleep, sleep_until, timeout},
@@ -27,6 +32,9 @@
 /// How often a router hears from this replica; it looks for another connection after three of these.
 const BEAT: Duration = Duration::from_millis(1_000);
 
+/// How long a router may take to accept a large message while others wait.
+const SEND_LIMIT: Duration = Duration::from_millis(2_000);
+
 /// The shortest time between two lists of routers, in milliseconds.
 const FLEET_MS: u64 = 300;
 
@@ -77,7 +85,10 @@
             let next = match topic {
                 None => Topic::first(list, encode_fleet),
                 Some(topic) if *topic.value() == list => return false,
-                Some(topic) => topic.next(list, None),
+                Some(topic) => {
+                    let step = fleet_step(topic.value(), &list);
+                    topic.next(list, step)
+                }
             };
             *topic = Some(Arc::new(next));
             true
@@ -91,6 +102,13 @@
     Encoded::new(&WatchNews::Fleet { routers, replicas })
 }
 
+fn fleet_step(from: &FleetList, to: &FleetList) -> Option<Encoded> {
+    let joined = to.routers.iter().filter(|it| !from.routers.contains(it)).cloned().collect();
+    let stays = |addr: &SocketAddr| to.routers.iter().any(|it| it.0 == *addr);
+    let gone = from.routers.iter().map(|it| it.0).filter(|it| !stays(it)).collect();
+    Encoded::new(&WatchNews::FleetStep { joined, gone, replicas: to.replicas.clone() })
+}
+
 /// Serves a router until either end closes the stream.
 pub(crate) async fn serve(shared: Arc<Shared>, stream: Stream) -> Result<(), WireError> {
     let (mut send, mut recv) = stream.split();
@@ -105,23 +123,94 @@
     served
 }
 
+/// What a router has asked for and what it was told.
+#[derive(Default, Debug)]
+struct Told {
+    announced: Option<u64>,
+    /// That it waits for a configuration, and the version that it has.
+    asked: Option<Option<u64>>,
+    /// That it wants the endpoints, and the number of the list that it was told last.
+    catalog: Option<Option<u64>>,
+    fleet: Option<u64>,
+}
+
+impl Told {
+    fn take(&mut self, ask: WatchAsk) {
+        match ask {
+            WatchAsk::Layout { have } => self.asked = Some(have),
+            WatchAsk::Catalog => self.catalog = Some(None),
+        }
+    }
+
+    /// What the router waits for.
+    fn due(&mut self, shared: &Shared) -> Due {
+        let mut due = Due::default();
+        if let (Some(have), Some(topic)) = (self.asked, shared.layout.borrow().as_ref()) {
+            due.messages.extend(topic.answer(have).into_iter().cloned());
+        }
+        if due.messages.is_empty() {
+            // It has that version, or a later one by another replica.
+            self.asked = None;
+        }
+        let catalog = shared.discovery.catalog.borrow();
+        if let (Some(told), Some(topic)) = (self.catalog, catalog.as_ref()) {
+            due.messages.extend(topic.news(told).cloned());
+            due.catalog = Some(topic.number());
+        }
+        due
+    }
+}
+
+/// Messages that a router waits for.
+#[derive(Default, Debug)]
+struct Due {
+    messages: SmallVec<[Encoded; 4]>,
+    /// The number of the list of endpoints that the router has with them.
+    catalog: Option<u64>,
+}
+
+impl Due {
+    fn bytes(&self) -> usize {
+        self.messages.iter().map(Encoded::size).sum()
+    }
+
+    async fn send(&self, told: &mut Told, send: &mut SendHalf) -> Result<(), WireError> {
+        for message in &self.messages {
+            send.send_encoded(message).await?;
+        }
+        told.asked = told.asked.filter(|_| self.messages.is_empty());
+        if let (Some(number), Some(_)) = (self.catalog, told.catalog) {
+            told.catalog = Some(Some(number));
+        }
+        Ok(())
+    }
+}
+
 /// Tells a router what changes, and answers what it asks for, until either end closes the stream.
 async fn tell(shared: &Shared, send: &mut SendHalf, recv: &mut RecvHalf) -> Result<(), WireError> {
     let mut layouts = shared.layout.subscribe();
     let mut catalogs = shared.discovery.catalog.subscribe();
     let mut fleets = shared.watchers.fleet.subscribe();
-    let (mut announced, mut catalog, mut fleet) = (None, None, None);
+    let mut told = Told::default();
+    let mut turn: Option<Pin<Box<dyn Future<Output = Turn> + Send>>> = None;
     let mut beat_at = Instant::now();
     loop {
         let version = layouts.borrow_and_update().as_ref().map(|it| it.version());
-        if let Some(version) = version.filter(|_| version != announced) {
-            announced = Some(version);
+        if let Some(version) = version.filter(|_| version != told.announced) {
+            told.announced = Some(version);
             send.send(&WatchNews::Announce { version }).await?;
         }
-        let topic = catalogs.borrow_and_update().clone();
-        tell_topic(topic.as_deref(), &mut catalog, send).await?;
         let topic = fleets.borrow_and_update().clone();
-        tell_topic(topic.as_deref(), &mut fleet, send).await?;
+        tell_topic(topic.as_deref(), &mut told.fleet, send).await?;
+        catalogs.mark_unchanged();
+        let due = told.due(shared);
+        if Bulk::is_large(due.bytes()) {
+            let waiting = || Box::pin(shared.bulk.clone().turn()) as Pin<Box<_>>;
+            turn.get_or_insert_with(waiting);
+        } else {
+            turn = None;
+            due.send(&mut told, send).await?;
+        }
         if Instant::now() >= beat_at {
             beat_at = Instant::now() + BEAT;
             send.send(&beat(shared)).await?;
@@ -132,11 +221,25 @@
             changed = fleets.changed() => changed.is_err(),
             asked = recv.recv::<WatchAsk>() => match asked? {
                 Some(ask) => {
-                    answer(shared, &ask, send).await?;
+                    told.take(ask);
                     false
                 }
                 None => true,
             },
+            granted = granted(&mut turn) => {
+                turn = None;
+                let due = told.due(shared);
+                let sent = timeout(SEND_LIMIT, due.send(&mut told, send)).await;
+                granted.sent(due.bytes());
+                match sent {
+                    Ok(sent) => {
+                        sent?;
+                        false
+                    }
+                    // The router takes nothing: others must not wait for it.
+                    Err(_) => true,
+                }
+            }
             () = sleep_until(beat_at) => false,
         };
         if ended {
@@ -145,12 +248,12 @@
     }
 }
 
-async fn answer(shared: &Shared, ask: &WatchAsk, send: &mut SendHalf) -> Result<(), WireError> {
-    let Some(topic) = shared.layout.borrow().clone() else { return Ok(()) };
-    for message in topic.answer(ask.have) {
-        send.send_encoded(message).await?;
+/// Waits for the turn; for ever if none is wanted.
+async fn granted(turn: &mut Option<Pin<Box<dyn Future<Output = Turn> + Send>>>) -> Turn {
+    match turn {
+        Some(turn) => turn.await,
+        None => std::future::pending().await,
     }
-    Ok(())
 }
 
 fn beat(shared: &Shared) -> WatchNews {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod call;
 mod crash;
 mod events;
+mod follow;
 mod gateway;
 mod gossip;
 mod listing;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -50,6 +50,16 @@
     pub(crate) replicas: HashSet<SocketAddr>,
 }
 
+/// A configuration that a replica was asked for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Asked {
+    pub(crate) version: u64,
+    /// Until when its answer is waited for before another replica is asked.
+    pub(crate) until: Instant,
+    /// How often that time was doubled.
+    pub(crate) doublings: u32,
+}
+
 /// What all tasks share.
 pub(crate) struct Shared {
     pub(crate) settings: GatewaySettings,
@@ -69,8 +79,8 @@
     /// When this process was told to stop, in microseconds of its clock; zero: it was not.
     pub(crate) stopped_at: AtomicU64,
     pub(crate) stop: Notify,
-    /// The version of the configuration that a replica was asked for, and until when its answer is waited for.
-    pub(crate) asked: Mutex<Option<(u64, Instant)>>,
+    /// The configuration that a replica was asked for last.
+    pub(crate) asked: Mutex<Option<Asked>>,
     /// When control last told of endpoints, in microseconds of this process's clock.
     pub(crate) told_at: AtomicU64,
     /// Whether endpoints were listed at least once.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -38,6 +38,11 @@
     {
         encode(message).ok().map(Encoded)
     }
+
+    /// Its length in bytes.
+    pub fn size(&self) -> usize {
+        self.0.len()
+    }
 }
 
 /// Encodes one message with its length.
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -266,11 +266,17 @@
     pub version: Option<u64>,
 }
 
-/// Asks a replica for the routing configuration that it announced.
+/// What a router asks a replica for that it watches.
 #[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
-pub struct WatchAsk {
-    /// The version that the router has in force.
-    pub have: Option<u64>,
+pub enum WatchAsk {
+    /// The routing configuration that the replica announced. Asked again with a later version, it takes the place of
+    /// what was asked before; nothing is told if that version is not older than the replica's.
+    Layout {
+        /// The version that the router has in force.
+        have: Option<u64>,
+    },
+    /// All endpoints, and each step from there on.
+    Catalog,
 }
 
 /// What a replica tells a router that watches it.
@@ -296,6 +302,15 @@
         /// The replicas.
         replicas: Vec<SocketAddr>,
     },
+    /// What changed in the last [`WatchNews::Fleet`] that was sent on this stream.
+    FleetStep {
+        /// New routers and their failure domains.
+        joined: Vec<(SocketAddr, Domain)>,
+        /// The routers that watch this replica no longer.
+        gone: Vec<SocketAddr>,
+        /// The replicas.
+        replicas: Vec<SocketAddr>,
+    },
     /// Sent at regular intervals.
     Beat {
         /// Whether this replica hears of a leader: it would know of a newer configuration.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -110,7 +110,12 @@
         let (response, send) = ready.send_request(request, false).map_err(fail)?;
         let send = SendHalf { inner: send, peer: self.addr, done: false };
         let response = response.await.map_err(fail)?;
-        let recv = RecvHalf { inner: response.into_body(), peer: self.addr, buf: BytesMut::new() };
+        let recv = RecvHalf {
+            inner: response.into_body(),
+            peer: self.addr,
+            buf: BytesMut::new(),
+            received: 0,
+        };
         Ok(Stream { send, recv })
     }
 
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -154,6 +154,6 @@
     let path = request.uri().path().to_owned();
     let send = respond.send_response(Response::new(()), false).ok()?;
     let send = SendHalf { inner: send, peer, done: false };
-    let recv = RecvHalf { inner: request.into_body(), peer, buf: BytesMut::new() };
+    let recv = RecvHalf { inner: request.into_body(), peer, buf: BytesMut::new(), received: 0 };
     Some(Incoming { path, peer, stream: Stream { send, recv } })
 }
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -98,9 +98,15 @@
     pub(crate) inner: RecvStream,
     pub(crate) peer: SocketAddr,
     pub(crate) buf: BytesMut,
+    pub(crate) received: u64,
 }
 
 impl RecvHalf {
+    /// How many bytes arrived so far, those of unfinished messages included.
+    pub fn received(&self) -> u64 {
+        self.received
+    }
+
     /// Receives the next message, or nothing at the end of the stream.
     ///
     /// # Errors
@@ -118,6 +124,7 @@
             let Some(bytes) = self.inner.data().await else { return self.end() };
             let bytes = bytes.map_err(|it| self.error(Step::Receive, it))?;
             let _ = self.inner.flow_control().release_capacity(bytes.len());
+            self.received += bytes.len() as u64;
             self.buf.extend_from_slice(&bytes);
         }
     }
