Connect again beside an attempt without an answer

Ruled out: the replicas (version 94 in force as they open), the pause after a refused connection (250 ms). Change: wire::dial begins another attempt each 300 ms beside those that have no answer; the first answer holds. Replicas use it among themselves as well.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 #![allow(clippy::disallowed_methods, reason = "this crate reads the clock for the process crates")]
 
 mod clock;
+mod dial;
 mod error;
 mod frame;
 pub mod msg;
@@ -21,6 +22,7 @@
 
 pub use crate::{
     clock::Clock,
+    dial::dial,
     error::{Step, WireError},
     frame::{Encoded, MAX_FRAME_BYTES},
     packed::{PackError, Packed},
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        dial::dial,
         error::{Step, WireError},
         stream::{RecvHalf, SendHalf, Stream},
         tls::Identity,
@@ -136,7 +137,7 @@
         let fail = |step| move |it: std::io::Error| WireError::new(step, self.addr, it);
         let late =
             |step| move |it: tokio::time::error::Elapsed| WireError::new(step, self.addr, it);
-        let dialed = timeout(CONNECT_LIMIT, TcpStream::connect(self.addr)).await;
+        let dialed = timeout(CONNECT_LIMIT, dial(|| TcpStream::connect(self.addr))).await;
         let socket = dialed.map_err(late(Step::Connect))?.map_err(fail(Step::Connect))?;
         let _ = socket.set_nodelay(true);
         let traffic = self.dialer.traffic.clone();
