Send small messages to a router past a large one that waits

Cause: read again as a newcomer: a step of a configuration, which must be in force within 2.5 s, waited for the turn of a large list of endpoints of the same router.

--- a/crates/control/src/watching.rs
+++ b/crates/control/src/watching.rs
@@ -142,22 +142,19 @@
         }
     }
 
-    /// What the router waits for.
-    fn due(&mut self, shared: &Shared) -> Due {
-        let mut due = Due::default();
+    /// What the router waits for: a configuration, and news of the endpoints.
+    fn due(&self, shared: &Shared) -> [Due; 2] {
+        let (mut layout, mut catalog) = (Due::default(), Due::default());
         if let (Some(have), Some(topic)) = (self.asked, shared.layout.borrow().as_ref()) {
-            due.messages.extend(topic.answer(have).into_iter().cloned());
+            layout.messages.extend(topic.answer(have).into_iter().cloned());
+            layout.answered = true;
         }
-        if due.messages.is_empty() {
-            // It has that version, or a later one by another replica.
-            self.asked = None;
+        let topic = shared.discovery.catalog.borrow();
+        if let (Some(told), Some(topic)) = (self.catalog, topic.as_ref()) {
+            catalog.messages.extend(topic.news(told).cloned());
+            catalog.catalog = Some(topic.number());
         }
-        let catalog = shared.discovery.catalog.borrow();
-        if let (Some(told), Some(topic)) = (self.catalog, catalog.as_ref()) {
-            due.messages.extend(topic.news(told).cloned());
-            due.catalog = Some(topic.number());
-        }
-        due
+        [layout, catalog]
     }
 }
 
@@ -165,6 +162,8 @@
 #[derive(Default, Debug)]
 struct Due {
     messages: SmallVec<[Encoded; 4]>,
+    /// Whether they answer what was asked; none do if the router has that version by another replica.
+    answered: bool,
     /// The number of the list of endpoints that the router has with them.
     catalog: Option<u64>,
 }
@@ -178,7 +177,7 @@
         for message in &self.messages {
             send.send_encoded(message).await?;
         }
-        told.asked = told.asked.filter(|_| self.messages.is_empty());
+        told.asked = told.asked.filter(|_| !self.answered);
         if let (Some(number), Some(_)) = (self.catalog, told.catalog) {
             told.catalog = Some(Some(number));
         }
@@ -203,13 +202,17 @@
         let topic = fleets.borrow_and_update().clone();
         tell_topic(topic.as_deref(), &mut told.fleet, send).await?;
         catalogs.mark_unchanged();
-        let due = told.due(shared);
-        if Bulk::is_large(due.bytes()) {
+        let mut large = false;
+        for due in told.due(shared) {
+            match Bulk::is_large(due.bytes()) {
+                true => large = true,
+                false => due.send(&mut told, send).await?,
+            }
+        }
+        turn = turn.filter(|_| large);
+        if large {
             let waiting = || Box::pin(shared.bulk.clone().turn()) as Pin<Box<_>>;
             turn.get_or_insert_with(waiting);
-        } else {
-            turn = None;
-            due.send(&mut told, send).await?;
         }
         if Instant::now() >= beat_at {
             beat_at = Instant::now() + BEAT;
@@ -228,9 +231,15 @@
             },
             granted = granted(&mut turn) => {
                 turn = None;
-                let due = told.due(shared);
-                let sent = timeout(SEND_LIMIT, due.send(&mut told, send)).await;
-                granted.sent(due.bytes());
+                let dues = told.due(shared);
+                let sent = timeout(SEND_LIMIT, async {
+                    for due in &dues {
+                        due.send(&mut told, send).await?;
+                    }
+                    Ok::<_, WireError>(())
+                });
+                let sent = sent.await;
+                granted.sent(dues.iter().map(Due::bytes).sum());
                 match sent {
                     Ok(sent) => {
                         sent?;
