Acknowledge a configuration once a majority knows that it is committed

The others had the entry but did not know it to be committed until one of them was elected at 22.85 s; gateways, which take only what is committed, refused a new route until then. Ruled out: the gateways (all of them watched both others), the turns of large messages (nothing was asked for: no version was announced). Change: publishing commits an empty entry after the configuration. With it each follower is told the commit index, so the majority that holds it can tell routers at once. A gateway asks all replicas that it watches before its wait for an answer doubles. Test: an_acknowledged_configuration_is_told_although_the_leader_is_lost_at_once; without the empty entry both others tell version 4 of 5.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -50,6 +50,8 @@
         #[debug("{} bytes", document.len())]
         document: Vec<u8>,
     },
+    /// Nothing. Whoever has it on disk was told with it that all entries before are committed.
+    Barrier,
 }
 
 /// What a command led to.
@@ -67,6 +69,8 @@
     Quarantined,
     /// What became of a routing configuration.
     Published(Verdict),
+    /// Nothing was to be done.
+    Nothing,
     /// The command cannot be decoded; nothing was done.
     Malformed,
 }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -194,6 +194,11 @@
         Layouts::new(self.shared.clone())
     }
 
+    /// Whether this replica leads.
+    pub fn leads(&self) -> bool {
+        self.shared.log.leads()
+    }
+
     /// Returns once this replica leads.
     pub async fn lead(&self) {
         self.shared.log.lead().await;
--- a/crates/control/src/layouts.rs
+++ b/crates/control/src/layouts.rs
@@ -65,7 +65,11 @@
         Layouts { shared }
     }
 
-    /// Commits a configuration; when this returns, a majority has it on disk, or one with a higher version.
+    /// Commits a configuration; when this returns, a majority has it on disk, or one with a higher version, and knows
+    /// that it is committed.
+    ///
+    /// The latter lets routers hear of it even if this replica is lost at once: the others need no new leader, whose
+    /// election takes longer than a configuration may take to be in force.
     ///
     /// # Errors
     ///
@@ -82,6 +86,8 @@
         let command = Command::Publish { version, document: packed.packed().to_vec() };
         match self.shared.log.propose(&command).await {
             Ok(Output::Published(verdict)) => {
+                let known = self.shared.log.propose(&Command::Barrier).await;
+                known.map_err(|it| self.fault(it))?;
                 tracing::info!(event = "layout-published", version, ?verdict, "control: published");
                 Ok(verdict)
             }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -49,6 +49,7 @@
             Command::Publish { version, document } => {
                 Output::Published(self.published.publish(version, document))
             }
+            Command::Barrier => Output::Nothing,
         }
     }
 
--- a/crates/control/tests/three.rs
+++ b/crates/control/tests/three.rs
@@ -7,17 +7,24 @@
     control::{Control, Sockets},
     edge::{Client, empty},
     ledger::{ClaimKey, Reply},
-    model::{Digest, RequestId, RouterId, ServiceId, TeamId},
+    model::{Digest, Domain, RequestId, RouterId, ServiceId, TeamId},
+    route::{CallerLimits, Layout},
     serde_json::Value,
     settings::{ControlPeer, ControlSettings},
     std::{net::SocketAddr, time::Duration},
     tempfile::TempDir,
     tokio::time::{sleep, timeout},
-    wire::{Class, Dialer, Peer, Traffic, msg::LEDGER_PATH},
+    wire::{
+        Class, Dialer, Peer, Traffic,
+        msg::{LEDGER_PATH, WATCH_PATH, WatchHello, WatchNews},
+    },
 };
 
 const LIMIT: Duration = Duration::from_secs(30);
 
+/// How long a replica may take to say what it knows: less than the shortest election.
+const AT_ONCE: Duration = Duration::from_millis(300);
+
 /// How long an operator's tool waits before it asks again.
 const RETRY: Duration = Duration::from_millis(50);
 
@@ -123,6 +130,11 @@
         called.is_ok_and(|it| it.0 == 200)
     }
 
+    fn leads(&self, at: usize) -> bool {
+        let replica = self.replicas[at].as_ref();
+        replica.is_some_and(Control::leads)
+    }
+
     async fn stop(&mut self, at: usize) {
         self.replicas[at].take().unwrap().shutdown().await;
     }
@@ -206,3 +218,59 @@
     let group = Group::open_seeded().await;
     group.whole().await;
 }
+
+/// What was acknowledged is told to routers by the other replicas before they have a new leader.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_acknowledged_configuration_is_told_although_the_leader_is_lost_at_once() {
+    let mut group = Group::open_seeded().await;
+    group.whole().await;
+    for version in 1..=5 {
+        let layout = layout(version);
+        let document = serde_json::to_string(&layout).unwrap();
+        let leader = loop {
+            let leads = (0..3).find(|it| group.leads(*it));
+            if let Some(leader) = leads {
+                let layouts = group.replicas[leader].as_ref().unwrap().layouts();
+                if layouts.publish(document.clone().into()).await.is_ok() {
+                    break leader;
+                }
+            }
+            sleep(RETRY).await;
+        };
+        if version == 5 {
+            drop(group.replicas[leader].take());
+        }
+    }
+    let others = group.replicas.iter().flatten().map(|it| told(it.inner()));
+    let told = futures_util::future::join_all(others).await;
+    assert!(told.contains(&Some(5)), "{told:?}");
+}
+
+/// The version that a replica tells a router at once.
+async fn told(replica: SocketAddr) -> Option<u64> {
+    let (traffic, class) = (Traffic::default(), Class::Control);
+    let peer = Peer::new(replica, Dialer { identity: None, traffic, class });
+    let mut stream = peer.open(WATCH_PATH).await.unwrap();
+    let addr = "127.0.0.1:1".parse().unwrap();
+    let hello = WatchHello { addr, domain: Domain("d0".into()), version: None };
+    stream.send.send(&hello).await.unwrap();
+    let mut version = None;
+    while let Ok(Ok(Some(news))) = timeout(AT_ONCE, stream.recv.recv::<WatchNews>()).await {
+        match news {
+            WatchNews::Announce { version: it } => version = Some(it),
+            WatchNews::Beat { .. } => break,
+            _ => {}
+        }
+    }
+    version
+}
+
+fn layout(version: u64) -> Layout {
+    let limits = CallerLimits {
+        header_bytes: 16_384,
+        body_bytes: 10_000,
+        header_ms: 3_000,
+        idle_ms: 15_000,
+    };
+    Layout { version, routes: Vec::new(), services: Vec::new(), limits, teams: Vec::new() }
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -30,10 +30,13 @@
 /// The pause after a failed connection.
 const PAUSE: Duration = Duration::from_millis(250);
 
-/// How long a replica may take to tell a configuration before another one is asked for it; doubles each time, as
-/// replicas whose links are busy tell one router after the other.
+/// How long a replica may take to tell a configuration before another one is asked for it. Once each of those that are
+/// watched was asked it doubles each time, as replicas whose links are busy tell one router after the other.
 const ASK_INTERVAL: Duration = Duration::from_millis(700);
 
+/// How many are asked before that interval doubles: two of three may be lost right after they announced.
+const PLAIN_ASKS: u32 = 2;
+
 /// How often that interval doubles at most.
 const MAX_DOUBLINGS: u32 = 3;
 
@@ -168,13 +171,14 @@
         let mut asked = shared.asked.lock();
         let last = asked.filter(|it| self.announced <= Some(it.version));
         let pending = last.is_some_and(|it| now < it.until);
-        let doublings = last.map_or(0, |it| it.doublings + u32::from(!pending)).min(MAX_DOUBLINGS);
+        let again = last.map_or(0, |it| it.again + u32::from(!pending));
+        let doublings = again.saturating_sub(PLAIN_ASKS).min(MAX_DOUBLINGS);
         let until = now + ASK_INTERVAL * 2u32.pow(doublings);
         self.ask_at = Some(if pending { now + ASK_INTERVAL } else { until });
         if pending {
             return None;
         }
-        *asked = self.announced.map(|version| Asked { version, until, doublings });
+        *asked = self.announced.map(|version| Asked { version, until, again });
         self.owes = true;
         Some(held)
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -56,8 +56,8 @@
     pub(crate) version: u64,
     /// Until when its answer is waited for before another replica is asked.
     pub(crate) until: Instant,
-    /// How often that time was doubled.
-    pub(crate) doublings: u32,
+    /// How many replicas were asked for it before this one.
+    pub(crate) again: u32,
 }
 
 /// What all tasks share.
