Log when a configuration was announced, requested, sent and applied

On the grown deployments a version was in force late at some gateways.

- gateway: `configuration` says how long ago the version was announced and first requested; `configuration-requested` names the replica asked and how often others were asked before.
- control: `bulk-sent` says how long a router waited for a large message, and its size.

--- a/crates/control/src/watch_service.rs
+++ b/crates/control/src/watch_service.rs
@@ -125,7 +125,7 @@
         "control: router opened a watch stream"
     );
     shared.watchers.add(addr, hello.domain);
-    let result = stream_updates(&shared, &mut send, &mut recv).await;
+    let result = stream_updates(&shared, addr, &mut send, &mut recv).await;
     shared.watchers.remove(addr);
     tracing::info!(
         event = "router-left",
@@ -203,6 +203,7 @@
 /// Sends changes to a router and answers its requests until either side closes the stream.
 async fn stream_updates(
     shared: &Shared,
+    router: SocketAddr,
     send: &mut SendHalf,
     recv: &mut RecvHalf,
 ) -> Result<(), WireError> {
@@ -211,6 +212,7 @@
     let mut members = shared.watchers.members.subscribe();
     let mut state = WatchState::default();
     let mut pending_permit: Option<Pin<Box<dyn Future<Output = BulkPermit> + Send>>> = None;
+    let mut waiting_since = Instant::now();
     let mut next_heartbeat = Instant::now();
     loop {
         let version = configs.borrow_and_update().as_ref().map(|it| it.version());
@@ -229,9 +231,10 @@
             }
         }
         pending_permit = pending_permit.filter(|_| large);
-        if large {
+        if large && pending_permit.is_none() {
+            waiting_since = Instant::now();
             let acquire = || Box::pin(shared.bulk_limiter.clone().acquire()) as Pin<Box<_>>;
-            pending_permit.get_or_insert_with(acquire);
+            pending_permit = Some(acquire());
         }
         if Instant::now() >= next_heartbeat {
             next_heartbeat = Instant::now() + HEARTBEAT_INTERVAL;
@@ -257,8 +260,19 @@
                     }
                     Ok::<_, WireError>(())
                 });
+                let waited_ms = waiting_since.elapsed().as_millis() as u64;
                 let sent = sent.await;
-                permit.release_after(batches.iter().map(PendingMessages::bytes).sum());
+                let bytes = batches.iter().map(PendingMessages::bytes).sum();
+                permit.release_after(bytes);
+                tracing::info!(
+                    event = "bulk-sent",
+                    %router,
+                    version = state.announced_version,
+                    bytes,
+                    waited_ms,
+                    timed_out = sent.is_err(),
+                    "control: sent a large message to a router"
+                );
                 match sent {
                     Ok(sent) => {
                         sent?;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -95,6 +95,7 @@
             unsent_strikes: Mutex::new(Vec::new()),
             shutdown_at: AtomicU64::new(0),
             shutdown: Notify::new(),
+            announcement: Mutex::new(None),
             layout_request: Mutex::new(None),
             catalog_updated_at: AtomicU64::new(clock.now().0),
             endpoints_loaded: AtomicBool::new(false),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -54,10 +54,20 @@
     pub(crate) replicas: HashSet<SocketAddr>,
 }
 
+/// A version of the configuration that a control replica announced.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Announcement {
+    pub(crate) version: u64,
+    /// When a replica first announced this version or a later one.
+    pub(crate) heard_at: Instant,
+}
+
 /// A request for a configuration, sent to a control replica.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LayoutRequest {
     pub(crate) version: u64,
+    /// When the first replica was asked for this version.
+    pub(crate) first_sent_at: Instant,
     /// When to stop waiting for the configuration and ask another replica.
     pub(crate) expires_at: Instant,
     /// How many replicas were asked for this version before.
@@ -83,6 +93,8 @@
     /// When shutdown was requested, in microseconds of this process's clock. Zero if it was not.
     pub(crate) shutdown_at: AtomicU64,
     pub(crate) shutdown: Notify,
+    /// The newest announced configuration.
+    pub(crate) announcement: Mutex<Option<Announcement>>,
     /// The last request for a configuration.
     pub(crate) layout_request: Mutex<Option<LayoutRequest>>,
     /// When the control plane last confirmed the endpoint list, in microseconds of this process's
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -1,7 +1,7 @@
 //! The stream on which a control replica sends updates to this gateway.
 
 use {
-    crate::shared::{LayoutRequest, Shared},
+    crate::shared::{Announcement, LayoutRequest, Shared},
     directory::Catalog,
     dispatch::Dispatcher,
     model::Domain,
@@ -104,7 +104,7 @@
             subscription.catalog_requested = true;
             send.send(&WatchRequest::Catalog).await?;
         }
-        if let Some(installed_version) = subscription.next_layout_request(shared) {
+        if let Some(installed_version) = subscription.next_layout_request(shared, replica) {
             send.send(&WatchRequest::Layout { installed_version }).await?;
         }
         let wake_at = subscription.request_at.unwrap_or(times_out_at).min(times_out_at);
@@ -161,7 +161,7 @@
     /// Returns the installed version to send with a configuration request, if one is due. A request
     /// is due if this replica announced a newer version than the installed one and no other replica
     /// was just asked for it, or if the version requested here has arrived from another replica.
-    fn next_layout_request(&mut self, shared: &Shared) -> Option<Option<u64>> {
+    fn next_layout_request(&mut self, shared: &Shared, replica: SocketAddr) -> Option<Option<u64>> {
         let installed = installed_version(shared);
         if self.announced <= installed {
             self.request_at = None;
@@ -181,8 +181,18 @@
         if pending {
             return None;
         }
-        *pending_request =
-            self.announced.map(|version| LayoutRequest { version, expires_at, retries });
+        let first_sent_at = last.map_or(now, |it| it.first_sent_at);
+        *pending_request = self.announced.map(|version| {
+            tracing::info!(
+                event = "configuration-requested",
+                version,
+                before = installed,
+                %replica,
+                retries,
+                "gateway: requested a configuration"
+            );
+            LayoutRequest { version, first_sent_at, expires_at, retries }
+        });
         self.layout_pending = true;
         Some(installed)
     }
@@ -197,6 +207,7 @@
         match message {
             WatchUpdate::Announce { version } => {
                 self.announced = self.announced.max(Some(version));
+                record_announcement(shared, version);
                 self.request_at = None;
             }
             WatchUpdate::Layout(compressed) => {
@@ -239,18 +250,30 @@
     }
 }
 
+/// Records when a version was first announced.
+fn record_announcement(shared: &Shared, version: u64) {
+    let mut newest = shared.announcement.lock();
+    if newest.is_none_or(|it| it.version < version) {
+        *newest = Some(Announcement { version, heard_at: Instant::now() });
+    }
+}
+
 /// Installs a configuration if it is newer than the current one.
 fn install_layout(shared: &Arc<Shared>, replica: SocketAddr, layout: RoutingConfig) {
     let installed = installed_version(shared);
     if installed.is_some_and(|it| it >= layout.version) {
         return;
     }
+    let announcement = shared.announcement.lock().filter(|it| it.version >= layout.version);
+    let request = shared.layout_request.lock().filter(|it| it.version >= layout.version);
     tracing::info!(
         event = "configuration",
         version = layout.version,
         before = installed,
         %replica,
         routes = layout.routes.len(),
+        announced_ms = announcement.map(|it| it.heard_at.elapsed().as_millis() as u64),
+        requested_ms = request.map(|it| it.first_sent_at.elapsed().as_millis() as u64),
         "gateway: configuration applied"
     );
     set_kv_capacities(&mut shared.dispatcher.lock(), &layout);
