--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,6 +8,7 @@
         sampler::Sampler,
         server,
         shared::{DEREGISTER_MS, Membership, Rejected, Shared},
+        subscription,
     },
     arc_swap::ArcSwapOption,
     directory::Directory,
@@ -135,6 +136,11 @@
         is_ready(&self.shared)
     }
 
+    /// Returns the version of the configuration in force.
+    pub fn layout_version(&self) -> Option<u64> {
+        subscription::installed_version(&self.shared)
+    }
+
     /// Replaces the addresses used to find control replicas.
     pub fn set_control_addrs(&self, seeds: Vec<SocketAddr>) {
         self.seeds.send_if_modified(|it| {
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -138,7 +138,7 @@
     }
 }
 
-fn installed_version(shared: &Shared) -> Option<u64> {
+pub(crate) fn installed_version(shared: &Shared) -> Option<u64> {
     shared.table.load().as_ref().map(|it| it.config().version)
 }
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -57,7 +57,8 @@
     pub(crate) addr: SocketAddr,
     pub(crate) admin: SocketAddr,
     list: StaticList,
-    _control: Control,
+    control: Control,
+    others: Vec<Gateway>,
     _data: TempDir,
 }
 
@@ -81,21 +82,38 @@
 
     /// Starts a gateway without a configuration.
     pub(crate) async fn start_unconfigured(endpoints: &[ListedEndpoint]) -> Fixture {
+        Fixture::start_with(endpoints, 1_000.0).await
+    }
+
+    /// Starts a gateway without a configuration, whose control replica has a link of `link_mbps`
+    /// Mbit/s.
+    pub(crate) async fn start_on_link(link_mbps: f64) -> Fixture {
+        Fixture::start_with(&[], link_mbps).await
+    }
+
+    async fn start_with(endpoints: &[ListedEndpoint], link_mbps: f64) -> Fixture {
         let data = tempfile::tempdir().expect("failed to create a directory");
-        let mut control =
-            Control::spawn(control_settings(&data)).await.expect("failed to start control");
+        let settings = ControlSettings { link_mbps, ..control_settings(&data) };
+        let mut control = Control::spawn(settings).await.expect("failed to start control");
         control.wait_until_leader().await;
         let list = StaticList(Arc::new(Mutex::new(endpoints.to_vec())));
         control.poll_directory(list.clone());
         let settings = gateway_settings(control.internal_addr());
         let admin = settings.admin;
-        // Telemetry can be initialized only once per process.
-        let open = || telemetry::init(&settings.log).expect("failed to initialize telemetry");
-        let metrics = METRICS.get_or_init(open).clone();
-        let gateway = Gateway::spawn(settings, HeaderNames::default(), list.clone(), metrics).await;
-        let gateway = gateway.expect("failed to start the gateway");
+        let gateway = start_gateway(settings, list.clone()).await;
         let (addr, configs) = (gateway.addr(), control.routing_configs());
-        Fixture { gateway, configs, addr, admin, list, _control: control, _data: data }
+        let others = Vec::new();
+        Fixture { gateway, configs, addr, admin, list, control, others, _data: data }
+    }
+
+    /// Starts another gateway with the same control replica.
+    pub(crate) async fn add_gateway(&mut self) {
+        let settings = gateway_settings(self.control.internal_addr());
+        self.others.push(start_gateway(settings, self.list.clone()).await);
+    }
+
+    pub(crate) fn gateways(&self) -> Vec<&Gateway> {
+        std::iter::once(&self.gateway).chain(&self.others).collect()
     }
 
     pub(crate) async fn publish(&self, layout: &RoutingConfig) {
@@ -112,6 +130,14 @@
     }
 }
 
+async fn start_gateway(settings: GatewaySettings, list: StaticList) -> Gateway {
+    // Telemetry can be initialized only once per process.
+    let open = || telemetry::init(&settings.log).expect("failed to initialize telemetry");
+    let metrics = METRICS.get_or_init(open).clone();
+    let gateway = Gateway::spawn(settings, HeaderNames::default(), list, metrics).await;
+    gateway.expect("failed to start the gateway")
+}
+
 /// Waits until a condition holds.
 pub(crate) async fn wait_until<F>(mut condition: F)
 where
--- /dev/null
+++ b/crates/gateway/tests/spread.rs
@@ -0,0 +1,48 @@
+//! Distribution of configurations from control over a slow link to many gateways.
+
+mod common;
+
+use {
+    common::{Fixture, layout, route, wait_until},
+    route::{RouteKind, RoutingConfig},
+    rstest::rstest,
+    std::time::Duration,
+    tokio::time::Instant,
+};
+
+/// The gateways in a fleet of the users' size that watch the same replica.
+const GATEWAYS: usize = 44;
+
+/// The bandwidth of the link of a control host, in Mbit/s.
+const CONTROL_LINK_MBPS: f64 = 3.0;
+
+/// The time within which a change must be in force on the users' platform.
+const IN_FORCE: Duration = Duration::from_millis(2_500);
+
+/// Returns a configuration with a thousand more routes, whose names do not compress.
+fn large_layout(version: u64) -> RoutingConfig {
+    let mut layout = layout(version);
+    layout.routes.extend((0..1_000_u64).map(|it| {
+        let name = format!("{:016x}", it.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        route(&name, RouteKind::Idempotent, "plain")
+    }));
+    layout
+}
+
+/// A change of many routes reached the last gateways only after one replica had sent a copy to each of them.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn large_configuration_is_not_delayed_by_one_slow_control_link() {
+    let mut fixture = Fixture::start_on_link(CONTROL_LINK_MBPS).await;
+    fixture.publish(&layout(1)).await;
+    for _ in 1..GATEWAYS {
+        fixture.add_gateway().await;
+    }
+    let gateways = fixture.gateways();
+    wait_until(|| gateways.iter().all(|it| it.is_ready())).await;
+    fixture.publish(&large_layout(2)).await;
+    let published_at = Instant::now();
+    wait_until(|| gateways.iter().all(|it| it.layout_version() == Some(2))).await;
+    let took = published_at.elapsed();
+    assert!(took < IN_FORCE, "in force everywhere after {took:?}");
+}
