Let gateways pass a large configuration on to each other

Cause: a control replica sends each gateway its own copy of a configuration, one after the other, at half of its link. The time to be in force everywhere is gateways x bytes / link, and nearly all gateways ask the replica that announces a version first, the leader.

Fix: while a replica's link is taken, it refers a gateway that requests a configuration to one that has confirmed it, two at a time to each, and gateways keep the encoded steps that they received and send these. Copies multiply with the gateways that have one. Only gateways known to have the version are named, so no gateway waits for another one's fetch. One that sends nothing for 0.4 s is left, and the replica doesn't refer to it again. Nothing is proportional to the number of gateways but a referral of some 50 bytes.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,7 +29,6 @@
 mod roster_history;
 mod router_registry;
 mod router_reports;
-mod routing_config_topic;
 mod routing_configs;
 mod state;
 mod state_versions;
@@ -38,7 +37,7 @@
 mod watch_service;
 
 pub use crate::{
-    bulk_limiter::{BulkLimiter, BulkPermit},
+    bulk_limiter::{BulkGrant, BulkLimiter, BulkPermit},
     command::{Command, Output},
     control::{Control, Sockets},
     routing_configs::{JsonFormat, PublishError, RoutingConfigFormat, RoutingConfigStore},
--- a/crates/control/src/routing_configs.rs
+++ b/crates/control/src/routing_configs.rs
@@ -5,10 +5,10 @@
         command::{Command, Output},
         control::Shared,
         replicated_log::CommitError,
-        routing_config_topic::RoutingConfigTopic,
     },
     bytes::Bytes,
     derive_more::{Debug, Display, Error},
+    fanout::ConfigHistory,
     route::{PublishOutcome, RoutingConfig},
     std::{net::SocketAddr, sync::Arc},
     wire::{Compressed, CompressionError},
@@ -173,11 +173,12 @@
                 version = config.version,
                 "control: routing configuration committed"
             );
-            let topic = match previous {
-                None => RoutingConfigTopic::new(config),
-                Some(previous) => previous.next(config),
+            shared.bulk_limiter.set_version(config.version);
+            let history = match previous {
+                None => ConfigHistory::new(Arc::new(config)),
+                Some(previous) => previous.next(Arc::new(config)),
             };
-            shared.routing_config.send_replace(Some(Arc::new(topic)));
+            shared.routing_config.send_replace(Some(Arc::new(history)));
         }
         Err(reason) => {
             tracing::error!(
--- a/crates/control/src/watch_service.rs
+++ b/crates/control/src/watch_service.rs
@@ -3,16 +3,18 @@
 //! Every replica serves watch streams, not only the leader. A replica sends only what it knows to be committed, and a
 //! router that watches several replicas uses the highest version, so a change reaches the router even if the replicas
 //! cannot reach each other. Replicas announce only the version of a configuration; the router then requests the
-//! configuration from one of them, because links are slow and a configuration can be large. Each change is encoded
-//! once and shared by all streams.
+//! configuration from one of them, because links are slow and a configuration can be large. A replica that is busy
+//! sending a large message refers the router to another router that has the configuration. Each change is encoded once
+//! and shared by all streams.
 
 use {
     crate::{
-        bulk_limiter::{BulkLimiter, BulkPermit},
+        bulk_limiter::{BulkGrant, BulkLimiter},
         control::Shared,
         topic::Topic,
     },
     derive_more::Debug,
+    fanout::Router,
     model::Domain,
     parking_lot::Mutex,
     smallvec::SmallVec,
@@ -117,16 +119,21 @@
     let (mut send, mut recv) = stream.split();
     let Ok(hello) = timeout(HELLO_TIMEOUT, recv.recv::<WatchHello>()).await else { return Ok(()) };
     let Some(hello) = hello? else { return Ok(()) };
-    let addr = hello.addr;
+    let WatchHello { addr, domain, version } = hello;
     tracing::info!(
         event = "router-watches",
         router = %addr,
-        version = hello.version,
+        version,
         "control: router opened a watch stream"
     );
-    shared.watchers.add(addr, hello.domain);
-    let result = stream_updates(&shared, addr, &mut send, &mut recv).await;
+    shared.watchers.add(addr, domain.clone());
+    let router = Router { addr, domain };
+    if let Some(version) = version {
+        shared.bulk_limiter.confirm(&router, version);
+    }
+    let result = stream_updates(&shared, router, &mut send, &mut recv).await;
     shared.watchers.remove(addr);
+    shared.bulk_limiter.remove(addr);
     tracing::info!(
         event = "router-left",
         router = %addr,
@@ -203,7 +210,7 @@
 /// Sends changes to a router and answers its requests until either side closes the stream.
 async fn stream_updates(
     shared: &Shared,
-    router: SocketAddr,
+    router: Router,
     send: &mut SendHalf,
     recv: &mut RecvHalf,
 ) -> Result<(), WireError> {
@@ -211,8 +218,7 @@
     let mut catalogs = shared.discovery.catalog.subscribe();
     let mut members = shared.watchers.members.subscribe();
     let mut state = WatchState::default();
-    let mut pending_permit: Option<Pin<Box<dyn Future<Output = BulkPermit> + Send>>> = None;
-    let mut waiting_since = Instant::now();
+    let mut pending: Option<PendingGrant> = None;
     let mut next_heartbeat = Instant::now();
     loop {
         let version = configs.borrow_and_update().as_ref().map(|it| it.version());
@@ -223,18 +229,21 @@
         let topic = members.borrow_and_update().clone();
         send_topic(topic.as_deref(), &mut state.members_version, send).await?;
         catalogs.mark_unchanged();
-        let mut large = false;
-        for batch in state.pending(shared) {
+        let mut large = [false; 2];
+        for (batch, large) in state.pending(shared).iter().zip(&mut large) {
             match BulkLimiter::is_large(batch.bytes()) {
-                true => large = true,
+                true => *large = true,
                 false => batch.send(&mut state, send).await?,
             }
         }
-        pending_permit = pending_permit.filter(|_| large);
-        if large && pending_permit.is_none() {
-            waiting_since = Instant::now();
-            let acquire = || Box::pin(shared.bulk_limiter.clone().acquire()) as Pin<Box<_>>;
-            pending_permit = Some(acquire());
+        let [config_is_large, catalog_is_large] = large;
+        let wanted = match (config_is_large, catalog_is_large) {
+            (true, _) => Some(BulkMessage::Config),
+            (false, true) => Some(BulkMessage::Catalog),
+            (false, false) => None,
+        };
+        if pending.as_ref().map(|it| it.message) != wanted {
+            pending = wanted.map(|it| PendingGrant::request(it, &shared.bulk_limiter, &router));
         }
         if Instant::now() >= next_heartbeat {
             next_heartbeat = Instant::now() + HEARTBEAT_INTERVAL;
@@ -247,39 +256,59 @@
             request = recv.recv::<WatchRequest>() => match request? {
                 Some(request) => {
                     state.on_request(request);
+                    if let WatchRequest::Layout { installed_version: Some(version) } = request {
+                        shared.bulk_limiter.confirm(&router, version);
+                    }
                     false
                 }
                 None => true,
             },
-            permit = wait_for_permit(&mut pending_permit) => {
-                pending_permit = None;
-                let batches = state.pending(shared);
-                let sent = timeout(BULK_SEND_TIMEOUT, async {
-                    for batch in &batches {
-                        batch.send(&mut state, send).await?;
-                    }
-                    Ok::<_, WireError>(())
-                });
-                let waited_ms = waiting_since.elapsed().as_millis() as u64;
-                let sent = sent.await;
-                let bytes = batches.iter().map(PendingMessages::bytes).sum();
-                permit.release_after(bytes);
-                tracing::info!(
-                    event = "bulk-sent",
-                    %router,
-                    version = state.announced_version,
-                    bytes,
-                    waited_ms,
-                    timed_out = sent.is_err(),
-                    "control: sent a large message to a router"
-                );
-                match sent {
-                    Ok(sent) => {
-                        sent?;
+            (grant, waited_ms) = wait_for_grant(&mut pending) => {
+                pending = None;
+                match grant {
+                    BulkGrant::Refer { version, router: provider } => {
+                        tracing::info!(
+                            event = "router-referred",
+                            router = %router.addr,
+                            version,
+                            %provider,
+                            waited_ms,
+                            "control: referred a router to another one for a configuration"
+                        );
+                        state.installed = None;
+                        let referral = WatchUpdate::Refer { version, router: provider };
+                        send.send(&referral).await?;
                         false
                     }
-                    // The router does not read from the stream. Close it so that other routers do not wait.
-                    Err(_) => true,
+                    BulkGrant::Send(permit) => {
+                        let batches = state.pending(shared);
+                        let sent = timeout(BULK_SEND_TIMEOUT, async {
+                            for batch in &batches {
+                                batch.send(&mut state, send).await?;
+                            }
+                            Ok::<_, WireError>(())
+                        });
+                        let sent = sent.await;
+                        let bytes = batches.iter().map(PendingMessages::bytes).sum();
+                        permit.release_after(bytes);
+                        tracing::info!(
+                            event = "bulk-sent",
+                            router = %router.addr,
+                            version = state.announced_version,
+                            bytes,
+                            waited_ms,
+                            timed_out = sent.is_err(),
+                            "control: sent a large message to a router"
+                        );
+                        match sent {
+                            Ok(sent) => {
+                                sent?;
+                                false
+                            }
+                            // The router does not read from the stream. Close it so that other routers do not wait.
+                            Err(_) => true,
+                        }
+                    }
                 }
             }
             () = sleep_until(next_heartbeat) => false,
@@ -290,12 +319,39 @@
     }
 }
 
-/// Waits for the permit; never returns if none was requested.
-async fn wait_for_permit(
-    pending_permit: &mut Option<Pin<Box<dyn Future<Output = BulkPermit> + Send>>>,
-) -> BulkPermit {
-    match pending_permit {
-        Some(pending_permit) => pending_permit.await,
+/// A large message that waits to be sent.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum BulkMessage {
+    Config,
+    Catalog,
+}
+
+/// A request to send a large message, or to refer the router to another one.
+struct PendingGrant {
+    message: BulkMessage,
+    requested_at: Instant,
+    grant: Pin<Box<dyn Future<Output = BulkGrant> + Send>>,
+}
+
+impl PendingGrant {
+    fn request(message: BulkMessage, limiter: &BulkLimiter, router: &Router) -> PendingGrant {
+        let (limiter, router) = (limiter.clone(), router.clone());
+        let grant: Pin<Box<dyn Future<Output = BulkGrant> + Send>> = match message {
+            BulkMessage::Config => Box::pin(limiter.acquire_for(router)),
+            BulkMessage::Catalog => Box::pin(async { BulkGrant::Send(limiter.acquire().await) }),
+        };
+        PendingGrant { message, requested_at: Instant::now(), grant }
+    }
+}
+
+/// Waits for the grant and returns it with the time since it was requested, in milliseconds. Never returns if none was
+/// requested.
+async fn wait_for_grant(pending: &mut Option<PendingGrant>) -> (BulkGrant, u64) {
+    match pending {
+        Some(pending) => {
+            let grant = pending.grant.as_mut().await;
+            (grant, pending.requested_at.elapsed().as_millis() as u64)
+        }
         None => std::future::pending().await,
     }
 }
--- /dev/null
+++ b/crates/fanout/src/lib.rs
@@ -0,0 +1,13 @@
+//! Distribution of routing configurations to many routers over slow links.
+//!
+//! [`Fanout`] decides which router gets a configuration from this process and which one gets it from another router.
+//! [`ConfigHistory`] holds the encoded messages that update a router from an earlier version; control replicas and
+//! gateways both serve from it. This crate performs no I/O.
+
+mod history;
+mod scheduler;
+
+pub use crate::{
+    history::ConfigHistory,
+    scheduler::{Fanout, Router, Source, WaiterId},
+};
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -27,7 +27,7 @@
         task::AbortHandle,
         time::sleep,
     },
-    wire::{Dialer, Peer},
+    wire::Peer,
 };
 
 /// How many replicas are watched while all of them are healthy. With two of them lost, one still
@@ -60,14 +60,10 @@
 }
 
 /// Watches replicas for as long as the process runs. `seeds` are the configured addresses.
-pub(crate) async fn run(
-    shared: Arc<Shared>,
-    dialer: Dialer,
-    mut seeds: watch::Receiver<Vec<SocketAddr>>,
-) {
+pub(crate) async fn run(shared: Arc<Shared>, mut seeds: watch::Receiver<Vec<SocketAddr>>) {
     let (sender, mut updates) = mpsc::channel(64);
     let mut watcher =
-        ReplicaWatcher { shared, dialer, sender, watched: BTreeMap::new(), catalog_source: None };
+        ReplicaWatcher { shared, sender, watched: BTreeMap::new(), catalog_source: None };
     loop {
         let addrs = seeds.borrow_and_update().clone();
         watcher.reconcile(&addrs);
@@ -87,7 +83,6 @@
 
 struct ReplicaWatcher {
     shared: Arc<Shared>,
-    dialer: Dialer,
     sender: mpsc::Sender<ReplicaUpdate>,
     watched: BTreeMap<SocketAddr, WatchedReplica>,
     /// The replica whose endpoint list is applied.
@@ -148,7 +143,7 @@
     }
 
     fn spawn(&self, addr: SocketAddr) -> WatchedReplica {
-        let peer = Peer::new(addr, self.dialer.clone());
+        let peer = Peer::new(addr, self.shared.dialer.clone());
         let catalog_wanted = watch::Sender::new(false);
         let watching = watch_replica(
             self.shared.clone(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,11 +4,12 @@
     crate::{
         control, discovery, gossip,
         header_names::HeaderNames,
+        layout,
         metrics::Metrics,
+        relay,
         sampler::Sampler,
         server,
         shared::{DEREGISTER_MS, Membership, Rejected, Shared},
-        subscription,
     },
     arc_swap::ArcSwapOption,
     directory::Directory,
@@ -36,7 +37,7 @@
         time::sleep,
     },
     tower::service_fn,
-    wire::{Clock, Dialer, Identity, Traffic, TrafficClass},
+    wire::{Clock, Dialer, Identity, Listener, Traffic, TrafficClass},
 };
 
 /// How often a gateway that is shutting down checks whether it is idle.
@@ -73,11 +74,13 @@
     {
         let identity = settings.tls_inner.as_ref().map(Identity::open).transpose();
         let identity = identity.map_err(|it| eyre!("gateway: failed to read TLS keys: {it}"))?;
-        let dialer = Dialer { identity, traffic: Traffic::default(), class: TrafficClass::Control };
-        let socket = Arc::new(gossip::bind(settings.inner).await?);
+        let traffic = Traffic::default();
+        let listener = Listener::bind(settings.inner, identity.clone(), traffic.clone()).await;
+        let listener = listener.wrap_err("gateway: failed to bind for other gateways")?;
+        let dialer = Dialer { identity, traffic, class: TrafficClass::Control };
         let mut settings = settings;
-        settings.inner =
-            socket.local_addr().wrap_err("gateway: failed to read the bound address")?;
+        settings.inner = listener.addr();
+        let socket = Arc::new(gossip::bind(settings.inner).await?);
         let (seeds, seed_updates) = watch::channel(settings.control.clone());
         let (listen, admin) = (settings.listen, settings.admin);
         let clock = Clock::start();
@@ -86,9 +89,11 @@
             settings,
             names,
             clock,
+            dialer,
             started: clock.now(),
             instance_id: rand::random(),
             table: ArcSwapOption::empty(),
+            layout_history: Mutex::default(),
             waiters: Mutex::new(HashMap::new()),
             budgets: Mutex::new(HashMap::new()),
             crashes: Mutex::new(CrashTracker::default()),
@@ -98,6 +103,7 @@
             shutdown: Notify::new(),
             announcement: Mutex::new(None),
             layout_request: Mutex::new(None),
+            layout_changed: watch::Sender::default(),
             catalog_updated_at: AtomicU64::new(clock.now().0),
             endpoints_loaded: AtomicBool::new(false),
             layout_settled: AtomicBool::new(false),
@@ -110,7 +116,8 @@
         let admin = serve_admin(shared.clone(), admin, metrics).await?;
         let tasks = vec![
             server,
-            tokio::spawn(control::run(shared.clone(), dialer, seed_updates)),
+            tokio::spawn(control::run(shared.clone(), seed_updates)),
+            tokio::spawn(relay::serve(shared.clone(), listener)),
             tokio::spawn(discovery::run(shared.clone(), directory)),
             tokio::spawn(gossip::send(shared.clone(), socket.clone())),
             tokio::spawn(gossip::receive(shared.clone(), socket)),
@@ -138,7 +145,7 @@
 
     /// Returns the version of the configuration in force.
     pub fn layout_version(&self) -> Option<u64> {
-        subscription::installed_version(&self.shared)
+        layout::installed_version(&self.shared)
     }
 
     /// Replaces the addresses used to find control replicas.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,7 +1,6 @@
 //! State shared by all tasks of a gateway.
 //!
-//! Lock order: `dispatcher`, then `waiters`. No other lock is acquired while `budgets`, `crashes`
-//! or `membership` is held. No lock is held across an await.
+//! Lock order: `layout_history`, `dispatcher`, `waiters`. All other locks are leaves. No lock is held across an await.
 
 use {
     crate::{header_names::HeaderNames, metrics::Metrics, sampler::Sampler},
@@ -11,6 +10,7 @@
         Assignment, AttemptOutcome, CrashTracker, DispatchRequest, Dispatcher, RetryBudget,
         RetryBudgetLimits, SubmitResult, WaiterId,
     },
+    fanout::ConfigHistory,
     model::{Domain, MILLISECOND, Name, Time},
     parking_lot::Mutex,
     route::RouteTable,
@@ -24,10 +24,10 @@
         },
     },
     tokio::{
-        sync::{Notify, oneshot},
+        sync::{Notify, oneshot, watch},
         time::Instant,
     },
-    wire::Clock,
+    wire::{Clock, Dialer},
 };
 
 /// How long a gateway that is shutting down still accepts all requests, in milliseconds: until its
@@ -79,10 +79,14 @@
     pub(crate) settings: GatewaySettings,
     pub(crate) names: HeaderNames,
     pub(crate) clock: Clock,
+    /// How this process connects to control replicas and other gateways.
+    pub(crate) dialer: Dialer,
     pub(crate) started: Time,
     /// A random number that identifies this process among gateways.
     pub(crate) instance_id: u64,
     pub(crate) table: ArcSwapOption<RouteTable>,
+    /// The messages that update other gateways to the installed configuration.
+    pub(crate) layout_history: Mutex<Option<Arc<ConfigHistory>>>,
     pub(crate) dispatcher: Mutex<Dispatcher>,
     pub(crate) waiters: Mutex<HashMap<WaiterId, oneshot::Sender<PlacementResult>>>,
     pub(crate) budgets: Mutex<HashMap<Name, RetryBudget>>,
@@ -97,6 +101,8 @@
     pub(crate) announcement: Mutex<Option<Announcement>>,
     /// The last request for a configuration.
     pub(crate) layout_request: Mutex<Option<LayoutRequest>>,
+    /// Notified when a configuration was installed or a request for one failed.
+    pub(crate) layout_changed: watch::Sender<()>,
     /// When the control plane last confirmed the endpoint list, in microseconds of this process's
     /// clock.
     pub(crate) catalog_updated_at: AtomicU64,
@@ -139,6 +145,14 @@
             && ends > self.shutdown_deadline(shutdown_at)
     }
 
+    /// Sets when another replica is asked for a version, unless a later one was requested.
+    pub(crate) fn set_layout_request_expiry(&self, version: u64, expires_at: Instant) {
+        let mut request = self.layout_request.lock();
+        if let Some(request) = request.as_mut().filter(|it| it.version <= version) {
+            request.expires_at = expires_at;
+        }
+    }
+
     /// Waits for a slot at an endpoint.
     pub(crate) async fn acquire_slot(&self, ask: DispatchRequest) -> PlacementResult {
         let service = ask.service.clone();
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -1,22 +1,20 @@
 //! The stream on which a control replica sends updates to this gateway.
 
 use {
-    crate::shared::{Announcement, LayoutRequest, Shared},
+    crate::{
+        layout::{self, installed_version},
+        relay,
+        shared::{LayoutRequest, Shared},
+    },
     directory::Catalog,
-    dispatch::Dispatcher,
     model::Domain,
-    route::{RouteDelta, RouteTable, RoutingConfig},
-    std::{
-        net::SocketAddr,
-        sync::{Arc, atomic::Ordering},
-        time::Duration,
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         sync::{mpsc, watch},
         time::{Instant, sleep, timeout, timeout_at},
     },
     wire::{
-        CompressionError, Peer, Step, WireError,
+        Peer, Step, WireError,
         msg::{WATCH_PATH, WatchHello, WatchRequest, WatchUpdate},
     },
 };
@@ -42,10 +40,6 @@
 /// The maximum number of times that the interval doubles.
 const MAX_DOUBLINGS: u32 = 3;
 
-/// How long a gateway with its first configuration waits for other replicas to report a newer one
-/// before it is ready.
-const SETTLE_DELAY: Duration = Duration::from_millis(1_000);
-
 /// An update received from a control replica.
 pub(crate) struct ReplicaUpdate {
     pub(crate) replica: SocketAddr,
@@ -99,7 +93,9 @@
     let mut subscription = Subscription::default();
     let mut times_out_at = Instant::now() + SILENCE_TIMEOUT;
     let mut received = recv.received();
+    let mut layout_changes = shared.layout_changed.subscribe();
     loop {
+        layout_changes.mark_unchanged();
         if *catalog_wanted.borrow_and_update() && !subscription.catalog_requested {
             subscription.catalog_requested = true;
             send.send(&WatchRequest::Catalog).await?;
@@ -115,6 +111,13 @@
                 // The watcher is gone, so the process is exiting.
                 Err(_) => return Ok(()),
             },
+            changed = layout_changes.changed() => match changed {
+                Ok(()) => {
+                    subscription.request_at = None;
+                    continue;
+                }
+                Err(_) => return Ok(()),
+            },
         };
         if recv.received() > received {
             // Bytes of a large message on a slow link count as activity.
@@ -129,8 +132,7 @@
         };
         let Some(message) = message? else { return Ok(()) };
         let update = subscription.apply(shared, replica, message);
-        let update = update.map_err(|it| WireError::new(Step::Receive, replica, it))?;
-        if let Some(update) = update
+        if let Some(update) = update?
             && sender.send(ReplicaUpdate { replica, update }).await.is_err()
         {
             return Ok(());
@@ -138,10 +140,6 @@
     }
 }
 
-pub(crate) fn installed_version(shared: &Shared) -> Option<u64> {
-    shared.table.load().as_ref().map(|it| it.config().version)
-}
-
 /// The state of a subscription to a replica.
 #[derive(Default, Debug)]
 struct Subscription {
@@ -203,25 +201,22 @@
         shared: &Arc<Shared>,
         replica: SocketAddr,
         message: WatchUpdate,
-    ) -> Result<Option<Update>, CompressionError> {
+    ) -> Result<Option<Update>, WireError> {
         match message {
             WatchUpdate::Announce { version } => {
                 self.announced = self.announced.max(Some(version));
-                record_announcement(shared, version);
+                layout::record_announcement(shared, version);
                 self.request_at = None;
             }
-            WatchUpdate::Layout(compressed) => {
-                install_layout(shared, replica, compressed.decode()?)
+            WatchUpdate::Layout(_) | WatchUpdate::LayoutDelta(_) => {
+                layout::apply(shared, replica, &message)?;
             }
-            WatchUpdate::LayoutDelta(compressed) => {
-                let step: RouteDelta = compressed.decode()?;
-                let installed = shared.table.load_full();
-                // Another replica may have sent the same version in the meantime.
-                let next = installed.and_then(|it| step.apply(it.config()).ok());
-                next.into_iter().for_each(|it| install_layout(shared, replica, it));
+            WatchUpdate::Refer { version, router } => {
+                tokio::spawn(relay::fetch(shared.clone(), router, version));
             }
             WatchUpdate::Catalog(compressed) => {
-                let catalog: Catalog = compressed.decode()?;
+                let catalog = compressed.decode::<Catalog>();
+                let catalog = catalog.map_err(|it| WireError::new(Step::Receive, replica, it))?;
                 self.catalog = Some(catalog.clone());
                 return Ok(Some(Update::Catalog(catalog)));
             }
@@ -249,46 +244,3 @@
         Ok(None)
     }
 }
-
-/// Records when a version was first announced.
-fn record_announcement(shared: &Shared, version: u64) {
-    let mut newest = shared.announcement.lock();
-    if newest.is_none_or(|it| it.version < version) {
-        *newest = Some(Announcement { version, heard_at: Instant::now() });
-    }
-}
-
-/// Installs a configuration if it is newer than the current one.
-fn install_layout(shared: &Arc<Shared>, replica: SocketAddr, layout: RoutingConfig) {
-    let installed = installed_version(shared);
-    if installed.is_some_and(|it| it >= layout.version) {
-        return;
-    }
-    let announcement = shared.announcement.lock().filter(|it| it.version >= layout.version);
-    let request = shared.layout_request.lock().filter(|it| it.version >= layout.version);
-    tracing::info!(
-        event = "configuration",
-        version = layout.version,
-        before = installed,
-        %replica,
-        routes = layout.routes.len(),
-        announced_ms = announcement.map(|it| it.heard_at.elapsed().as_millis() as u64),
-        requested_ms = request.map(|it| it.first_sent_at.elapsed().as_millis() as u64),
-        "gateway: configuration applied"
-    );
-    set_kv_capacities(&mut shared.dispatcher.lock(), &layout);
-    shared.table.store(Some(Arc::new(RouteTable::new(Arc::new(layout)))));
-    if installed.is_none() {
-        let shared = shared.clone();
-        tokio::spawn(async move {
-            sleep(SETTLE_DELAY).await;
-            shared.layout_settled.store(true, Ordering::Relaxed);
-        });
-    }
-}
-
-fn set_kv_capacities(dispatcher: &mut Dispatcher, layout: &RoutingConfig) {
-    for service in &layout.services {
-        dispatcher.set_kv_capacity(&service.name, service.engine.as_ref().map(|it| it.kv_tokens));
-    }
-}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -112,6 +112,10 @@
         self.others.push(start_gateway(settings, self.list.clone()).await);
     }
 
+    pub(crate) fn control_addr(&self) -> SocketAddr {
+        self.control.internal_addr()
+    }
+
     pub(crate) fn gateways(&self) -> Vec<&Gateway> {
         std::iter::once(&self.gateway).chain(&self.others).collect()
     }
--- a/crates/gateway/tests/spread.rs
+++ b/crates/gateway/tests/spread.rs
@@ -4,10 +4,15 @@
 
 use {
     common::{Fixture, layout, route, wait_until},
+    model::Domain,
     route::{RouteKind, RoutingConfig},
     rstest::rstest,
-    std::time::Duration,
-    tokio::time::Instant,
+    std::{net::SocketAddr, time::Duration},
+    tokio::{net::TcpListener, time::Instant},
+    wire::{
+        Dialer, Peer, Traffic, TrafficClass,
+        msg::{WATCH_PATH, WatchHello, WatchRequest, WatchUpdate},
+    },
 };
 
 /// The gateways in a fleet of the users' size that watch the same replica.
@@ -46,3 +51,46 @@
     let took = published_at.elapsed();
     assert!(took < IN_FORCE, "in force everywhere after {took:?}");
 }
+
+/// Connects to control as a router that reports each announced version as installed, and that accepts connections of
+/// other routers without responding to them.
+async fn start_silent_router(control: SocketAddr) -> TcpListener {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("failed to bind");
+    let addr = listener.local_addr().expect("no local address");
+    let traffic = Traffic::default();
+    let dialer = Dialer { identity: None, traffic, class: TrafficClass::Control };
+    let stream = Peer::new(control, dialer).open(WATCH_PATH).await.expect("failed to open");
+    let (mut send, mut recv) = stream.split();
+    let hello = WatchHello { addr, domain: Domain("d0".into()), version: None };
+    send.send(&hello).await.expect("failed to send");
+    tokio::spawn(async move {
+        while let Ok(Some(update)) = recv.recv::<WatchUpdate>().await {
+            if let WatchUpdate::Announce { version } = update {
+                let installed_version = Some(version);
+                let _ = send.send(&WatchRequest::Layout { installed_version }).await;
+            }
+        }
+    });
+    listener
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn unresponsive_gateways_do_not_keep_a_configuration_from_others() {
+    let mut fixture = Fixture::start_on_link(CONTROL_LINK_MBPS).await;
+    fixture.publish(&layout(1)).await;
+    for _ in 1..10 {
+        fixture.add_gateway().await;
+    }
+    let gateways = fixture.gateways();
+    wait_until(|| gateways.iter().all(|it| it.is_ready())).await;
+    let mut silent = Vec::new();
+    for _ in 0..3 {
+        silent.push(start_silent_router(fixture.control_addr()).await);
+    }
+    fixture.publish(&large_layout(2)).await;
+    let published_at = Instant::now();
+    wait_until(|| gateways.iter().all(|it| it.layout_version() == Some(2))).await;
+    let took = published_at.elapsed();
+    assert!(took < IN_FORCE, "in force everywhere after {took:?}");
+}
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -41,7 +41,7 @@
     pub listen: SocketAddr,
     /// The address on which readiness and metrics are served.
     pub admin: SocketAddr,
-    /// The UDP address on which other gateways send load reports.
+    /// The address on which other gateways send load reports (UDP) and request configurations (TCP).
     pub inner: SocketAddr,
     /// The inner addresses of control replicas, from which further replicas are discovered.
     pub control: Vec<SocketAddr>,
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -30,6 +30,11 @@
 /// [`WatchUpdate`] frames.
 pub const WATCH_PATH: &str = "/watch";
 
+/// The path of the streams over which a router requests the routing configuration from another
+/// router: one [`RelayRequest`] frame, answered with [`WatchUpdate::Layout`] or
+/// [`WatchUpdate::LayoutDelta`] frames.
+pub const RELAY_PATH: &str = "/relay";
+
 /// The path of the streams between control replicas, each of which is unidirectional.
 pub const REPLICA_PATH: &str = "/replica";
 
@@ -290,6 +295,13 @@
     Catalog,
 }
 
+/// A request of a router for the routing configuration of another router.
+#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
+pub struct RelayRequest {
+    /// The version that the requesting router has in force.
+    pub installed_version: Option<u64>,
+}
+
 /// An update from a replica to a router that watches it.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
 pub enum WatchUpdate {
@@ -332,4 +344,11 @@
         /// Whether the replica has read the list of endpoints recently.
         listing_is_recent: bool,
     },
+    /// Refers the router to another one, in reply to [`WatchRequest::Layout`].
+    Refer {
+        /// The version that the other router has in force at least.
+        version: u64,
+        /// The internal address of the other router.
+        router: SocketAddr,
+    },
 }
