Serve operators at every control replica instead of redirecting them

Cause: reads and changes were redirected to the leader, so each document left or entered by one link of 3 Mbit/s, the one that also replicates and tells gateways. An operator whose response is late asks again, which adds another copy. A changed document had to cross two links, as the replica reached first received all of it before it redirected.

Fix: a replica that doesn't lead forwards the compressed document (13 to 20 KB in place of 253) to the leader. For a read it asks the leader for the newest version, waits until it has it and returns the document over its own link. It redirects only if the leader can't be reached, as before, and returns nothing while it can't tell the newest version.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -5,7 +5,7 @@
         admin,
         bulk_limiter::BulkLimiter,
         discovery::{self, Discovery},
-        feed, host_list, ledger_calls,
+        feed, host_list, leader_calls, ledger_calls,
         membership::{self, Membership},
         metrics::Metrics,
         operators::Operators,
@@ -30,7 +30,7 @@
     },
     tokio::{sync::watch, task::JoinHandle},
     tower::service_fn,
-    wire::{Clock, Dialer, Identity, Incoming, Listener, Traffic, TrafficClass, msg},
+    wire::{Clock, Dialer, Identity, Incoming, Listener, Peer, Traffic, TrafficClass, msg},
 };
 
 /// State shared by all tasks of the replica.
@@ -47,6 +47,9 @@
     pub(crate) discovery: Discovery,
     pub(crate) watchers: Watchers,
     pub(crate) bulk_limiter: BulkLimiter,
+    pub(crate) dialer: Dialer,
+    /// The connection for calls to the leader.
+    pub(crate) leader_peer: Mutex<Option<Peer>>,
     pub(crate) metrics: OnceLock<Metrics>,
     pub(crate) clock: Clock,
     pub(crate) traffic: Traffic,
@@ -138,7 +141,7 @@
             class: TrafficClass::Control,
         };
         let clock = Clock::start();
-        let log = ReplicatedLog::open(&settings, own_addrs, dialer, clock).await?;
+        let log = ReplicatedLog::open(&settings, own_addrs, dialer.clone(), clock).await?;
         let bulk_limiter = BulkLimiter::new(settings.link_mbps);
         let shared = Arc::new(Shared {
             settings,
@@ -153,6 +156,8 @@
             discovery: Discovery::default(),
             watchers: Watchers::default(),
             bulk_limiter,
+            dialer,
+            leader_peer: Mutex::default(),
             metrics: OnceLock::new(),
             clock,
             traffic,
@@ -265,6 +270,7 @@
     let result = match incoming.path.as_str() {
         msg::FEED_PATH => feed::serve(shared, incoming.stream).await,
         msg::WATCH_PATH => watch_service::serve(shared, incoming.stream).await,
+        msg::LEADER_PATH => leader_calls::serve(shared, incoming.stream).await,
         msg::LEDGER_PATH => ledger_calls::serve(shared, incoming.stream).await,
         msg::REPLICA_PATH => return shared.log.handle_stream(incoming.stream),
         path => return tracing::warn!("control: {peer} opened unknown path {path}"),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,6 +18,7 @@
 mod discovery;
 mod feed;
 mod host_list;
+mod leader_calls;
 mod ledger_calls;
 mod membership;
 mod metrics;
--- a/crates/control/src/routing_configs.rs
+++ b/crates/control/src/routing_configs.rs
@@ -4,16 +4,21 @@
     crate::{
         command::{Command, Output},
         control::Shared,
+        leader_calls::{self, LeaderCall, LeaderReply},
         replicated_log::CommitError,
     },
     bytes::Bytes,
     derive_more::{Debug, Display, Error},
     fanout::ConfigHistory,
     route::{PublishOutcome, RoutingConfig},
-    std::{net::SocketAddr, sync::Arc},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::time::timeout,
     wire::{Compressed, CompressionError},
 };
 
+/// How long a read waits for this replica to learn of a configuration that the leader has.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(2_000);
+
 /// The format of routing configuration documents.
 pub trait RoutingConfigFormat: Send + Sync {
     /// Decodes a document.
@@ -88,11 +93,18 @@
         })?;
         let version = config.version;
         let compressed = Compressed::compress(&document).map_err(|it| codec_error(&it))?;
-        let command = Command::Publish { version, document: compressed.as_bytes().to_vec() };
-        match self.shared.log.propose(&command).await {
-            Ok(Output::Published(verdict)) => {
-                let committed = self.shared.log.propose(&Command::Barrier).await;
-                committed.map_err(|it| self.publish_error(it))?;
+        let document = compressed.as_bytes().to_vec();
+        let mut result = commit(&self.shared, version, document.clone()).await;
+        if result == Err(CommitError::NotLeader) {
+            let call = LeaderCall::Publish { version, document };
+            result = match leader_calls::call(&self.shared, &call).await {
+                LeaderReply::Published(outcome) => Ok(outcome),
+                LeaderReply::NotLeader => Err(CommitError::NotLeader),
+                LeaderReply::Unknown | LeaderReply::NewestVersion(_) => Err(CommitError::Unknown),
+            };
+        }
+        match result {
+            Ok(verdict) => {
                 tracing::info!(
                     event = "layout-published",
                     version,
@@ -101,7 +113,6 @@
                 );
                 Ok(verdict)
             }
-            Ok(_) => Err(PublishError::Unknown),
             Err(err) => {
                 tracing::warn!(
                     event = "layout-unpublished",
@@ -120,13 +131,41 @@
     ///
     /// [`PublishError::NotLeader`] or [`PublishError::Unknown`].
     pub async fn read(&self) -> Result<Bytes, PublishError> {
-        self.shared.log.read_barrier().await.map_err(|it| self.publish_error(it))?;
-        let compressed = self.shared.log.with_state(|it| it.published.document().to_vec());
+        let mut newest = newest_version(&self.shared).await;
+        if newest == Err(CommitError::NotLeader) {
+            newest = match leader_calls::call(&self.shared, &LeaderCall::NewestVersion).await {
+                LeaderReply::NewestVersion(version) => Ok(version),
+                LeaderReply::NotLeader => Err(CommitError::NotLeader),
+                LeaderReply::Unknown | LeaderReply::Published(_) => Err(CommitError::Unknown),
+            };
+        }
+        let newest = newest.map_err(|it| self.publish_error(it))?;
+        let document = timeout(CATCH_UP_TIMEOUT, self.document_since(newest)).await;
+        let compressed = document.map_err(|_| PublishError::Unknown)?;
         let document =
             Compressed::from_compressed(compressed).decompress().map_err(|it| codec_error(&it))?;
         Ok(document.into())
     }
 
+    /// Waits until this replica has `version` or a higher one, and returns its compressed document.
+    async fn document_since(&self, version: Option<u64>) -> Vec<u8> {
+        let mut changes = self.shared.log.subscribe();
+        loop {
+            changes.mark_unchanged();
+            let document = self.shared.log.with_state(|it| {
+                let is_current = it.published.version() >= version;
+                is_current.then(|| it.published.document().to_vec())
+            });
+            if let Some(document) = document {
+                return document;
+            }
+            if changes.changed().await.is_err() {
+                // The replica has stopped, so the version will not arrive.
+                return std::future::pending().await;
+            }
+        }
+    }
+
     fn publish_error(&self, err: CommitError) -> PublishError {
         match err {
             CommitError::NotLeader => {
@@ -137,6 +176,28 @@
     }
 }
 
+/// Commits a validated configuration, if this replica is the leader. When this returns `Ok`, a majority of the replicas
+/// knows that it is committed.
+pub(crate) async fn commit(
+    shared: &Shared,
+    version: u64,
+    document: Vec<u8>,
+) -> Result<PublishOutcome, CommitError> {
+    let Output::Published(outcome) =
+        shared.log.propose(&Command::Publish { version, document }).await?
+    else {
+        return Err(CommitError::Unknown);
+    };
+    shared.log.propose(&Command::Barrier).await?;
+    Ok(outcome)
+}
+
+/// Returns the version of the newest acknowledged configuration, if this replica is the leader.
+pub(crate) async fn newest_version(shared: &Shared) -> Result<Option<u64>, CommitError> {
+    shared.log.read_barrier().await?;
+    Ok(shared.log.with_state(|it| it.published.version()))
+}
+
 fn codec_error(err: &CompressionError) -> PublishError {
     tracing::error!(
         event = "layout-unreadable",
--- a/crates/control/tests/three.rs
+++ b/crates/control/tests/three.rs
@@ -4,11 +4,11 @@
 
 use {
     common::{AdminRequest, TOKEN, settings},
-    control::{Control, Sockets},
+    control::{Control, PublishError, RoutingConfigStore, Sockets},
     edge::{Client, empty},
     ledger::{ClaimKey, LedgerReply},
     model::{Digest, Domain, RequestId, RouterId, ServiceId, TeamId},
-    route::{CallerLimits, RoutingConfig},
+    route::{CallerLimits, PublishOutcome, RoutingConfig},
     serde_json::Value,
     settings::{ControlPeer, ControlSettings},
     std::{net::SocketAddr, time::Duration},
@@ -131,6 +131,23 @@
         result.is_ok_and(|it| it.0 == 200)
     }
 
+    fn configs(&self, at: usize) -> RoutingConfigStore {
+        self.replicas[at].as_ref().unwrap().routing_configs()
+    }
+
+    /// Publishes a document by way of one replica, repeatedly while there is no leader.
+    async fn publish(&self, at: usize, document: &[u8]) -> PublishOutcome {
+        let configs = self.configs(at);
+        let publish = || configs.publish(document.to_vec().into());
+        retry_without_leader(publish).await
+    }
+
+    /// Reads the newest document from one replica, repeatedly while there is no leader.
+    async fn read(&self, at: usize) -> Vec<u8> {
+        let configs = self.configs(at);
+        retry_without_leader(|| configs.read()).await.to_vec()
+    }
+
     fn is_leader(&self, at: usize) -> bool {
         let replica = self.replicas[at].as_ref();
         replica.is_some_and(Control::is_leader)
@@ -141,6 +158,26 @@
     }
 }
 
+/// Repeats a call until it succeeds, as an operator does.
+async fn retry_without_leader<F, R, T>(call: F) -> T
+where
+    F: Fn() -> R,
+    R: Future<Output = Result<T, PublishError>>,
+{
+    let succeeded = async {
+        loop {
+            match call().await {
+                Ok(value) => return value,
+                Err(PublishError::NotLeader { .. } | PublishError::Unknown) => {
+                    sleep(RETRY_INTERVAL).await;
+                }
+                Err(err) => panic!("{err}"),
+            }
+        }
+    };
+    timeout(TIMEOUT, succeeded).await.expect("the call did not succeed in time")
+}
+
 /// Checks that each audit record follows its predecessor, and returns the number of records.
 fn check_chain(audit: &Value) -> usize {
     let records = audit["records"].as_array().unwrap();
@@ -249,6 +286,52 @@
     assert!(announced.contains(&Some(5)), "{announced:?}");
 }
 
+/// An operator that reached a follower had to send the document a second time, over the leader's link.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_sent_to_any_replica_is_acknowledged_without_a_redirect() {
+    let group = Group::start_with_seeds().await;
+    group.wait_until_all_vote().await;
+    for (at, version) in (0..3).zip(1..) {
+        let document = serde_json::to_vec(&routing_config(version)).unwrap();
+        assert_eq!(group.publish(at, &document).await, PublishOutcome::InForce, "replica {at}");
+    }
+    let outdated = serde_json::to_vec(&routing_config(2)).unwrap();
+    for at in 0..3 {
+        let outcome = group.publish(at, &outdated).await;
+        assert_eq!(outcome, PublishOutcome::Overtaken { version: 3 }, "replica {at}");
+    }
+}
+
+/// All reads were redirected to the leader, whose link then carried nothing else.
+#[tokio::test(flavor = "multi_thread")]
+async fn any_replica_returns_the_newest_acknowledged_configuration_itself() {
+    let group = Group::start_with_seeds().await;
+    group.wait_until_all_vote().await;
+    for version in 1..=30 {
+        let document = serde_json::to_vec(&routing_config(version)).unwrap();
+        group.publish(version as usize % 3, &document).await;
+        let reads = futures_util::future::join_all((0..3).map(|it| group.read(it)));
+        assert!(reads.await.iter().all(|it| *it == document));
+    }
+}
+
+/// A replica that cannot reach the leader must not return what it has, as it may be outdated.
+#[tokio::test(flavor = "multi_thread")]
+async fn replica_that_cannot_reach_the_leader_returns_no_configuration() {
+    let mut group = Group::start_with_seeds().await;
+    group.wait_until_all_vote().await;
+    let document = serde_json::to_vec(&routing_config(1)).unwrap();
+    group.publish(0, &document).await;
+    let leader = (0..3).find(|it| group.is_leader(*it)).unwrap();
+    group.stop((leader + 1) % 3).await;
+    group.stop(leader).await;
+    let read = group.configs((leader + 2) % 3).read().await;
+    assert!(
+        matches!(read, Err(PublishError::NotLeader { .. } | PublishError::Unknown)),
+        "{read:?}"
+    );
+}
+
 /// Returns the version that a replica announces to a new router, if it does so before a new leader can be elected.
 async fn announced_version(replica: SocketAddr) -> Option<u64> {
     let (traffic, class) = (Traffic::default(), TrafficClass::Control);
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -38,6 +38,9 @@
 /// The path of the streams between control replicas, each of which is unidirectional.
 pub const REPLICA_PATH: &str = "/replica";
 
+/// The path of the streams over which a replica calls the leader: one call frame, one reply frame.
+pub const LEADER_PATH: &str = "/leader";
+
 /// The path of the streams over which a router calls the ledger: one call frame, one reply frame.
 pub const LEDGER_PATH: &str = "/ledger";
 
