Limit small changes too where many routers get them at once

What callers would see: a change of up to 4 KiB goes to every router at the same moment, without a turn. With 320 routers these copies take 3.5 s of a 3 Mbit/s link, longer than an election timeout: the leader's heartbeats wait behind them, and the next changes wait for another leader.

With few routers nothing changes: up to 4 KiB are sent at once.

`unlimited_copies_of_a_message_do_not_fill_the_link` fails at 320 routers with 3,495 ms without the limit. `is_large` needs the number of routers, so `only_large_messages_need_a_permit` passes one; its cases are the same.

--- a/crates/control/src/bulk_limiter.rs
+++ b/crates/control/src/bulk_limiter.rs
@@ -15,9 +15,12 @@
     wire::Clock,
 };
 
-/// Messages up to this size, in bytes, are sent without a permit: heartbeats, announcements and most deltas.
+/// Messages larger than this, in bytes, always need a permit. Heartbeats, announcements and most deltas are smaller.
 const MAX_SMALL_BYTES: usize = 4 << 10;
 
+/// How long copies of a message to all routers may occupy the limited bandwidth without a permit, in milliseconds.
+const MAX_UNLIMITED_MS: f64 = 250.0;
+
 /// Fraction of the link's bandwidth for large messages. The rest is for replication and for small messages.
 const LINK_SHARE: f64 = 0.5;
 
@@ -63,9 +66,10 @@
         BulkLimiter { queue: Arc::default(), bytes_per_ms, clock: Clock::start() }
     }
 
-    /// Returns whether messages of this total size need a permit.
-    pub fn is_large(bytes: usize) -> bool {
-        bytes > MAX_SMALL_BYTES
+    /// Returns whether messages of this total size, sent to `routers` routers at the same time, need a permit.
+    pub fn is_large(&self, bytes: usize, routers: usize) -> bool {
+        let copies_ms = (bytes * routers) as f64 / self.bytes_per_ms;
+        bytes > MAX_SMALL_BYTES || copies_ms > MAX_UNLIMITED_MS
     }
 
     /// Waits for the permit to send a message that only this replica can send. Permits are granted in the order of
--- a/crates/control/src/watch_service.rs
+++ b/crates/control/src/watch_service.rs
@@ -73,6 +73,10 @@
         routers.retain(|_, (_, streams)| *streams > 0);
     }
 
+    fn count(&self) -> usize {
+        self.routers.lock().len()
+    }
+
     fn list(&self) -> Vec<(SocketAddr, Domain)> {
         let routers = self.routers.lock();
         routers.iter().map(|(addr, (domain, _))| (*addr, domain.clone())).collect()
@@ -229,9 +233,10 @@
         let topic = members.borrow_and_update().clone();
         send_topic(topic.as_deref(), &mut state.members_version, send).await?;
         catalogs.mark_unchanged();
+        let routers = shared.watchers.count();
         let mut large = [false; 2];
         for (batch, large) in state.pending(shared).iter().zip(&mut large) {
-            match BulkLimiter::is_large(batch.bytes()) {
+            match shared.bulk_limiter.is_large(batch.bytes(), routers) {
                 true => *large = true,
                 false => batch.send(&mut state, send).await?,
             }
--- a/crates/control/tests/bulk_limiter.rs
+++ b/crates/control/tests/bulk_limiter.rs
@@ -10,15 +10,35 @@
 /// A link of 3 Mbit/s. Half of it is for large messages: 187.5 bytes per millisecond.
 const LINK_MBPS: f64 = 3.0;
 
+/// The shortest election timeout of a group.
+const MIN_ELECTION_TIMEOUT_MS: f64 = 1_000.0;
+
 /// The size of a catalog of a thousand endpoints.
 const MESSAGE_BYTES: usize = 18_750;
 
 #[rstest]
-#[case(1_024, false)]
-#[case(4_096, false)]
-#[case(4_097, true)]
-fn only_large_messages_need_a_permit(#[case] bytes: usize, #[case] large: bool) {
-    assert_eq!(BulkLimiter::is_large(bytes), large);
+#[case(1_024, 1, false)]
+#[case(4_096, 1, false)]
+#[case(4_097, 1, true)]
+fn only_large_messages_need_a_permit(
+    #[case] bytes: usize,
+    #[case] routers: usize,
+    #[case] large: bool,
+) {
+    assert_eq!(BulkLimiter::new(LINK_MBPS).is_large(bytes, routers), large);
+}
+
+/// Copies of a message just below the limit, sent to all routers at once, kept the leader's heartbeats waiting.
+#[rstest]
+#[case(7)]
+#[case(77)]
+#[case(320)]
+fn unlimited_copies_of_a_message_do_not_fill_the_link(#[case] routers: usize) {
+    let limiter = BulkLimiter::new(LINK_MBPS);
+    let largest = (1..=8_192).rev().find(|it| !limiter.is_large(*it, routers));
+    let link_bytes_per_ms = LINK_MBPS * 125.0;
+    let occupied_ms = (largest.unwrap() * routers) as f64 / link_bytes_per_ms;
+    assert!(occupied_ms < MIN_ELECTION_TIMEOUT_MS, "{routers} routers: {occupied_ms} ms");
 }
 
 /// If a hundred routers request a message at once, each gets its permit after the ones before it, and no later than the
