Keep no more log for a replaced replica than its link carries

Callers saw: nothing that is traced to this.

Cause: the same as with large configurations, the leader's link carries what nobody needs.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -209,6 +209,11 @@
         self.shared.log.is_leader()
     }
 
+    /// Returns the counters of the bytes exchanged with routers and other replicas.
+    pub fn traffic(&self) -> &Traffic {
+        &self.shared.traffic
+    }
+
     /// Waits until this replica is the leader.
     pub async fn wait_until_leader(&self) {
         self.shared.log.wait_until_leader().await;
--- a/crates/control/src/replicated_log.rs
+++ b/crates/control/src/replicated_log.rs
@@ -21,8 +21,13 @@
 /// Time limit for committing a command.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(5_000);
 
-/// Size of the log, in bytes, at which a snapshot is taken. It bounds how much a replica replays when it starts.
-const SNAPSHOT_LOG_BYTES: u64 = 4 << 20;
+/// How long the link may be occupied by the log that a replica with an empty disk needs, in seconds. A snapshot is taken
+/// once the log takes longer.
+const MAX_LOG_SECONDS: f64 = 0.5;
+
+/// Lower and upper bound of the log size, in bytes, at which a snapshot is taken. The upper one bounds how much a replica
+/// replays when it starts.
+const SNAPSHOT_LOG_BYTES_RANGE: (f64, f64) = (65_536.0, 4_194_304.0);
 
 /// Interval between heartbeats, in milliseconds.
 const HEARTBEAT_INTERVAL_MS: u64 = 100;
@@ -45,6 +50,7 @@
 struct Timing {
     election_timeout_ms: u64,
     max_message_bytes: usize,
+    snapshot_log_bytes: u64,
 }
 
 impl Timing {
@@ -56,11 +62,14 @@
         let bits_per_second = link_mbps * 1_000_000.0;
         let message_bytes = (bits_per_second / 8.0 * MAX_MESSAGE_SECONDS)
             .clamp(MESSAGE_BYTES_RANGE.0, MESSAGE_BYTES_RANGE.1);
+        let log_bytes = (bits_per_second / 8.0 * MAX_LOG_SECONDS)
+            .clamp(SNAPSHOT_LOG_BYTES_RANGE.0, SNAPSHOT_LOG_BYTES_RANGE.1);
         Timing {
             election_timeout_ms: (BASE_ELECTION_TIMEOUT_MS
                 + BACKLOG_BITS / bits_per_second * 1_000.0 / 2.0)
                 as u64,
             max_message_bytes: message_bytes as usize,
+            snapshot_log_bytes: log_bytes as u64,
         }
     }
 }
@@ -121,8 +130,8 @@
                 2 * settings.tolerance + 1,
             )
         };
-        config.set_snapshot_log_bytes(SNAPSHOT_LOG_BYTES);
         let timing = Timing::for_link(settings.link_mbps);
+        config.set_snapshot_log_bytes(timing.snapshot_log_bytes);
         config.set_max_message_bytes(timing.max_message_bytes);
         config
             .set_timeouts(HEARTBEAT_INTERVAL_MS, timing.election_timeout_ms)
--- a/crates/control/tests/three.rs
+++ b/crates/control/tests/three.rs
@@ -7,8 +7,8 @@
     control::{Control, PublishError, RoutingConfigStore, Sockets},
     edge::{Client, empty},
     ledger::{ClaimKey, LedgerReply},
-    model::{Digest, Domain, RequestId, RouterId, ServiceId, TeamId},
-    route::{CallerLimits, PublishOutcome, RoutingConfig},
+    model::{Digest, Domain, RequestId, RouterId, ServiceId, TeamId, mix2},
+    route::{CallerLimits, PublishOutcome, RoutingConfig, Team},
     serde_json::Value,
     settings::{ControlPeer, ControlSettings},
     std::{net::SocketAddr, time::Duration},
@@ -25,6 +25,12 @@
 /// Time limit for a replica to announce what it knows. Shorter than any election, so that no new leader is needed.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The bandwidth of a control host's link on the users' platform, in Mbit/s.
+const SLOW_LINK_MBPS: f64 = 3.0;
+
+/// The time within which a replaced replica must have caught up on the users' platform, in seconds.
+const CATCH_UP_S: f64 = 6.0;
+
 /// Delay between two attempts of a request.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -153,6 +159,28 @@
         replica.is_some_and(Control::is_leader)
     }
 
+    /// Replaces a replica by one with an empty disk at the same address.
+    async fn replace(&mut self, at: usize, link_mbps: f64) {
+        let internal = self.replicas[at].as_ref().unwrap().internal_addr();
+        let seeds = self.replicas.iter().flatten().map(Control::internal_addr).collect();
+        self.stop(at).await;
+        let dir = tempfile::tempdir().unwrap();
+        let settings =
+            ControlSettings { link_mbps, seeds, inner: internal, ..settings(dir.path()) };
+        let replaced = timeout(TIMEOUT, async {
+            loop {
+                match Sockets::bind(&settings).await {
+                    Ok(sockets) => return sockets,
+                    Err(_) => sleep(RETRY_INTERVAL).await,
+                }
+            }
+        });
+        let sockets = replaced.await.expect("the address is still in use");
+        self.addrs[at] = sockets.admin_addr();
+        self.replicas[at] = Some(Control::start(settings, sockets).await.unwrap());
+        self._dirs.push(dir);
+    }
+
     async fn stop(&mut self, at: usize) {
         self.replicas[at].take().unwrap().shutdown().await;
     }
@@ -332,6 +360,37 @@
     );
 }
 
+/// A replaced replica got every configuration that was ever published, over the leader's link.
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_replica_catches_up_within_what_its_link_carries() {
+    let mut group = Group::start_with(|settings, peers, _| {
+        settings.seeds = peers.iter().map(|it| it.inner).collect();
+        settings.bootstrap = true;
+        settings.link_mbps = SLOW_LINK_MBPS;
+    })
+    .await;
+    group.wait_until_all_vote().await;
+    for version in 1..=250 {
+        let document = serde_json::to_vec(&large_config(version)).unwrap();
+        group.publish(0, &document).await;
+    }
+    let replaced = (0..3).find(|it| !group.is_leader(*it)).unwrap();
+    group.replace(replaced, SLOW_LINK_MBPS).await;
+    group.wait_until_all_vote().await;
+    group.read(replaced).await;
+    let received = group.replicas[replaced].as_ref().unwrap().traffic();
+    let received = received.received(TrafficClass::Control) as f64;
+    let limit = SLOW_LINK_MBPS * 1e6 / 8.0 * CATCH_UP_S;
+    assert!(received < limit, "received {received} bytes, {limit} allowed");
+}
+
+/// Returns a configuration whose compressed form has some ten kilobytes.
+fn large_config(version: u64) -> RoutingConfig {
+    let name = |it: u64| format!("{:016x}", mix2(version, it));
+    let team = |it| Team { name: name(it).into(), keys: Vec::new(), priority: None };
+    RoutingConfig { teams: (0..1_000).map(team).collect(), ..routing_config(version) }
+}
+
 /// Returns the version that a replica announces to a new router, if it does so before a new leader can be elected.
 async fn announced_version(replica: SocketAddr) -> Option<u64> {
     let (traffic, class) = (Traffic::default(), TrafficClass::Control);
--- a/crates/quorum/src/disk.rs
+++ b/crates/quorum/src/disk.rs
@@ -49,8 +49,11 @@
         }
         let Some(term) = self.log.term(index) else { return };
         let members = self.log.members_at(index).clone();
+        // A replica that lacks more than the snapshot's size gets the snapshot sooner than the entries.
+        let oldest = index.saturating_sub(self.config.retained_entries);
+        let up_to = self.log.index_before_last_bytes(index, data.len()).max(oldest);
         self.snapshot = Snapshot { index, term, members, data };
-        self.log.compact(index.saturating_sub(self.config.retained_entries));
+        self.log.compact(up_to);
         self.write(Write::Compact(self.snapshot.clone()), actions);
     }
 
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -87,6 +87,20 @@
         }
     }
 
+    /// Returns the lowest index after which the entries up to and including `index` have at most `bytes` bytes.
+    pub(crate) fn index_before_last_bytes(&self, index: u64, bytes: usize) -> u64 {
+        let count = index.saturating_sub(self.base_index) as usize;
+        let mut remaining = bytes;
+        let entries = self.entries.iter().take(count).rev();
+        let kept = entries.take_while(|it| {
+            let size = size_of::<Entry>() + command_len(it);
+            let fits = size <= remaining;
+            remaining = remaining.saturating_sub(size);
+            fits
+        });
+        index - kept.count() as u64
+    }
+
     /// Removes the entries up to and including index `up_to`.
     pub(crate) fn compact(&mut self, up_to: u64) {
         while self.base_index < up_to
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -77,6 +77,8 @@
     last_token: u64,
     /// The size of the commands applied since the last snapshot.
     bytes_since_snapshot: u64,
+    /// The size of the last snapshot.
+    snapshot_bytes: u64,
     snapshot_pending: bool,
 }
 
@@ -108,6 +110,7 @@
             pending_reads: BTreeMap::new(),
             last_token: 0,
             bytes_since_snapshot: 0,
+            snapshot_bytes: 0,
             snapshot_pending: false,
         };
         driver.update_links();
@@ -222,6 +225,7 @@
             }
             Input::Snapshot { index, data } => {
                 self.snapshot_pending = false;
+                self.snapshot_bytes = data.len() as u64;
                 self.step(Event::Snapshot { index, data })
             }
         }
@@ -339,6 +343,7 @@
         }
         state.applied_index = snapshot.index;
         self.bytes_since_snapshot = 0;
+        self.snapshot_bytes = snapshot.data.len() as u64;
         None
     }
 
@@ -363,9 +368,11 @@
         }
     }
 
-    /// Encodes the state on another thread once enough commands were applied since the last snapshot.
+    /// Encodes the state on another thread once enough commands were applied since the last snapshot. They are at
+    /// least as large as that snapshot, so that a large state is not written for every few commands.
     fn snapshot_if_due(&mut self) {
-        if self.snapshot_pending || self.bytes_since_snapshot < self.config.snapshot_bytes {
+        let due_bytes = self.config.snapshot_bytes.max(self.snapshot_bytes);
+        if self.snapshot_pending || self.bytes_since_snapshot < due_bytes {
             return;
         }
         self.snapshot_pending = true;
