Split the sending of large messages from the watch loop

The loop that serves a watch stream had grown by the referral; sending, its time limit and the two log lines are functions now. The two tests of the spread share the start of their fleet and the check. No change of behaviour.

--- a/crates/control/src/watch_service.rs
+++ b/crates/control/src/watch_service.rs
@@ -9,7 +9,7 @@
 
 use {
     crate::{
-        bulk_limiter::{BulkGrant, BulkLimiter},
+        bulk_limiter::{BulkGrant, BulkLimiter, BulkPermit},
         control::Shared,
         topic::Topic,
     },
@@ -272,14 +272,7 @@
                 pending = None;
                 match grant {
                     BulkGrant::Refer { version, router: provider } => {
-                        tracing::info!(
-                            event = "router-referred",
-                            router = %router.addr,
-                            version,
-                            %provider,
-                            waited_ms,
-                            "control: referred a router to another one for a configuration"
-                        );
+                        log_referral(&router, provider, version, waited_ms);
                         state.installed = None;
                         let referral = WatchUpdate::Refer { version, router: provider };
                         send.send(&referral).await?;
@@ -287,32 +280,9 @@
                     }
                     BulkGrant::Send(permit) => {
                         let batches = state.pending(shared);
-                        let sent = timeout(BULK_SEND_TIMEOUT, async {
-                            for batch in &batches {
-                                batch.send(&mut state, send).await?;
-                            }
-                            Ok::<_, WireError>(())
-                        });
-                        let sent = sent.await;
-                        let bytes = batches.iter().map(PendingMessages::bytes).sum();
-                        permit.release_after(bytes);
-                        tracing::info!(
-                            event = "bulk-sent",
-                            router = %router.addr,
-                            version = state.announced_version,
-                            bytes,
-                            waited_ms,
-                            timed_out = sent.is_err(),
-                            "control: sent a large message to a router"
-                        );
-                        match sent {
-                            Ok(sent) => {
-                                sent?;
-                                false
-                            }
-                            // The router does not read from the stream. Close it so that other routers do not wait.
-                            Err(_) => true,
-                        }
+                        let sent = send_large(&batches, permit, &mut state, send).await;
+                        log_large_message(&router, &state, &batches, waited_ms, sent.is_none());
+                        sent.transpose()?.is_none()
                     }
                 }
             }
@@ -324,6 +294,54 @@
     }
 }
 
+/// Sends large messages and releases the permit. Returns `None` if the router does not read from the stream, which must
+/// then be closed so that other routers do not wait.
+async fn send_large(
+    batches: &[PendingMessages],
+    permit: BulkPermit,
+    state: &mut WatchState,
+    send: &mut SendHalf,
+) -> Option<Result<(), WireError>> {
+    let sent = timeout(BULK_SEND_TIMEOUT, async {
+        for batch in batches {
+            batch.send(state, send).await?;
+        }
+        Ok(())
+    });
+    let sent = sent.await;
+    permit.release_after(batches.iter().map(PendingMessages::bytes).sum());
+    sent.ok()
+}
+
+fn log_large_message(
+    router: &Router,
+    state: &WatchState,
+    batches: &[PendingMessages],
+    waited_ms: u64,
+    timed_out: bool,
+) {
+    tracing::info!(
+        event = "bulk-sent",
+        router = %router.addr,
+        version = state.announced_version,
+        bytes = batches.iter().map(PendingMessages::bytes).sum::<usize>(),
+        waited_ms,
+        timed_out,
+        "control: sent a large message to a router"
+    );
+}
+
+fn log_referral(router: &Router, provider: SocketAddr, version: u64, waited_ms: u64) {
+    tracing::info!(
+        event = "router-referred",
+        router = %router.addr,
+        version,
+        %provider,
+        waited_ms,
+        "control: referred a router to another one for a configuration"
+    );
+}
+
 /// A large message that waits to be sent.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum BulkMessage {
--- a/crates/gateway/tests/spread.rs
+++ b/crates/gateway/tests/spread.rs
@@ -34,24 +34,35 @@
     layout
 }
 
-/// A change of many routes reached the last gateways only after one replica had sent a copy to each of them.
-#[rstest]
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn large_configuration_is_not_delayed_by_one_slow_control_link() {
+/// Starts gateways with version 1, whose control replica has a slow link.
+async fn start_fleet(gateways: usize) -> Fixture {
     let mut fixture = Fixture::start_on_link(CONTROL_LINK_MBPS).await;
     fixture.publish(&layout(1)).await;
-    for _ in 1..GATEWAYS {
+    for _ in 1..gateways {
         fixture.add_gateway().await;
     }
-    let gateways = fixture.gateways();
-    wait_until(|| gateways.iter().all(|it| it.is_ready())).await;
+    wait_until(|| fixture.gateways().iter().all(|it| it.is_ready())).await;
+    fixture
+}
+
+/// Publishes version 2 with a thousand more routes, and checks that it comes into force in time.
+async fn publish_large_layout(fixture: &Fixture) {
     fixture.publish(&large_layout(2)).await;
     let published_at = Instant::now();
+    let gateways = fixture.gateways();
     wait_until(|| gateways.iter().all(|it| it.layout_version() == Some(2))).await;
     let took = published_at.elapsed();
     assert!(took < IN_FORCE, "in force everywhere after {took:?}");
 }
 
+/// A change of many routes reached the last gateways only after one replica had sent a copy to each of them.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn large_configuration_is_not_delayed_by_one_slow_control_link() {
+    let fixture = start_fleet(GATEWAYS).await;
+    publish_large_layout(&fixture).await;
+}
+
 /// Connects to control as a router that reports each announced version as installed, and that accepts connections of
 /// other routers without responding to them.
 async fn start_silent_router(control: SocketAddr) -> TcpListener {
@@ -77,20 +88,10 @@
 #[rstest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn unresponsive_gateways_do_not_keep_a_configuration_from_others() {
-    let mut fixture = Fixture::start_on_link(CONTROL_LINK_MBPS).await;
-    fixture.publish(&layout(1)).await;
-    for _ in 1..10 {
-        fixture.add_gateway().await;
-    }
-    let gateways = fixture.gateways();
-    wait_until(|| gateways.iter().all(|it| it.is_ready())).await;
+    let fixture = start_fleet(10).await;
     let mut silent = Vec::new();
     for _ in 0..3 {
         silent.push(start_silent_router(fixture.control_addr()).await);
     }
-    fixture.publish(&large_layout(2)).await;
-    let published_at = Instant::now();
-    wait_until(|| gateways.iter().all(|it| it.layout_version() == Some(2))).await;
-    let took = published_at.elapsed();
-    assert!(took < IN_FORCE, "in force everywhere after {took:?}");
+    publish_large_layout(&fixture).await;
 }
