--- a/crates/fanout/tests/scheduler.rs
+++ b/crates/fanout/tests/scheduler.rs
@@ -155,6 +155,14 @@
     assert!(took_ms < IN_FORCE_MS, "{took_ms} ms");
 }
 
+#[rstest]
+fn silent_providers_of_one_domain_do_not_keep_a_configuration_from_it() {
+    let mut model = Model::new(320);
+    model.silent = (0..320).step_by(4).collect();
+    let took_ms = model.run();
+    assert!(took_ms < IN_FORCE_MS, "{took_ms} ms");
+}
+
 #[rstest]
 fn replica_sends_a_configuration_itself_while_its_link_is_free() {
     let mut model = Model::new(1);
