Keep the port of a test gateway from being taken before it binds

The fixture picks an ephemeral port and frees it; sockets bound meanwhile, since also the gateway's listener for other gateways, can get it.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -26,7 +26,10 @@
     smallvec::smallvec,
     std::{
         net::SocketAddr,
-        sync::{Arc, Mutex, OnceLock},
+        sync::{
+            Arc, Mutex, OnceLock,
+            atomic::{AtomicU16, Ordering},
+        },
         time::Duration,
     },
     tempfile::TempDir,
@@ -66,9 +69,15 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// Returns a port below the ephemeral range, so that no other socket takes it before it is bound.
 fn free_port() -> SocketAddr {
-    let listener = std::net::TcpListener::bind(any_port()).expect("no free port");
-    listener.local_addr().expect("no local address")
+    static NEXT: AtomicU16 = AtomicU16::new(20_000);
+    loop {
+        let addr = SocketAddr::from(([127, 0, 0, 1], NEXT.fetch_add(1, Ordering::Relaxed)));
+        if std::net::TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 impl Fixture {
