--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -8,10 +8,7 @@
     eyre::Result,
     settings::ControlSettings,
     std::process::ExitCode,
-    tokio::signal::{
-        ctrl_c,
-        unix::{SignalKind, signal},
-    },
+    tokio::signal::unix::{SignalKind, signal},
 };
 
 /// Exit code for a missing or invalid settings file.
@@ -46,22 +43,19 @@
 
 async fn run(settings: ControlSettings) -> Result<()> {
     let metrics = telemetry::init(&settings.log)?;
+    // A signal that arrives while the replica opens its state stops it in order, too.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
     let directory = settings.directory.map(HttpDirectory::new);
     let mut control = Control::spawn(settings).await?;
     if let Some(directory) = directory {
         control.poll_directory(directory);
     }
     control.serve_metrics(metrics);
-    wait_for_stop_signal().await?;
-    control.shutdown().await;
-    Ok(())
-}
-
-/// Waits for SIGINT or SIGTERM.
-async fn wait_for_stop_signal() -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
     tokio::select! {
-        interrupted = ctrl_c() => Ok(interrupted?),
-        _ = terminate.recv() => Ok(()),
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
     }
+    control.shutdown().await;
+    Ok(())
 }
