Send nothing to endpoints that leave or ask for a pause in their responses

Gateways looked at neither: requests went on to a leaving endpoint until control's list showed it as draining, and to one that had asked for a pause after 0.1 s.

Both are stored with the endpoint (the pause as a deadline), whoever looks for an endpoint heeds them (queued, retried and resumed requests alike), and they outlast changes of the list and a list that omits the endpoint, but not a restart of it. If all endpoints of a service pause, callers are told at once when the first one is back.

What a gateway learns so is not passed on to others: each of them learns it by one request, or from the list.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         change::EndpointChange,
-        endpoint::EndpointHandle,
+        endpoint::{Endpoint, EndpointHandle, Notice},
         health::AttemptOutcome,
         load::LoadReport,
         queue::{Waiter, WaiterId},
@@ -50,10 +50,49 @@
 /// The weight of one request in the moving average of the time that requests occupy an endpoint.
 const SERVICE_MS_WEIGHT: f64 = 0.05;
 
+/// The maximum number of endpoints that are not listed and whose notices are kept.
+const MAX_UNLISTED_NOTICES: usize = 1_024;
+
+/// The notices of endpoints that are not listed, in case a list omits an endpoint by mistake. The
+/// key is the hash of the endpoint's id and the time of its start.
+#[derive(Default, Debug)]
+struct UnlistedNotices {
+    notices: HashMap<(u64, Option<u64>), Notice>,
+}
+
+impl UnlistedNotices {
+    fn record(&mut self, endpoint: &Endpoint) {
+        if endpoint.notice == Notice::default() {
+            return;
+        }
+        if self.notices.len() >= MAX_UNLISTED_NOTICES {
+            self.notices.clear();
+        }
+        self.notices.insert((endpoint.hash, endpoint.listed.started_at_ms), endpoint.notice);
+    }
+
+    fn take(&mut self, endpoint: &Endpoint) -> Notice {
+        let key = (endpoint.hash, endpoint.listed.started_at_ms);
+        self.notices.remove(&key).unwrap_or_default()
+    }
+}
+
+/// Returns the retry delay that a caller is told, in milliseconds. If no endpoint takes requests
+/// now, it is the time until one does.
+fn retry_ms(now: Time, service: &Service, estimated_wait_ms: u64) -> u64 {
+    let opens_at = service.opens_at();
+    if opens_at > now && opens_at != Time::NEVER {
+        return opens_at.since(now).div_ceil(MILLISECOND);
+    }
+    estimated_wait_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS)
+}
+
 /// Assigns the requests of one router to endpoints.
 #[derive(Debug)]
 pub struct Dispatcher {
     domain: Domain,
+    /// The notices of endpoints that are not listed at the moment.
+    unlisted_notices: UnlistedNotices,
     services: HashMap<Name, Service>,
     /// The service of each endpoint.
     service_names: HashMap<EndpointHandle, Name>,
@@ -70,6 +109,7 @@
     pub fn new(domain: Domain) -> Dispatcher {
         Dispatcher {
             domain,
+            unlisted_notices: UnlistedNotices::default(),
             services: HashMap::new(),
             service_names: HashMap::new(),
             last_handle: 0,
@@ -85,10 +125,10 @@
         self.services.entry(service.clone()).or_default().kv_capacity = tokens;
     }
 
-    /// Returns whether a service has an endpoint that accepts new requests.
+    /// Returns whether a service has an endpoint that accepts new requests, now or later.
     pub fn has_endpoints(&self, service: &Name) -> bool {
         let service = self.services.get(service);
-        service.is_some_and(|it| it.endpoints.iter().any(|it| !it.listed.draining))
+        service.is_some_and(Service::has_endpoints)
     }
 
     /// Replaces the list of endpoints. Returns what changed.
@@ -101,6 +141,7 @@
                 if !kept {
                     changes.push(EndpointChange::Removed(it.listed.id.clone()));
                     self.service_names.remove(&it.handle);
+                    self.unlisted_notices.record(it);
                 }
                 kept
             });
@@ -136,13 +177,16 @@
         let handle = EndpointHandle(self.last_handle);
         let name = listed.service.clone();
         self.service_names.insert(handle, name.clone());
-        self.services.entry(name).or_default().add_endpoint(handle, listed);
+        let mut endpoint = Endpoint::new(handle, listed);
+        endpoint.notice = self.unlisted_notices.take(&endpoint);
+        self.services.entry(name).or_default().endpoints.push(endpoint);
     }
 
     fn remove(&mut self, service: &Name, handle: EndpointHandle) {
         self.service_names.remove(&handle);
         if let Some(service) = self.services.get_mut(service) {
-            service.endpoints.retain(|it| it.handle != handle);
+            let removed = service.endpoints.extract_if(.., |it| it.handle == handle);
+            removed.for_each(|it| self.unlisted_notices.record(&it));
         }
     }
 
@@ -164,11 +208,8 @@
             return SubmitResult::Refused { retry_ms: MIN_RETRY_MS };
         };
         let too_late = now + estimated_wait_ms.saturating_mul(MILLISECOND) > request.wait_until;
-        let no_endpoint = !service.endpoints.iter().any(|it| !it.listed.draining);
-        if too_late || no_endpoint || service.queue.len() >= MAX_WAITING {
-            return SubmitResult::Refused {
-                retry_ms: estimated_wait_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS),
-            };
+        if too_late || !service.has_endpoints() || service.queue.len() >= MAX_WAITING {
+            return SubmitResult::Refused { retry_ms: retry_ms(now, service, estimated_wait_ms) };
         }
         self.last_waiter += 1;
         let id = WaiterId(self.last_waiter);
@@ -182,11 +223,11 @@
     fn start(&mut self, now: Time, request: &DispatchRequest) -> Option<Assignment> {
         let service = self.services.get(&request.service)?;
         let ahead = service.queue.ahead(request.priority).min(MAX_COMPARED);
-        let could_start = |it: &Waiter| service.choose(now, &self.domain, &it.request).is_some();
-        if service.queue.iter().take(ahead).any(could_start) {
+        let choose = |it| service.choose(now, &self.domain, it);
+        if service.queue.iter().take(ahead).any(|it| choose(&it.request).is_some()) {
             return None;
         }
-        let assignment = service.choose(now, &self.domain, request)?;
+        let assignment = choose(request)?;
         self.record_start(now, request, &assignment);
         Some(assignment)
     }
@@ -207,7 +248,11 @@
     /// Returns the estimated time until a request of this priority starts, in milliseconds.
     fn estimated_wait_ms(&self, now: Time, name: &Name, priority: u8) -> u64 {
         let Some(service) = self.services.get(name) else { return MAX_RETRY_MS };
-        let ready = service.endpoints.iter().filter(|it| !it.listed.draining);
+        let opens_at = service.opens_at();
+        if opens_at > now && opens_at != Time::NEVER {
+            return opens_at.since(now).div_ceil(MILLISECOND);
+        }
+        let ready = service.endpoints.iter().filter(|it| it.is_open(now));
         let running: u32 = ready.map(|it| it.load.requests(now)).sum();
         let mean_ms = self.service_times_ms.get(name).copied().unwrap_or(INITIAL_SERVICE_MS);
         let ahead = service.queue.ahead(priority) as f64 + 1.0;
@@ -221,6 +266,21 @@
         }
     }
 
+    /// Records that an endpoint is leaving. It gets no further requests. Returns whether this is
+    /// new.
+    pub fn record_leaving(&mut self, handle: EndpointHandle) -> bool {
+        let Some(endpoint) = self.endpoint(handle) else { return false };
+        !std::mem::replace(&mut endpoint.notice.leaving, true)
+    }
+
+    /// Records that an endpoint wants no requests until `closed_until`.
+    pub fn record_closed(&mut self, handle: EndpointHandle, closed_until: Time) {
+        if let Some(endpoint) = self.endpoint(handle) {
+            let notice = &mut endpoint.notice;
+            notice.closed_until = notice.closed_until.max(closed_until);
+        }
+    }
+
     /// Applies another router's report of what it runs, keyed by the hash of the endpoint's id. It
     /// runs nothing on endpoints that are not listed.
     pub fn apply_peer_report(&mut self, now: Time, router: u64, reports: &[(u64, LoadReport)]) {
@@ -324,9 +384,9 @@
         let mut expired = Vec::new();
         let names: Vec<_> = self.services.keys().cloned().collect();
         for name in names {
-            let retry_ms =
-                self.estimated_wait_ms(now, &name, u8::MAX).clamp(MIN_RETRY_MS, MAX_RETRY_MS);
+            let estimated_wait_ms = self.estimated_wait_ms(now, &name, u8::MAX);
             let Some(service) = self.services.get_mut(&name) else { continue };
+            let retry_ms = retry_ms(now, service, estimated_wait_ms);
             let expired_waiters = service.queue.expire(now);
             expired.extend(expired_waiters.into_iter().map(|it| (it.id, retry_ms)));
         }
@@ -338,7 +398,7 @@
         self.services.values().map(|it| it.queue.deadline()).min().unwrap_or(Time::NEVER)
     }
 
-    fn endpoint(&mut self, handle: EndpointHandle) -> Option<&mut crate::endpoint::Endpoint> {
+    fn endpoint(&mut self, handle: EndpointHandle) -> Option<&mut Endpoint> {
         let name = self.service_names.get(&handle)?;
         self.services.get_mut(name)?.get_mut(handle)
     }
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -16,6 +16,15 @@
 /// The maximum number of prompt parts that are tracked per endpoint.
 const MAX_PARTS: usize = 8_192;
 
+/// What an endpoint asked of this router in its responses.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+pub(crate) struct Notice {
+    /// The endpoint is leaving and wants no further requests.
+    pub(crate) leaving: bool,
+    /// Until when the endpoint wants no requests.
+    pub(crate) closed_until: Time,
+}
+
 /// An endpoint and its load, health and cached prompt parts.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
@@ -25,6 +34,7 @@
     pub(crate) hash: u64,
     pub(crate) load: Load,
     pub(crate) health: Health,
+    pub(crate) notice: Notice,
     /// The prompt parts that routers sent to the endpoint, and when they were last sent.
     parts: HashMap<u64, Time>,
 }
@@ -38,10 +48,21 @@
             listed,
             load: Load::default(),
             health: Health::default(),
+            notice: Notice::default(),
             parts: HashMap::new(),
         }
     }
 
+    /// Returns whether the endpoint takes new requests, now or later.
+    pub(crate) fn is_staying(&self) -> bool {
+        !self.listed.draining && !self.notice.leaving
+    }
+
+    /// Returns whether the endpoint takes new requests now.
+    pub(crate) fn is_open(&self, now: Time) -> bool {
+        self.is_staying() && self.notice.closed_until <= now
+    }
+
     pub(crate) fn addr(&self) -> SocketAddr {
         self.listed.addr
     }
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -7,7 +7,6 @@
         rendezvous::ranked,
     },
     derive_more::Debug,
-    directory::ListedEndpoint,
     model::{Domain, Name, Time},
     smallvec::SmallVec,
     std::net::SocketAddr,
@@ -109,14 +108,21 @@
 }
 
 impl Service {
-    pub(crate) fn add_endpoint(&mut self, handle: EndpointHandle, listed: ListedEndpoint) {
-        self.endpoints.push(Endpoint::new(handle, listed));
-    }
-
     pub(crate) fn get_mut(&mut self, handle: EndpointHandle) -> Option<&mut Endpoint> {
         self.endpoints.iter_mut().find(|it| it.handle == handle)
     }
 
+    /// Returns whether an endpoint takes new requests, now or later.
+    pub(crate) fn has_endpoints(&self) -> bool {
+        self.endpoints.iter().any(Endpoint::is_staying)
+    }
+
+    /// Returns when the first endpoint takes new requests.
+    pub(crate) fn opens_at(&self) -> Time {
+        let staying = self.endpoints.iter().filter(|it| it.is_staying());
+        staying.map(|it| it.notice.closed_until).min().unwrap_or(Time::NEVER)
+    }
+
     /// Selects an endpoint that has room.
     pub(crate) fn choose(
         &self,
@@ -124,7 +130,7 @@
         local_domain: &Domain,
         request: &DispatchRequest,
     ) -> Option<Assignment> {
-        let usable = |it: &Endpoint| !it.listed.draining && !request.excluded.contains(&it.handle);
+        let usable = |it: &Endpoint| it.is_open(now) && !request.excluded.contains(&it.handle);
         let ready: Vec<_> = self.endpoints.iter().enumerate().filter(|it| usable(it.1)).collect();
         let healthy = self.healthy(now, &ready);
         // If no endpoint is healthy, an unhealthy one may still answer.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,8 +5,8 @@
         call::Call,
         crash,
         headers::{
-            ForwardHeaders, ResponseProof, is_event_stream, reported_load, request_headers,
-            response_headers, verify_response,
+            ForwardHeaders, ResponseProof, is_event_stream, is_leaving, reported_load,
+            request_headers, response_headers, retry_after, verify_response,
         },
         shared::{RunningRequest, Shared},
         sse::EventBuffer,
@@ -196,7 +196,11 @@
             let no = self.running.pick.handle;
             call.shared.dispatcher.lock().record_reported_load(call.shared.now(), no, load);
         }
-        match verify_response(names, call.head.attempt_id.as_ref(), &parts) {
+        let proof = verify_response(names, call.head.attempt_id.as_ref(), &parts);
+        if proof != ResponseProof::Unverified {
+            self.record_notices(call, &parts);
+        }
+        match proof {
             ResponseProof::Valid => {}
             ResponseProof::Full => {
                 call.runs -= 1;
@@ -248,6 +252,38 @@
         }
     }
 
+    /// Records whether the endpoint wants no further requests, or none for some time.
+    fn record_notices(&self, call: &Call, response: &response::Parts) {
+        let shared = &call.shared;
+        let Assignment { handle, id, .. } = &self.running.pick;
+        if is_leaving(&shared.names, &response.headers)
+            && shared.dispatcher.lock().record_leaving(*handle)
+        {
+            tracing::info!(event = "endpoint-leaving", endpoint = %id, "gateway: endpoint is leaving");
+        }
+        match retry_after(response) {
+            Ok(None) => {}
+            Ok(Some(delay)) => {
+                shared.dispatcher.lock().record_closed(*handle, shared.now() + delay);
+                tracing::info!(
+                    event = "endpoint-closed",
+                    endpoint = %id,
+                    for_ms = delay / MILLISECOND,
+                    "gateway: endpoint wants no requests for some time"
+                );
+            }
+            Err(value) => {
+                shared.metrics.record_send("invalid-retry-after");
+                tracing::info!(
+                    event = "invalid-retry-after",
+                    endpoint = %id,
+                    ?value,
+                    "gateway: ignored invalid retry delay of endpoint"
+                );
+            }
+        }
+    }
+
     fn time_out(self, call: &Call) -> Failure {
         if call.left_ms() == 0 {
             return self.fail(AttemptOutcome::Abandoned, Failure::DeadlineExceeded);
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -37,6 +37,8 @@
     /// In a response: the running requests, waiting requests and slots of the endpoint, separated
     /// by commas.
     pub load: HeaderName,
+    /// In a response: `1` if the endpoint is leaving and wants no further requests.
+    pub leaving: HeaderName,
     /// The id of the last event of a stream that the client received.
     pub last_event_id: HeaderName,
     /// Further headers that only the gateway may set; they are removed from client requests.
@@ -59,6 +61,7 @@
             not_run: name("not-run"),
             signature: name("endpoint-signature"),
             load: name("endpoint-load"),
+            leaving: name("endpoint-leaving"),
             last_event_id: name("last-event-id"),
             reserved: Vec::new(),
         }
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -5,7 +5,7 @@
     derive_more::Debug,
     dispatch::{Assignment, Prompt, PromptPart},
     http::{HeaderMap, HeaderName, HeaderValue, header, request, response},
-    model::Name,
+    model::{Name, SECOND},
     smallvec::SmallVec,
 };
 
@@ -193,6 +193,28 @@
     Some(numbers.next()??.saturating_add(numbers.next()??))
 }
 
+/// Returns whether an endpoint says that it is leaving.
+pub(crate) fn is_leaving(names: &HeaderNames, headers: &HeaderMap) -> bool {
+    headers.get(&names.leaving).is_some_and(|it| it.as_bytes().trim_ascii() == b"1")
+}
+
+/// The longest retry delay that is believed, in seconds.
+const MAX_RETRY_AFTER_S: f64 = 86_400.0;
+
+/// Returns how long an endpoint that rejected a request wants none, in microseconds. The error is a
+/// value that is not a number of seconds in the accepted range.
+pub(crate) fn retry_after(response: &response::Parts) -> Result<Option<u64>, HeaderValue> {
+    if response.status != http::StatusCode::SERVICE_UNAVAILABLE {
+        return Ok(None);
+    }
+    let Some(value) = response.headers.get(header::RETRY_AFTER) else { return Ok(None) };
+    let seconds = value.to_str().ok().and_then(|it| it.trim().parse::<f64>().ok());
+    match seconds.filter(|it| (0.0..=MAX_RETRY_AFTER_S).contains(it)) {
+        Some(seconds) => Ok(Some((seconds * SECOND as f64).ceil() as u64)),
+        None => Err(value.clone()),
+    }
+}
+
 /// Returns whether a response is an event stream.
 pub(crate) fn is_event_stream(headers: &HeaderMap) -> bool {
     let kind = headers.get(header::CONTENT_TYPE).and_then(|it| it.to_str().ok());
--- a/crates/gateway/tests/common/endpoint.rs
+++ b/crates/gateway/tests/common/endpoint.rs
@@ -20,6 +20,8 @@
 /// How an endpoint handles a request.
 #[derive(Clone, Debug)]
 pub(crate) enum Behavior {
+    /// Another behavior, with this line added to the head of its response.
+    WithHeader(&'static str, Box<Behavior>),
     /// A valid response.
     Respond,
     /// A failure with this status.
@@ -201,6 +203,10 @@
     };
     let complete = format!("{SIGNED}content-length: 5\r\n\r\nwhole");
     match behavior {
+        Behavior::WithHeader(line, behavior) => {
+            let text = String::from_utf8_lossy(&response_bytes(behavior, id)).into_owned();
+            text.replacen("\r\n", &format!("\r\n{line}\r\n"), 1).into_bytes()
+        }
         Behavior::Respond => head(200, id, &complete).into_bytes(),
         Behavior::Fail(status) => head(*status, id, &complete).into_bytes(),
         Behavior::NotRun(status) => {
