Spread plain requests over all endpoints with room instead of the least loaded one

Cause: loads are reported each 0.2 s and 10 ms a gateway, every 2.1 s here, and a plain request runs for 60 ms. All gateways know the same old loads and each chose the least loaded endpoint, so one got everything until the next reports. And the bound of one and a half times the slots was applied to these old loads, so gateways refused while slots were idle; refused callers came back and kept it so after the surge had ended.

Now a plain request goes to an endpoint at random, in proportion to its room, those of the own domain first while they are less than half full; and as many requests are sent beyond the slots as an endpoint can start in half of the time that the request may wait, by the mean time that runs take there.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -11,7 +11,7 @@
     },
     derive_more::Debug,
     directory::ListedEndpoint,
-    model::{Domain, MILLISECOND, Name, Time},
+    model::{Domain, MILLISECOND, Name, Time, mix},
     std::collections::{HashMap, HashSet},
 };
 
@@ -93,6 +93,8 @@
     domain: Domain,
     /// The notices of endpoints that are not listed at the moment.
     unlisted_notices: UnlistedNotices,
+    /// The random number of the next choice.
+    random: u64,
     services: HashMap<Name, Service>,
     /// The service of each endpoint.
     service_names: HashMap<EndpointHandle, Name>,
@@ -105,11 +107,13 @@
 }
 
 impl Dispatcher {
-    /// Returns a dispatcher for a router in `domain`, without endpoints.
-    pub fn new(domain: Domain) -> Dispatcher {
+    /// Returns a dispatcher for a router in `domain`, without endpoints. Routers with different
+    /// seeds make different random choices.
+    pub fn new(domain: Domain, seed: u64) -> Dispatcher {
         Dispatcher {
             domain,
             unlisted_notices: UnlistedNotices::default(),
+            random: mix(seed),
             services: HashMap::new(),
             service_names: HashMap::new(),
             last_handle: 0,
@@ -223,7 +227,7 @@
     fn start(&mut self, now: Time, request: &DispatchRequest) -> Option<Assignment> {
         let service = self.services.get(&request.service)?;
         let ahead = service.queue.ahead(request.priority).min(MAX_COMPARED);
-        let choose = |it| service.choose(now, &self.domain, it);
+        let choose = |it| service.choose(now, &self.domain, it, self.random);
         if service.queue.iter().take(ahead).any(|it| choose(&it.request).is_some()) {
             return None;
         }
@@ -233,6 +237,7 @@
     }
 
     fn record_start(&mut self, now: Time, request: &DispatchRequest, assignment: &Assignment) {
+        self.random = mix(self.random);
         let Some(service) = self.services.get_mut(&request.service) else { return };
         let Some(endpoint) = service.get_mut(assignment.handle) else { return };
         endpoint.load.add(assignment.tokens);
@@ -256,7 +261,7 @@
         let running: u32 = ready.map(|it| it.load.requests(now)).sum();
         let mean_ms = self.service_times_ms.get(name).copied().unwrap_or(INITIAL_SERVICE_MS);
         let ahead = service.queue.ahead(priority) as f64 + 1.0;
-        (mean_ms * ahead / f64::from(running.max(1))) as u64
+        (mean_ms * ahead / f64::from(running.max(1))).ceil() as u64
     }
 
     /// Records the load that an endpoint reported: its running and waiting requests.
@@ -335,6 +340,9 @@
         if matches!(outcome, AttemptOutcome::Served | AttemptOutcome::Failed) {
             let mean_ms = self.service_times_ms.entry(name.clone()).or_insert(INITIAL_SERVICE_MS);
             *mean_ms += (service_ms - *mean_ms) * SERVICE_MS_WEIGHT;
+            if let Some(service) = self.services.get_mut(&name) {
+                service.record_service_time(now, assignment.handle, service_ms);
+            }
         }
         self.start_queued(now, &name)
     }
@@ -367,7 +375,7 @@
 
     /// Returns the first waiting request for which there is room, and its assignment.
     fn next_start(&self, now: Time, service: &Service) -> Option<(WaiterId, Assignment)> {
-        let choose = |it: &Waiter| service.choose(now, &self.domain, &it.request);
+        let choose = |it: &Waiter| service.choose(now, &self.domain, &it.request, self.random);
         service.queue.iter().find_map(|it| Some((it.id, choose(it)?)))
     }
 
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -7,7 +7,7 @@
         rendezvous::ranked,
     },
     derive_more::Debug,
-    model::{Domain, Name, Time},
+    model::{Domain, MILLISECOND, Name, Time},
     smallvec::SmallVec,
     std::net::SocketAddr,
 };
@@ -94,9 +94,19 @@
 /// are as quick to recompute.
 const MIN_FETCH_TOKENS: u32 = 128;
 
-/// Requests beyond its slots that may be sent to a plain endpoint, as a fraction of the slots. This
-/// bounds its queue, so that queued requests are served in time.
-const PLAIN_QUEUE_RATIO: f64 = 0.5;
+/// The share of the time that a request may wait which the queue of a plain endpoint is expected to
+/// take. The rest allows for loads that are out of date.
+const QUEUE_WAIT_SHARE: f64 = 0.5;
+
+/// Requests beyond its slots that may always be sent to a plain endpoint, as a fraction of the
+/// slots.
+const MIN_QUEUE_RATIO: f64 = 0.5;
+
+/// The weight of one request in the moving average of the time that requests run.
+const RUN_MS_WEIGHT: f64 = 0.05;
+
+/// The shortest mean run that queues are sized by, in milliseconds.
+const MIN_RUN_MS: f64 = 1.0;
 
 /// A service's endpoints and waiting requests.
 #[derive(Default, Debug)]
@@ -105,6 +115,9 @@
     /// The number of tokens that fit into each endpoint's memory, if the service runs a model.
     pub(crate) kv_capacity: Option<u64>,
     pub(crate) queue: WaitQueue,
+    /// The mean time that an endpoint runs a request, without the time that it queues it, in
+    /// milliseconds. `None` before any has ended.
+    run_ms: Option<f64>,
 }
 
 impl Service {
@@ -123,12 +136,29 @@
         staying.map(|it| it.notice.closed_until).min().unwrap_or(Time::NEVER)
     }
 
-    /// Selects an endpoint that has room.
+    /// Records that an endpoint answered a request `service_ms` milliseconds after it was sent.
+    pub(crate) fn record_service_time(
+        &mut self,
+        now: Time,
+        handle: EndpointHandle,
+        service_ms: f64,
+    ) {
+        let Some(endpoint) = self.get_mut(handle) else { return };
+        // The requests on the endpoint shared its slots with this one.
+        let slots = f64::from(endpoint.listed.slots.max(1));
+        let crowding = (f64::from(endpoint.load.requests(now) + 1) / slots).max(1.0);
+        let run_ms = service_ms / crowding;
+        let mean_ms = self.run_ms.unwrap_or(run_ms);
+        self.run_ms = Some(mean_ms + (run_ms - mean_ms) * RUN_MS_WEIGHT);
+    }
+
+    /// Selects an endpoint that has room. Equal random numbers give equal choices.
     pub(crate) fn choose(
         &self,
         now: Time,
         local_domain: &Domain,
         request: &DispatchRequest,
+        random: u64,
     ) -> Option<Assignment> {
         let usable = |it: &Endpoint| it.is_open(now) && !request.excluded.contains(&it.handle);
         let ready: Vec<_> = self.endpoints.iter().enumerate().filter(|it| usable(it.1)).collect();
@@ -137,7 +167,7 @@
         let candidates = if healthy.is_empty() { ready } else { healthy };
         match request.prompt.as_ref().filter(|it| !it.parts.is_empty()) {
             Some(prompt) => self.choose_by_prompt(now, local_domain, prompt, &candidates),
-            None => self.choose_by_load(now, local_domain, request, &candidates),
+            None => self.choose_by_load(now, local_domain, request, &candidates, random),
         }
     }
 
@@ -156,33 +186,57 @@
         answering.filter(comparable).copied().collect()
     }
 
+    /// Returns how many more requests an endpoint of a model can run, or none if its memory has
+    /// no room for `tokens` more.
     fn has_room(&self, now: Time, endpoint: &Endpoint, tokens: u32) -> bool {
         let load = endpoint.load.requests(now);
-        let Some(kv_capacity) = self.kv_capacity else {
-            let max_requests = f64::from(endpoint.listed.slots) * (1.0 + PLAIN_QUEUE_RATIO);
-            return f64::from(load) < max_requests;
-        };
-        let used = endpoint.load.tokens(now);
-        let fits = used + u64::from(tokens) <= (kv_capacity as f64 * KV_FILL_LIMIT) as u64;
+        let used = endpoint.load.tokens(now) + u64::from(tokens);
+        let fits = self.kv_capacity.is_none_or(|it| used <= (it as f64 * KV_FILL_LIMIT) as u64);
         load < endpoint.listed.slots && (fits || load == 0)
     }
 
+    /// Returns how many more requests an endpoint may be sent.
+    fn room(&self, now: Time, endpoint: &Endpoint, request: &DispatchRequest) -> f64 {
+        let slots = f64::from(endpoint.listed.slots);
+        let load = f64::from(endpoint.load.requests(now));
+        if self.kv_capacity.is_some() {
+            let tokens = request.prompt.as_ref().map_or(0, |it| it.tokens);
+            return if self.has_room(now, endpoint, tokens) { slots - load } else { 0.0 };
+        }
+        let wait_ms = request.wait_until.since(now) as f64 / MILLISECOND as f64;
+        let runs = self.run_ms.map_or(0.0, |it| wait_ms / it.max(MIN_RUN_MS));
+        slots * (1.0 + (runs * QUEUE_WAIT_SHARE).max(MIN_QUEUE_RATIO)) - load
+    }
+
+    /// Selects an endpoint at random, in proportion to its room.
+    ///
+    /// Loads are older than most requests take, and all routers know the same ones. If each chose
+    /// the least loaded endpoint, that one would get everything until the next reports.
     fn choose_by_load(
         &self,
         now: Time,
         local_domain: &Domain,
         request: &DispatchRequest,
         candidates: &[(usize, &Endpoint)],
+        random: u64,
     ) -> Option<Assignment> {
-        let tokens = request.prompt.as_ref().map_or(0, |it| it.tokens);
-        let with_room = candidates.iter().filter(|(_, it)| self.has_room(now, it, tokens));
+        let rooms = candidates.iter().map(|it| (it.1, self.room(now, it.1, request)));
+        let open: SmallVec<[_; 16]> = rooms.filter(|it| it.1 > 0.0).collect();
         // A remote domain is preferred only once the local endpoints are half full.
-        let rank = |it: &Endpoint| {
-            let filled = f64::from(it.load.requests(now)) / f64::from(it.listed.slots.max(1));
-            filled + if it.listed.domain == *local_domain { 0.0 } else { 0.5 }
+        let is_preferred = |it: &Endpoint| {
+            it.listed.domain == *local_domain && it.load.requests(now) * 2 < it.listed.slots
         };
-        let best = with_room.min_by(|a, b| rank(a.1).total_cmp(&rank(b.1)))?.1;
-        Some(assignment(now, best, tokens, None))
+        let has_preferred = open.iter().any(|it| is_preferred(it.0));
+        let eligible = || open.iter().filter(|it| !has_preferred || is_preferred(it.0));
+        let total: f64 = eligible().map(|it| it.1).sum();
+        let mut at = random as f64 / u64::MAX as f64 * total;
+        let chosen = eligible().find(|it| {
+            at -= it.1;
+            at <= 0.0
+        });
+        let chosen = chosen.or_else(|| eligible().last())?.0;
+        let tokens = request.prompt.as_ref().map_or(0, |it| it.tokens);
+        Some(assignment(now, chosen, tokens, None))
     }
 
     fn choose_by_prompt(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -84,8 +84,9 @@
         let (seeds, seed_updates) = watch::channel(settings.control.clone());
         let (listen, admin) = (settings.listen, settings.admin);
         let clock = Clock::start();
+        let dispatcher = Dispatcher::new(settings.domain.clone(), rand::random());
         let shared = Arc::new(Shared {
-            dispatcher: Mutex::new(Dispatcher::new(settings.domain.clone())),
+            dispatcher: Mutex::new(dispatcher),
             settings,
             names,
             clock,
