--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -234,7 +234,7 @@
             at -= it.1;
             at <= 0.0
         });
-        let chosen = chosen.or_else(|| eligible().last())?.0;
+        let chosen = chosen.or_else(|| eligible().next_back())?.0;
         let tokens = request.prompt.as_ref().map_or(0, |it| it.tokens);
         Some(assignment(now, chosen, tokens, None))
     }
