--- a/crates/dispatch/tests/assignment.rs
+++ b/crates/dispatch/tests/assignment.rs
@@ -74,6 +74,29 @@
     assert_eq!(assignment.fetch_from, Some(first.addr));
 }
 
+#[test]
+fn prompt_that_spills_is_fetched_from_its_home_although_nobody_reported_it() {
+    let (mut first_router, _) = dispatcher(12, 64);
+    let (mut second_router, _) = dispatcher(12, 64);
+    let home = assigned(first_router.submit(NOW, chat(NOW, 7, 5_000, 1)));
+    // The first router's report is lost, and the second one knows only that the home is loaded.
+    let load = LoadReport { requests: 20, tokens: 100_000 };
+    second_router.apply_peer_report(NOW, 9, &[(hash64(home.id.as_bytes()), load)]);
+    let spilled = assigned(second_router.submit(NOW, chat(NOW, 7, 5_000, 2)));
+    assert_ne!(spilled.id, home.id);
+    assert_eq!(spilled.fetch_from, Some(home.addr));
+}
+
+#[test]
+fn nothing_is_fetched_for_a_prompt_that_is_in_memory_or_hardly_shared() {
+    let (mut dispatcher, _) = dispatcher(12, 64);
+    assigned(dispatcher.submit(NOW, chat(NOW, 7, 5_000, 1)));
+    let again = assigned(dispatcher.submit(NOW, chat(NOW, 7, 5_000, 2)));
+    assert_eq!(again.fetch_from, None);
+    let short = assigned(dispatcher.submit(NOW, chat(NOW, 8, 20, 3)));
+    assert_eq!(short.fetch_from, None);
+}
+
 #[test]
 fn short_prompt_stays_in_the_local_domain() {
     let (mut dispatcher, _) = dispatcher(12, 64);
