React less to old loads when plain requests are spread

Endpoints were weighted by the room that old reports left them, so a nearly full one got almost nothing and an idle one all of it, until the next reports told the opposite. The weights now differ by two at most, and three quarters of the time that a request may wait are used for the endpoint's queue.

--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -96,7 +96,7 @@
 
 /// The share of the time that a request may wait which the queue of a plain endpoint is expected to
 /// take. The rest allows for loads that are out of date.
-const QUEUE_WAIT_SHARE: f64 = 0.5;
+const QUEUE_WAIT_SHARE: f64 = 0.75;
 
 /// Requests beyond its slots that may always be sent to a plain endpoint, as a fraction of the
 /// slots.
@@ -195,20 +195,19 @@
         load < endpoint.listed.slots && (fits || load == 0)
     }
 
-    /// Returns how many more requests an endpoint may be sent.
-    fn room(&self, now: Time, endpoint: &Endpoint, request: &DispatchRequest) -> f64 {
+    /// Returns how many requests an endpoint may have, or none if its memory is full.
+    fn max_load(&self, now: Time, endpoint: &Endpoint, request: &DispatchRequest) -> f64 {
         let slots = f64::from(endpoint.listed.slots);
-        let load = f64::from(endpoint.load.requests(now));
         if self.kv_capacity.is_some() {
             let tokens = request.prompt.as_ref().map_or(0, |it| it.tokens);
-            return if self.has_room(now, endpoint, tokens) { slots - load } else { 0.0 };
+            return if self.has_room(now, endpoint, tokens) { slots } else { 0.0 };
         }
         let wait_ms = request.wait_until.since(now) as f64 / MILLISECOND as f64;
         let runs = self.run_ms.map_or(0.0, |it| wait_ms / it.max(MIN_RUN_MS));
-        slots * (1.0 + (runs * QUEUE_WAIT_SHARE).max(MIN_QUEUE_RATIO)) - load
+        slots * (1.0 + (runs * QUEUE_WAIT_SHARE).max(MIN_QUEUE_RATIO))
     }
 
-    /// Selects an endpoint at random, in proportion to its room.
+    /// Selects an endpoint at random. One that is nearly full gets half as much as an idle one.
     ///
     /// Loads are older than most requests take, and all routers know the same ones. If each chose
     /// the least loaded endpoint, that one would get everything until the next reports.
@@ -220,8 +219,12 @@
         candidates: &[(usize, &Endpoint)],
         random: u64,
     ) -> Option<Assignment> {
-        let rooms = candidates.iter().map(|it| (it.1, self.room(now, it.1, request)));
-        let open: SmallVec<[_; 16]> = rooms.filter(|it| it.1 > 0.0).collect();
+        let weighted = candidates.iter().filter_map(|(_, it)| {
+            let max_load = self.max_load(now, it, request);
+            let load = f64::from(it.load.requests(now));
+            (load < max_load).then_some((*it, 2.0 * max_load - load))
+        });
+        let open: SmallVec<[_; 16]> = weighted.collect();
         // A remote domain is preferred only once the local endpoints are half full.
         let is_preferred = |it: &Endpoint| {
             it.listed.domain == *local_domain && it.load.requests(now) * 2 < it.listed.slots
--- a/crates/dispatch/tests/queueing.rs
+++ b/crates/dispatch/tests/queueing.rs
@@ -10,6 +10,11 @@
     std::collections::HashMap,
 };
 
+const SLOTS: f64 = 6.0;
+
+/// The time that a request runs, in milliseconds.
+const RUN_MS: f64 = 30.0;
+
 /// Returns a dispatcher whose plain endpoints are full, and the running requests.
 fn fully_loaded() -> (Dispatcher, Vec<Assignment>) {
     let (mut dispatcher, _) = dispatcher(1, 64);
@@ -64,7 +69,10 @@
 fn queued_request_starts_when_a_slot_is_free() {
     let (mut dispatcher, assignments) = fully_loaded();
     let waiting = queued_id(dispatcher.submit(NOW, plain(NOW)));
-    let next = dispatcher.finish(NOW, &assignments[0], AttemptOutcome::Served, 30.0);
+    // The request shared the slots of its endpoint with all others there.
+    let load = assignments.iter().filter(|it| it.handle == assignments[0].handle).count();
+    let service_ms = RUN_MS * load as f64 / SLOTS;
+    let next = dispatcher.finish(NOW, &assignments[0], AttemptOutcome::Served, service_ms);
     assert_eq!(next.iter().map(|it| it.0).collect::<Vec<_>>(), [waiting]);
     assert_eq!(next[0].1.id, assignments[0].id);
 }
@@ -152,11 +160,6 @@
     ]
 }
 
-const SLOTS: f64 = 6.0;
-
-/// The time that a request runs, in milliseconds.
-const RUN_MS: f64 = 30.0;
-
 /// Checks that an endpoint has no more requests than its slots and its short queue hold, or than it
 /// can start while the new one may wait.
 fn check_start(
