Exchange loads between domains as sums

Each gateway sent its loads to all others: messages grew with the square of the fleet, so the interval grew too, to 2.1 s at 191 gateways, while a report counts for 2 s; unchanged loads were sent again after four intervals only, so streams that ran on were not counted in between. About half of the bytes between zones were reports, by arithmetic: 191 x 190 messages of some 250 bytes in 2.1 s.

In a fleet of more than 16 gateways, reports go to the own domain alone; two relays a domain, computed by all from the same list, send the sum of its loads, new prompt parts and crashes to the relays of other domains each second, which pass it on (dispatch::Exchange, tested without a network). 191 gateways in five domains send 7,258 reports and some 1,900 sums where they sent 36,290.

Weighed: one relay (no loads of other domains for as long as a lost one is listed); both relays to both (twice the messages).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -5,7 +5,7 @@
         change::EndpointChange,
         endpoint::{Endpoint, EndpointHandle, Notice},
         health::AttemptOutcome,
-        load::LoadReport,
+        load::{LoadReport, Reporter},
         queue::{Waiter, WaiterId},
         service::{Assignment, DispatchRequest, Service},
     },
@@ -286,12 +286,18 @@
         }
     }
 
-    /// Applies another router's report of what it runs, keyed by the hash of the endpoint's id. It
-    /// runs nothing on endpoints that are not listed.
-    pub fn apply_peer_report(&mut self, now: Time, router: u64, reports: &[(u64, LoadReport)]) {
+    /// Applies a report of what other routers run, keyed by the hash of the endpoint's id. They
+    /// run nothing on endpoints that are not listed.
+    pub fn apply_peer_report(
+        &mut self,
+        now: Time,
+        reporter: Reporter,
+        reports: &[(u64, LoadReport)],
+    ) {
+        let reports: HashMap<_, _> = reports.iter().copied().collect();
         for endpoint in self.services.values_mut().flat_map(|it| &mut it.endpoints) {
-            let found = reports.iter().find(|it| it.0 == endpoint.hash);
-            endpoint.load.apply_peer_report(now, router, found.map(|it| it.1).unwrap_or_default());
+            let report = reports.get(&endpoint.hash).copied().unwrap_or_default();
+            endpoint.load.apply_peer_report(now, reporter, report);
         }
     }
 
@@ -321,6 +327,14 @@
         busy.map(|it| (it.hash, it.load.own)).collect()
     }
 
+    /// Returns what the routers of this router's domain run, keyed by the hash of the endpoint's
+    /// id. Idle endpoints are omitted.
+    pub fn domain_loads(&self, now: Time) -> Vec<(u64, LoadReport)> {
+        let endpoints = self.services.values().flat_map(|it| &it.endpoints);
+        let loads = endpoints.map(|it| (it.hash, it.load.domain_load(now)));
+        loads.filter(|it| it.1 != LoadReport::default()).collect()
+    }
+
     /// Records the end of a request that occupied its endpoint for `service_ms` milliseconds.
     /// Returns the waiting requests that start now.
     pub fn finish(
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod crash_tracker;
 mod dispatcher;
 mod endpoint;
+mod exchange;
 mod health;
 mod load;
 mod queue;
@@ -23,8 +24,9 @@
     crash_tracker::CrashTracker,
     dispatcher::{Dispatcher, SubmitResult},
     endpoint::EndpointHandle,
+    exchange::Exchange,
     health::AttemptOutcome,
-    load::LoadReport,
+    load::{LoadReport, Reporter},
     queue::WaiterId,
     retry_budget::{RetryBudget, RetryBudgetLimits},
     service::{Assignment, DispatchRequest, Prompt, PromptPart},
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -23,12 +23,23 @@
     pub tokens: u32,
 }
 
+/// Whose requests a load report counts.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub enum Reporter {
+    /// A router of this router's domain.
+    LocalRouter(u64),
+    /// A router of another domain.
+    RemoteRouter(u64),
+    /// All routers of another domain together.
+    Domain(u64),
+}
+
 /// The load of one endpoint.
 #[derive(Default, Debug)]
 pub(crate) struct Load {
     /// What this router runs there.
     pub(crate) own: LoadReport,
-    peers: HashMap<u64, (LoadReport, Time)>,
+    peers: HashMap<Reporter, (LoadReport, Time)>,
     /// The requests that the endpoint reported beyond this router's own, and when the report
     /// expires.
     self_reported: Option<(u32, Time)>,
@@ -45,13 +56,13 @@
         self.own.tokens = self.own.tokens.saturating_sub(tokens);
     }
 
-    /// Applies another router's report.
-    pub(crate) fn apply_peer_report(&mut self, now: Time, router: u64, report: LoadReport) {
+    /// Applies a report of other routers.
+    pub(crate) fn apply_peer_report(&mut self, now: Time, reporter: Reporter, report: LoadReport) {
         self.peers.retain(|_, (_, at)| now.since(*at) < PEER_REPORT_TTL);
         if report == LoadReport::default() {
-            self.peers.remove(&router);
+            self.peers.remove(&reporter);
         } else {
-            self.peers.insert(router, (report, now));
+            self.peers.insert(reporter, (report, now));
         }
     }
 
@@ -62,6 +73,18 @@
             Some((requests.saturating_sub(self.own.requests), now + SELF_REPORT_TTL));
     }
 
+    /// Returns what this router and the others of its domain run there.
+    pub(crate) fn domain_load(&self, now: Time) -> LoadReport {
+        let is_counted = |reporter: &Reporter, at: Time| {
+            matches!(reporter, Reporter::LocalRouter(_)) && now.since(at) < PEER_REPORT_TTL
+        };
+        let local = self.peers.iter().filter(|it| is_counted(it.0, it.1.1));
+        local.fold(self.own, |sum, (_, (it, _))| LoadReport {
+            requests: sum.requests.saturating_add(it.requests),
+            tokens: sum.tokens.saturating_add(it.tokens),
+        })
+    }
+
     /// Returns the running requests of all routers.
     pub(crate) fn requests(&self, now: Time) -> u32 {
         let fresh = self.peers.values().filter(|(_, at)| now.since(*at) < PEER_REPORT_TTL);
--- a/crates/dispatch/tests/assignment.rs
+++ b/crates/dispatch/tests/assignment.rs
@@ -6,7 +6,7 @@
     common::{NOW, chat, dispatcher, domain, listed, plain},
     dispatch::{
         Assignment, AttemptOutcome, DispatchRequest, Dispatcher, EndpointChange, LoadReport,
-        SubmitResult,
+        Reporter, SubmitResult,
     },
     model::{MILLISECOND, SECOND, hash64},
     std::collections::{BTreeSet, HashMap},
@@ -81,7 +81,11 @@
     let home = assigned(first_router.submit(NOW, chat(NOW, 7, 5_000, 1)));
     // The first router's report is lost, and the second one knows only that the home is loaded.
     let load = LoadReport { requests: 20, tokens: 100_000 };
-    second_router.apply_peer_report(NOW, 9, &[(hash64(home.id.as_bytes()), load)]);
+    second_router.apply_peer_report(
+        NOW,
+        Reporter::RemoteRouter(9),
+        &[(hash64(home.id.as_bytes()), load)],
+    );
     let spilled = assigned(second_router.submit(NOW, chat(NOW, 7, 5_000, 2)));
     assert_ne!(spilled.id, home.id);
     assert_eq!(spilled.fetch_from, Some(home.addr));
@@ -127,7 +131,7 @@
         .filter(|it| &*it.service == "model")
         .map(|it| (hash64(it.id.as_bytes()), LoadReport { requests: 4, tokens: 4_000 }))
         .collect();
-    dispatcher.apply_peer_report(NOW, 9, &busy);
+    dispatcher.apply_peer_report(NOW, Reporter::RemoteRouter(9), &busy);
     let fully_loaded =
         dispatcher.submit(NOW, DispatchRequest { wait_until: NOW, ..chat(NOW, 1, 5_000, 1) });
     assert!(matches!(fully_loaded, SubmitResult::Refused { .. }), "{fully_loaded:?}");
--- a/crates/dispatch/tests/common/simulation.rs
+++ b/crates/dispatch/tests/common/simulation.rs
@@ -1,7 +1,7 @@
 //! A simulation of many routers that place requests on a few plain endpoints.
 //!
 //! Each router has a dispatcher and a retry budget of its own. Routers report their loads to each
-//! other at the interval of `gateway::gossip`. An endpoint runs as many requests as it has slots,
+//! other as [`Exchange`] says, at the intervals of `gateway::gossip`. An endpoint runs as many requests as it has slots,
 //! queues some more, and rejects the rest.
 
 #![allow(dead_code, reason = "each test file uses some of these")]
@@ -11,16 +11,17 @@
     derive_more::Debug,
     directory::ListedEndpoint,
     dispatch::{
-        Assignment, AttemptOutcome, DispatchRequest, Dispatcher, EndpointHandle, RetryBudget,
-        RetryBudgetLimits, SubmitResult, WaiterId,
+        Assignment, AttemptOutcome, DispatchRequest, Dispatcher, EndpointHandle, Exchange,
+        Reporter, RetryBudget, RetryBudgetLimits, SubmitResult, WaiterId,
     },
-    model::{MILLISECOND, SECOND, Time},
+    model::{Domain, MILLISECOND, SECOND, Time},
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
     smallvec::SmallVec,
     std::{
         collections::{BTreeMap, HashMap, VecDeque},
         fmt,
+        net::SocketAddr,
     },
 };
 
@@ -32,6 +33,8 @@
 const LOCAL_DELAY: u64 = 200;
 /// One way between a router and an endpoint of another domain, in microseconds.
 const REMOTE_DELAY: u64 = 1_400;
+/// The interval between the sums that one relay sends, in microseconds.
+const SUM_INTERVAL: u64 = SECOND;
 /// Sends allowed beyond the attempts while endpoints prove that they did not run the request.
 const EXTRA_SENDS: u32 = 2;
 const ATTEMPTS: u32 = 2;
@@ -117,7 +120,8 @@
     AtEndpoint(Box<Request>),
     Finished(usize, Box<Request>),
     Answered(Box<Request>, AttemptOutcome, u32),
-    Gossip(usize),
+    Report(usize),
+    Sum(usize, usize),
     Expire(usize),
 }
 
@@ -130,6 +134,7 @@
 #[derive(Debug)]
 struct Router {
     dispatcher: Dispatcher,
+    exchange: Exchange,
     budget: RetryBudget,
     waiting: HashMap<WaiterId, Box<Request>>,
 }
@@ -174,12 +179,16 @@
                 started_at_ms: None,
             })
             .collect();
+        let domains: Vec<Domain> = (0..DOMAINS).map(|it| domain(&format!("d{it}"))).collect();
+        let members = || (0..load.routers).map(|it| (router_addr(it), &domains[it % DOMAINS]));
         let limits = RetryBudgetLimits { ratio: 0.2, slack: 2.2 * load.routers as f64 };
         let routers = (0..load.routers).map(|at| {
             let mut dispatcher = Dispatcher::new(domain(&format!("d{}", at % DOMAINS)), at as u64);
             dispatcher.update_endpoints(&listing);
+            let exchange = Exchange::new(router_addr(at), &domains[at % DOMAINS], members());
             Router {
                 dispatcher,
+                exchange,
                 budget: RetryBudget::new(limits, load.routers),
                 waiting: HashMap::new(),
             }
@@ -197,14 +206,18 @@
         };
         simulation.schedule_arrivals();
         for at in 0..load.routers {
-            let first = simulation.rng.random_range(0..simulation.gossip_interval());
-            simulation.schedule(first, Event::Gossip(at));
+            let first = simulation.rng.random_range(0..simulation.report_interval(at));
+            simulation.schedule(first, Event::Report(at));
+            if simulation.routers[at].exchange.is_relay {
+                let first = simulation.rng.random_range(0..SUM_INTERVAL);
+                simulation.schedule(first, Event::Sum(at, 0));
+            }
         }
         simulation
     }
 
-    fn gossip_interval(&self) -> u64 {
-        (200 + 10 * self.load.routers as u64) * MILLISECOND
+    fn report_interval(&self, at: usize) -> u64 {
+        (200 + 10 * self.routers[at].exchange.direct.len() as u64) * MILLISECOND
     }
 
     fn schedule(&mut self, delay: u64, event: Event) {
@@ -269,7 +282,8 @@
             Event::AtEndpoint(request) => self.receive(request),
             Event::Finished(at, request) => self.finish(at, request),
             Event::Answered(request, outcome, load) => self.answer(request, outcome, load),
-            Event::Gossip(at) => self.gossip(at),
+            Event::Report(at) => self.report(at),
+            Event::Sum(at, round) => self.send_sum(at, round),
             Event::Expire(at) => {
                 let expired = self.routers[at].dispatcher.expire(self.now);
                 for (id, retry_ms) in expired {
@@ -425,16 +439,45 @@
         self.schedule(back.since(self.now), Event::Arrive(Box::new(again)));
     }
 
-    fn gossip(&mut self, at: usize) {
+    fn report(&mut self, at: usize) {
         let loads = self.routers[at].dispatcher.local_loads();
-        for (peer, router) in self.routers.iter_mut().enumerate() {
-            if peer != at {
-                router.dispatcher.apply_peer_report(self.now, at as u64, &loads);
+        for peer in self.routers[at].exchange.direct.clone() {
+            let peer = router_at(peer);
+            let is_local = peer % DOMAINS == at % DOMAINS;
+            let id = at as u64;
+            let reporter =
+                if is_local { Reporter::LocalRouter(id) } else { Reporter::RemoteRouter(id) };
+            self.routers[peer].dispatcher.apply_peer_report(self.now, reporter, &loads);
+        }
+        if self.now < Time(self.load.seconds * SECOND) {
+            let interval = self.report_interval(at);
+            self.schedule(interval, Event::Report(at));
+        }
+    }
+
+    fn send_sum(&mut self, at: usize, round: usize) {
+        let loads = self.routers[at].dispatcher.domain_loads(self.now);
+        let reporter = Reporter::Domain((at % DOMAINS) as u64);
+        let relays: Vec<_> = self.routers[at].exchange.remote_relays(round).collect();
+        for relay in relays {
+            let direct = self.routers[router_at(relay)].exchange.direct.clone();
+            for receiver in direct.into_iter().chain([relay]) {
+                let receiver = &mut self.routers[router_at(receiver)];
+                receiver.dispatcher.apply_peer_report(self.now, reporter, &loads);
             }
         }
         if self.now < Time(self.load.seconds * SECOND) {
-            let interval = self.gossip_interval();
-            self.schedule(interval, Event::Gossip(at));
+            self.schedule(SUM_INTERVAL, Event::Sum(at, round + 1));
         }
     }
 }
+
+fn router_addr(at: usize) -> SocketAddr {
+    ([10, 1, (at >> 8) as u8, at as u8], 7_000).into()
+}
+
+fn router_at(addr: SocketAddr) -> usize {
+    let SocketAddr::V4(addr) = addr else { unreachable!("routers have IPv4 addresses") };
+    let [_, _, high, low] = addr.ip().octets();
+    usize::from(high) << 8 | usize::from(low)
+}
--- /dev/null
+++ b/crates/dispatch/tests/exchange.rs
@@ -0,0 +1,115 @@
+//! Tests of which routers get load reports and sums of loads.
+
+mod common;
+
+use {
+    common::{NOW, domain, listed},
+    dispatch::{Dispatcher, Exchange, LoadReport, Reporter, SubmitResult},
+    model::{Domain, SECOND, hash64},
+    rstest::rstest,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+    },
+};
+
+fn members(routers: u16, domains: u16) -> Vec<(SocketAddr, Domain)> {
+    let member = |at: u16| {
+        let [high, low] = at.to_be_bytes();
+        (([10, 0, high, low], 7_000).into(), domain(&format!("d{}", at % domains)))
+    };
+    (0..routers).map(member).collect()
+}
+
+fn exchanges(members: &[(SocketAddr, Domain)]) -> BTreeMap<SocketAddr, (Domain, Exchange)> {
+    let refs = || members.iter().map(|it| (it.0, &it.1));
+    let exchange = |it: &(SocketAddr, Domain)| Exchange::new(it.0, &it.1, refs());
+    members.iter().map(|it| (it.0, (it.1.clone(), exchange(it)))).collect()
+}
+
+#[test]
+fn routers_of_a_small_fleet_report_to_all_others() {
+    for (addr, (_, exchange)) in exchanges(&members(16, 3)) {
+        assert_eq!(exchange.direct.len(), 15);
+        assert!(!exchange.direct.contains(&addr) && !exchange.is_relay);
+    }
+}
+
+#[rstest]
+#[case(191, 5, 0)]
+#[case(320, 10, 0)]
+#[case(40, 4, 1)]
+fn loads_of_each_domain_reach_all_routers(
+    #[case] routers: u16,
+    #[case] domains: u16,
+    #[case] round: usize,
+) {
+    let exchanges = exchanges(&members(routers, domains));
+    let mut known: BTreeMap<SocketAddr, BTreeSet<Domain>> = BTreeMap::new();
+    let mut messages = 0;
+    for (own, exchange) in exchanges.values() {
+        messages += exchange.direct.len();
+        for peer in &exchange.direct {
+            assert_eq!(exchanges[peer].0, *own, "reports stay in their domain");
+            known.entry(*peer).or_default().insert(own.clone());
+        }
+        for relay in exchange.remote_relays(round) {
+            let (receiver_domain, receiver) = &exchanges[&relay];
+            assert!(receiver.is_relay && receiver_domain != own);
+            messages += 1 + receiver.direct.len();
+            for addr in receiver.direct.iter().chain([&relay]) {
+                known.entry(*addr).or_default().insert(own.clone());
+            }
+        }
+    }
+    assert!(exchanges.keys().all(|it| known[it].len() == usize::from(domains)));
+    let (routers, domains) = (usize::from(routers), usize::from(domains));
+    let most = routers * routers.div_ceil(domains) + 2 * domains * routers;
+    assert!(messages <= most, "{messages} messages, at most {most} expected");
+}
+
+#[test]
+fn lost_relay_costs_every_other_sum() {
+    let members = members(60, 3);
+    let exchanges = exchanges(&members);
+    let (lost, _) = exchanges.iter().find(|it| it.1.1.is_relay).expect("no relay");
+    let remote = |round| {
+        let senders = exchanges.iter().filter(|it| it.1.1.is_relay && it.0 != lost);
+        senders.flat_map(|it| it.1.1.remote_relays(round).collect::<Vec<_>>()).collect::<Vec<_>>()
+    };
+    for round in 0..4 {
+        let reached: BTreeSet<_> = remote(round).into_iter().chain(remote(round + 1)).collect();
+        assert!(reached.iter().any(|it| it != lost));
+    }
+}
+
+#[test]
+fn members_in_any_order_give_the_same_relays() {
+    let mut members = members(50, 4);
+    let before = exchanges(&members);
+    members.reverse();
+    assert_eq!(exchanges(&members), before);
+}
+
+#[test]
+fn sum_of_a_domain_counts_each_of_its_routers_once_until_their_reports_expire() {
+    let endpoint = listed("plain", 1, 100);
+    let hash = hash64(endpoint.id.as_bytes());
+    let mut dispatcher = Dispatcher::new(domain("d0"), 1);
+    dispatcher.update_endpoints(&[endpoint]);
+    let SubmitResult::Started(_) = dispatcher.submit(NOW, common::plain(NOW)) else {
+        panic!("expected an assignment");
+    };
+    let mut report = |reporter, requests| {
+        let load = LoadReport { requests, tokens: 10 * requests };
+        dispatcher.apply_peer_report(NOW, reporter, &[(hash, load)]);
+    };
+    report(Reporter::LocalRouter(1), 2);
+    report(Reporter::LocalRouter(2), 9);
+    report(Reporter::LocalRouter(2), 3);
+    report(Reporter::RemoteRouter(1), 20);
+    report(Reporter::Domain(5), 40);
+    let sum = |requests, tokens| vec![(hash, LoadReport { requests, tokens })];
+    assert_eq!(dispatcher.domain_loads(NOW), sum(6, 50));
+    assert_eq!(dispatcher.domain_loads(NOW + 2 * SECOND), sum(1, 0));
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -100,6 +100,7 @@
             crashes: Mutex::new(CrashTracker::default()),
             membership: Mutex::new(Membership::default()),
             unsent_strikes: Mutex::new(Vec::new()),
+            relay_outbox: Mutex::default(),
             shutdown_at: AtomicU64::new(0),
             shutdown: Notify::new(),
             announcement: Mutex::new(None),
@@ -120,7 +121,8 @@
             tokio::spawn(control::run(shared.clone(), seed_updates)),
             tokio::spawn(relay::serve(shared.clone(), listener)),
             tokio::spawn(discovery::run(shared.clone(), directory)),
-            tokio::spawn(gossip::send(shared.clone(), socket.clone())),
+            tokio::spawn(gossip::send_reports(shared.clone(), socket.clone())),
+            tokio::spawn(gossip::send_sums(shared.clone(), socket.clone())),
             tokio::spawn(gossip::receive(shared.clone(), socket)),
             tokio::spawn(process_queue(shared.clone())),
         ];
