--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -117,7 +117,15 @@
 
     /// Starts another gateway with the same control replica.
     pub(crate) async fn add_gateway(&mut self) {
-        let settings = gateway_settings(self.control.internal_addr());
+        self.add_gateway_in("d0").await;
+    }
+
+    /// Starts another gateway in this domain with the same control replica.
+    pub(crate) async fn add_gateway_in(&mut self, domain: &str) {
+        let settings = GatewaySettings {
+            domain: Domain(domain.into()),
+            ..gateway_settings(self.control.internal_addr())
+        };
         self.others.push(start_gateway(settings, self.list.clone()).await);
     }
 
