Prefer an endpoint's own fresh report to the reports of other routers

The load of an endpoint was the larger of what other routers last reported, up to 2 s old, and of what the endpoint itself said in a response of the last 0.4 s. Endpoints that a router had just used looked busier than others for it, and routers refused what the endpoint could run.

Now the endpoint's own report counts alone while it is fresh. The new test fails before (refused).

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -101,9 +101,8 @@
     pub(crate) fn requests(&self, now: Time) -> u32 {
         let fresh = self.peers.values().filter(|(_, at)| now.since(*at) < PEER_REPORT_TTL);
         let reported: u32 = fresh.map(|(it, _)| it.requests).sum();
-        let self_reported =
-            self.self_reported.filter(|(_, until)| now < *until).map_or(0, |it| it.0);
-        self.own.requests + reported.max(self_reported)
+        let self_reported = self.self_reported.filter(|(_, until)| now < *until);
+        self.own.requests + self_reported.map_or(reported, |it| it.0)
     }
 
     /// Returns the tokens held by the running requests of all routers.
--- a/crates/dispatch/tests/assignment.rs
+++ b/crates/dispatch/tests/assignment.rs
@@ -139,6 +139,26 @@
     assigned(dispatcher.submit(later, chat(later, 1, 5_000, 2)));
 }
 
+#[test]
+fn own_report_of_an_endpoint_counts_in_place_of_older_reports_of_routers() {
+    let (mut dispatcher, listing) = dispatcher(1, 4);
+    let first = assigned(dispatcher.submit(NOW, chat(NOW, 1, 5_000, 1)));
+    let busy = [(hash64(listing[0].id.as_bytes()), LoadReport { requests: 4, tokens: 4_000 })];
+    dispatcher.apply_peer_report(NOW, Reporter::RemoteRouter(9), &busy);
+    let submit = |dispatcher: &mut Dispatcher, now| {
+        dispatcher.submit(now, DispatchRequest { wait_until: now, ..chat(now, 1, 5_000, 2) })
+    };
+    let refused = submit(&mut dispatcher, NOW);
+    assert!(matches!(refused, SubmitResult::Refused { .. }), "{refused:?}");
+    // The endpoint runs this router's request and one of another router.
+    dispatcher.record_reported_load(NOW, first.handle, 2);
+    let second = assigned(submit(&mut dispatcher, NOW));
+    assert_eq!(second.load, 2);
+    dispatcher.finish(NOW, &second, AttemptOutcome::Abandoned, 0.0);
+    let later = submit(&mut dispatcher, NOW + 500 * MILLISECOND);
+    assert!(matches!(later, SubmitResult::Refused { .. }), "{later:?}");
+}
+
 #[test]
 fn draining_endpoint_gets_no_new_requests() {
     let (mut dispatcher, mut listing) = dispatcher(3, 64);
