Report only prompts that are away from their home, and pace what relays send

All gateways compute the same home of a prompt, also while it drains, and name it as the source if they know none. So only prompts that went elsewhere are reported, and a relay's messages to its domain are spread over half a second.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -102,8 +102,8 @@
     last_waiter: u64,
     /// The mean time that a request occupies an endpoint, per service, in milliseconds.
     service_times_ms: HashMap<Name, f64>,
-    /// The endpoint hashes and last prompt parts that are new since other routers were last
-    /// informed.
+    /// The endpoint hashes and last shared parts of prompts that went elsewhere than to their home
+    /// since other routers were last informed.
     new_parts: Vec<(u64, u64)>,
 }
 
@@ -251,7 +251,7 @@
         if let Some(prompt) = &request.prompt {
             let new = prompt.shared().iter().filter(|it| endpoint.record_part(now, it.id));
             // The last part implies those before it.
-            if let Some(part) = new.last() {
+            if let Some(part) = new.last().filter(|_| !assignment.is_home) {
                 self.new_parts.push((endpoint.hash, part.id));
             }
         }
@@ -308,8 +308,8 @@
         }
     }
 
-    /// Returns up to `max` prompt parts that endpoints began to process for this router since the
-    /// last call, each with the hash of the endpoint's id.
+    /// Returns up to `max` last shared parts of prompts that went elsewhere than to their home since
+    /// the last call, each with the hash of the endpoint's id.
     pub fn take_new_parts(&mut self, max: usize) -> Vec<(u64, u64)> {
         let from = self.new_parts.len().saturating_sub(max);
         self.new_parts.split_off(from)
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -67,6 +67,8 @@
     pub incarnation: u64,
     /// Another endpoint that is expected to have more of the prompt in memory.
     pub fetch_from: Option<SocketAddr>,
+    /// Whether the endpoint is the prompt's home, where other routers expect it anyway.
+    pub is_home: bool,
     /// The tokens that the request is counted with.
     pub tokens: u32,
     /// The running requests of all routers on the endpoint, without this one.
@@ -239,7 +241,7 @@
         });
         let chosen = chosen.or_else(|| eligible().next_back())?.0;
         let tokens = request.prompt.as_ref().map_or(0, |it| it.tokens);
-        Some(assignment(now, chosen, tokens, None))
+        Some(assignment(now, chosen, tokens))
     }
 
     fn choose_by_prompt(
@@ -269,8 +271,10 @@
                 .min_by(|a, b| load(a).total_cmp(&load(b)))
         };
         let chosen = *within_bound.or_else(least_loaded)?;
-        let fetch = self.fetch_source(now, prompt, chosen, &ranked);
-        Some(assignment(now, &self.endpoints[chosen], prompt.tokens, fetch))
+        let fetch_from = self.fetch_source(now, prompt, chosen);
+        let is_home = search_order.first() == Some(&chosen);
+        let assignment = assignment(now, &self.endpoints[chosen], prompt.tokens);
+        Some(Assignment { fetch_from, is_home, ..assignment })
     }
 
     /// Returns the maximum number of requests on an endpoint that takes a prompt although others
@@ -283,14 +287,8 @@
 
     /// Returns the endpoint that is expected to have most of a prompt in memory, if it has enough
     /// more than the chosen one. If none is known to have more, it is the first other one in the
-    /// prompt's order, to which other routers may have sent it.
-    fn fetch_source(
-        &self,
-        now: Time,
-        prompt: &Prompt,
-        chosen: usize,
-        ranked: &[usize],
-    ) -> Option<SocketAddr> {
+    /// prompt's order. It is the home of the prompt, or was before a new endpoint joined.
+    fn fetch_source(&self, now: Time, prompt: &Prompt, chosen: usize) -> Option<SocketAddr> {
         let shared = prompt.shared();
         let target = &self.endpoints[chosen];
         let min_tokens = target.cached_tokens(shared) + MIN_FETCH_TOKENS;
@@ -298,13 +296,14 @@
             return None;
         }
         // A draining endpoint can still be fetched from.
-        let others = self.endpoints.iter().filter(|it| it.handle != target.handle);
-        let healthy = others.filter(|it| !it.health.is_avoided(now));
+        let others = self.endpoints.iter().enumerate().filter(|it| it.0 != chosen);
+        let healthy = others.filter(|it| !it.1.health.is_avoided(now));
         let is_local = |it: &Endpoint| it.listed.domain == target.listed.domain;
-        let holders = healthy.map(|it| (it.cached_tokens(shared), is_local(it), it.addr()));
+        let holders =
+            healthy.clone().map(|(_, it)| (it.cached_tokens(shared), is_local(it), it.addr()));
         let known = holders.filter(|it| it.0 >= min_tokens).max_by_key(|it| (it.0, it.1));
-        let likely = || ranked.iter().find(|it| **it != chosen);
-        known.map(|it| it.2).or_else(|| Some(self.endpoints[*likely()?].addr()))
+        let likely = || ranked(affinity(prompt).0, healthy).first().copied();
+        known.map(|it| it.2).or_else(|| Some(self.endpoints[likely()?].addr()))
     }
 }
 
@@ -316,19 +315,15 @@
     (key, shared.iter().map(|it| it.tokens).sum())
 }
 
-fn assignment(
-    now: Time,
-    endpoint: &Endpoint,
-    tokens: u32,
-    fetch_from: Option<SocketAddr>,
-) -> Assignment {
+fn assignment(now: Time, endpoint: &Endpoint, tokens: u32) -> Assignment {
     Assignment {
         handle: endpoint.handle,
         id: endpoint.listed.id.clone(),
         addr: endpoint.addr(),
         domain: endpoint.listed.domain.clone(),
         incarnation: endpoint.incarnation(),
-        fetch_from,
+        fetch_from: None,
+        is_home: false,
         tokens,
         load: endpoint.load.requests(now),
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -43,7 +43,7 @@
 const MAX_REPORT_PARTS: usize = 128;
 
 /// The maximum number of prompt parts in the message of a relay.
-const MAX_SUM_PARTS: usize = 512;
+const MAX_SUM_PARTS: usize = 256;
 
 /// The maximum number of prompt parts that a relay keeps for later messages.
 const MAX_UNSENT_PARTS: usize = 8_192;
@@ -197,7 +197,12 @@
             let loads = shared.dispatcher.lock().other_domains_loads(now);
             let news = shared.relay_outbox.lock().other_domains.take();
             let sum = message(Scope::OtherDomains, loads, news);
-            send(&socket, &sum, exchange.direct).await;
+            // All at once would hold up the streams on the gateway's link.
+            let pause = Duration::from_millis(SUM_INTERVAL_MS) / (exchange.direct.len() + 1) as u32;
+            for peer in exchange.direct {
+                send(&socket, &sum, [peer]).await;
+                sleep(pause).await;
+            }
         }
     }
 }
