Send new prompt parts to all gateways, let a prompt's holder take more, and fit reports into packets

What relays pass on comes too late at a start, when every prompt is new. New parts now go to all gateways directly again: those of the own domain with the loads, others once a second; loads still go by relays as sums.

An endpoint that has a prompt in memory takes it up to 1.6 times the mean load and 2.5 requests more, one that has not up to 1.4 times and 2 (the bound that must hold is twice and 3): elsewhere the prompt would have to be fetched or read again.

Datagrams hold at most 48 loads or 32 parts and name the part of the endpoints that they cover, so that they fit into a packet and a lost one leaves the others valid.

Tests: endpoint_with_the_prompt_in_memory_takes_more_than_one_without_it, chunks_cover_all_endpoints_and_replace_earlier_loads, last_shared_part_tells_other_routers_of_the_whole_prompt.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -5,7 +5,7 @@
         change::EndpointChange,
         endpoint::{Endpoint, EndpointHandle, Notice},
         health::AttemptOutcome,
-        load::{Load, LoadReport, Reporter},
+        load::{Load, LoadChunk, LoadReport, Reporter},
         queue::{Waiter, WaiterId},
         service::{Assignment, DispatchRequest, Service},
     },
@@ -102,8 +102,8 @@
     last_waiter: u64,
     /// The mean time that a request occupies an endpoint, per service, in milliseconds.
     service_times_ms: HashMap<Name, f64>,
-    /// The endpoint hashes and last shared parts of prompts that went elsewhere than to their home
-    /// since other routers were last informed.
+    /// The endpoint hashes and last shared parts of prompts that are new there since other routers
+    /// were last informed.
     new_parts: Vec<(u64, u64)>,
 }
 
@@ -251,7 +251,7 @@
         if let Some(prompt) = &request.prompt {
             let new = prompt.shared().iter().filter(|it| endpoint.record_part(now, it.id));
             // The last part implies those before it.
-            if let Some(part) = new.last().filter(|_| !assignment.is_home) {
+            if let Some(part) = new.last() {
                 self.new_parts.push((endpoint.hash, part.id));
             }
         }
@@ -293,37 +293,33 @@
         }
     }
 
-    /// Applies a report of what other routers run, keyed by the hash of the endpoint's id. They
-    /// run nothing on endpoints that are not listed.
-    pub fn apply_peer_report(
-        &mut self,
-        now: Time,
-        reporter: Reporter,
-        reports: &[(u64, LoadReport)],
-    ) {
-        let reports: HashMap<_, _> = reports.iter().copied().collect();
-        for endpoint in self.services.values_mut().flat_map(|it| &mut it.endpoints) {
+    /// Applies a report of what other routers run. They run nothing on covered endpoints that are
+    /// not listed.
+    pub fn apply_peer_report(&mut self, now: Time, reporter: Reporter, chunk: &LoadChunk) {
+        let reports: HashMap<_, _> = chunk.loads.iter().copied().collect();
+        let endpoints = self.services.values_mut().flat_map(|it| &mut it.endpoints);
+        for endpoint in endpoints.filter(|it| (chunk.from..=chunk.to).contains(&it.hash)) {
             let report = reports.get(&endpoint.hash).copied().unwrap_or_default();
             endpoint.load.apply_peer_report(now, reporter, report);
         }
     }
 
-    /// Returns up to `max` last shared parts of prompts that went elsewhere than to their home since
-    /// the last call, each with the hash of the endpoint's id.
+    /// Returns up to `max` last shared parts of prompts that endpoints began to process for this
+    /// router since the last call, each with the hash of the endpoint's id.
     pub fn take_new_parts(&mut self, max: usize) -> Vec<(u64, u64)> {
         let from = self.new_parts.len().saturating_sub(max);
         self.new_parts.split_off(from)
     }
 
-    /// Records prompt parts that endpoints processed for other routers. Returns those that were not
-    /// known, without those of endpoints that are not listed.
-    pub fn record_peer_parts(&mut self, now: Time, parts: &[(u64, u64)]) -> Vec<(u64, u64)> {
+    /// Records prompt parts that endpoints processed for another router.
+    pub fn record_peer_parts(&mut self, now: Time, parts: &[(u64, u64)]) {
         let endpoints = self.services.values_mut().flat_map(|it| &mut it.endpoints);
         let mut endpoints: HashMap<_, _> = endpoints.map(|it| (it.hash, it)).collect();
-        let mut is_new = |hash: &u64, part: u64| {
-            endpoints.get_mut(hash).is_some_and(|it| it.record_part(now, part))
-        };
-        parts.iter().filter(|(hash, part)| is_new(hash, *part)).copied().collect()
+        for (hash, part) in parts {
+            if let Some(endpoint) = endpoints.get_mut(hash) {
+                endpoint.record_part(now, *part);
+            }
+        }
     }
 
     /// Returns what this router runs, keyed by the hash of the endpoint's id. Idle endpoints are
--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -22,6 +22,8 @@
 pub struct Exchange {
     /// The routers that get this router's own reports, in order.
     pub direct: Vec<SocketAddr>,
+    /// All other routers, in order.
+    pub indirect: Vec<SocketAddr>,
     /// Whether this router sends the sum of its domain to other domains, and theirs to its own.
     pub is_relay: bool,
     /// The relays of each other domain. Empty if this router is no relay.
@@ -42,11 +44,15 @@
         domains.entry(domain).or_default().push(own);
         let routers: usize = domains.values().map(Vec::len).sum();
         let is_direct = routers <= MAX_DIRECT_ROUTERS;
-        let reached = domains.iter().filter(|it| is_direct || *it.0 == domain);
-        let mut direct: Vec<_> =
-            reached.flat_map(|it| it.1).copied().filter(|it| *it != own).collect();
+        let (mut direct, mut indirect) = (Vec::new(), Vec::new());
+        for (member_domain, addrs) in &domains {
+            let is_reached = is_direct || *member_domain == domain;
+            let reached = if is_reached { &mut direct } else { &mut indirect };
+            reached.extend(addrs.iter().copied().filter(|it| *it != own));
+        }
         direct.sort_unstable();
-        let mut exchange = Exchange { direct, is_relay: false, relays: Vec::new() };
+        indirect.sort_unstable();
+        let mut exchange = Exchange { direct, indirect, is_relay: false, relays: Vec::new() };
         if is_direct || !relays(&domains[domain]).contains(&own) {
             return exchange;
         }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -26,7 +26,7 @@
     endpoint::EndpointHandle,
     exchange::Exchange,
     health::AttemptOutcome,
-    load::{LoadReport, Reporter},
+    load::{LoadChunk, LoadReport, Reporter},
     queue::WaiterId,
     retry_budget::{RetryBudget, RetryBudgetLimits},
     service::{Assignment, DispatchRequest, Prompt, PromptPart},
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -23,6 +23,35 @@
     pub tokens: u32,
 }
 
+/// Loads of endpoints, keyed by the hash of the endpoint's id, that fit into one message.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
+pub struct LoadChunk {
+    /// The first hash that the chunk covers.
+    pub from: u64,
+    /// The last hash that the chunk covers.
+    pub to: u64,
+    /// The loads. Covered endpoints without one are idle.
+    pub loads: Vec<(u64, LoadReport)>,
+}
+
+impl LoadChunk {
+    /// Splits the loads of all endpoints into chunks of at most `max` loads, which together cover
+    /// all hashes.
+    pub fn split(mut loads: Vec<(u64, LoadReport)>, max: usize) -> Vec<LoadChunk> {
+        loads.sort_unstable_by_key(|it| it.0);
+        let mut chunks = Vec::new();
+        let mut from = 0;
+        while loads.len() > max {
+            let rest = loads.split_off(max);
+            let to = rest[0].0 - 1;
+            chunks.push(LoadChunk { from, to, loads });
+            (from, loads) = (to + 1, rest);
+        }
+        chunks.push(LoadChunk { from, to: u64::MAX, loads });
+        chunks
+    }
+}
+
 /// Whose requests a load report counts.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 pub enum Reporter {
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -67,8 +67,6 @@
     pub incarnation: u64,
     /// Another endpoint that is expected to have more of the prompt in memory.
     pub fetch_from: Option<SocketAddr>,
-    /// Whether the endpoint is the prompt's home, where other routers expect it anyway.
-    pub is_home: bool,
     /// The tokens that the request is counted with.
     pub tokens: u32,
     /// The running requests of all routers on the endpoint, without this one.
@@ -86,6 +84,13 @@
 /// Requests allowed on top of that multiple, because a few requests are never spread evenly.
 const SPILL_SLACK: f64 = 2.0;
 
+/// Like [`SPILL_FACTOR`], for an endpoint that has the prompt in memory. Elsewhere it would have to
+/// be fetched or read again.
+const HOLDER_SPILL_FACTOR: f64 = 1.6;
+
+/// Like [`SPILL_SLACK`], for an endpoint that has the prompt in memory.
+const HOLDER_SPILL_SLACK: f64 = 2.5;
+
 /// The part of an endpoint's memory that running requests may be expected to fill.
 const KV_FILL_LIMIT: f64 = 0.85;
 
@@ -258,12 +263,21 @@
         let local_endpoints = ranked.iter().copied().filter(|it| local_first && is_local(it));
         let other_endpoints = ranked.iter().copied().filter(|it| !(local_first && is_local(it)));
         let search_order: Vec<_> = local_endpoints.chain(other_endpoints).collect();
-        let bound = self.bound(now, candidates);
+        let mean = self.mean_load(now, candidates);
+        let shared_tokens: u32 = prompt.shared().iter().map(|it| it.tokens).sum();
+        let bound = |it: &usize| {
+            let missing = shared_tokens - self.endpoints[*it].cached_tokens(prompt.shared());
+            if missing < MIN_FETCH_TOKENS {
+                mean * HOLDER_SPILL_FACTOR + HOLDER_SPILL_SLACK
+            } else {
+                mean * SPILL_FACTOR + SPILL_SLACK
+            }
+        };
         let load = |it: &usize| f64::from(self.endpoints[*it].load.requests(now));
         let has_room_for_prompt =
             |it: &usize| self.has_room(now, &self.endpoints[*it], prompt.tokens);
         let within_bound =
-            search_order.iter().find(|it| load(it) + 1.0 <= bound && has_room_for_prompt(it));
+            search_order.iter().find(|it| load(it) + 1.0 <= bound(it) && has_room_for_prompt(it));
         let least_loaded = || {
             search_order
                 .iter()
@@ -272,17 +286,13 @@
         };
         let chosen = *within_bound.or_else(least_loaded)?;
         let fetch_from = self.fetch_source(now, prompt, chosen);
-        let is_home = search_order.first() == Some(&chosen);
         let assignment = assignment(now, &self.endpoints[chosen], prompt.tokens);
-        Some(Assignment { fetch_from, is_home, ..assignment })
+        Some(Assignment { fetch_from, ..assignment })
     }
 
-    /// Returns the maximum number of requests on an endpoint that takes a prompt although others
-    /// are less loaded.
-    fn bound(&self, now: Time, candidates: &[(usize, &Endpoint)]) -> f64 {
+    fn mean_load(&self, now: Time, candidates: &[(usize, &Endpoint)]) -> f64 {
         let total: u32 = candidates.iter().map(|(_, it)| it.load.requests(now)).sum();
-        let mean = f64::from(total) / candidates.len().max(1) as f64;
-        mean * SPILL_FACTOR + SPILL_SLACK
+        f64::from(total) / candidates.len().max(1) as f64
     }
 
     /// Returns the endpoint that is expected to have most of a prompt in memory, if it has enough
@@ -323,7 +333,6 @@
         domain: endpoint.listed.domain.clone(),
         incarnation: endpoint.incarnation(),
         fetch_from: None,
-        is_home: false,
         tokens,
         load: endpoint.load.requests(now),
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -100,7 +100,7 @@
             crashes: Mutex::new(CrashTracker::default()),
             membership: Mutex::new(Membership::default()),
             unsent_strikes: Mutex::new(Vec::new()),
-            relay_outbox: Mutex::default(),
+            is_relay: AtomicBool::new(false),
             shutdown_at: AtomicU64::new(0),
             shutdown: Notify::new(),
             announcement: Mutex::new(None),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,8 +1,8 @@
 //! Gossip of load to other gateways, over UDP.
 //!
-//! Each gateway reports what it runs. In a large fleet only gateways of its domain get the report,
-//! and relays exchange the sums of the domains ([`dispatch::Exchange`]). A lost datagram costs some
-//! accuracy until the next one arrives.
+//! Each gateway reports what it runs. In a large fleet only gateways of its domain get the loads, and
+//! relays exchange the sums of the domains ([`dispatch::Exchange`]); all get its new prompt parts and
+//! crashes. A lost datagram costs some accuracy until the next one arrives.
 
 use {
     crate::shared::Shared,
@@ -11,11 +11,15 @@
         serde::{decode_from_slice, encode_to_vec},
     },
     derive_more::Debug,
-    dispatch::{Exchange, LoadReport, Reporter},
+    dispatch::{Exchange, LoadChunk, Reporter},
     eyre::{Result, WrapErr},
     model::{MILLISECOND, Time, hash64},
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
     tokio::{net::UdpSocket, time::sleep},
 };
 
@@ -39,14 +43,18 @@
 /// more receivers there.
 const OTHER_DOMAINS_INTERVALS: usize = 2;
 
-/// The maximum number of prompt parts in a report.
+/// The interval between the prompt parts and crashes that a gateway sends to those that don't get its
+/// loads, in milliseconds.
+const NEWS_INTERVAL_MS: u64 = 1_000;
+
+/// The maximum number of prompt parts that a gateway reports at a time.
 const MAX_REPORT_PARTS: usize = 128;
 
-/// The maximum number of prompt parts in the message of a relay.
-const MAX_SUM_PARTS: usize = 256;
+/// The maximum number of loads in a datagram, so that it fits into a packet.
+const MAX_DATAGRAM_LOADS: usize = 48;
 
-/// The maximum number of prompt parts that a relay keeps for later messages.
-const MAX_UNSENT_PARTS: usize = 8_192;
+/// The maximum number of prompt parts in a datagram.
+const MAX_DATAGRAM_PARTS: usize = 32;
 
 /// The maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
@@ -71,8 +79,8 @@
     router: u64,
     /// The hash of its domain.
     domain: u64,
-    /// The load placed on each endpoint, keyed by the hash of the endpoint's id.
-    loads: Vec<(u64, LoadReport)>,
+    /// The load placed on some of the endpoints.
+    loads: Option<LoadChunk>,
     /// Prompt parts that endpoints started to process, with the hash of the endpoint's id.
     placed: Vec<(u64, u64)>,
     /// Fingerprints of requests, with the incarnation of an endpoint that crashed while running
@@ -80,36 +88,21 @@
     strikes: Vec<(u64, u64)>,
 }
 
-/// What a relay has learned and not passed on yet.
-#[derive(Default, Debug)]
-pub(crate) struct RelayOutbox {
-    is_relay: bool,
-    /// From the own domain, for others.
-    domain: News,
-    /// From other domains, for the own one.
-    other_domains: News,
-}
-
 /// Prompt parts and crashes, as in a [`GossipMessage`].
-#[derive(Default, Debug)]
+#[derive(Clone, Default, Debug)]
 struct News {
     placed: Vec<(u64, u64)>,
     strikes: Vec<(u64, u64)>,
 }
 
 impl News {
-    /// Adds news. If there is too much, later prompt parts are dropped.
-    fn push(&mut self, placed: &[(u64, u64)], strikes: &[(u64, u64)]) {
-        let room = MAX_UNSENT_PARTS.saturating_sub(self.placed.len());
-        self.placed.extend(placed.iter().take(room));
-        self.strikes.extend(strikes);
+    fn is_empty(&self) -> bool {
+        self.placed.is_empty() && self.strikes.is_empty()
     }
 
-    /// Takes the news for one message, the oldest first.
-    fn take(&mut self) -> News {
-        let len = self.placed.len().min(MAX_SUM_PARTS);
-        let placed = self.placed.drain(..len).collect();
-        News { placed, strikes: std::mem::take(&mut self.strikes) }
+    fn extend(&mut self, other: &News) {
+        self.placed.extend(&other.placed);
+        self.strikes.extend(&other.strikes);
     }
 }
 
@@ -133,8 +126,9 @@
 /// Sends this gateway's reports for as long as the process runs.
 pub(crate) async fn send_reports(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let (mut last_loads, mut repeat_at) = (Vec::new(), Time(0));
+    let (mut unsent_news, mut news_at) = (News::default(), Time(0));
     loop {
-        let Exchange { direct, .. } = exchange(&shared);
+        let Exchange { direct, indirect, .. } = exchange(&shared);
         let interval_ms = INTERVAL_MS + INTERVAL_PER_ROUTER_MS * direct.len() as u64;
         sleep(Duration::from_millis(interval_ms)).await;
         let now = shared.now();
@@ -144,29 +138,20 @@
         };
         loads.sort_unstable_by_key(|it| it.0);
         let strikes = std::mem::take(&mut *shared.unsent_strikes.lock());
-        {
-            let mut outbox = shared.relay_outbox.lock();
-            if outbox.is_relay {
-                outbox.domain.push(&placed, &strikes);
-            }
-        }
-        let is_changed = loads != last_loads || !strikes.is_empty() || !placed.is_empty();
+        let news = News { placed, strikes };
+        unsent_news.extend(&news);
         let is_due = !loads.is_empty() && now >= repeat_at;
-        if !is_changed && !is_due {
-            continue;
+        if loads != last_loads || !news.is_empty() || is_due {
+            last_loads.clone_from(&loads);
+            repeat_at = now + REPEAT_MS * MILLISECOND;
+            let loads = LoadChunk::split(loads, MAX_DATAGRAM_LOADS);
+            send(&socket, &encode(&shared, Scope::Gateway, loads, news), direct).await;
+        }
+        if !unsent_news.is_empty() && now >= news_at {
+            news_at = now + NEWS_INTERVAL_MS * MILLISECOND;
+            let news = std::mem::take(&mut unsent_news);
+            send(&socket, &encode(&shared, Scope::Gateway, Vec::new(), news), indirect).await;
         }
-        last_loads.clone_from(&loads);
-        repeat_at = now + REPEAT_MS * MILLISECOND;
-        let message = GossipMessage {
-            version: FORMAT_VERSION,
-            scope: Scope::Gateway,
-            router: shared.instance_id,
-            domain: domain_hash(&shared),
-            loads,
-            placed,
-            strikes,
-        };
-        send(&socket, &message, direct).await;
     }
 }
 
@@ -175,54 +160,69 @@
     for round in 0.. {
         sleep(Duration::from_millis(SUM_INTERVAL_MS)).await;
         let exchange = exchange(&shared);
-        set_relay(&shared, exchange.is_relay);
+        if shared.is_relay.swap(exchange.is_relay, Ordering::Relaxed) != exchange.is_relay {
+            tracing::info!(
+                event = "relay",
+                is_relay = exchange.is_relay,
+                "gateway: role in the exchange of loads changed"
+            );
+        }
         if !exchange.is_relay {
             continue;
         }
-        let message = |scope, loads, news: News| GossipMessage {
-            version: FORMAT_VERSION,
-            scope,
-            router: shared.instance_id,
-            domain: domain_hash(&shared),
-            loads,
-            placed: news.placed,
-            strikes: news.strikes,
-        };
         let now = shared.now();
+        let sums = |scope, loads| {
+            let loads = LoadChunk::split(loads, MAX_DATAGRAM_LOADS);
+            encode(&shared, scope, loads, News::default())
+        };
         let loads = shared.dispatcher.lock().domain_loads(now);
-        let news = shared.relay_outbox.lock().domain.take();
-        let sum = message(Scope::Domain, loads, news);
-        send(&socket, &sum, exchange.remote_relays(round)).await;
+        send(&socket, &sums(Scope::Domain, loads), exchange.remote_relays(round)).await;
         if round % OTHER_DOMAINS_INTERVALS == 0 {
             let loads = shared.dispatcher.lock().other_domains_loads(now);
-            let news = shared.relay_outbox.lock().other_domains.take();
-            let sum = message(Scope::OtherDomains, loads, news);
+            let datagrams = sums(Scope::OtherDomains, loads);
             // All at once would hold up the streams on the gateway's link.
             let pause = Duration::from_millis(SUM_INTERVAL_MS) / (exchange.direct.len() + 1) as u32;
             for peer in exchange.direct {
-                send(&socket, &sum, [peer]).await;
+                send(&socket, &datagrams, [peer]).await;
                 sleep(pause).await;
             }
         }
     }
 }
 
-fn set_relay(shared: &Shared, is_relay: bool) {
-    let mut outbox = shared.relay_outbox.lock();
-    if outbox.is_relay != is_relay {
-        tracing::info!(event = "relay", is_relay, "gateway: role in the exchange of loads changed");
-        *outbox = RelayOutbox { is_relay, ..RelayOutbox::default() };
+/// Encodes loads and news as datagrams.
+fn encode(shared: &Shared, scope: Scope, loads: Vec<LoadChunk>, news: News) -> Vec<Vec<u8>> {
+    let mut loads = loads.into_iter();
+    let mut placed = news.placed.chunks(MAX_DATAGRAM_PARTS);
+    let mut strikes = Some(news.strikes).filter(|it| !it.is_empty());
+    let mut datagrams = Vec::new();
+    loop {
+        let (loads, placed, strikes) = (loads.next(), placed.next(), strikes.take());
+        if loads.is_none() && placed.is_none() && strikes.is_none() {
+            return datagrams;
+        }
+        let message = GossipMessage {
+            version: FORMAT_VERSION,
+            scope,
+            router: shared.instance_id,
+            domain: domain_hash(shared),
+            loads,
+            placed: placed.unwrap_or_default().to_vec(),
+            strikes: strikes.unwrap_or_default(),
+        };
+        datagrams.extend(encode_to_vec(&message, standard()).ok());
     }
 }
 
-async fn send<I>(socket: &UdpSocket, message: &GossipMessage, to: I)
+async fn send<I>(socket: &UdpSocket, datagrams: &[Vec<u8>], to: I)
 where
     I: IntoIterator<Item = SocketAddr>,
 {
-    let Ok(bytes) = encode_to_vec(message, standard()) else { return };
     for peer in to {
-        if let Err(err) = socket.send_to(&bytes, peer).await {
-            tracing::debug!("gateway: failed to send gossip to {peer}: {err}");
+        for datagram in datagrams {
+            if let Err(err) = socket.send_to(datagram, peer).await {
+                tracing::debug!("gateway: failed to send gossip to {peer}: {err}");
+            }
         }
     }
 }
@@ -253,39 +253,27 @@
 
 fn apply(shared: &Shared, message: &GossipMessage) {
     let is_local = message.domain == domain_hash(shared);
+    let is_relay = shared.is_relay.load(Ordering::Relaxed);
     let GossipMessage { router, placed, strikes, .. } = message;
-    if *router == shared.instance_id {
-        return;
-    }
-    let is_relay = shared.relay_outbox.lock().is_relay;
     let reporter = match (message.scope, is_local) {
-        (Scope::Gateway, true) => Some(Reporter::LocalRouter(*router)),
-        (Scope::Gateway, false) => Some(Reporter::RemoteRouter(*router)),
-        (Scope::Domain, false) => Some(Reporter::Domain(message.domain)),
-        // A relay gets the sum of each other domain by itself.
-        (Scope::OtherDomains, true) => (!is_relay).then_some(Reporter::OtherDomains),
-        // A message for another domain, from before a change of the members.
-        (Scope::Domain, true) | (Scope::OtherDomains, false) => return,
+        _ if *router == shared.instance_id => return,
+        (Scope::Gateway, true) => Reporter::LocalRouter(*router),
+        (Scope::Gateway, false) => Reporter::RemoteRouter(*router),
+        (Scope::Domain, false) => Reporter::Domain(message.domain),
+        (Scope::OtherDomains, true) if !is_relay => Reporter::OtherDomains,
+        // Relays get the sum of each other domain. Sums for another domain are from before a
+        // change of the members.
+        (Scope::Domain | Scope::OtherDomains, _) => return,
     };
     let now = shared.now();
-    let new_parts = {
-        let mut dispatcher = shared.dispatcher.lock();
-        if let Some(reporter) = reporter {
-            dispatcher.apply_peer_report(now, reporter, &message.loads);
-        }
-        dispatcher.record_peer_parts(now, placed)
-    };
-    let new_strikes: Vec<_> = {
-        let mut crashes = shared.crashes.lock();
-        let is_new = |it: &&(u64, u64)| crashes.record_crash(now, it.0, it.1);
-        strikes.iter().filter(is_new).copied().collect()
-    };
-    let mut outbox = shared.relay_outbox.lock();
-    match reporter {
-        Some(Reporter::LocalRouter(_)) if is_relay => outbox.domain.push(&new_parts, &new_strikes),
-        Some(Reporter::Domain(_)) if is_relay => {
-            outbox.other_domains.push(&new_parts, &new_strikes);
-        }
-        _ => {}
+    let mut dispatcher = shared.dispatcher.lock();
+    if let Some(loads) = &message.loads {
+        dispatcher.apply_peer_report(now, reporter, loads);
+    }
+    dispatcher.record_peer_parts(now, placed);
+    drop(dispatcher);
+    let mut crashes = shared.crashes.lock();
+    for (fingerprint, incarnation) in strikes {
+        crashes.record_crash(now, *fingerprint, *incarnation);
     }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -3,7 +3,7 @@
 //! Lock order: `layout_history`, `dispatcher`, `waiters`. All other locks are leaves. No lock is held across an await.
 
 use {
-    crate::{gossip::RelayOutbox, header_names::HeaderNames, metrics::Metrics, sampler::Sampler},
+    crate::{header_names::HeaderNames, metrics::Metrics, sampler::Sampler},
     arc_swap::ArcSwapOption,
     derive_more::Debug,
     dispatch::{
@@ -94,8 +94,8 @@
     pub(crate) membership: Mutex<Membership>,
     /// Crashes that have not been sent to other gateways yet.
     pub(crate) unsent_strikes: Mutex<Vec<(u64, u64)>>,
-    /// What is to be sent to other domains if this gateway is a relay.
-    pub(crate) relay_outbox: Mutex<RelayOutbox>,
+    /// Whether this gateway exchanges the sums of its domain's loads with other domains.
+    pub(crate) is_relay: AtomicBool,
     /// When shutdown was requested, in microseconds of this process's clock. Zero if it was not.
     pub(crate) shutdown_at: AtomicU64,
     pub(crate) shutdown: Notify,
