--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -43,10 +43,6 @@
 /// more receivers there.
 const OTHER_DOMAINS_INTERVALS: usize = 2;
 
-/// The interval between the prompt parts and crashes that a gateway sends to those that don't get its
-/// loads, in milliseconds.
-const NEWS_INTERVAL_MS: u64 = 1_000;
-
 /// The maximum number of prompt parts that a gateway reports at a time.
 const MAX_REPORT_PARTS: usize = 128;
 
@@ -148,7 +144,7 @@
             send(&socket, &encode(&shared, Scope::Gateway, loads, news), direct).await;
         }
         if !unsent_news.is_empty() && now >= news_at {
-            news_at = now + NEWS_INTERVAL_MS * MILLISECOND;
+            news_at = now + INTERVAL_PER_ROUTER_MS * indirect.len() as u64 * MILLISECOND;
             let news = std::mem::take(&mut unsent_news);
             send(&socket, &encode(&shared, Scope::Gateway, Vec::new(), news), indirect).await;
         }
