--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -193,8 +193,7 @@
         answering.filter(comparable).copied().collect()
     }
 
-    /// Returns how many more requests an endpoint of a model can run, or none if its memory has
-    /// no room for `tokens` more.
+    /// Returns whether an endpoint has a free slot, and memory for `tokens` more.
     fn has_room(&self, now: Time, endpoint: &Endpoint, tokens: u32) -> bool {
         let load = endpoint.load.requests(now);
         let used = endpoint.load.tokens(now) + u64::from(tokens);
