--- a/crates/dispatch/tests/many_routers.rs
+++ b/crates/dispatch/tests/many_routers.rs
@@ -7,7 +7,8 @@
     rstest::rstest,
 };
 
-/// Half of what the endpoints can run: 250 of 500 requests per second.
+/// Half of what the endpoints can run: 250 of 500 requests per second. With 191 routers, reports are
+/// older than requests run.
 const HALF_FULL: Load = Load {
     routers: 191,
     endpoints: 5,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -29,7 +29,8 @@
 /// The base interval between reports, in milliseconds. Some requests finish in less.
 const INTERVAL_MS: u64 = 200;
 
-/// How much the interval grows per gateway that gets the reports, in milliseconds.
+/// How much the interval grows per gateway that gets the reports, in milliseconds. Prompt parts and
+/// crashes go to gateways of other domains at this interval alone.
 const INTERVAL_PER_ROUTER_MS: u64 = 10;
 
 /// After this time, unchanged loads are sent again, before gateways that have them expire them, in
@@ -84,7 +85,7 @@
     strikes: Vec<(u64, u64)>,
 }
 
-/// Prompt parts and crashes, as in a [`GossipMessage`].
+/// What is sent once, unlike loads: prompt parts and crashes, as in a [`GossipMessage`].
 #[derive(Clone, Default, Debug)]
 struct News {
     placed: Vec<(u64, u64)>,
