--- a/crates/gateway/tests/common/endpoint.rs
+++ b/crates/gateway/tests/common/endpoint.rs
@@ -56,6 +56,13 @@
     PartialEvent(std::ops::Range<u64>),
     /// Events with these numbers, then nothing.
     Stalled(std::ops::Range<u64>),
+    /// Another behavior, after a silence of this many milliseconds.
+    Delayed(u64, Box<Behavior>),
+    /// The first part of a valid response, and the rest after a silence of this many milliseconds.
+    PausedBody(u64),
+    /// The head of a stream and its first events, and the others after a silence of this many
+    /// milliseconds, terminated correctly.
+    PausedEvents(std::ops::Range<u64>, u64, std::ops::Range<u64>),
 }
 
 /// A request as received by an endpoint.
@@ -150,8 +157,21 @@
         state.behaviors.pop_front().unwrap_or(Behavior::Respond)
     };
     let mut buffer = [0; 1];
-    let bytes = response_bytes(&behavior, received.header("attempt-id").unwrap_or("-"));
+    let id = received.header("attempt-id").unwrap_or("-");
+    let bytes = response_bytes(&behavior, id);
+    let (bytes, silence_ms, rest) = split_at_silence(&behavior, bytes, id);
     let _ = socket.write_all(&bytes).await;
+    if silence_ms > 0 {
+        tokio::select! {
+            () = sleep(Duration::from_millis(silence_ms)) => {}
+            // The gateway closed the connection.
+            _ = socket.read(&mut buffer) => {
+                state.lock().expect("state is poisoned").active -= 1;
+                return;
+            }
+        }
+        let _ = socket.write_all(&rest).await;
+    }
     match behavior {
         Behavior::NoResponse | Behavior::Stalled(_) => {
             // Wait until the gateway closes the connection.
@@ -168,6 +188,24 @@
     state.lock().expect("state is poisoned").active -= 1;
 }
 
+/// Splits a response into what is sent before a silence, its length in milliseconds, and what is
+/// sent after it.
+fn split_at_silence(behavior: &Behavior, bytes: Vec<u8>, id: &str) -> (Vec<u8>, u64, Vec<u8>) {
+    match behavior {
+        Behavior::Delayed(ms, _) => (Vec::new(), *ms, bytes),
+        Behavior::PausedBody(ms) => {
+            let (first, rest) = bytes.split_at(bytes.len() - 3);
+            (first.to_vec(), *ms, rest.to_vec())
+        }
+        Behavior::PausedEvents(first, ms, _) => {
+            let first = response_bytes(&Behavior::Stalled(first.clone()), id);
+            let rest = bytes[first.len()..].to_vec();
+            (first, *ms, rest)
+        }
+        _ => (bytes, 0, Vec::new()),
+    }
+}
+
 async fn read_request(socket: &mut TcpStream) -> Option<ReceivedRequest> {
     let mut bytes = Vec::new();
     let end = loop {
@@ -252,6 +290,11 @@
             events.clone().for_each(|it| bytes.extend(chunk(&event(it))));
             bytes
         }
+        Behavior::Delayed(_, behavior) => response_bytes(behavior, id),
+        Behavior::PausedBody(_) => response_bytes(&Behavior::Respond, id),
+        Behavior::PausedEvents(first, _, rest) => {
+            response_bytes(&Behavior::Events(first.start..rest.end), id)
+        }
     }
 }
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -39,6 +39,8 @@
 /// How long a test may wait for a condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(15);
 
+const RETRIES: RetrySettings = RetrySettings { ratio: 0.2, slack: 50.0 };
+
 static METRICS: OnceLock<telemetry::Metrics> = OnceLock::new();
 
 pub(crate) const TEAM_KEY: &str = "key-of-one";
@@ -91,13 +93,26 @@
 
     /// Starts a gateway without a configuration.
     pub(crate) async fn start_unconfigured(endpoints: &[ListedEndpoint]) -> Fixture {
-        Fixture::start_with(endpoints, 1_000.0).await
+        Fixture::start_with(endpoints, 1_000.0, RETRIES).await
     }
 
     /// Starts a gateway without a configuration, whose control replica has a link of `link_mbps`
     /// Mbit/s.
     pub(crate) async fn start_on_link(link_mbps: f64) -> Fixture {
-        Fixture::start_with(&[], link_mbps).await
+        Fixture::start_with(&[], link_mbps, RETRIES).await
+    }
+
+    /// Starts a gateway with `layout`, these endpoints and this retry budget, and waits until it
+    /// is ready.
+    pub(crate) async fn start_with_retries(
+        layout: &RoutingConfig,
+        endpoints: &[ListedEndpoint],
+        retries: RetrySettings,
+    ) -> Fixture {
+        let fixture = Fixture::start_with(endpoints, 1_000.0, retries).await;
+        fixture.publish(layout).await;
+        wait_until(|| fixture.gateway.is_ready()).await;
+        fixture
     }
 
     /// Starts a gateway without a configuration and with these endpoints, whose control replica has
@@ -106,17 +121,21 @@
         endpoints: &[ListedEndpoint],
         link_mbps: f64,
     ) -> Fixture {
-        Fixture::start_with(endpoints, link_mbps).await
+        Fixture::start_with(endpoints, link_mbps, RETRIES).await
     }
 
-    async fn start_with(endpoints: &[ListedEndpoint], link_mbps: f64) -> Fixture {
+    async fn start_with(
+        endpoints: &[ListedEndpoint],
+        link_mbps: f64,
+        retries: RetrySettings,
+    ) -> Fixture {
         let data = tempfile::tempdir().expect("failed to create a directory");
         let settings = ControlSettings { link_mbps, ..control_settings(&data) };
         let mut control = Control::spawn(settings).await.expect("failed to start control");
         control.wait_until_leader().await;
         let list = StaticList(Arc::new(Mutex::new(endpoints.to_vec())));
         control.poll_directory(list.clone());
-        let settings = gateway_settings(control.internal_addr());
+        let settings = GatewaySettings { retries, ..gateway_settings(control.internal_addr()) };
         let admin = settings.admin;
         let gateway = start_gateway(settings, list.clone()).await;
         let (addr, configs) = (gateway.addr(), control.routing_configs());
@@ -216,7 +235,7 @@
         grace_ms: 5_000,
         connections: 100,
         listing: ListingSettings { interval_ms: 50, rate: 1_000.0 },
-        retries: RetrySettings { ratio: 0.2, slack: 50.0 },
+        retries: RETRIES,
         log: LogSettings { level: LogLevel::Error, ..LogSettings::default() },
     }
 }
