Test the loss of any disk that a group must tolerate, at any moment of a membership change

It now also wipes a disk while no more machines have lost theirs than a group of the intended size tolerates, whatever the momentary size. A loss counts until the leader's committed membership has all its voters with disks; a machine that loses its disk again counts once. The old condition is kept beside it, so that nothing is played less than before. New schedules have spares without a vote, voters that are cut off for longer than the voter timeout, faults between two events of a change, and restarts of all. Each run prints how often each situation occurred and fails if one did not.

--- a/crates/fakes/src/net.rs
+++ b/crates/fakes/src/net.rs
@@ -95,6 +95,11 @@
         self.blocked_links.insert((from, to));
     }
 
+    /// Returns whether the link from `from` to `to` is blocked.
+    pub fn is_blocked(&self, from: A, to: A) -> bool {
+        self.blocked_links.contains(&(from, to))
+    }
+
     /// Unblocks all links.
     pub fn heal(&mut self) {
         self.blocked_links.clear();
--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -3,7 +3,11 @@
 
 mod sim;
 
-use {proptest::prelude::*, sim::Sim};
+use {
+    proptest::{prelude::*, test_runner::TestRunner},
+    sim::{Sim, Situation},
+    std::{cell::RefCell, collections::BTreeMap},
+};
 
 #[derive(Clone, Debug)]
 enum Op {
@@ -34,6 +38,9 @@
     CutLeaderFrom(usize),
     Heal,
     ReplaceHost(usize),
+    CrashAll(u64),
+    /// Another fault, once replicas have changed their membership that many times.
+    AfterChange(u8, Box<Op>),
 }
 
 /// Generates faults and requests for a group of `hosts` hosts.
@@ -71,6 +78,31 @@
     ]
 }
 
+/// Generates faults and requests as [`op`] does, with voters that are silent for long and faults within a change of
+/// the membership.
+fn op_with_changes(hosts: usize) -> impl Strategy<Value = Op> {
+    let host = move || 0..hosts;
+    let fault = prop_oneof![
+        6 => host().prop_map(Op::WipeDisk),
+        2 => Just(Op::WipeLeaderDisk),
+        2 => any::<u64>().prop_map(Op::CrashLeader),
+        2 => (host(), any::<u64>()).prop_map(|(at, pick)| Op::CrashAndRestart(at, pick)),
+        2 => (host(), 0..9u32, any::<u64>())
+            .prop_map(|(at, left, pick)| Op::FailDisk(at, left, pick)),
+        1 => any::<u64>().prop_map(Op::CrashAll),
+        1 => Just(Op::IsolateLeader),
+        1 => host().prop_map(Op::Isolate),
+        1 => host().prop_map(Op::ReplaceHost),
+        1 => Just(Op::Heal),
+    ];
+    prop_oneof![
+        100 => op(hosts),
+        10 => host().prop_map(Op::Isolate),
+        2 => any::<u64>().prop_map(Op::CrashAll),
+        30 => (1..6u8, fault).prop_map(|(count, it)| Op::AfterChange(count, Box::new(it))),
+    ]
+}
+
 /// Generates clock drifts: the two extremes that the drift margin allows, or any value between them.
 fn drift() -> impl Strategy<Value = i32> {
     prop_oneof![Just(-50_000), Just(50_000), -50_000..50_000i32]
@@ -96,7 +128,7 @@
         Op::Read(at) => sim.read(at),
         Op::Snapshot(at) => sim.snapshot(at),
         Op::Crash(at, pick) => sim.crash(at, pick),
-        Op::CrashLeader(pick) => sim.leader().into_iter().for_each(|it| sim.crash(it, pick)),
+        Op::CrashLeader(pick) => sim.crash_leader(pick),
         Op::CrashAndRestart(at, pick) => {
             sim.crash(at, pick);
             sim.restart(at);
@@ -117,6 +149,11 @@
         Op::Heal => sim.net.heal(),
         Op::ReplaceHost(at) if sim.is_seeded() => sim.replace(at),
         Op::ReplaceHost(_) => {}
+        Op::CrashAll(pick) => sim.crash_all(pick),
+        Op::AfterChange(count, ref fault) => {
+            sim.run_until_change(count);
+            apply(sim, fault);
+        }
     }
 }
 
@@ -134,7 +171,7 @@
 }
 
 /// Applies the operations, then checks that the group has kept all acknowledged commands and accepts new ones.
-fn run_and_verify(mut sim: Sim, ops: &[Op]) {
+fn run_and_verify(mut sim: Sim, ops: &[Op]) -> BTreeMap<Situation, u64> {
     ops.iter().for_each(|it| apply(&mut sim, it));
     sim.recover();
     sim.check_acknowledged();
@@ -142,6 +179,31 @@
     sim.propose(leader);
     (0..50).for_each(|_| sim.round());
     assert_eq!(sim.acknowledged.len(), before + 1, "the group accepts commands again");
+    sim.situations
+}
+
+/// Runs random schedules and checks that each of the situations occurred in them.
+fn check_schedules<S, F>(drifts: S, hosts: usize, start: F, situations: &[Situation])
+where
+    S: Strategy,
+    F: Fn(&S::Value) -> Sim,
+{
+    let config = ProptestConfig { failure_persistence: None, ..ProptestConfig::default() };
+    let cases = config.cases;
+    let totals = RefCell::new(BTreeMap::<Situation, u64>::new());
+    let schedule = (drifts, prop::collection::vec(op_with_changes(hosts), 1..150));
+    let checked = TestRunner::new(config).run(&schedule, |(drifts, ops)| {
+        for (situation, count) in run_and_verify(start(&drifts), &ops) {
+            *totals.borrow_mut().entry(situation).or_default() += count;
+        }
+        Ok(())
+    });
+    let totals = totals.into_inner();
+    println!("{hosts} hosts, {cases} schedules: {totals:?}");
+    checked.unwrap_or_else(|err| panic!("{err}"));
+    for situation in situations {
+        assert!(totals.contains_key(situation), "{situation:?} never occurred");
+    }
 }
 
 proptest! {
@@ -172,3 +234,71 @@
         run_and_verify(Sim::seeded(&drifts), &ops);
     }
 }
+
+const CHANGE_SITUATIONS: [Situation; 5] = [
+    Situation::DiskLostInChange,
+    Situation::SameDiskLostAgain,
+    Situation::LeaderCrashedInChange,
+    Situation::AllCrashedInChange,
+    Situation::AddressReturnedBesideSilentVoter,
+];
+
+const SILENT_VOTER_SITUATIONS: [Situation; 2] =
+    [Situation::DiskLostAfterRemoval, Situation::FormerVoterReturned];
+
+#[test]
+fn a_lost_disk_while_a_silent_voter_is_replaced_leaves_a_quorum() {
+    let situations = [&CHANGE_SITUATIONS[..], &SILENT_VOTER_SITUATIONS].concat();
+    check_schedules(prop::array::uniform4(drift()), 4, |it| Sim::with_spares(it, 3), &situations);
+}
+
+#[test]
+fn two_lost_disks_while_silent_voters_are_replaced_leave_a_quorum() {
+    let situations = [&CHANGE_SITUATIONS[..], &SILENT_VOTER_SITUATIONS].concat();
+    check_schedules(prop::array::uniform7(drift()), 7, |it| Sim::with_spares(it, 5), &situations);
+}
+
+#[test]
+fn lost_disks_while_a_removed_host_is_replaced_leave_a_quorum() {
+    let situations = [&CHANGE_SITUATIONS[..], &[Situation::HostReplacedInChange]].concat();
+    check_schedules(prop::array::uniform4(drift()), 4, |it| Sim::seeded(it), &situations);
+}
+
+#[test]
+fn a_cut_off_voter_returns_after_another_lost_its_disk_during_its_replacement() {
+    for (changes, lost) in (1..8).flat_map(|it| [(it, 0), (it, 2)]) {
+        let mut sim = Sim::with_spares(&[0; 4], 3);
+        (0..300).for_each(|_| sim.round());
+        let leader = sim.leader().unwrap();
+        isolate(&mut sim, (leader + 1) % 3);
+        sim.run_until_change(changes);
+        wipe_disk(&mut sim, (leader + lost) % 3);
+        (0..100).for_each(|_| sim.round());
+        run_and_verify(sim, &[Op::Heal, Op::Rounds(100)]);
+    }
+}
+
+#[test]
+fn a_disk_lost_after_the_removal_of_a_stalled_voter_leaves_a_quorum() {
+    let ops = [
+        Op::AfterChange(2, Box::new(Op::FailDisk(0, 0, 0))),
+        Op::AfterChange(5, Box::new(Op::CrashAndRestart(2, 0))),
+        Op::CutLeaderFrom(2),
+        Op::CrashAll(0),
+        Op::ToggleDiskStall(1),
+        Op::AfterChange(4, Box::new(Op::WipeDisk(2))),
+    ];
+    run_and_verify(Sim::with_spares(&[-50_000; 4], 3), &ops);
+}
+
+#[test]
+fn a_second_disk_lost_after_the_removal_of_a_silent_voter_leaves_a_quorum_of_five() {
+    let ops = [
+        Op::AfterChange(2, Box::new(Op::WipeLeaderDisk)),
+        Op::Rounds(1),
+        Op::Isolate(0),
+        Op::Rounds(74),
+        Op::AfterChange(2, Box::new(Op::WipeDisk(1))),
+    ];
+    run_and_verify(Sim::with_spares(&[-50_000; 7], 5), &ops);
+}
--- a/crates/replica/tests/sim/check.rs
+++ b/crates/replica/tests/sim/check.rs
@@ -1,34 +1,78 @@
 //! The invariants that are checked at every step.
 
 use {
-    super::Sim,
+    super::{Host, Sim, addr},
     bytes::Bytes,
     model::Term,
-    quorum::{Entry, Membership, Payload},
+    quorum::{Entry, Member, Membership, Payload},
 };
 
 impl Sim {
-    /// Whether the voters of the committed membership are exactly the current replicas of all present hosts.
-    pub(crate) fn all_hosts_vote(&self) -> bool {
-        let Some(members) = self.committed_members() else { return false };
-        let host_count = self.hosts.iter().filter(|it| !it.absent).count();
-        self.live_voters(members) == host_count && members.voters().count() == host_count
+    /// The intended number of voters.
+    fn target_voters(&self) -> usize {
+        if self.is_seeded() { self.initial_hosts } else { self.hosts.len() }
     }
 
-    /// Whether the loss of one more disk leaves a quorum, and with it all committed entries.
-    pub(super) fn can_lose_disk(&self) -> bool {
-        let members = self.committed_members();
-        members.is_some_and(|it| self.live_voters(it) > it.majority())
+    /// Whether the leader's membership is committed and has the intended number of voters, all with their disks.
+    pub(crate) fn has_all_voters(&self) -> bool {
+        let Some(members) = self.settled_members() else { return false };
+        let target = self.target_voters();
+        members.voters().count() == target && self.live_voters(members) == target
+    }
+
+    /// Whether the group must tolerate that this disk is lost now: no more machines have lost theirs than a group of
+    /// the intended size tolerates, whatever its momentary size, or more than a majority of the voters has a disk.
+    pub(super) fn can_lose_disk(&self, at: usize) -> bool {
+        let tolerance = (self.target_voters() - 1) / 2;
+        let members = self.settled_members();
+        let spare_voter = members.is_some_and(|it| self.live_voters(it) > it.majority());
+        self.lost.contains(&self.hosts[at].machine) || self.lost.len() < tolerance || spare_voter
+    }
+
+    /// Whether a running replica has a membership that is not committed, or the committed one lacks voters.
+    pub(super) fn is_changing(&self) -> bool {
+        let Some(committed) = self.last_committed_members() else { return false };
+        let mut nodes = self.hosts.iter().filter_map(|it| it.node.as_ref());
+        committed.voters().count() != self.target_voters()
+            || nodes.any(|it| it.raft.members() != committed && it.raft.last_index() > it.applied)
+    }
+
+    /// Whether the replica of this host was a voter and is not a member any more.
+    pub(super) fn is_former_voter(&self, at: usize) -> bool {
+        let Some(id) = self.hosts[at].id else { return false };
+        let Some(last) = self.last_committed_members() else { return false };
+        last.get(id).is_none() && self.committed_memberships().any(|it| it.is_voter(id))
+    }
+
+    /// Whether a voter at this host's address lost its disk while another voter does not run or is cut off.
+    pub(super) fn returns_beside_silent_voter(&self, at: usize) -> bool {
+        let Some(members) = self.last_committed_members() else { return false };
+        let replaced = |it: &Member| it.voter && it.addr == addr(at);
+        let silent = |(other, host): (usize, &Host)| {
+            let votes = host.id.is_some_and(|it| members.is_voter(it));
+            other != at && votes && (host.node.is_none() || self.net.is_blocked(at, other))
+        };
+        members.0.iter().any(replaced)
+            && self.hosts[at].id.is_some_and(|it| members.get(it).is_none())
+            && self.hosts.iter().enumerate().any(silent)
     }
 
     /// The membership of the leader, if it is committed.
-    fn committed_members(&self) -> Option<&Membership> {
+    fn settled_members(&self) -> Option<&Membership> {
         let node = self.hosts[self.leader()?].node.as_ref()?;
-        let committed = self.committed.values().rev().find_map(|it| match &it.payload {
+        self.last_committed_members().filter(|it| *it == node.raft.members())
+    }
+
+    fn last_committed_members(&self) -> Option<&Membership> {
+        self.committed_memberships().next()
+    }
+
+    /// The committed memberships, the latest first.
+    fn committed_memberships(&self) -> impl Iterator<Item = &Membership> {
+        self.committed.values().rev().filter_map(|it| match &it.payload {
             Payload::Membership(members) => Some(members),
             Payload::Empty | Payload::Command(_) => None,
-        });
-        committed.filter(|it| *it == node.raft.members())
+        })
     }
 
     /// The number of voters that have not lost their disks.
@@ -106,5 +150,8 @@
         assert_eq!(leader, node.raft.id(), "two leaders of {term}");
         let acknowledged = self.acknowledged.last_key_value().map_or(0, |it| *it.0);
         assert!(node.applied >= acknowledged, "the leader lacks an acknowledged command");
+        if !self.lost.is_empty() && self.has_all_voters() {
+            self.lost.clear();
+        }
     }
 }
--- a/crates/replica/tests/sim/mod.rs
+++ b/crates/replica/tests/sim/mod.rs
@@ -14,7 +14,11 @@
         Action, Actions, Config, Entry, Envelope, Event, Member, Membership, Message, Payload, Raft,
     },
     replica::Journal,
-    std::{collections::BTreeMap, net::SocketAddr, path::Path},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        path::Path,
+    },
     store::StoreError,
 };
 
@@ -26,6 +30,8 @@
 /// lost.
 const MAX_UNDELIVERED: usize = 60;
 const ROUND: u64 = 20 * MILLISECOND;
+/// Longer than the voter timeout and an election.
+const MAX_ROUNDS_BEFORE_CHANGE: u32 = 300;
 
 /// A host with one disk; its replica gets a new id when the disk is lost.
 pub(crate) struct Host {
@@ -41,6 +47,8 @@
     /// Whether the host may bootstrap the group: it has not lost its disk since the start of the simulation.
     bootstrap: bool,
     crash_pick: u64,
+    /// The machine that the tolerated losses count; a host that replaces another one counts as the same machine.
+    machine: usize,
 }
 
 pub(crate) struct Node {
@@ -71,6 +79,31 @@
     counter: u64,
     /// How many hosts bootstrap the group together; with zero, the first host bootstraps it alone.
     initial_hosts: usize,
+    /// The machines that lost their disks since the group last had all its voters.
+    lost: BTreeSet<usize>,
+    /// How often each situation occurred.
+    pub(crate) situations: BTreeMap<Situation, u64>,
+}
+
+/// A situation that the schedules must reach.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub(crate) enum Situation {
+    /// A disk was lost while the membership changed.
+    DiskLostInChange,
+    /// A disk was lost while a former voter with a disk was no longer a member.
+    DiskLostAfterRemoval,
+    /// A machine lost its disk again before its first loss was repaired.
+    SameDiskLostAgain,
+    /// The leader crashed while the membership changed.
+    LeaderCrashedInChange,
+    /// All replicas crashed while the membership changed.
+    AllCrashedInChange,
+    /// A host was replaced by one at another address while the membership changed.
+    HostReplacedInChange,
+    /// A replica at a lost voter's address asked to join while another voter did not run or was cut off.
+    AddressReturnedBesideSilentVoter,
+    /// A former voter asked to join again with its old disk.
+    FormerVoterReturned,
 }
 
 pub(crate) fn addr(host: usize) -> SocketAddr {
@@ -119,8 +152,16 @@
         sim
     }
 
+    /// Starts hosts of which the first `voters` bootstrap a group together; the others run without a vote.
+    pub(crate) fn with_spares(drifts: &[i32], voters: usize) -> Sim {
+        let mut sim = Sim::new(drifts, voters);
+        (0..sim.hosts.len()).for_each(|it| sim.restart(it));
+        sim
+    }
+
     fn new(drifts: &[i32], initial_hosts: usize) -> Sim {
-        let host = |drift: &i32| Host {
+        let host = |(machine, drift): (usize, &i32)| Host {
+            machine,
             id: None,
             disk: Disk::default(),
             clock: DriftingClock { offset: Time(1_000_000), drift_ppm: *drift },
@@ -134,7 +175,7 @@
         Sim {
             now: Time(1),
             net: Network::default(),
-            hosts: drifts.iter().map(host).collect(),
+            hosts: drifts.iter().enumerate().map(host).collect(),
             committed: BTreeMap::new(),
             acknowledged: BTreeMap::new(),
             leaders: BTreeMap::new(),
@@ -145,6 +186,8 @@
             reads: 0,
             counter: 0,
             initial_hosts,
+            lost: BTreeSet::new(),
+            situations: BTreeMap::new(),
         }
     }
 
@@ -195,6 +238,19 @@
         self.execute(at, actions);
     }
 
+    /// Crashes the leader; `pick` selects which unsynced writes its disk keeps.
+    pub(crate) fn crash_leader(&mut self, pick: u64) {
+        let Some(at) = self.leader() else { return };
+        if self.is_changing() {
+            self.record(Situation::LeaderCrashedInChange);
+        }
+        self.crash(at, pick);
+    }
+
+    fn record(&mut self, situation: Situation) {
+        *self.situations.entry(situation).or_default() += 1;
+    }
+
     /// Crashes a replica; `pick` selects which unsynced writes its disk keeps.
     pub(crate) fn crash(&mut self, at: usize, pick: u64) {
         let host = &mut self.hosts[at];
@@ -208,11 +264,20 @@
         self.hosts[at].crash_pick = pick;
     }
 
-    /// Wipes a disk if that leaves a quorum, and returns whether it did.
+    /// Wipes a disk if the group must tolerate that, and returns whether it did.
     pub(crate) fn wipe_disk(&mut self, at: usize) -> bool {
-        if !self.can_lose_disk() {
+        if self.hosts[at].absent || !self.can_lose_disk(at) {
             return false;
         }
+        if self.is_changing() {
+            self.record(Situation::DiskLostInChange);
+        }
+        if (0..self.hosts.len()).any(|it| it != at && self.is_former_voter(it)) {
+            self.record(Situation::DiskLostAfterRemoval);
+        }
+        if !self.lost.insert(self.hosts[at].machine) {
+            self.record(Situation::SameDiskLostAgain);
+        }
         self.hosts[at].node = None;
         self.hosts[at].id = None;
         self.hosts[at].disk = Disk::default();
@@ -224,11 +289,25 @@
         self.initial_hosts > 0
     }
 
-    /// Removes a host permanently and starts the spare one, if that leaves a quorum.
+    /// Crashes and restarts all replicas.
+    pub(crate) fn crash_all(&mut self, pick: u64) {
+        if self.is_changing() {
+            self.record(Situation::AllCrashedInChange);
+        }
+        (0..self.hosts.len()).for_each(|it| self.crash(it, pick));
+        (0..self.hosts.len()).for_each(|it| self.restart(it));
+    }
+
+    /// Removes a host permanently and starts the spare one, if the group must tolerate that.
     pub(crate) fn replace(&mut self, at: usize) {
         let spare = self.initial_hosts;
+        let in_change = self.is_changing();
         if at != spare && self.hosts[spare].absent && self.wipe_disk(at) {
+            if in_change {
+                self.record(Situation::HostReplacedInChange);
+            }
             self.hosts[at].absent = true;
+            self.hosts[spare].machine = self.hosts[at].machine;
             self.hosts[spare].absent = false;
             self.hosts[spare].bootstrap = false;
             self.restart(spare);
@@ -327,9 +406,36 @@
 
     /// Runs one round without new faults; cut links, frozen replicas and stalled disks stay as they are.
     pub(crate) fn round(&mut self) {
+        self.round_until(|_| false);
+    }
+
+    /// Runs until a replica has another membership than before, `count` times.
+    pub(crate) fn run_until_change(&mut self, count: u8) {
+        for _ in 0..count {
+            let before = self.memberships();
+            let changed = |it: &Sim| it.memberships() != before;
+            if !(0..MAX_ROUNDS_BEFORE_CHANGE).any(|_| self.round_until(changed)) {
+                return;
+            }
+        }
+    }
+
+    fn memberships(&self) -> Vec<Option<Membership>> {
+        let members = |it: &Host| it.node.as_ref().map(|it| it.raft.members().clone());
+        self.hosts.iter().map(members).collect()
+    }
+
+    /// Runs one round, and ends it early once `stop` holds after an event; returns whether it did.
+    fn round_until<F>(&mut self, stop: F) -> bool
+    where
+        F: Fn(&Sim) -> bool,
+    {
         self.advance_time(ROUND);
         for at in 0..self.hosts.len() {
             self.tick(at);
+            if stop(self) {
+                return true;
+            }
         }
         self.rounds += 1;
         if self.rounds.is_multiple_of(10) {
@@ -338,15 +444,25 @@
         }
         for _ in 0..self.net.len() {
             self.deliver(None);
+            if stop(self) {
+                return true;
+            }
         }
         for at in 0..self.hosts.len() {
             if !self.hosts[at].stalled {
                 self.sync(at);
             }
+            if stop(self) {
+                return true;
+            }
         }
         for _ in 0..self.net.len() {
             self.deliver(None);
+            if stop(self) {
+                return true;
+            }
         }
+        false
     }
 
     /// Ends all faults and waits until all replicas are voters and have applied the same entries.
@@ -368,7 +484,7 @@
             let applied = |it: &Host| it.node.as_ref().map(|it| it.applied);
             let present: Vec<_> = self.hosts.iter().filter(|it| !it.absent).collect();
             let first = applied(present[0]);
-            if self.all_hosts_vote() && present.iter().all(|it| applied(it) == first) {
+            if self.has_all_voters() && present.iter().all(|it| applied(it) == first) {
                 return;
             }
         }
@@ -384,6 +500,12 @@
         if host.frozen || !node.raft.should_request_join(host.clock.at(self.now)) {
             return;
         }
+        if self.is_former_voter(at) {
+            self.record(Situation::FormerVoterReturned);
+        }
+        if self.returns_beside_silent_voter(at) {
+            self.record(Situation::AddressReturnedBesideSilentVoter);
+        }
         let message = Message::JoinRequest { addr: addr(at) };
         let envelope = Envelope { group, from: id, to: id, term: Term(0), message };
         (0..self.hosts.len())
