Keep the exchange with a silent endpoint until another one can take over

Cause: a silence of three times the route's pause or target was handled as a failure. The exchange was dropped first, and only then the gateway asked whether the request might go on elsewhere: attempts, retry budget, a slot. If one of them said no, the answer was lost. Class: a resource is given up before its replacement is secured.

Now silence ends no exchange before the deadline. Another endpoint is sought while the silent one is still listened to: an attempt and an allowance must be left, a slot granted and a connection open before the retry is charged. Then the silent exchange is closed and the request is sent, so that the two never work on it at once. If the others refuse it, the silent endpoint may be asked again after the last event.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -382,6 +382,14 @@
         }
     }
 
+    /// Records that a request at an endpoint got nothing for longer than its route expects. It may
+    /// still be completed.
+    pub fn record_silence(&mut self, now: Time, handle: EndpointHandle) {
+        if let Some(endpoint) = self.endpoint(handle) {
+            endpoint.health.record(now, AttemptOutcome::Broken);
+        }
+    }
+
     /// Starts the waiting requests of a service for which there is room.
     pub fn start_queued(&mut self, now: Time, name: &Name) -> Vec<(WaiterId, Assignment)> {
         let mut started = Vec::new();
--- a/crates/dispatch/src/retry_budget.rs
+++ b/crates/dispatch/src/retry_budget.rs
@@ -45,9 +45,14 @@
         self.tokens = (self.tokens + self.limits.ratio * SAFETY_MARGIN).min(self.capacity);
     }
 
+    /// Returns whether there is an allowance for a retry.
+    pub fn can_spend(&self) -> bool {
+        self.tokens >= 1.0
+    }
+
     /// Takes the allowance for one retry. Returns false if there is none.
     pub fn try_spend(&mut self) -> bool {
-        let allowed = self.tokens >= 1.0;
+        let allowed = self.can_spend();
         if allowed {
             self.tokens -= 1.0;
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,7 +10,7 @@
         },
         shared::{RunningRequest, Shared},
         sse::EventBuffer,
-        upstream::{self, Connection, SendError},
+        upstream::{self, Connection, IdleConnection, SendError},
     },
     bytes::Bytes,
     derive_more::{Debug, Display},
@@ -18,7 +18,7 @@
     http::{Request, Response, Uri, response},
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
-    model::{MILLISECOND, Time},
+    model::MILLISECOND,
     std::sync::Arc,
     tokio::time::{sleep_until, timeout_at},
 };
@@ -27,13 +27,13 @@
 /// that a truncated one can be retried on another endpoint.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 << 20;
 
-/// A retryable request times out after this multiple of its route's target time, but not before
-/// [`MIN_RESPONSE_TIMEOUT_MS`].
+/// Another endpoint is sought for a retryable request after this multiple of its route's target
+/// time, but not before [`MIN_SILENCE_MS`].
 const SLOW_FACTOR: u64 = 3;
 
-/// The minimum time before a retryable request is tried on another endpoint, in milliseconds. It
+/// The minimum time before another endpoint is sought for a retryable request, in milliseconds. It
 /// leaves time for the retransmission of a few lost packets.
-const MIN_RESPONSE_TIMEOUT_MS: u64 = 450;
+const MIN_SILENCE_MS: u64 = 450;
 
 /// The minimum time without a response after which an endpoint counts as stalled, in milliseconds.
 const MIN_STALL_MS: u64 = 1_500;
@@ -83,22 +83,38 @@
 /// A slot at an endpoint, acquired but not used yet.
 pub(crate) struct Attempt {
     running: RunningRequest,
+    /// A connection to the endpoint, if one has been established.
+    connection: Option<IdleConnection>,
 }
 
 impl Attempt {
     pub(crate) fn new(shared: &Arc<Shared>, pick: Assignment) -> Attempt {
-        Attempt { running: RunningRequest::new(shared, pick) }
+        Attempt { running: RunningRequest::new(shared, pick), connection: None }
     }
 
-    /// Sends the request and waits for the complete response, or for the first events of a stream.
-    pub(crate) async fn run(self, call: &mut Call) -> Result<UpstreamResponse, Failure> {
-        self.run_from(call, EventBuffer::default()).await
+    pub(crate) fn pick(&self) -> &Assignment {
+        &self.running.pick
     }
 
-    /// Like [`Attempt::run`], but resumes a stream after the events in `events`.
-    pub(crate) async fn run_from(
-        self,
-        call: &mut Call,
+    /// Connects to the endpoint. The slot is released if that fails.
+    pub(crate) async fn connect(mut self) -> Option<Attempt> {
+        match upstream::connect(self.running.pick.addr).await {
+            Ok(connection) => {
+                self.connection = Some(connection);
+                Some(self)
+            }
+            Err(_) => {
+                self.running.ending = AttemptOutcome::Unreachable;
+                None
+            }
+        }
+    }
+
+    /// Sends the request and waits for the complete response, or for the first events of a stream
+    /// after those in `events`.
+    pub(crate) async fn run(
+        mut self,
+        call: &Call,
         events: EventBuffer,
     ) -> Result<UpstreamResponse, Failure> {
         let shared = call.shared.clone();
@@ -106,34 +122,32 @@
         if left_ms == 0 {
             return Err(Failure::DeadlineExceeded);
         }
-        call.tried.push(self.running.pick.handle);
         let request = self.to_request(call, left_ms, events.last_id());
-        let limit = self.response_deadline(call);
         let addr = self.running.pick.addr;
         self.log_send(call, left_ms, events.last_id());
-        // Once handed to a connection, the request may run unless the endpoint proves otherwise.
-        call.sends += 1;
-        call.runs += 1;
-        let sent = self.wait_until(call, upstream::send(addr, request), limit).await;
+        let connection = self.connection.take();
+        let exchange = async {
+            let connection = match connection {
+                Some(it) => it,
+                None => upstream::connect(addr).await?,
+            };
+            connection.send(request).await
+        };
+        let sent = self.wait(call, exchange).await;
         let (response, connection) = match sent {
             Some(Ok(it)) => it,
             Some(Err(SendError::NotSent { reason })) => {
-                call.sends -= 1;
-                call.runs -= 1;
                 return Err(self.fail(AttemptOutcome::Unreachable, Failure::NotSent { reason }));
             }
             Some(Err(SendError::Broken { reason })) => {
                 crash::probe(&shared, &self.running.pick, call.fingerprint);
                 return Err(self.fail(AttemptOutcome::Broken, Failure::Indeterminate { reason }));
             }
-            None => return Err(self.time_out(call)),
+            None => return Err(self.time_out()),
         };
         let waited = shared.now().since(self.running.started);
         shared.metrics.record_first_byte(waited as f64 / MILLISECOND as f64);
-        if call.first_ms == 0 {
-            call.first_ms = shared.now().since(call.arrived) / MILLISECOND;
-        }
-        self.read_response(call, response, connection, events, limit).await
+        self.read_response(call, response, connection, events).await
     }
 
     fn to_request(&self, call: &Call, left_ms: u64, last_id: Option<u64>) -> Request<Full<Bytes>> {
@@ -152,27 +166,17 @@
         request
     }
 
-    /// Returns the time by which the response must have started. For retryable requests it leaves
-    /// time for another endpoint.
-    fn response_deadline(&self, call: &Call) -> Time {
-        let route = &call.found.route;
-        if !route.is_retryable() || call.runs + 1 >= route.attempts {
-            return call.deadline;
-        }
-        let timeout_ms = (route.target_ms * SLOW_FACTOR).max(MIN_RESPONSE_TIMEOUT_MS);
-        (call.shared.now() + timeout_ms * MILLISECOND).min(call.deadline)
-    }
-
-    /// Waits for a future until `limit`. If it takes long, the dispatcher is told that the endpoint
-    /// stalled.
-    async fn wait_until<F>(&self, call: &Call, future: F, limit: Time) -> Option<F::Output>
+    /// Waits for a future until the deadline of the call. If it takes long, the dispatcher is told
+    /// that the endpoint stalled.
+    async fn wait<F>(&self, call: &Call, future: F) -> Option<F::Output>
     where
         F: Future,
     {
         let shared = &call.shared;
-        let stall_ms = (call.found.route.target_ms * SLOW_FACTOR).max(MIN_STALL_MS);
+        let min_ms = if call.may_run_again() { MIN_SILENCE_MS } else { MIN_STALL_MS };
+        let stall_ms = (call.found.route.target_ms * SLOW_FACTOR).max(min_ms);
         let stalled = shared.clock.deadline(shared.now() + stall_ms * MILLISECOND);
-        let limit = shared.clock.deadline(limit);
+        let limit = shared.clock.deadline(call.deadline);
         tokio::pin!(future);
         tokio::select! {
             output = &mut future => return Some(output),
@@ -184,11 +188,10 @@
 
     async fn read_response(
         mut self,
-        call: &mut Call,
+        call: &Call,
         response: Response<Incoming>,
         connection: Connection,
         events: EventBuffer,
-        limit: Time,
     ) -> Result<UpstreamResponse, Failure> {
         let names = &call.shared.names;
         let (mut parts, body) = response.into_parts();
@@ -203,12 +206,10 @@
         match proof {
             ResponseProof::Valid => {}
             ResponseProof::Full => {
-                call.runs -= 1;
                 let status = parts.status.as_u16();
                 return Err(self.fail(AttemptOutcome::Full, Failure::NotRun { status }));
             }
             ResponseProof::Misdirected => {
-                call.runs -= 1;
                 let status = parts.status.as_u16();
                 return Err(self.fail(AttemptOutcome::Misdirected, Failure::NotRun { status }));
             }
@@ -229,10 +230,10 @@
                 buffered,
                 ended: false,
             };
-            return stream.start(call, parts, limit).await;
+            return stream.start(call, parts).await;
         }
         let complete = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
-        match self.wait_until(call, complete, limit).await {
+        match self.wait(call, complete).await {
             Some(Ok(body)) => {
                 let body = body.to_bytes();
                 if parts.status.is_server_error() {
@@ -248,7 +249,7 @@
                 let reason = format!("response body was truncated: {err}");
                 Err(self.fail(AttemptOutcome::Broken, Failure::Indeterminate { reason }))
             }
-            None => Err(self.time_out(call)),
+            None => Err(self.time_out()),
         }
     }
 
@@ -284,12 +285,8 @@
         }
     }
 
-    fn time_out(self, call: &Call) -> Failure {
-        if call.left_ms() == 0 {
-            return self.fail(AttemptOutcome::Abandoned, Failure::DeadlineExceeded);
-        }
-        let reason = "response timed out".to_owned();
-        self.fail(AttemptOutcome::Broken, Failure::Indeterminate { reason })
+    fn time_out(self) -> Failure {
+        self.fail(AttemptOutcome::Abandoned, Failure::DeadlineExceeded)
     }
 
     fn fail(mut self, ending: AttemptOutcome, failure: Failure) -> Failure {
@@ -313,6 +310,12 @@
     }
 }
 
+/// Returns the silence after which another endpoint is sought for a retryable request that has no
+/// response yet, in milliseconds.
+pub(crate) fn max_silence_ms(call: &Call) -> u64 {
+    (call.found.route.target_ms * SLOW_FACTOR).max(MIN_SILENCE_MS)
+}
+
 pub(crate) fn ending_label(ending: AttemptOutcome) -> &'static str {
     match ending {
         AttemptOutcome::Served => "served",
@@ -330,11 +333,10 @@
     /// another endpoint.
     async fn start(
         mut self,
-        call: &mut Call,
+        call: &Call,
         parts: response::Parts,
-        limit: Time,
     ) -> Result<UpstreamResponse, Failure> {
-        let until = call.shared.clock.deadline(limit);
+        let until = call.shared.clock.deadline(call.deadline);
         while self.buffered.is_empty() && !self.ended {
             match timeout_at(until, self.next_events()).await {
                 Ok(Ok(Some(events))) => self.buffered = events,
@@ -344,12 +346,7 @@
                     self.running.ending = AttemptOutcome::Broken;
                     return Err(Failure::Indeterminate { reason });
                 }
-                Err(_) if call.left_ms() == 0 => return Err(Failure::DeadlineExceeded),
-                Err(_) => {
-                    self.running.ending = AttemptOutcome::Broken;
-                    let reason = "timed out waiting for an event".to_owned();
-                    return Err(Failure::Indeterminate { reason });
-                }
+                Err(_) => return Err(Failure::DeadlineExceeded),
             }
         }
         Ok(UpstreamResponse::Streaming(parts, Box::new(self)))
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -2,10 +2,12 @@
 
 use {
     crate::{
-        attempt::{Attempt, Failure, UpstreamResponse},
+        attempt::{Attempt, Failure, UpstreamResponse, max_silence_ms},
         headers::RequestHead,
         rejection::Rejection,
-        shared::{Rejected, Shared},
+        replacement,
+        shared::{PlacementResult, Rejected, Shared},
+        sse::EventBuffer,
         stream::ProxiedStream,
     },
     bytes::Bytes,
@@ -146,7 +148,9 @@
     pub(crate) deadline: Time,
     /// A hash that is the same when the client sends the request again.
     pub(crate) fingerprint: u64,
-    pub(crate) tried: SmallVec<[EndpointHandle; 2]>,
+    tried: SmallVec<[EndpointHandle; 2]>,
+    /// The endpoints of `tried` that were only silent.
+    silent: SmallVec<[EndpointHandle; 2]>,
     pub(crate) sends: u32,
     /// The number of sends after which the request may have run.
     pub(crate) runs: u32,
@@ -160,6 +164,14 @@
     pub(crate) first_ms: u64,
 }
 
+/// How an exchange ended.
+pub(crate) enum ExchangeEnd {
+    /// With a response or a failure.
+    Finished(Result<UpstreamResponse, Failure>),
+    /// The endpoint was silent, and this attempt at another endpoint takes its place.
+    Replaced(Attempt),
+}
+
 impl Call {
     fn new(shared: Arc<Shared>, admitted: Admitted, request: ClientRequest) -> Call {
         let Admitted { found, team, priority, version, .. } = admitted;
@@ -183,6 +195,7 @@
             deadline,
             fingerprint,
             tried,
+            silent: SmallVec::new(),
             sends: 0,
             runs: 0,
             version,
@@ -197,39 +210,76 @@
         if self.shared.crashes.lock().is_blocked(self.shared.now(), self.fingerprint) {
             return self.reject(Rejection::Quarantined);
         }
+        let mut replacement = None;
         loop {
-            let attempt = match self.next_attempt().await {
-                Ok(it) => it,
-                Err(rejection) => return self.reject(rejection),
+            let attempt = match replacement.take() {
+                Some(it) => it,
+                None => match self.next_attempt().await {
+                    Ok(it) => it,
+                    Err(rejection) => return self.reject(rejection),
+                },
             };
-            match attempt.run(&mut self).await {
-                Ok(response) => return self.respond(response),
-                Err(failure) => {
+            match self.exchange(attempt, EventBuffer::default()).await {
+                ExchangeEnd::Finished(Ok(response)) => return self.respond(response),
+                ExchangeEnd::Finished(Err(failure)) => {
                     if !self.try_retry(&failure) {
                         return self.respond_with_failure(failure);
                     }
-                    self.log_retry(&failure);
+                    self.log_retry(&failure.to_string());
                 }
+                ExchangeEnd::Replaced(attempt) => {
+                    self.log_retry("endpoint is silent");
+                    replacement = Some(attempt);
+                }
+            }
+        }
+    }
+
+    /// Sends the request to the endpoint of `attempt`, to go on after `events`. While the endpoint
+    /// is silent, another one is sought. The exchange is over when this returns.
+    pub(crate) async fn exchange(&mut self, attempt: Attempt, events: EventBuffer) -> ExchangeEnd {
+        let endpoint = attempt.pick().handle;
+        self.tried.push(endpoint);
+        self.last_pick = Some(attempt.pick().clone());
+        // Once handed to a connection, the request may run unless the endpoint proves otherwise.
+        self.sends += 1;
+        self.runs += 1;
+        let silent_at = self.shared.now() + max_silence_ms(self) * MILLISECOND;
+        let call = &*self;
+        let end = tokio::select! {
+            biased;
+            result = attempt.run(call, events) => ExchangeEnd::Finished(result),
+            next = replacement::seek(call, endpoint, silent_at) => ExchangeEnd::Replaced(next),
+        };
+        match &end {
+            ExchangeEnd::Finished(Ok(_)) if self.first_ms == 0 => {
+                self.first_ms = self.shared.now().since(self.arrived) / MILLISECOND;
             }
+            ExchangeEnd::Finished(Err(Failure::NotSent { .. })) => {
+                self.sends -= 1;
+                self.runs -= 1;
+            }
+            ExchangeEnd::Finished(Err(Failure::NotRun { .. })) => self.runs -= 1,
+            ExchangeEnd::Finished(_) => {}
+            ExchangeEnd::Replaced(_) => self.record_replaced(endpoint),
         }
+        end
+    }
+
+    /// Records that the exchange with a silent endpoint was given up for another one.
+    pub(crate) fn record_replaced(&mut self, endpoint: EndpointHandle) {
+        self.silent.push(endpoint);
+        self.shared.metrics.record_send("replaced");
     }
 
     /// Waits for a slot for the next attempt.
     pub(crate) async fn next_attempt(&mut self) -> Result<Attempt, Rejection> {
         let now = self.shared.now();
-        let ask = DispatchRequest {
-            service: self.found.service.name.clone(),
-            prompt: self.head.prompt.clone(),
-            priority: self.priority,
-            wait_until: self.queue_deadline(now),
-            excluded: self.tried.clone(),
-        };
-        let no_endpoint = !self.shared.dispatcher.lock().has_endpoints(&ask.service);
-        let placement = self.shared.acquire_slot(ask).await;
-        match placement {
+        let service = &self.found.service.name;
+        let no_endpoint = !self.shared.dispatcher.lock().has_endpoints(service);
+        match self.place(now).await {
             Ok(pick) => {
                 self.waited_ms += self.shared.now().since(now) / MILLISECOND;
-                self.last_pick = Some(pick.clone());
                 Ok(Attempt::new(&self.shared, pick))
             }
             Err(Rejected { .. }) if self.runs > 0 => Err(Rejection::BadGateway),
@@ -238,6 +288,27 @@
         }
     }
 
+    async fn place(&self, now: Time) -> PlacementResult {
+        let mut ask = self.dispatch_request(self.queue_deadline(now));
+        let placement = self.shared.acquire_slot(ask.clone()).await;
+        if placement.is_ok() || self.silent.is_empty() {
+            return placement;
+        }
+        ask.excluded.retain(|it| !self.silent.contains(it));
+        self.shared.acquire_slot(ask).await
+    }
+
+    /// Returns a request for a slot at an endpoint that has not been tried.
+    pub(crate) fn dispatch_request(&self, wait_until: Time) -> DispatchRequest {
+        DispatchRequest {
+            service: self.found.service.name.clone(),
+            prompt: self.head.prompt.clone(),
+            priority: self.priority,
+            wait_until,
+            excluded: self.tried.clone(),
+        }
+    }
+
     /// Returns the time until which this request may wait for capacity.
     fn queue_deadline(&self, now: Time) -> Time {
         let target = match self.found.route.target_ms {
@@ -262,21 +333,30 @@
         let allowed = match failure {
             Failure::NotSent { .. } => return in_time && self.tried.len() < 6,
             Failure::NotRun { .. } => self.sends < route.attempts + EXTRA_SENDS,
-            Failure::Indeterminate { .. } | Failure::Failed(_) => {
-                route.is_retryable() && self.runs < route.attempts
-            }
+            Failure::Indeterminate { .. } | Failure::Failed(_) => self.may_run_again(),
             Failure::DeadlineExceeded => false,
         };
         allowed && in_time && self.shared.try_spend_retry(&self.found.service.name)
     }
 
-    fn log_retry(&self, failure: &Failure) {
+    /// Returns whether a request that may have run may be sent to another endpoint, if the retry
+    /// budget allows it.
+    pub(crate) fn may_run_again(&self) -> bool {
+        self.found.route.is_retryable() && self.runs < self.found.route.attempts
+    }
+
+    /// Returns the id of the endpoint of the last attempt.
+    pub(crate) fn endpoint_id(&self) -> &str {
+        self.last_pick.as_ref().map_or("", |it| &it.id)
+    }
+
+    fn log_retry(&self, cause: &str) {
         tracing::info!(
             event = "retry",
             request = self.head.id(),
             sends = self.sends,
-            endpoint = %self.last_pick.as_ref().map_or("", |it| &it.id),
-            cause = %failure,
+            endpoint = self.endpoint_id(),
+            cause,
             "gateway: retrying request"
         );
     }
@@ -336,7 +416,7 @@
             request = self.head.id(),
             route = %self.found.route.name,
             team = self.team.as_deref(),
-            endpoint = %self.last_pick.as_ref().map_or("", |it| &it.id),
+            endpoint = self.endpoint_id(),
             load = self.last_pick.as_ref().map(|it| it.load),
             fetch = ?self.last_pick.as_ref().and_then(|it| it.fetch_from),
             version = self.version,
@@ -364,7 +444,7 @@
             sends = self.sends,
             runs = self.runs,
             version = self.version,
-            endpoint = %self.last_pick.as_ref().map_or("", |it| &it.id),
+            endpoint = self.endpoint_id(),
             waited_ms = self.waited_ms,
             left_ms = self.left_ms(),
             after_ms = self.shared.now().since(self.arrived) / MILLISECOND,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -207,6 +207,11 @@
         self.with_budget(service, RetryBudget::record_request);
     }
 
+    /// Returns whether the budget of a service allows a retry.
+    pub(crate) fn can_spend_retry(&self, service: &Name) -> bool {
+        self.with_budget(service, |it| it.can_spend())
+    }
+
     /// Charges a retry to the budget of its service; returns false if the budget is exhausted.
     pub(crate) fn try_spend_retry(&self, service: &Name) -> bool {
         self.with_budget(service, RetryBudget::try_spend)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        attempt::{EventStream, Failure, UpstreamResponse},
-        call::Call,
+        attempt::{Attempt, EventStream, Failure, UpstreamResponse},
+        call::{Call, ExchangeEnd},
+        replacement,
         sse::EventBuffer,
     },
     bytes::Bytes,
@@ -17,11 +18,11 @@
     tokio::time::timeout_at,
 };
 
-/// A resumable stream is resumed elsewhere after a gap of this multiple of the route's longest
+/// Another endpoint is sought for a resumable stream after a gap of this multiple of the route's longest
 /// acceptable gap.
 const EVENT_GAP_FACTOR: u64 = 3;
 
-/// The minimum gap before a stream is resumed, in milliseconds.
+/// The minimum gap before another endpoint is sought for a stream, in milliseconds.
 const MIN_EVENT_GAP_MS: u64 = 800;
 
 /// The stream cannot be completed. The client sees that it was aborted.
@@ -38,6 +39,16 @@
     upstream: Option<EventStream>,
 }
 
+/// What a stream does next.
+enum Next {
+    Events(Bytes),
+    End,
+    /// The exchange broke.
+    Broken(String),
+    /// The endpoint is silent, and this attempt at another endpoint takes its place.
+    Replaced(Attempt),
+}
+
 type NextFrame = Option<(Result<Frame<Bytes>, BodyError>, Option<ProxiedStream>)>;
 
 impl ProxiedStream {
@@ -50,9 +61,9 @@
 
     async fn next_frame(mut self) -> NextFrame {
         loop {
-            match self.next_events().await {
-                Ok(Some(events)) => return Some((Ok(Frame::data(events)), Some(self))),
-                Ok(None) => {
+            let (replacement, reason) = match self.next_events().await {
+                Next::Events(events) => return Some((Ok(Frame::data(events)), Some(self))),
+                Next::End => {
                     if let Some(stream) = &mut self.upstream {
                         stream.running.ending = AttemptOutcome::Served;
                     }
@@ -61,79 +72,102 @@
                     self.call.shared.crashes.lock().clear(self.call.fingerprint);
                     return None;
                 }
-                Err(reason) => {
-                    if let Err(reason) = self.resume(reason).await {
-                        return Some((Err(Box::new(StreamAborted { reason })), None));
-                    }
-                }
+                Next::Broken(reason) => (None, reason),
+                Next::Replaced(attempt) => (Some(attempt), "endpoint is silent".to_owned()),
+            };
+            if let Err(reason) = self.resume(replacement, reason).await {
+                return Some((Err(Box::new(StreamAborted { reason })), None));
             }
         }
     }
 
-    async fn next_events(&mut self) -> Result<Option<Bytes>, String> {
-        let Some(stream) = &mut self.upstream else { return Err("no endpoint".to_owned()) };
+    async fn next_events(&mut self) -> Next {
+        let Some(stream) = &mut self.upstream else {
+            return Next::Broken("no endpoint".to_owned());
+        };
         let buffered = std::mem::take(&mut stream.buffered);
         if !buffered.is_empty() {
-            return Ok(Some(buffered));
+            return Next::Events(buffered);
         }
         if stream.ended {
-            return Ok(None);
+            return Next::End;
         }
-        let shared = &self.call.shared;
-        let route = &self.call.found.route;
-        let stall_ms = (route.gap_ms * EVENT_GAP_FACTOR).max(MIN_EVENT_GAP_MS);
-        let stalled_at = shared.now() + stall_ms * MILLISECOND;
-        let until = if route.resumable { stalled_at } else { self.call.deadline };
-        let until = shared.clock.deadline(until.min(self.call.deadline));
-        match timeout_at(until, stream.next_events()).await {
-            Ok(next) => next,
-            Err(_) => Err("timed out waiting for an event".to_owned()),
+        let call = &self.call;
+        let route = &call.found.route;
+        let gap_ms = (route.gap_ms * EVENT_GAP_FACTOR).max(MIN_EVENT_GAP_MS);
+        let silent_at = call.shared.now() + gap_ms * MILLISECOND;
+        let endpoint = stream.running.pick.handle;
+        let resumable = is_resumable(call, &stream.events);
+        let until = call.shared.clock.deadline(call.deadline);
+        let next = tokio::select! {
+            biased;
+            next = timeout_at(until, stream.next_events()) => next,
+            next = replacement::seek(call, endpoint, silent_at), if resumable => {
+                self.call.record_replaced(endpoint);
+                return Next::Replaced(next);
+            }
+        };
+        match next {
+            Ok(Ok(Some(events))) => Next::Events(events),
+            Ok(Ok(None)) => Next::End,
+            Ok(Err(reason)) => Next::Broken(reason),
+            Err(_) => Next::Broken("deadline exceeded".to_owned()),
         }
     }
 
-    /// Resumes the stream on another endpoint if allowed. The connection to the previous endpoint
-    /// is closed first, so that it stops working.
-    async fn resume(&mut self, reason: String) -> Result<(), String> {
-        let Some(mut broken) = self.upstream.take() else { return Err(reason) };
-        let in_time = self.call.left_ms() > 0;
-        broken.running.ending =
-            if in_time { AttemptOutcome::Broken } else { AttemptOutcome::Abandoned };
-        let mut events = std::mem::take(&mut broken.events);
-        drop(broken);
+    /// Resumes the stream on another endpoint if allowed, first with `replacement`. The connection
+    /// to the previous endpoint is closed first, so that it stops working.
+    async fn resume(
+        &mut self,
+        mut replacement: Option<Attempt>,
+        reason: String,
+    ) -> Result<(), String> {
+        let Some(mut previous) = self.upstream.take() else { return Err(reason) };
+        let broke = replacement.is_none() && self.call.left_ms() > 0;
+        previous.running.ending =
+            if broke { AttemptOutcome::Broken } else { AttemptOutcome::Abandoned };
+        let resumable = is_resumable(&self.call, &previous.events);
+        let (last, passed) = (previous.events.last_id(), previous.events.forwarded());
+        drop(previous);
         let mut failure = Failure::Indeterminate { reason };
-        // A stream can be resumed only if the events that the client received are numbered.
-        let numbered = events.forwarded() == 0 || events.last_id().is_some();
-        let resumable = self.call.found.route.resumable && numbered;
-        while resumable && self.call.try_retry(&failure) {
+        loop {
+            if replacement.is_none() && !(resumable && self.call.try_retry(&failure)) {
+                return Err(self.abort(&failure.to_string()));
+            }
             tracing::info!(
                 event = "resume",
                 request = self.call.head.id(),
-                after = events.last_id(),
+                after = last,
                 cause = %failure,
                 "gateway: resuming stream on another endpoint"
             );
-            let attempt = match self.call.next_attempt().await {
-                Ok(it) => it,
-                Err(rejection) => return Err(self.abort(&rejection.to_string())),
+            let attempt = match replacement.take() {
+                Some(it) => it,
+                None => match self.call.next_attempt().await {
+                    Ok(it) => it,
+                    Err(rejection) => return Err(self.abort(&rejection.to_string())),
+                },
             };
-            let (last, passed) = (events.last_id(), events.forwarded());
+            let mut events = EventBuffer::with_progress(last, passed);
             events.resume();
-            match attempt.run_from(&mut self.call, events).await {
-                Ok(UpstreamResponse::Streaming(_, stream)) => {
+            match self.call.exchange(attempt, events).await {
+                ExchangeEnd::Finished(Ok(UpstreamResponse::Streaming(_, stream))) => {
                     self.upstream = Some(*stream);
                     return Ok(());
                 }
-                Ok(UpstreamResponse::Buffered(parts, _)) => {
+                ExchangeEnd::Finished(Ok(UpstreamResponse::Buffered(parts, _))) => {
                     return Err(self.abort(&format!(
                         "endpoint responded to the resumption with {}",
                         parts.status
                     )));
                 }
-                Err(err) => failure = err,
+                ExchangeEnd::Finished(Err(err)) => failure = err,
+                ExchangeEnd::Replaced(next) => {
+                    failure = Failure::Indeterminate { reason: "endpoint is silent".to_owned() };
+                    replacement = Some(next);
+                }
             }
-            events = EventBuffer::with_progress(last, passed);
         }
-        Err(self.abort(&failure.to_string()))
     }
 
     fn abort(&self, reason: &str) -> String {
@@ -150,3 +184,10 @@
         reason.to_owned()
     }
 }
+
+/// Returns whether a stream may go on at another endpoint: only if the events that the client
+/// received are numbered.
+fn is_resumable(call: &Call, events: &EventBuffer) -> bool {
+    let numbered = events.forwarded() == 0 || events.last_id().is_some();
+    call.found.route.resumable && numbered
+}
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -48,11 +48,14 @@
     }
 }
 
-/// Connects, sends a request and returns the head of its response.
-pub(crate) async fn send(
-    addr: SocketAddr,
-    request: Request<Full<Bytes>>,
-) -> Result<(Response<Incoming>, Connection), SendError> {
+/// A connection over which nothing has been sent.
+pub(crate) struct IdleConnection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    connection: Connection,
+}
+
+/// Connects to an endpoint.
+pub(crate) async fn connect(addr: SocketAddr) -> Result<IdleConnection, SendError> {
     let not_sent = |reason: String| SendError::NotSent { reason };
     let dialed = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
     let socket = match dialed {
@@ -65,18 +68,32 @@
     }
     let handshake =
         http1::Builder::new().max_buf_size(MAX_RESPONSE_HEAD_BYTES).handshake(TokioIo::new(socket));
-    let (mut sender, driver) = handshake.await.map_err(|it| not_sent(it.to_string()))?;
+    let (sender, driver) = handshake.await.map_err(|it| not_sent(it.to_string()))?;
     let connection = Connection(tokio::spawn(async move {
         if let Err(err) = driver.await {
             tracing::debug!("gateway: connection to {addr} ended: {err}");
         }
     }));
-    match sender.try_send_request(request).await {
-        Ok(response) => Ok((response, connection)),
-        Err(mut err) => {
-            let unsent = err.take_message().is_some();
-            let reason = err.into_error().to_string();
-            Err(if unsent { not_sent(reason) } else { SendError::Broken { reason } })
+    Ok(IdleConnection { sender, connection })
+}
+
+impl IdleConnection {
+    /// Sends a request and returns the head of its response.
+    pub(crate) async fn send(
+        mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok((response, self.connection)),
+            Err(mut err) => {
+                let unsent = err.take_message().is_some();
+                let reason = err.into_error().to_string();
+                Err(if unsent {
+                    SendError::NotSent { reason }
+                } else {
+                    SendError::Broken { reason }
+                })
+            }
         }
     }
 }
