Add failing tests of endpoints that send bytes without end

PROTOCOL says that bytes which are no answer may come without end, in a head or a body, until the caller closes.

--- a/crates/gateway/tests/common/endpoint.rs
+++ b/crates/gateway/tests/common/endpoint.rs
@@ -56,6 +56,11 @@
     PartialEvent(std::ops::Range<u64>),
     /// Events with these numbers, then nothing.
     Stalled(std::ops::Range<u64>),
+    /// The start of a response, with `{id}` in place of the attempt id, then a part that is repeated
+    /// without end.
+    Endless { start: String, part: String, pause: Duration },
+    /// Events with increasing numbers without end.
+    EndlessEvents,
 }
 
 /// A request as received by an endpoint.
@@ -79,6 +84,8 @@
     received: Vec<ReceivedRequest>,
     /// The number of connections with a request in progress.
     active: usize,
+    /// The number of bytes sent by endless responses.
+    pushed: usize,
 }
 
 /// An endpoint that follows its behaviors in order, and responds normally when none is left.
@@ -139,6 +146,10 @@
     pub(crate) fn active(&self) -> usize {
         self.state.lock().expect("state is poisoned").active
     }
+
+    pub(crate) fn pushed(&self) -> usize {
+        self.state.lock().expect("state is poisoned").pushed
+    }
 }
 
 async fn serve(mut socket: TcpStream, state: Arc<Mutex<State>>) {
@@ -157,6 +168,17 @@
             // Wait until the gateway closes the connection.
             let _ = socket.read(&mut buffer).await;
         }
+        Behavior::Endless { part, pause, .. } => {
+            let repeat = if pause.is_zero() { BLOCK_BYTES.div_ceil(part.len()) } else { 1 };
+            let block = part.repeat(repeat);
+            push(&mut socket, &state, pause, || block.clone().into_bytes()).await;
+        }
+        Behavior::EndlessEvents => {
+            let mut numbers = 0..;
+            let mut block =
+                || numbers.by_ref().take(200).flat_map(|it| chunk(&event(it))).collect();
+            push(&mut socket, &state, Duration::ZERO, &mut block).await;
+        }
         Behavior::Reset(_) | Behavior::Close | Behavior::Truncated => {
             sleep(Duration::from_millis(20)).await;
             let _ = socket.set_zero_linger();
@@ -168,6 +190,24 @@
     state.lock().expect("state is poisoned").active -= 1;
 }
 
+/// The size of a block of an endless response that is sent without pauses, in bytes.
+const BLOCK_BYTES: usize = 16 << 10;
+
+/// Sends blocks until the gateway closes the connection.
+async fn push<F>(socket: &mut TcpStream, state: &Mutex<State>, pause: Duration, mut block: F)
+where
+    F: FnMut() -> Vec<u8>,
+{
+    loop {
+        let block = block();
+        if socket.write_all(&block).await.is_err() {
+            return;
+        }
+        state.lock().expect("state is poisoned").pushed += block.len();
+        sleep(pause).await;
+    }
+}
+
 async fn read_request(socket: &mut TcpStream) -> Option<ReceivedRequest> {
     let mut bytes = Vec::new();
     let end = loop {
@@ -195,7 +235,7 @@
     Some(received)
 }
 
-const SIGNED: &str = "endpoint-signature: s\r\nendpoint-load: 1,0,8\r\n";
+pub(crate) const SIGNED: &str = "endpoint-signature: s\r\nendpoint-load: 1,0,8\r\n";
 
 fn response_bytes(behavior: &Behavior, id: &str) -> Vec<u8> {
     let head = |status: u16, id: &str, rest: &str| {
@@ -252,6 +292,8 @@
             events.clone().for_each(|it| bytes.extend(chunk(&event(it))));
             bytes
         }
+        Behavior::Endless { start, .. } => start.replace("{id}", id).into_bytes(),
+        Behavior::EndlessEvents => events_head(id),
     }
 }
 
@@ -264,6 +306,6 @@
     format!("id: {number}\ndata: word-{number}\n\n")
 }
 
-fn chunk(text: &str) -> Vec<u8> {
+pub(crate) fn chunk(text: &str) -> Vec<u8> {
     format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -8,7 +8,7 @@
 
 pub(crate) use {
     client::{Client, Response},
-    endpoint::{Behavior, Endpoint, ReceivedRequest, event},
+    endpoint::{Behavior, Endpoint, ReceivedRequest, SIGNED, chunk, event},
 };
 
 use {
@@ -214,7 +214,7 @@
         directory: None,
         tls_inner: None,
         grace_ms: 5_000,
-        connections: 100,
+        connections: 500,
         listing: ListingSettings { interval_ms: 50, rate: 1_000.0 },
         retries: RetrySettings { ratio: 0.2, slack: 50.0 },
         log: LogSettings { level: LogLevel::Error, ..LogSettings::default() },
