Close an endpoint's connection when it sends too much without content

Callers saw a 504 after their whole deadline, and a slot and a processor were busy until then, when an endpoint sent interim responses, or digits or spaces of a chunk's size, without end.

Cause: the HTTP library limits the head of a response, extensions and trailers, but it drops interim responses, leading zeros and spaces without a count. The gateway set no limit of its own; only the deadline ended the request.

The socket now counts the bytes since the last head or part of the body, and fails over 256 KB, which is more than the library buffers before a part is taken. So the request fails as with any broken connection: it moves on if it may be repeated, and gets a 502 otherwise. The body and its connection are one value, so that reading a part always resets the count.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,14 +10,13 @@
         },
         shared::{RunningRequest, Shared},
         sse::EventBuffer,
-        upstream::{self, Connection, SendError},
+        upstream::{self, ResponseBody, SendError},
     },
-    bytes::Bytes,
-    derive_more::{Debug, Display},
+    bytes::{Bytes, BytesMut},
+    derive_more::{Debug, Display, Error},
     dispatch::{Assignment, AttemptOutcome},
     http::{Request, Response, Uri, response},
-    http_body_util::{BodyExt, Full, Limited},
-    hyper::body::Incoming,
+    http_body_util::Full,
     model::{MILLISECOND, Time},
     std::sync::Arc,
     tokio::time::{sleep_until, timeout_at},
@@ -49,9 +48,7 @@
 /// An event stream whose first events have been received.
 pub(crate) struct EventStream {
     pub(crate) running: RunningRequest,
-    /// Held only to close the connection on drop.
-    pub(crate) _connection: Connection,
-    pub(crate) body: Incoming,
+    pub(crate) body: ResponseBody,
     pub(crate) events: EventBuffer,
     /// Events to forward before those read from `body`.
     pub(crate) buffered: Bytes,
@@ -80,6 +77,17 @@
     DeadlineExceeded,
 }
 
+/// Why a response was not read in full.
+#[derive(Debug, Display, Error)]
+enum BodyError {
+    /// It exceeds the maximum size.
+    #[display("longer than {MAX_BUFFERED_RESPONSE_BYTES} bytes")]
+    TooLong,
+    /// The connection failed.
+    #[display("{cause}")]
+    Broken { cause: hyper::Error },
+}
+
 /// A slot at an endpoint, acquired but not used yet.
 pub(crate) struct Attempt {
     running: RunningRequest,
@@ -115,7 +123,7 @@
         call.sends += 1;
         call.runs += 1;
         let sent = self.wait_until(call, upstream::send(addr, request), limit).await;
-        let (response, connection) = match sent {
+        let response = match sent {
             Some(Ok(it)) => it,
             Some(Err(SendError::NotSent { reason })) => {
                 call.sends -= 1;
@@ -133,7 +141,7 @@
         if call.first_ms == 0 {
             call.first_ms = shared.now().since(call.arrived) / MILLISECOND;
         }
-        self.read_response(call, response, connection, events, limit).await
+        self.read_response(call, response, events, limit).await
     }
 
     fn to_request(&self, call: &Call, left_ms: u64, last_id: Option<u64>) -> Request<Full<Bytes>> {
@@ -185,13 +193,12 @@
     async fn read_response(
         mut self,
         call: &mut Call,
-        response: Response<Incoming>,
-        connection: Connection,
+        response: Response<ResponseBody>,
         events: EventBuffer,
         limit: Time,
     ) -> Result<UpstreamResponse, Failure> {
         let names = &call.shared.names;
-        let (mut parts, body) = response.into_parts();
+        let (mut parts, mut body) = response.into_parts();
         if let Some(load) = reported_load(names, &parts.headers) {
             let no = self.running.pick.handle;
             call.shared.dispatcher.lock().record_reported_load(call.shared.now(), no, load);
@@ -221,20 +228,11 @@
         if parts.status.is_success() && is_event_stream(&parts.headers) {
             let running = self.running;
             let buffered = Bytes::new();
-            let stream = EventStream {
-                running,
-                _connection: connection,
-                body,
-                events,
-                buffered,
-                ended: false,
-            };
+            let stream = EventStream { running, body, events, buffered, ended: false };
             return stream.start(call, parts, limit).await;
         }
-        let complete = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
-        match self.wait_until(call, complete, limit).await {
+        match self.wait_until(call, read_all(&mut body), limit).await {
             Some(Ok(body)) => {
-                let body = body.to_bytes();
                 if parts.status.is_server_error() {
                     let failure = Failure::Failed(Box::new((parts, body)));
                     return Err(self.fail(AttemptOutcome::Failed, failure));
@@ -245,7 +243,7 @@
                 Ok(UpstreamResponse::Buffered(parts, body))
             }
             Some(Err(err)) => {
-                let reason = format!("response body was truncated: {err}");
+                let reason = format!("response body is incomplete: {err}");
                 Err(self.fail(AttemptOutcome::Broken, Failure::Indeterminate { reason }))
             }
             None => Err(self.time_out(call)),
@@ -325,6 +323,19 @@
     }
 }
 
+/// Reads a complete body of at most [`MAX_BUFFERED_RESPONSE_BYTES`].
+async fn read_all(body: &mut ResponseBody) -> Result<Bytes, BodyError> {
+    let mut bytes = BytesMut::new();
+    while let Some(part) = body.next().await {
+        let part = part.map_err(|cause| BodyError::Broken { cause })?;
+        if bytes.len() + part.len() > MAX_BUFFERED_RESPONSE_BYTES {
+            return Err(BodyError::TooLong);
+        }
+        bytes.extend_from_slice(&part);
+    }
+    Ok(bytes.freeze())
+}
+
 impl EventStream {
     /// Waits for the first complete events. A stream that breaks before them can be restarted on
     /// another endpoint.
@@ -359,14 +370,13 @@
     /// stream broke.
     pub(crate) async fn next_events(&mut self) -> Result<Option<Bytes>, String> {
         loop {
-            let frame = match self.body.frame().await {
-                Some(Ok(frame)) => frame,
+            let data = match self.body.next().await {
+                Some(Ok(data)) => data,
                 Some(Err(err)) => return Err(format!("stream failed: {err}")),
                 None if self.events.is_partial() => return Err("stream ended mid-event".to_owned()),
                 None => return Ok(None),
             };
-            let Some(data) = frame.data_ref() else { continue };
-            let events = self.events.push(data).map_err(|it| it.to_string())?;
+            let events = self.events.push(&data).map_err(|it| it.to_string())?;
             if !events.is_empty() {
                 return Ok(Some(events));
             }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -8,11 +8,26 @@
     bytes::Bytes,
     derive_more::{Debug, Display, Error},
     http::{Request, Response},
-    http_body_util::Full,
+    http_body_util::{BodyExt, Full},
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
-    std::{net::SocketAddr, time::Duration},
-    tokio::{net::TcpStream, task::JoinHandle, time::timeout},
+    std::{
+        io,
+        net::SocketAddr,
+        pin::Pin,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        task::{Context, Poll, ready},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::TcpStream,
+        task::JoinHandle,
+        time::timeout,
+    },
 };
 
 /// The connect timeout: a few round trips within a region, but less than the retransmission timeout
@@ -22,6 +37,10 @@
 /// The maximum size of a response head, in bytes.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
 
+/// The maximum number of bytes that an endpoint may send without a head or a part of a body, such as
+/// interim responses or framing. It exceeds what can be buffered before a part is taken.
+const MAX_OVERHEAD_BYTES: usize = 4 * MAX_RESPONSE_HEAD_BYTES;
+
 /// Why there is no response.
 #[derive(Debug, Display, Error)]
 pub(crate) enum SendError {
@@ -40,11 +59,91 @@
 }
 
 /// Closes the connection when dropped, so that the endpoint stops working on the request.
-pub(crate) struct Connection(JoinHandle<()>);
+struct Connection {
+    driver: JoinHandle<()>,
+    overhead: Arc<AtomicUsize>,
+}
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.0.abort();
+        self.driver.abort();
+    }
+}
+
+/// The body of a response. The connection is closed when it is dropped.
+pub(crate) struct ResponseBody {
+    body: Incoming,
+    connection: Connection,
+}
+
+impl ResponseBody {
+    /// Returns the next part, which is not empty, or `None` at the end of the body.
+    pub(crate) async fn next(&mut self) -> Option<hyper::Result<Bytes>> {
+        loop {
+            let frame = match self.body.frame().await? {
+                Ok(frame) => frame,
+                Err(err) => return Some(Err(err)),
+            };
+            if let Some(data) = frame.into_data().ok().filter(|it| !it.is_empty()) {
+                self.connection.overhead.store(0, Ordering::Relaxed);
+                return Some(Ok(data));
+            }
+        }
+    }
+}
+
+/// Fails when an endpoint sends too much without a head or a part of a body.
+///
+/// The HTTP library limits heads, but neither interim responses nor the digits of a chunk's size.
+struct MeteredSocket {
+    inner: TcpStream,
+    overhead: Arc<AtomicUsize>,
+}
+
+impl AsyncRead for MeteredSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        let read = buf.filled().len() - before;
+        let overhead = self.overhead.fetch_add(read, Ordering::Relaxed) + read;
+        if overhead > MAX_OVERHEAD_BYTES {
+            return Poll::Ready(Err(io::Error::other("endless response without content")));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for MeteredSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 }
 
@@ -52,7 +151,7 @@
 pub(crate) async fn send(
     addr: SocketAddr,
     request: Request<Full<Bytes>>,
-) -> Result<(Response<Incoming>, Connection), SendError> {
+) -> Result<Response<ResponseBody>, SendError> {
     let not_sent = |reason: String| SendError::NotSent { reason };
     let dialed = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
     let socket = match dialed {
@@ -63,16 +162,18 @@
     if let Err(err) = socket.set_nodelay(true) {
         tracing::debug!("gateway: failed to set TCP_NODELAY for {addr}: {err}");
     }
-    let handshake =
-        http1::Builder::new().max_buf_size(MAX_RESPONSE_HEAD_BYTES).handshake(TokioIo::new(socket));
+    let overhead = Arc::new(AtomicUsize::new(0));
+    let io = TokioIo::new(MeteredSocket { inner: socket, overhead: overhead.clone() });
+    let handshake = http1::Builder::new().max_buf_size(MAX_RESPONSE_HEAD_BYTES).handshake(io);
     let (mut sender, driver) = handshake.await.map_err(|it| not_sent(it.to_string()))?;
-    let connection = Connection(tokio::spawn(async move {
+    let driver = tokio::spawn(async move {
         if let Err(err) = driver.await {
             tracing::debug!("gateway: connection to {addr} ended: {err}");
         }
-    }));
+    });
+    let connection = Connection { driver, overhead };
     match sender.try_send_request(request).await {
-        Ok(response) => Ok((response, connection)),
+        Ok(response) => Ok(response.map(|body| ResponseBody { body, connection })),
         Err(mut err) => {
             let unsent = err.take_message().is_some();
             let reason = err.into_error().to_string();
