List the software version of endpoints, and log it

The version now travels from the directory through the catalog to each gateway. Lines 'endpoint-added', 'sent' and 'served' name it. Nothing is decided by it yet.

The property of catalogs and deltas draws versions too.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -10,6 +10,6 @@
 
 pub use crate::{
     catalog::{Catalog, CatalogDelta},
-    listing::{Directory, DirectoryError, ListedEndpoint, Listing},
+    listing::{BuildId, Directory, DirectoryError, ListedEndpoint, Listing},
     poll_interval::PollInterval,
 };
--- a/crates/directory/src/listing.rs
+++ b/crates/directory/src/listing.rs
@@ -2,7 +2,7 @@
 
 use {
     derive_more::{Debug, Display, Error},
-    model::{Domain, Name},
+    model::{Domain, Name, hash64},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -52,4 +52,32 @@
     /// When the endpoint started, in milliseconds since the Unix epoch (1970), if it is known.
     #[serde(rename = "born")]
     pub started_at_ms: Option<u64>,
+    /// The version of the endpoint's software, if it is known. Versions have no order.
+    pub build: Option<Name>,
+}
+
+/// Identifies a version of endpoints' software: the hash of its name.
+#[derive(
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Default,
+    Serialize,
+    Deserialize,
+    Debug,
+    Display,
+)]
+#[display("{_0:x}")]
+pub struct BuildId(pub u64);
+
+impl ListedEndpoint {
+    /// Returns the id of the version of the endpoint's software. All endpoints whose version is not
+    /// known have the same one.
+    pub fn build_id(&self) -> BuildId {
+        BuildId(self.build.as_ref().map_or(0, |it| hash64(it.as_bytes())))
+    }
 }
--- a/crates/directory/tests/catalog.rs
+++ b/crates/directory/tests/catalog.rs
@@ -7,7 +7,7 @@
     std::time::Duration,
 };
 
-fn listed(id: u8, port: u16, draining: bool) -> ListedEndpoint {
+fn listed(id: u8, port: u16, draining: bool, build: Option<u8>) -> ListedEndpoint {
     ListedEndpoint {
         id: format!("e{id}").into(),
         service: "s".into(),
@@ -16,11 +16,13 @@
         slots: 4,
         draining,
         started_at_ms: None,
+        build: build.map(|it| format!("v{it}").into()),
     }
 }
 
 fn listing() -> impl Strategy<Value = Vec<ListedEndpoint>> {
-    let entry = (0_u8..12, 1_u16..4, any::<bool>()).prop_map(|(id, port, it)| listed(id, port, it));
+    let entry = (0_u8..12, 1_u16..4, any::<bool>(), proptest::option::of(0_u8..2))
+        .prop_map(|(id, port, draining, build)| listed(id, port, draining, build));
     proptest::collection::vec(entry, 0..15)
 }
 
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -7,6 +7,7 @@
         rendezvous::ranked,
     },
     derive_more::Debug,
+    directory::BuildId,
     model::{Domain, MILLISECOND, Name, Time},
     smallvec::SmallVec,
     std::net::SocketAddr,
@@ -63,6 +64,8 @@
     pub addr: SocketAddr,
     /// The failure domain of the endpoint.
     pub domain: Domain,
+    /// The version of the endpoint's software.
+    pub build: BuildId,
     /// Distinguishes this run of the endpoint from its earlier and later ones.
     pub incarnation: u64,
     /// Another endpoint that is expected to have more of the prompt in memory.
@@ -330,6 +333,7 @@
         id: endpoint.listed.id.clone(),
         addr: endpoint.addr(),
         domain: endpoint.listed.domain.clone(),
+        build: endpoint.listed.build_id(),
         incarnation: endpoint.incarnation(),
         fetch_from: None,
         tokens,
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -27,6 +27,7 @@
         slots,
         draining: false,
         started_at_ms: None,
+        build: None,
     }
 }
 
--- a/crates/dispatch/tests/common/simulation.rs
+++ b/crates/dispatch/tests/common/simulation.rs
@@ -178,6 +178,7 @@
                 slots: load.slots,
                 draining: false,
                 started_at_ms: None,
+                build: None,
             })
             .collect();
         let domains: Vec<Domain> = (0..DOMAINS).map(|it| domain(&format!("d{it}"))).collect();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -304,6 +304,7 @@
             event = "sent",
             request = call.head.id(),
             endpoint = %pick.id,
+            build = %pick.build,
             load = pick.load,
             fetch = ?pick.fetch_from,
             left_ms,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -337,6 +337,7 @@
             route = %self.found.route.name,
             team = self.team.as_deref(),
             endpoint = %self.last_pick.as_ref().map_or("", |it| &it.id),
+            build = self.last_pick.as_ref().map(|it| it.build.0),
             load = self.last_pick.as_ref().map(|it| it.load),
             fetch = ?self.last_pick.as_ref().and_then(|it| it.fetch_from),
             version = self.version,
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -89,6 +89,8 @@
             endpoint = %it.id,
             service = %it.service,
             addr = %it.addr,
+            version = it.build.as_deref(),
+            build = %it.build_id(),
             "gateway: endpoint added"
         ),
         EndpointChange::Draining(id) => {
--- a/crates/gateway/tests/common/endpoint.rs
+++ b/crates/gateway/tests/common/endpoint.rs
@@ -129,9 +129,15 @@
             slots: 8,
             draining: false,
             started_at_ms: None,
+            build: None,
         }
     }
 
+    /// Returns a listing entry with this version of the endpoint's software.
+    pub(crate) fn versioned_entry(&self, id: &str, build: &str) -> ListedEndpoint {
+        ListedEndpoint { build: Some(build.into()), ..self.listing_entry("model", id) }
+    }
+
     pub(crate) fn received(&self) -> Vec<ReceivedRequest> {
         self.state.lock().expect("state is poisoned").received.clone()
     }
--- a/crates/gateway/tests/spread.rs
+++ b/crates/gateway/tests/spread.rs
@@ -112,6 +112,7 @@
             slots: 16,
             draining: false,
             started_at_ms: None,
+            build: None,
         }
     };
     (0..ENDPOINTS).map(endpoint).collect()
--- a/soak/src/endpoints.rs
+++ b/soak/src/endpoints.rs
@@ -207,6 +207,7 @@
         slots: SLOTS,
         draining: entry.draining,
         started_at_ms: Some(entry.started_at_ms),
+        build: None,
     };
     let listed: Vec<_> = inner.entries.iter().map(listed).collect();
     let body = serde_json::to_vec(&listed).ok().filter(|_| inner.outages == 0);
