--- a/crates/gateway/tests/common/client.rs
+++ b/crates/gateway/tests/common/client.rs
@@ -36,6 +36,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Client {
     addr: SocketAddr,
+    attempt_id: String,
     key: Option<String>,
     deadline_ms: u64,
     headers: String,
@@ -46,6 +47,7 @@
     pub(crate) fn new(addr: SocketAddr) -> Client {
         Client {
             addr,
+            attempt_id: "a1".to_owned(),
             key: Some(TEAM_KEY.to_owned()),
             deadline_ms: 4_000,
             headers: String::new(),
@@ -53,6 +55,11 @@
         }
     }
 
+    pub(crate) fn attempt(mut self, id: &str) -> Client {
+        self.attempt_id = id.to_owned();
+        self
+    }
+
     pub(crate) fn key(mut self, key: Option<&str>) -> Client {
         self.key = key.map(str::to_owned);
         self
@@ -80,7 +87,8 @@
         let method = if self.body.is_empty() { "GET" } else { "POST" };
         let key = self.key.as_ref().map(|it| format!("team-key: {it}\r\n")).unwrap_or_default();
         let request = format!(
-            "{method} {path} HTTP/1.1\r\nhost: h\r\nattempt-id: a1\r\ndeadline-ms: {}\r\n{key}{}content-length: {}\r\n\r\n{}",
+            "{method} {path} HTTP/1.1\r\nhost: h\r\nattempt-id: {}\r\ndeadline-ms: {}\r\n{key}{}content-length: {}\r\n\r\n{}",
+            self.attempt_id,
             self.deadline_ms,
             self.headers,
             self.body.len(),
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -33,7 +33,10 @@
         time::Duration,
     },
     tempfile::TempDir,
-    tokio::time::{Instant, sleep},
+    tokio::{
+        runtime::{Builder, Runtime},
+        time::{Instant, sleep},
+    },
 };
 
 /// How long a test may wait for a condition.
@@ -54,6 +57,30 @@
     }
 }
 
+/// A gateway on a runtime of its own, so that it can end without a shutdown.
+pub(crate) struct KillableGateway {
+    pub(crate) gateway: Gateway,
+    runtime: Option<Runtime>,
+}
+
+impl KillableGateway {
+    /// Ends the gateway at once, like a process that is killed.
+    pub(crate) fn kill(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        // A runtime must not be dropped where it could block a task.
+        self.runtime.take().into_iter().for_each(Runtime::shutdown_background);
+    }
+}
+
+impl Drop for KillableGateway {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
 pub(crate) struct Fixture {
     pub(crate) gateway: Gateway,
     pub(crate) configs: RoutingConfigStore,
@@ -138,6 +165,19 @@
         self.others.push(start_gateway(settings, self.list.clone()).await);
     }
 
+    /// Starts another gateway in this domain with the same control replica, which can be killed.
+    pub(crate) async fn start_killable(&self, domain: &str) -> KillableGateway {
+        let settings = GatewaySettings {
+            domain: Domain(domain.into()),
+            ..gateway_settings(self.control.internal_addr())
+        };
+        let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build();
+        let runtime = runtime.expect("failed to start a runtime");
+        let gateway = runtime.spawn(start_gateway(settings, self.list.clone()));
+        let gateway = gateway.await.expect("the gateway panicked");
+        KillableGateway { gateway, runtime: Some(runtime) }
+    }
+
     pub(crate) fn control_addr(&self) -> SocketAddr {
         self.control.internal_addr()
     }
