Count a machine's lost disk only until its new replica votes

The simulation kept counting a loss that was repaired while another one was not, and then let that machine lose its disk again as if it were the same loss: three disks of a group of five at once, which no order of changes survives. The lost machines are now those whose lost replicas are voters of the leader's committed membership, and those lost since.

--- a/crates/replica/tests/sim/check.rs
+++ b/crates/replica/tests/sim/check.rs
@@ -3,8 +3,9 @@
 use {
     super::{Host, Sim, addr},
     bytes::Bytes,
-    model::Term,
+    model::{ReplicaId, Term},
     quorum::{Entry, Member, Membership, Payload},
+    std::collections::BTreeSet,
 };
 
 impl Sim {
@@ -20,6 +21,15 @@
         members.voters().count() == target && self.live_voters(members) == target
     }
 
+    /// The machines whose lost replicas are voters, if the leader's membership is committed and has the intended number
+    /// of voters.
+    fn lost_voters(&self) -> Option<BTreeSet<usize>> {
+        let members = self.settled_members()?;
+        let lost = |it: &ReplicaId| !self.hosts.iter().any(|host| host.id == Some(*it));
+        let complete = members.voters().count() == self.target_voters();
+        complete.then(|| members.voters().filter(lost).map(|it| self.machines[&it]).collect())
+    }
+
     /// Whether the group must tolerate that this disk is lost now: no more machines have lost theirs than a group of
     /// the intended size tolerates, whatever its momentary size, or more than a majority of the voters has a disk.
     pub(super) fn can_lose_disk(&self, at: usize) -> bool {
@@ -150,8 +160,10 @@
         assert_eq!(leader, node.raft.id(), "two leaders of {term}");
         let acknowledged = self.acknowledged.last_key_value().map_or(0, |it| *it.0);
         assert!(node.applied >= acknowledged, "the leader lacks an acknowledged command");
-        if !self.lost.is_empty() && self.has_all_voters() {
-            self.lost.clear();
+        if !self.lost.is_empty()
+            && let Some(lost) = self.lost_voters()
+        {
+            self.lost = lost;
         }
     }
 }
--- a/crates/replica/tests/sim/mod.rs
+++ b/crates/replica/tests/sim/mod.rs
@@ -79,8 +79,10 @@
     counter: u64,
     /// How many hosts bootstrap the group together; with zero, the first host bootstraps it alone.
     initial_hosts: usize,
-    /// The machines that lost their disks since the group last had all its voters.
+    /// The machines that lost their disks, and no later replica of theirs is known to vote in their place.
     lost: BTreeSet<usize>,
+    /// The machine of each replica.
+    machines: BTreeMap<ReplicaId, usize>,
     /// How often each situation occurred.
     pub(crate) situations: BTreeMap<Situation, u64>,
 }
@@ -187,6 +189,7 @@
             counter: 0,
             initial_hosts,
             lost: BTreeSet::new(),
+            machines: BTreeMap::new(),
             situations: BTreeMap::new(),
         }
     }
@@ -226,6 +229,7 @@
             Raft::open(now, config(replicas, seeded), journal.id(), durable, self.counter);
         host.frozen = false;
         host.id = Some(journal.id());
+        self.machines.insert(journal.id(), host.machine);
         host.node = Some(Node {
             raft,
             journal,
