Read the rest of a rejected request before the connection closes

A client that was still sending its body when its route or key was refused got a reset connection: neither an answer nor a refusal.

Cause: the refusal was sent as soon as the head was read, and the connection was closed with bytes of the body unread or still to come, which resets it and may discard the response.

Now the rest of the body is read first, for at most 1 s and 4 MiB, unless the client waits for 100 Continue.

--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -5,7 +5,7 @@
     http_body_util::{BodyExt, Empty, Full, combinators::UnsyncBoxBody},
     model::Reason,
     std::{convert::Infallible, error::Error as StdError, time::Duration},
-    tokio::time::timeout,
+    tokio::time::{Instant, timeout, timeout_at},
 };
 
 /// The error type of a streamed body.
@@ -54,3 +54,15 @@
         bytes.extend_from_slice(data);
     }
 }
+
+/// Reads a body and drops it, until it ends or fails, after `limit` bytes, or at `deadline`.
+pub async fn discard<B>(mut body: B, limit: usize, deadline: Instant)
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+{
+    let mut left = limit;
+    while left > 0 {
+        let Ok(Some(Ok(frame))) = timeout_at(deadline, body.frame()).await else { return };
+        left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
+    }
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -12,8 +12,8 @@
     },
     bytes::Bytes,
     dispatch::{Assignment, DispatchRequest, EndpointHandle},
-    edge::{Body, full, read_all},
-    http::{Request, Response, StatusCode, request},
+    edge::{Body, discard, full, read_all},
+    http::{Request, Response, StatusCode, header, request},
     hyper::body::Incoming,
     model::{MILLISECOND, Name, Reason, Time, hash64, mix2},
     route::{RouteMatch, RouteTable},
@@ -42,6 +42,12 @@
 /// not run the request.
 const EXTRA_SENDS: u32 = 2;
 
+/// How long the rest of a rejected request is read, in milliseconds.
+const MAX_DISCARD_MS: u64 = 1_000;
+
+/// How much of a rejected request's body is read, in bytes.
+const MAX_DISCARDED_BYTES: usize = 4 << 20;
+
 /// Serves a single client request.
 pub(crate) async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let arrived = shared.now();
@@ -49,7 +55,15 @@
     let head = RequestHead::read(&shared.names, &parts);
     let admitted = match admit(&shared, &head, &parts) {
         Ok(it) => it,
-        Err(rejection) => return reject(&shared, &head, rejection),
+        Err(rejection) => {
+            // A connection that is closed with unread bytes is reset, which may discard the
+            // response.
+            if !parts.headers.contains_key(header::EXPECT) {
+                let deadline = shared.clock.deadline(arrived + MAX_DISCARD_MS * MILLISECOND);
+                discard(body, MAX_DISCARDED_BYTES, deadline).await;
+            }
+            return reject(&shared, &head, rejection);
+        }
     };
     let timeout_ms = admitted.found.route.timeout_ms;
     let left_ms = head.deadline_ms.unwrap_or(timeout_ms).min(timeout_ms);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -7,7 +7,7 @@
 mod endpoint;
 
 pub(crate) use {
-    client::{Client, Response},
+    client::{Client, Response, read_response},
     endpoint::{Behavior, Endpoint, ReceivedRequest, event},
 };
 
