--- a/crates/gateway/tests/common/endpoint.rs
+++ b/crates/gateway/tests/common/endpoint.rs
@@ -58,7 +58,7 @@
     Stalled(std::ops::Range<u64>),
     /// The start of a response, with `{id}` in place of the attempt id, then a part that is repeated
     /// without end.
-    Endless { start: String, part: String, pause: Duration },
+    Endless { start: Arc<str>, part: Arc<str>, pause: Duration },
     /// Events with increasing numbers without end.
     EndlessEvents,
 }
--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -22,7 +22,7 @@
 
 /// Returns a response that starts with the given text and continues without end.
 fn endless(start: &str, part: &str) -> Behavior {
-    Behavior::Endless { start: start.to_owned(), part: part.to_owned(), pause: Duration::ZERO }
+    Behavior::Endless { start: start.into(), part: part.into(), pause: Duration::ZERO }
 }
 
 /// Returns a response with a valid head and these headers, whose body has no end.
@@ -37,7 +37,7 @@
     let chunk = |text| String::from_utf8_lossy(&chunk(text)).into_owned();
     let start = if start.is_empty() { String::new() } else { chunk(start) };
     let head = format!("HTTP/1.1 200 X\r\nattempt-id: {{id}}\r\n{SIGNED}{EVENTS}\r\n\r\n{start}");
-    Behavior::Endless { start: head, part: chunk(part), pause }
+    Behavior::Endless { start: head.into(), part: chunk(part).into(), pause }
 }
 
 const CHUNKED: &str = "transfer-encoding: chunked";
--- a/crates/gateway/tests/endless_memory.rs
+++ b/crates/gateway/tests/endless_memory.rs
@@ -35,7 +35,7 @@
 
 fn endless(headers: &str, part: &str) -> Behavior {
     let start = format!("HTTP/1.1 200 X\r\nattempt-id: {{id}}\r\n{SIGNED}{headers}\r\n\r\n");
-    Behavior::Endless { start, part: part.to_owned(), pause: Duration::ZERO }
+    Behavior::Endless { start: start.into(), part: part.into(), pause: Duration::ZERO }
 }
 
 /// Sends `count` requests at once to endpoints that respond without end, and checks the peak memory
