Limit the memory of all responses being received together

What callers would see: a gateway that is killed, with all its requests, when several endpoints send bytes without end at once. A process of 260 MB is killed over that limit.

Cause: each buffered response was limited to 8 MB and each event to 1 MB, but not their sum.

All bytes that can't be forwarded yet now come out of an eighth of the memory that the platform allows the process (`memory-mb`, new). A response may take no more than it leaves free, so the largest ones fail first, and there is room for a smaller one however many they are. A buffered body returns its part when the caller has it.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,11 +8,12 @@
             ForwardHeaders, ResponseProof, is_event_stream, is_leaving, reported_load,
             request_headers, response_headers, retry_after, verify_response,
         },
+        response_memory::{BufferedBody, Reservation},
         shared::{RunningRequest, Shared},
         sse::EventBuffer,
         upstream::{self, ResponseBody, SendError},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     derive_more::{Debug, Display, Error},
     dispatch::{Assignment, AttemptOutcome},
     http::{Request, Response, Uri, response},
@@ -50,6 +51,8 @@
     pub(crate) running: RunningRequest,
     pub(crate) body: ResponseBody,
     pub(crate) events: EventBuffer,
+    /// The memory of the incomplete event in `events`.
+    pub(crate) memory: Reservation,
     /// Events to forward before those read from `body`.
     pub(crate) buffered: Bytes,
     /// Whether `body` has ended.
@@ -83,6 +86,9 @@
     /// It exceeds the maximum size.
     #[display("longer than {MAX_BUFFERED_RESPONSE_BYTES} bytes")]
     TooLong,
+    /// It exceeds the memory left for responses.
+    #[display("no memory left for a response of {bytes} bytes")]
+    NoMemory { bytes: usize },
     /// The connection failed.
     #[display("{cause}")]
     Broken { cause: hyper::Error },
@@ -228,10 +234,12 @@
         if parts.status.is_success() && is_event_stream(&parts.headers) {
             let running = self.running;
             let buffered = Bytes::new();
-            let stream = EventStream { running, body, events, buffered, ended: false };
+            let memory = Reservation::new(&running.shared.response_memory);
+            let stream = EventStream { running, body, events, memory, buffered, ended: false };
             return stream.start(call, parts, limit).await;
         }
-        match self.wait_until(call, read_all(&mut body), limit).await {
+        let memory = Reservation::new(&call.shared.response_memory);
+        match self.wait_until(call, read_all(&mut body, memory), limit).await {
             Some(Ok(body)) => {
                 if parts.status.is_server_error() {
                     let failure = Failure::Failed(Box::new((parts, body)));
@@ -324,16 +332,23 @@
 }
 
 /// Reads a complete body of at most [`MAX_BUFFERED_RESPONSE_BYTES`].
-async fn read_all(body: &mut ResponseBody) -> Result<Bytes, BodyError> {
-    let mut bytes = BytesMut::new();
+async fn read_all(
+    body: &mut ResponseBody,
+    mut reservation: Reservation,
+) -> Result<Bytes, BodyError> {
+    let mut bytes = Vec::new();
     while let Some(part) = body.next().await {
         let part = part.map_err(|cause| BodyError::Broken { cause })?;
-        if bytes.len() + part.len() > MAX_BUFFERED_RESPONSE_BYTES {
+        let length = bytes.len() + part.len();
+        if length > MAX_BUFFERED_RESPONSE_BYTES {
             return Err(BodyError::TooLong);
         }
+        if !reservation.resize(length) {
+            return Err(BodyError::NoMemory { bytes: length });
+        }
         bytes.extend_from_slice(&part);
     }
-    Ok(bytes.freeze())
+    Ok(Bytes::from_owner(BufferedBody { bytes, _reservation: reservation }))
 }
 
 impl EventStream {
@@ -377,6 +392,11 @@
                 None => return Ok(None),
             };
             let events = self.events.push(&data).map_err(|it| it.to_string())?;
+            let partial = self.events.partial_len();
+            // Events that were split off count as forwarded, so they must not be dropped.
+            if !self.memory.resize(partial) && events.is_empty() {
+                return Err(format!("no memory left for an event of {partial} bytes"));
+            }
             if !events.is_empty() {
                 return Ok(Some(events));
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
         layout,
         metrics::Metrics,
         relay,
+        response_memory::ResponseMemory,
         sampler::Sampler,
         server,
         shared::{DEREGISTER_MS, Membership, Rejected, Shared},
@@ -40,6 +41,12 @@
     wire::{Clock, Dialer, Identity, Listener, Traffic, TrafficClass},
 };
 
+/// The share of the process's memory that responses being received may take. Their buffers are up to
+/// three times as large while they grow.
+const RESPONSE_MEMORY_SHARE: f64 = 1.0 / 8.0;
+
+const BYTES_PER_MB: f64 = (1 << 20) as f64;
+
 /// How often a gateway that is shutting down checks whether it is idle.
 const SHUTDOWN_POLL: Duration = Duration::from_millis(50);
 
@@ -84,6 +91,7 @@
         let (seeds, seed_updates) = watch::channel(settings.control.clone());
         let (listen, admin) = (settings.listen, settings.admin);
         let clock = Clock::start();
+        let response_bytes = settings.memory_mb * BYTES_PER_MB * RESPONSE_MEMORY_SHARE;
         let dispatcher = Dispatcher::new(settings.domain.clone(), rand::random());
         let shared = Arc::new(Shared {
             dispatcher: Mutex::new(dispatcher),
@@ -110,6 +118,7 @@
             endpoints_loaded: AtomicBool::new(false),
             layout_settled: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
+            response_memory: Arc::new(ResponseMemory::new(response_bytes as usize)),
             waiter_added: Notify::new(),
             metrics: Metrics::default(),
             sampler: Sampler::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod metrics;
 mod rejection;
 mod relay;
+mod response_memory;
 mod sampler;
 mod server;
 mod shared;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -3,7 +3,10 @@
 //! Lock order: `layout_history`, `dispatcher`, `waiters`. All other locks are leaves. No lock is held across an await.
 
 use {
-    crate::{header_names::HeaderNames, metrics::Metrics, sampler::Sampler},
+    crate::{
+        header_names::HeaderNames, metrics::Metrics, response_memory::ResponseMemory,
+        sampler::Sampler,
+    },
     arc_swap::ArcSwapOption,
     derive_more::Debug,
     dispatch::{
@@ -113,6 +116,7 @@
     /// Whether other replicas had time to report a newer configuration than the first one.
     pub(crate) layout_settled: AtomicBool,
     pub(crate) connections: AtomicUsize,
+    pub(crate) response_memory: Arc<ResponseMemory>,
     /// Wakes the task that expires waiting requests.
     pub(crate) waiter_added: Notify,
     pub(crate) metrics: Metrics,
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -53,6 +53,11 @@
         self.forwarded
     }
 
+    /// Returns the length of the incomplete event, in bytes.
+    pub(crate) fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns whether the stream stopped in the middle of an event.
     pub(crate) fn is_partial(&self) -> bool {
         !self.partial.is_empty()
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -215,6 +215,7 @@
         tls_inner: None,
         grace_ms: 5_000,
         connections: 500,
+        memory_mb: 260.0,
         listing: ListingSettings { interval_ms: 50, rate: 1_000.0 },
         retries: RetrySettings { ratio: 0.2, slack: 50.0 },
         log: LogSettings { level: LogLevel::Error, ..LogSettings::default() },
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -56,6 +56,10 @@
     /// Maximum number of concurrent connections from callers; default 1500.
     #[serde(default = "default_connections")]
     pub connections: usize,
+    /// The memory that the platform allows this process, in megabytes; default 256. Responses being received take at most
+    /// an eighth of it.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: f64,
     /// Polling of the list of endpoints while the control service provides none.
     #[serde(default)]
     pub listing: ListingSettings,
@@ -75,12 +79,17 @@
     1_500
 }
 
+fn default_memory_mb() -> f64 {
+    256.0
+}
+
 impl Validate for GatewaySettings {
     fn validate(&self) -> Result<(), (&'static str, String)> {
         require("host", !self.host.0.is_empty(), "expected a non-empty name")?;
         require("domain", !self.domain.0.is_empty(), "expected a non-empty name")?;
         require("control", !self.control.is_empty(), "expected at least one address")?;
         require("connections", self.connections > 0, "expected at least 1")?;
+        require("memory-mb", self.memory_mb >= 32.0, "expected at least 32")?;
         require("grace-ms", self.grace_ms >= 1_000, "expected at least 1000")?;
         self.listing.validate()?;
         require("retries.ratio", self.retries.ratio >= 0.0, "expected at least 0")?;
--- a/soak/src/config.rs
+++ b/soak/src/config.rs
@@ -119,6 +119,7 @@
         tls_inner: None,
         grace_ms: GRACE_MS,
         connections: CONNECTIONS,
+        memory_mb: 256.0,
         listing: listing(),
         retries: RetrySettings { ratio: RETRY_RATIO, slack: RETRY_SLACK },
         log: log(),
