Count only events as progress of a stream, and split them in one pass

Callers saw comments, blank lines or the same event over and over until their deadline, while another endpoint could have continued the stream. Other requests of the same gateway waited up to 5.4 s when the events were short.

Cause: any block before a blank line was an event. So bytes that carry nothing were forwarded, restarted the wait for the next event, and made a stream that had not begun look begun. Ids were checked only after a resumption. And to count the events of a part, the end of each was looked for by both line ends to the end of the part, so the cost grew with the square of its length.

A scanner now looks at each byte once. An event has an id or data; what comes before it belongs to it and is forwarded unchanged with it, so it falls under the limits of an event. An id that does not increase fails the stream, after the events before it were forwarded. At the end of a stream complete blank lines may follow the last event.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -385,11 +385,17 @@
     /// stream broke.
     pub(crate) async fn next_events(&mut self) -> Result<Option<Bytes>, String> {
         loop {
+            if let Some(failure) = self.events.failure() {
+                return Err(failure.to_string());
+            }
             let data = match self.body.next().await {
                 Some(Ok(data)) => data,
                 Some(Err(err)) => return Err(format!("stream failed: {err}")),
-                None if self.events.is_partial() => return Err("stream ended mid-event".to_owned()),
-                None => return Ok(None),
+                None => {
+                    let rest = self.events.finish();
+                    let rest = rest.ok_or_else(|| "stream ended mid-event".to_owned())?;
+                    return Ok((!rest.is_empty()).then_some(rest));
+                }
             };
             let events = self.events.push(&data).map_err(|it| it.to_string())?;
             let partial = self.events.partial_len();
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -23,17 +23,31 @@
         /// The id of the next event received.
         found: u64,
     },
+    /// The id of an event does not exceed the one before.
+    #[display("event {found} follows event {last}")]
+    NotIncreasing {
+        /// The id of the last event forwarded.
+        last: u64,
+        /// The id of the next event received.
+        found: u64,
+    },
 }
 
 /// Buffers the events of a response, across resumptions.
+///
+/// Comments, blank lines and blocks without an id or data belong to the event after them. So they
+/// are forwarded unchanged with it, but are no progress by themselves.
 #[derive(Default, Debug)]
 pub(crate) struct EventBuffer {
     #[debug("{} bytes", partial.len())]
     partial: BytesMut,
+    scanner: Scanner,
     last_id: Option<u64>,
     /// Whether the next event is the first after a resumption, whose id must be checked.
     resumed: bool,
     forwarded: u64,
+    /// Why the events after those returned cannot be forwarded.
+    failed: Option<EventError>,
 }
 
 impl EventBuffer {
@@ -58,83 +72,144 @@
         self.partial.len()
     }
 
-    /// Returns whether the stream stopped in the middle of an event.
-    pub(crate) fn is_partial(&self) -> bool {
-        !self.partial.is_empty()
+    /// Returns why the stream cannot be forwarded any further.
+    pub(crate) fn failure(&self) -> Option<EventError> {
+        self.failed
+    }
+
+    /// Returns what follows the last event at the end of the stream, or `None` if the stream stopped
+    /// in the middle of an event.
+    pub(crate) fn finish(&mut self) -> Option<Bytes> {
+        self.scanner.is_between_events(&self.partial).then(|| {
+            self.scanner = Scanner::default();
+            self.partial.split().freeze()
+        })
     }
 
     /// Prepares for the response of another endpoint and discards the incomplete event.
     pub(crate) fn resume(&mut self) {
         self.partial.clear();
+        self.scanner = Scanner::default();
+        self.failed = None;
         self.resumed = true;
     }
 
-    /// Appends bytes and returns all complete events received so far.
+    /// Appends bytes and returns all complete events received so far. Events before one that cannot
+    /// be forwarded are returned first.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
-        // An event terminator may span the old bytes and the new ones.
-        let from = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.partial, from) else {
-            let long = self.partial.len() > MAX_EVENT_BYTES;
-            return if long { Err(EventError::TooLong) } else { Ok(Bytes::new()) };
-        };
-        let mut events = self.partial.split_to(end).freeze();
-        while self.resumed && !events.is_empty() {
-            self.skip_or_accept(&mut events)?;
+        let (mut skipped, mut end) = (0, 0);
+        while self.failed.is_none()
+            && let Some(event) = self.scanner.next_event(&self.partial)
+        {
+            match self.accept(event.id) {
+                Ok(true) => end = event.end,
+                Ok(false) => skipped = event.end,
+                Err(err) => self.failed = Some(err),
+            }
         }
-        self.record(&events);
-        Ok(events)
-    }
-
-    /// Drops an event that was forwarded before the resumption, or accepts the first new one.
-    fn skip_or_accept(&mut self, events: &mut Bytes) -> Result<(), EventError> {
-        let end = first_event_end(events).unwrap_or(events.len());
-        let (Some(last), Some(found)) = (self.last_id, event_id(&events[..end])) else {
-            self.resumed = false;
-            return Ok(());
-        };
-        if found <= last {
-            let _ = events.split_to(end);
-        } else if found == last + 1 {
-            self.resumed = false;
-        } else {
-            return Err(EventError::Gap { last, found });
+        let end = end.max(skipped);
+        let mut events = self.partial.split_to(end);
+        self.scanner.forget(end);
+        let _ = events.split_to(skipped);
+        if self.partial.len() > MAX_EVENT_BYTES {
+            self.failed.get_or_insert(EventError::TooLong);
+        }
+        match self.failed {
+            Some(err) if events.is_empty() => Err(err),
+            _ => Ok(events.freeze()),
         }
-        Ok(())
     }
 
-    fn record(&mut self, events: &[u8]) {
-        let mut rest = events;
-        while !rest.is_empty() {
-            let end = first_event_end(rest).unwrap_or(rest.len());
-            let (event, after) = rest.split_at(end);
-            self.last_id = event_id(event).or(self.last_id);
-            self.forwarded += 1;
-            rest = after;
+    /// Records an event to forward, or returns false for one that was forwarded before the
+    /// resumption.
+    fn accept(&mut self, id: Option<u64>) -> Result<bool, EventError> {
+        if let (Some(last), Some(found)) = (self.last_id, id) {
+            match found.checked_sub(last) {
+                None | Some(0) if self.resumed => return Ok(false),
+                None | Some(0) => return Err(EventError::NotIncreasing { last, found }),
+                Some(1) => {}
+                Some(_) if self.resumed => return Err(EventError::Gap { last, found }),
+                Some(_) => {}
+            }
         }
+        self.resumed = false;
+        self.last_id = id.or(self.last_id);
+        self.forwarded += 1;
+        Ok(true)
     }
 }
 
-/// Returns the end of the last complete event, at or after `from`.
-fn last_event_end(bytes: &[u8], from: usize) -> Option<usize> {
-    let tail = bytes.get(from..)?;
-    let lf = tail.windows(2).rposition(|it| it == b"\n\n").map(|it| from + it + 2);
-    let crlf = tail.windows(4).rposition(|it| it == b"\r\n\r\n").map(|it| from + it + 4);
-    lf.max(crlf)
+/// A complete event.
+#[derive(Clone, Copy, Debug)]
+struct Event {
+    /// Where it ends in the buffer.
+    end: usize,
+    /// The number in its `id` line.
+    id: Option<u64>,
 }
 
-/// Returns the end of the first complete event.
-fn first_event_end(bytes: &[u8]) -> Option<usize> {
-    let lf = bytes.windows(2).position(|it| it == b"\n\n").map(|it| it + 2);
-    let crlf = bytes.windows(4).position(|it| it == b"\r\n\r\n").map(|it| it + 4);
-    match (lf, crlf) {
-        (Some(a), Some(b)) => Some(a.min(b)),
-        (a, b) => a.or(b),
-    }
+/// Finds the events in a buffer, looking at each byte once.
+#[derive(Default, Debug)]
+struct Scanner {
+    /// Where the current line starts in the buffer.
+    line: usize,
+    /// Where to look for the end of the line.
+    searched: usize,
+    /// Whether the current block has an id or data.
+    is_event: bool,
+    /// Whether the current block has any line.
+    in_block: bool,
+    id: Option<u64>,
 }
 
-/// Parses the number in the `id` line of an event.
-fn event_id(event: &[u8]) -> Option<u64> {
-    let line = event.split(|it| *it == b'\n').find_map(|it| it.strip_prefix(b"id:"))?;
-    str::from_utf8(line).ok()?.trim().parse().ok()
+impl Scanner {
+    /// Returns the next event, which ends with a blank line.
+    fn next_event(&mut self, buffer: &[u8]) -> Option<Event> {
+        loop {
+            let rest = buffer.get(self.searched..)?;
+            let Some(length) = rest.iter().position(|it| *it == b'\n') else {
+                self.searched = buffer.len();
+                return None;
+            };
+            let end = self.searched + length;
+            let line = &buffer[self.line..end];
+            (self.line, self.searched) = (end + 1, end + 1);
+            match line.strip_suffix(b"\r").unwrap_or(line) {
+                b"" => {
+                    let (is_event, id) = (self.is_event, self.id);
+                    (self.is_event, self.in_block, self.id) = (false, false, None);
+                    if is_event {
+                        return Some(Event { end: end + 1, id });
+                    }
+                }
+                line => self.read_field(line),
+            }
+        }
+    }
+
+    fn read_field(&mut self, line: &[u8]) {
+        self.in_block = true;
+        match line.split(|it| *it == b':').next() {
+            Some(b"data") => self.is_event = true,
+            Some(b"id") => {
+                self.is_event = true;
+                let value = line.get(3..).and_then(|it| str::from_utf8(it).ok());
+                self.id = self.id.or(value.and_then(|it| it.trim().parse().ok()));
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns whether no event and no other block has begun.
+    fn is_between_events(&self, buffer: &[u8]) -> bool {
+        !self.in_block && self.line == buffer.len()
+    }
+
+    /// Continues in a buffer from which the first `length` bytes were removed, up to the end of an
+    /// event.
+    fn forget(&mut self, length: usize) {
+        self.line = self.line.saturating_sub(length);
+        self.searched = self.searched.saturating_sub(length);
+    }
 }
