--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod rejection;
 mod relay;
 mod replacement;
+mod response_memory;
 mod sampler;
 mod server;
 mod shared;
--- a/crates/gateway/tests/common/endpoint.rs
+++ b/crates/gateway/tests/common/endpoint.rs
@@ -65,7 +65,7 @@
     PausedEvents(std::ops::Range<u64>, u64, std::ops::Range<u64>),
     /// The start of a response, with `{id}` in place of the attempt id, then a part that is repeated
     /// without end.
-    Endless { start: String, part: String, pause: Duration },
+    Endless { start: Arc<str>, part: Arc<str>, pause: Duration },
     /// Events with increasing numbers without end.
     EndlessEvents,
 }
