Judge each cut request by what affected it, and count why the others are excused

The soak passed over every cut while any endpoint at all was disturbed, and over all cuts at the end of a stopped process: it recorded a fault of the gateway as soon as the process had exited, before callers had seen their connections close. Hundreds of cut requests a plan were never judged.

A cut is now excused only by a fault of its own gateway, a fault of an endpoint that ran it, its own deadline, or a process that was not running; unread requests are excused only where the gateway isn't stopping or has just exited. The whole history is judged at the end of the run. The report counts cuts, those at planned work, and each excuse. `--planned` plays overlapping series of stops, reloads and publishes alone.

`cut_request_is_lost` and `cut_request_is_excused_with_the_reason` test the check itself.

--- a/soak/src/disturbances.rs
+++ b/soak/src/disturbances.rs
@@ -15,8 +15,10 @@
 /// The cause of a disturbance.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Cause {
-    /// A graceful stop or a reload, which must not lose requests.
+    /// A graceful stop with the restart after it, or a reload. Neither may lose requests.
     Planned,
+    /// The process does not run, so that it cannot read requests.
+    Down,
     /// An injected fault.
     Fault,
 }
@@ -49,18 +51,23 @@
         }
     }
 
-    /// Returns whether `component` was undisturbed from [`SETTLE_TIME`] before `from` until `to`, ignoring the cause
-    /// `except`.
-    pub fn is_undisturbed(
+    /// Returns whether a disturbance of `component` with this cause was in progress between `from` and `to`.
+    pub fn is_disturbed_by(
         &self,
         component: Component,
+        cause: Cause,
         from: Instant,
         to: Instant,
-        except: Option<Cause>,
     ) -> bool {
-        let spans = self.spans.get(&component).into_iter().flatten();
-        let mut affecting = spans.filter(|it| Some(it.cause) != except);
-        !affecting.any(|it| it.began <= to && it.ended.is_none_or(|end| end + SETTLE_TIME >= from))
+        let mut spans = self.spans.get(&component).into_iter().flatten();
+        spans
+            .any(|it| it.cause == cause && it.began <= to && it.ended.is_none_or(|end| end >= from))
+    }
+
+    /// Returns whether `component` was undisturbed from [`SETTLE_TIME`] before `from` until `to`.
+    pub fn is_undisturbed(&self, component: Component, from: Instant, to: Instant) -> bool {
+        let mut spans = self.spans.get(&component).into_iter().flatten();
+        !spans.any(|it| it.began <= to && it.ended.is_none_or(|end| end + SETTLE_TIME >= from))
     }
 
     /// Returns whether all components selected by `predicate` were undisturbed; see
@@ -70,6 +77,6 @@
         F: FnMut(Component) -> bool,
     {
         let mut components = self.spans.keys().filter(|it| predicate(**it));
-        components.all(|it| self.is_undisturbed(*it, from, to, None))
+        components.all(|it| self.is_undisturbed(*it, from, to))
     }
 }
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -202,14 +202,13 @@
                 process.wait(STOP_SLACK).await?;
             }
         }
-        // From here on the process is down, as if its host had failed.
-        self.history.begin_disturbance(component, Cause::Fault, Instant::now());
+        self.history.begin_disturbance(component, Cause::Down, Instant::now());
         sleep(duration).await;
         process.start()?;
+        self.history.end_disturbance(component, Cause::Down, Instant::now());
         member.incarnation.fetch_add(1, Ordering::Relaxed);
         drop(process);
-        self.history.end_disturbance(component, cause, Instant::now());
-        self.wait_recovered(member, Cause::Fault).await;
+        self.wait_recovered(member, cause).await;
         Ok(())
     }
 
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -1,6 +1,9 @@
 //! The history of requests, executions and responses of a run, and the invariants that are checked against it.
 
 mod check;
+mod cuts;
+
+pub use cuts::{Cuts, Excuse};
 
 use {
     crate::{
@@ -142,6 +145,7 @@
     versions: BTreeMap<u64, (Instant, Option<Instant>)>,
     /// The highest version that each incarnation of a gateway used, and when it first did.
     used_versions: HashMap<(usize, u32), (u64, Instant)>,
+    cuts: Cuts,
     violations: Vec<String>,
     /// Number of violations whose text was not kept.
     omitted: usize,
@@ -243,10 +247,16 @@
         (inner.violations.clone(), inner.omitted)
     }
 
+    /// Returns the number of requests that were cut off, by whether a violation or why not.
+    pub fn cuts(&self) -> Cuts {
+        self.0.lock().cuts.clone()
+    }
+
     /// Checks the invariants that need the complete history, and counts the outcomes.
     pub fn finish(&self) -> OutcomeCounts {
         let mut inner = self.0.lock();
         inner.check_cancelled();
+        inner.check_cuts();
         inner.check_retry_budget();
         inner.counts()
     }
@@ -269,7 +279,7 @@
     /// Returns whether a gateway and all control replicas were undisturbed in the interval.
     fn connected_to_control(&self, gateway: usize, from: Instant, to: Instant) -> bool {
         let control = |it| matches!(it, Component::Control(_));
-        self.disturbances.is_undisturbed(Component::Gateway(gateway), from, to, None)
+        self.disturbances.is_undisturbed(Component::Gateway(gateway), from, to)
             && self.disturbances.all_undisturbed(from, to, control)
     }
 
@@ -302,13 +312,8 @@
         }
         let time_left = sent.deadline.saturating_duration_since(now);
         if received.time_left > time_left + IN_FLIGHT_TOLERANCE
-            && self.disturbances.is_undisturbed(
-                Component::Gateway(sent.gateway),
-                sent.at,
-                now,
-                None,
-            )
-            && self.disturbances.is_undisturbed(Component::Endpoint(endpoint), sent.at, now, None)
+            && self.disturbances.is_undisturbed(Component::Gateway(sent.gateway), sent.at, now)
+            && self.disturbances.is_undisturbed(Component::Endpoint(endpoint), sent.at, now)
         {
             let text =
                 format!("{id} is forwarded with {:?} of {time_left:?} left", received.time_left);
@@ -316,7 +321,7 @@
         }
         if let Some(drain_deadline) = received.drain_deadline.filter(|it| *it < now)
             && self.connected_to_control(sent.gateway, drain_deadline, now)
-            && self.disturbances.is_undisturbed(Component::Directory, drain_deadline, now, None)
+            && self.disturbances.is_undisturbed(Component::Directory, drain_deadline, now)
         {
             self.record_violation(
                 "drain",
@@ -334,7 +339,7 @@
         let (sent, executions) = (entry.sent.clone(), entry.executions.clone());
         entry.outcome = Some((outcome.clone(), now));
         let gateway = Component::Gateway(sent.gateway);
-        let undisturbed = self.disturbances.is_undisturbed(gateway, sent.at, now, None);
+        let undisturbed = self.disturbances.is_undisturbed(gateway, sent.at, now);
         if outcome != Outcome::Cancelled && undisturbed && now > sent.deadline + DEADLINE_TOLERANCE
         {
             let text =
@@ -353,10 +358,7 @@
                     now,
                 );
             }
-            Outcome::Disconnected { events } => {
-                self.check_events(id, &sent, events, false);
-                self.check_disconnect(id, &sent, &executions, now);
-            }
+            Outcome::Disconnected { events } => self.check_events(id, &sent, events, false),
             Outcome::Cancelled | Outcome::TimedOut => {}
         }
     }
--- a/soak/src/history/check.rs
+++ b/soak/src/history/check.rs
@@ -2,11 +2,11 @@
 
 use {
     super::{
-        APPLY_LIMIT, Execution, IN_FLIGHT_TOLERANCE, Inner, Outcome, RETRY_RATIO, RETRY_SLACK,
-        RequestEntry, RequestKind, STREAM_EVENTS, SentRequest, expected_event, expected_response,
+        APPLY_LIMIT, Execution, Inner, Outcome, RETRY_RATIO, RETRY_SLACK, RequestEntry,
+        RequestKind, STREAM_EVENTS, SentRequest, expected_event, expected_response,
         expected_signature, service_for,
     },
-    crate::{disturbances::Cause, plan::Component},
+    crate::plan::Component,
     bytes::Bytes,
     std::time::{Duration, Instant},
 };
@@ -129,28 +129,6 @@
         }
     }
 
-    /// Checks that the gateway did not close a connection with a request in flight unless a fault explains it.
-    pub(super) fn check_disconnect(
-        &mut self,
-        id: &str,
-        sent: &SentRequest,
-        executions: &[Execution],
-        now: Instant,
-    ) {
-        let gateway = Component::Gateway(sent.gateway);
-        let undisturbed =
-            self.disturbances.is_undisturbed(gateway, sent.at, now, Some(Cause::Planned));
-        let endpoints = |it| matches!(it, Component::Endpoint(_));
-        let endpoints_undisturbed = self.disturbances.all_undisturbed(sent.at, now, endpoints);
-        let read = !executions.is_empty() || now > sent.at + IN_FLIGHT_TOLERANCE;
-        if undisturbed && endpoints_undisturbed && read && now < sent.deadline {
-            self.record_violation(
-                "lost",
-                &format!("{id} to {gateway} was disconnected, executions: {executions:?}"),
-            );
-        }
-    }
-
     /// Checks that cancelled requests stopped running in time.
     pub(super) fn check_cancelled(&mut self) {
         let mut late = Vec::new();
@@ -158,17 +136,12 @@
             let Some((Outcome::Cancelled, at)) = outcome else { continue };
             let undisturbed = |run: &Execution| {
                 let to = *at + CANCEL_LIMIT;
-                self.disturbances.is_undisturbed(
-                    Component::Gateway(sent.gateway),
-                    sent.at,
-                    to,
-                    None,
-                ) && self.disturbances.is_undisturbed(
-                    Component::Endpoint(run.endpoint),
-                    sent.at,
-                    to,
-                    None,
-                )
+                self.disturbances.is_undisturbed(Component::Gateway(sent.gateway), sent.at, to)
+                    && self.disturbances.is_undisturbed(
+                        Component::Endpoint(run.endpoint),
+                        sent.at,
+                        to,
+                    )
             };
             let exceeded = |run: &&Execution| {
                 run.ended.is_none_or(|it| it > *at + CANCEL_LIMIT) && undisturbed(run)
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -33,8 +33,8 @@
     config::TEAM,
     disturbances::{Cause, DisturbanceLog, SETTLE_TIME},
     history::{
-        History, Outcome, OutcomeCounts, ReceivedRequest, RequestKind, SentRequest, Tally,
-        expected_event, expected_response, expected_signature,
+        Cuts, Excuse, History, Outcome, OutcomeCounts, ReceivedRequest, RequestKind, SentRequest,
+        Tally, expected_event, expected_response, expected_signature,
     },
     plan::{Behavior, Component, Fault, FaultPlan, FleetSize, LinkFault, ScheduledFault},
     process::binaries,
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -2,8 +2,9 @@
 
 use {
     eyre::{Result, WrapErr},
-    soak::{FaultPlan, FleetSize, Report, binaries, run_plan},
+    soak::{Cuts, Excuse, FaultPlan, FleetSize, Report, binaries, run_plan},
     std::{
+        collections::BTreeMap,
         path::PathBuf,
         process::ExitCode,
         time::{Duration, UNIX_EPOCH},
@@ -31,6 +32,8 @@
             optional --count count: u64
             /// Duration of fault injection in seconds. Default: 30.
             optional --seconds seconds: u64
+            /// Inject no faults, only stops and reloads of gateways and publishes.
+            optional --planned
             /// Run a hundred processes instead of a dozen.
             optional --large
             /// Directory for settings, state and logs. Default: a temporary one, removed unless an invariant was violated.
@@ -65,7 +68,8 @@
     let runtime = Runtime::new().wrap_err("start")?;
     let mut all_passed = true;
     for seed in first..first + flags.count.unwrap_or(1) {
-        let plan = FaultPlan::generate(seed, size, duration);
+        let generate = if flags.planned { FaultPlan::planned_work } else { FaultPlan::generate };
+        let plan = generate(seed, size, duration);
         let mut folder = tempfile::Builder::new().prefix("jf-soak-").tempdir()?;
         let path = match &flags.folder {
             Some(it) => it.join(seed.to_string()),
@@ -99,6 +103,12 @@
     let counts: Vec<_> =
         report.counts.0.iter().map(|it| format!("{} {}", it.0, it.1.count)).collect();
     println!("seed {seed}: {} faults; {}", report.faults, counts.join(", "));
+    let excuses = |counts: &BTreeMap<Excuse, usize>| -> String {
+        counts.iter().map(|it| format!(", {} {}", it.1, it.0)).collect()
+    };
+    let Cuts { total, planned, lost, excused, excused_planned } = &report.cuts;
+    println!("  {total} cut off: {lost} lost{}", excuses(excused));
+    println!("  {planned} of them at a stop or reload{}", excuses(excused_planned));
     for violation in report.violations.iter().take(MAX_PRINTED) {
         println!("  violation: {violation}");
     }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -143,10 +143,41 @@
 /// Maximum duration of a fault in milliseconds, above the four seconds after which control replaces a silent replica.
 const MAX_DURATION_MS: u64 = 6_000;
 
+/// Mean interval between the steps of planned work in milliseconds.
+const PLANNED_INTERVAL_MS: u64 = 500;
+
+/// Maximum time between the end of a stopped process and its restart in milliseconds.
+const PLANNED_DOWNTIME_MS: u64 = 1_000;
+
 /// Interval between the faults of a burst in milliseconds.
 const BURST_INTERVAL_MS: u64 = 300;
 
 impl FaultPlan {
+    /// Generates a run with planned work only: graceful stops and reloads of gateways in overlapping series, and publishes,
+    /// with twice the callers.
+    pub fn planned_work(seed: u64, size: FleetSize, duration: Duration) -> FaultPlan {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let end_ms = duration.as_millis() as u64;
+        let mut steps = Vec::new();
+        let mut at_ms = 0;
+        while at_ms < end_ms {
+            let gateway = Component::Gateway(rng.random_range(0..size.gateways));
+            let fault = match rng.random_range(0..10) {
+                0..5 => Fault::Stop(gateway),
+                5..8 => Fault::Reload(gateway),
+                8 => Fault::Publish,
+                _ => Fault::ConcurrentPublish,
+            };
+            let duration_ms =
+                rng.random_range(100..=PLANNED_DOWNTIME_MS).min(end_ms.saturating_sub(at_ms));
+            let (at, duration) = (Duration::from_millis(at_ms), Duration::from_millis(duration_ms));
+            steps.push(ScheduledFault { at, duration, fault });
+            at_ms += rng.random_range(1..=2 * PLANNED_INTERVAL_MS);
+        }
+        let size = FleetSize { callers: 2 * size.callers, ..size };
+        FaultPlan { seed, size, duration, steps }
+    }
+
     /// Generates the faults of a run.
     pub fn generate(seed: u64, size: FleetSize, duration: Duration) -> FaultPlan {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -6,7 +6,7 @@
         disturbances::{Cause, SETTLE_TIME},
         endpoints::Endpoints,
         fleet::{Fleet, READY_TIMEOUT},
-        history::{History, OutcomeCounts, RequestKind, SharedHistory},
+        history::{Cuts, History, OutcomeCounts, RequestKind, SharedHistory},
         operator::Operator,
         plan::{Component, Fault, FaultPlan, ScheduledFault},
     },
@@ -45,6 +45,8 @@
     pub faults: usize,
     /// Number of requests by kind and outcome.
     pub counts: OutcomeCounts,
+    /// Number of requests that were cut off, and what excuses them.
+    pub cuts: Cuts,
     /// The violated invariants.
     pub violations: Vec<String>,
     /// Number of violations that are not listed.
@@ -96,8 +98,9 @@
     env.fleet.check_processes().await;
     env.fleet.stop_all().await?;
     let counts = env.history.finish();
+    let cuts = env.history.cuts();
     let (violations, omitted) = env.history.violations();
-    Ok(Report { seed: plan.seed, faults: plan.steps.len(), counts, violations, omitted })
+    Ok(Report { seed: plan.seed, faults: plan.steps.len(), counts, cuts, violations, omitted })
 }
 
 fn caller(env: &Environment, gateway: usize, name: String, stop: &Arc<AtomicBool>) -> Caller {
--- a/soak/tests/history.rs
+++ b/soak/tests/history.rs
@@ -6,8 +6,8 @@
     bytes::Bytes,
     rstest::rstest,
     soak::{
-        History, Outcome, ReceivedRequest, RequestKind, SentRequest, TEAM, expected_event,
-        expected_response, expected_signature,
+        Cause, Component, Excuse, History, Outcome, ReceivedRequest, RequestKind, SentRequest,
+        TEAM, expected_event, expected_response, expected_signature,
     },
     std::time::{Duration, Instant},
 };
@@ -191,3 +191,71 @@
     }
     assert_eq!(violated_rules(&history), ["budget"]);
 }
+
+const GATEWAY: Component = Component::Gateway(0);
+
+fn cut(history: &History, now: Instant) {
+    history.record_outcome(ID, Outcome::Disconnected { events: Bytes::new() }, now);
+}
+
+#[rstest]
+#[case::passed_on_at_a_stop(|history: &History, now: Instant| {
+    history.begin_disturbance(GATEWAY, Cause::Planned, now);
+    run(history, RequestKind::Read, now);
+    cut(history, now);
+    history.begin_disturbance(GATEWAY, Cause::Down, now);
+})]
+#[case::unread_while_the_gateway_stops(|history: &History, now: Instant| {
+    history.begin_disturbance(GATEWAY, Cause::Planned, now);
+    cut(history, now);
+})]
+#[case::long_unread_while_the_gateway_stops(|history: &History, now: Instant| {
+    history.begin_disturbance(GATEWAY, Cause::Planned, now);
+    cut(history, now + Duration::from_millis(300));
+    history.begin_disturbance(GATEWAY, Cause::Down, now + Duration::from_millis(301));
+})]
+#[case::another_endpoint_is_disturbed(|history: &History, now: Instant| {
+    history.begin_disturbance(Component::Endpoint(4), Cause::Fault, now);
+    run(history, RequestKind::Read, now);
+    cut(history, now);
+})]
+fn cut_request_is_lost(#[case] scenario: Scenario) {
+    let (history, now) = (History::default(), Instant::now());
+    history.record_sent(ID, sent(RequestKind::Read, now));
+    scenario(&history, now);
+    assert_eq!(violated_rules(&history), ["lost"]);
+    assert_eq!(history.cuts().lost, 1);
+}
+
+#[rstest]
+#[case::before_it_was_read(Excuse::NotRead, |history: &History, now: Instant| cut(history, now))]
+#[case::while_the_process_exits(Excuse::NotRead, |history: &History, now: Instant| {
+    history.begin_disturbance(GATEWAY, Cause::Planned, now);
+    cut(history, now);
+    history.begin_disturbance(GATEWAY, Cause::Down, now + Duration::from_millis(50));
+})]
+#[case::process_not_running(Excuse::GatewayDown, |history: &History, now: Instant| {
+    history.begin_disturbance(GATEWAY, Cause::Down, now);
+    cut(history, now + Duration::from_millis(300));
+})]
+#[case::gateway_disturbed(Excuse::GatewayDisturbed, |history: &History, now: Instant| {
+    history.begin_disturbance(GATEWAY, Cause::Fault, now);
+    run(history, RequestKind::Read, now);
+    cut(history, now);
+})]
+#[case::its_endpoint_disturbed(Excuse::EndpointDisturbed, |history: &History, now: Instant| {
+    history.begin_disturbance(Component::Endpoint(3), Cause::Fault, now);
+    run(history, RequestKind::Read, now);
+    cut(history, now);
+})]
+#[case::after_its_deadline(Excuse::DeadlinePassed, |history: &History, now: Instant| {
+    run(history, RequestKind::Read, now);
+    cut(history, now + Duration::from_millis(4_500));
+})]
+fn cut_request_is_excused_with_the_reason(#[case] excuse: Excuse, #[case] scenario: Scenario) {
+    let (history, now) = (History::default(), Instant::now());
+    history.record_sent(ID, sent(RequestKind::Read, now));
+    scenario(&history, now);
+    assert_eq!(violated_rules(&history), [""; 0]);
+    assert_eq!(history.cuts().excused, [(excuse, 1)].into());
+}
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -2,7 +2,7 @@
 
 use {
     rstest::rstest,
-    soak::{Component, Fault, FaultPlan, FleetSize},
+    soak::{Component, Fault, FaultPlan, FleetSize, ScheduledFault},
     std::{collections::HashSet, mem::discriminant, time::Duration},
 };
 
@@ -53,3 +53,25 @@
     };
     assert!(plans.iter().filter(|it| overlaps(it) > 10).count() > 25);
 }
+
+#[rstest]
+fn planned_work_is_deterministic_and_stops_gateways_in_overlapping_series() {
+    let plan = |seed| FaultPlan::planned_work(seed, FleetSize::SMALL, DURATION);
+    assert_eq!(plan(7), plan(7));
+    for seed in 0..50 {
+        let steps = plan(seed).steps;
+        let planned = |it: &ScheduledFault| {
+            matches!(
+                it.fault,
+                Fault::Stop(Component::Gateway(_))
+                    | Fault::Reload(Component::Gateway(_))
+                    | Fault::Publish
+                    | Fault::ConcurrentPublish
+            )
+        };
+        assert!(steps.iter().all(planned));
+        assert!(steps.iter().all(|it| it.at + it.duration <= DURATION));
+        let stops = steps.iter().filter(|it| matches!(it.fault, Fault::Stop(_)));
+        assert!(stops.count() >= 10);
+    }
+}
