--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -149,8 +149,21 @@
     }
 
     async fn is_ready(&self, member: &Member) -> bool {
+        self.readiness(member).await == Some(200)
+    }
+
+    /// Returns the status of the response to a readiness check.
+    async fn readiness(&self, member: &Member) -> Option<u16> {
         let response = self.client.call(member.admin, "GET", "/ready", None, empty()).await;
-        matches!(response, Ok((200, _)))
+        response.ok().map(|it| it.0)
+    }
+
+    /// Waits until a process that was started has bound its addresses, at most [`READY_TIMEOUT`].
+    async fn wait_listening(&self, member: &Member) {
+        let deadline = Instant::now() + READY_TIMEOUT;
+        while self.readiness(member).await.is_none() && Instant::now() < deadline {
+            sleep(Duration::from_millis(20)).await;
+        }
     }
 
     /// Kills a process and restarts it after `duration`; `before_restart` may modify its data directory.
@@ -205,6 +218,7 @@
         self.history.begin_disturbance(component, Cause::Down, Instant::now());
         sleep(duration).await;
         process.start()?;
+        self.wait_listening(member).await;
         self.history.end_disturbance(component, Cause::Down, Instant::now());
         member.incarnation.fetch_add(1, Ordering::Relaxed);
         drop(process);
