Serve open connections until the end of a stop, and end each request with an answer

What callers saw: around a SIGTERM to a gateway, requests had no whole answer (LOST).

Cause: a stop called hyper's graceful shutdown on every connection at once. It closes an idle connection without looking at its socket, so a request that lay in the buffer was reset, most of all where the process handled the signal late. Callers that went on using their connections lost the next request. At the end of the grace period the process left requests that it had read without an answer; the time for late requests was counted from when the process handled the signal; connections in the listener's backlog were reset by the exit; and an unused connection held the process until the end of its grace.

A stop now has phases that connections follow by a watch channel, which can't be missed. Responses close their connection from the signal on; an idle connection stays open for 3 s, is polled once more and then closed. Then the listener closes after its backlog has been accepted. Requests that may outlast the process are refused from 2.5 s, so that a request sent 3 s after the signal isn't begun if the process handled it up to 0.5 s late. When the grace period is over, a request whose response has not begun gets 504; only streams that have begun are cut, each with a `cut-off` line. `stopping`, `closing`, `grace-over` and `stopped` tell how many connections are open and have a request.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,7 +9,7 @@
         relay,
         sampler::Sampler,
         server,
-        shared::{DEREGISTER_MS, Membership, Rejected, Shared},
+        shared::{DEREGISTER_MS, Membership, Rejected, Shared, ShutdownPhase},
     },
     arc_swap::ArcSwapOption,
     directory::Directory,
@@ -34,14 +34,18 @@
     tokio::{
         sync::{Notify, watch},
         task::JoinHandle,
-        time::sleep,
+        time::{sleep, sleep_until, timeout_at},
     },
     tower::service_fn,
     wire::{Clock, Dialer, Identity, Listener, Traffic, TrafficClass},
 };
 
-/// How often a gateway that is shutting down checks whether it is idle.
-const SHUTDOWN_POLL: Duration = Duration::from_millis(50);
+/// How often a gateway that is shutting down checks whether all connections are closed.
+const SHUTDOWN_POLL: Duration = Duration::from_millis(20);
+
+/// How long the last answers may take to be written at the end of the grace period, in
+/// milliseconds.
+const FINAL_WRITE_MS: u64 = 200;
 
 /// How often waiting requests are retried, as requests that end on other gateways free capacity.
 const QUEUE_POLL_MS: u64 = 50;
@@ -53,6 +57,7 @@
     addr: SocketAddr,
     seeds: watch::Sender<Vec<SocketAddr>>,
     _admin: Server,
+    server: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -102,7 +107,7 @@
             unsent_strikes: Mutex::new(Vec::new()),
             is_relay: AtomicBool::new(false),
             shutdown_at: AtomicU64::new(0),
-            shutdown: Notify::new(),
+            shutdown_phase: watch::Sender::default(),
             announcement: Mutex::new(None),
             layout_request: Mutex::new(None),
             layout_changed: watch::Sender::default(),
@@ -110,6 +115,7 @@
             endpoints_loaded: AtomicBool::new(false),
             layout_settled: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
+            busy_connections: AtomicUsize::new(0),
             waiter_added: Notify::new(),
             metrics: Metrics::default(),
             sampler: Sampler::default(),
@@ -117,7 +123,6 @@
         let (addr, server) = server::bind(shared.clone(), listen).await?;
         let admin = serve_admin(shared.clone(), admin, metrics).await?;
         let tasks = vec![
-            server,
             tokio::spawn(control::run(shared.clone(), seed_updates)),
             tokio::spawn(relay::serve(shared.clone(), listener)),
             tokio::spawn(relay::bootstrap(shared.clone())),
@@ -134,7 +139,7 @@
             %addr,
             "gateway: serving clients"
         );
-        Ok(Gateway { shared, addr, seeds, _admin: admin, tasks })
+        Ok(Gateway { shared, addr, seeds, _admin: admin, server, tasks })
     }
 
     /// Returns the address on which clients are served.
@@ -168,29 +173,50 @@
         });
     }
 
-    /// Shuts the gateway down gracefully: it stops being ready, finishes running requests, and
-    /// gives up at the end of the grace period.
+    /// Shuts the gateway down gracefully.
+    ///
+    /// It stops being ready at once and serves its connections until its load balancer has noticed,
+    /// then closes idle ones, finishes running requests and accepts what is left in the backlog of
+    /// its listener. At the end of the grace period it answers unfinished requests with a failure.
     pub async fn shutdown(self) {
-        let shared = &self.shared;
+        let Gateway { shared, mut server, tasks, .. } = self;
         let shutdown_at = shared.now();
-        tracing::info!(event = "stopping", "gateway: shutting down");
         shared.shutdown_at.store(shutdown_at.0, Ordering::Relaxed);
-        shared.shutdown.notify_waiters();
-        let deregistered_at = shutdown_at + DEREGISTER_MS * MILLISECOND;
-        let shutdown_deadline = shared.shutdown_deadline(shutdown_at);
-        loop {
-            let now = shared.now();
-            let open = shared.connections.load(Ordering::Relaxed);
-            if now >= shutdown_deadline || (now >= deregistered_at && open == 0) {
-                tracing::info!(event = "stopped", open, "gateway: shutdown complete");
-                break;
-            }
-            sleep(SHUTDOWN_POLL).await;
+        shared.shutdown_phase.send_replace(ShutdownPhase::Draining);
+        log_shutdown(&shared, "stopping", "gateway: shutting down");
+        let expires_at = shared.shutdown_deadline(shutdown_at);
+        let deregistered_at = (shutdown_at + DEREGISTER_MS * MILLISECOND).min(expires_at);
+        sleep_until(shared.clock.deadline(deregistered_at)).await;
+        shared.shutdown_phase.send_replace(ShutdownPhase::Closing);
+        log_shutdown(&shared, "closing", "gateway: closing idle connections");
+        wait_until_closed(&shared, expires_at).await;
+        shared.shutdown_phase.send_replace(ShutdownPhase::Unbound);
+        let unbound = timeout_at(shared.clock.deadline(expires_at), &mut server).await;
+        wait_until_closed(&shared, expires_at).await;
+        if shared.connections.load(Ordering::Relaxed) > 0 || unbound.is_err() {
+            shared.shutdown_phase.send_replace(ShutdownPhase::Expired);
+            log_shutdown(&shared, "grace-over", "gateway: ending unfinished requests");
+            wait_until_closed(&shared, expires_at + FINAL_WRITE_MS * MILLISECOND).await;
         }
-        self.tasks.iter().for_each(JoinHandle::abort);
+        log_shutdown(&shared, "stopped", "gateway: shutdown complete");
+        server.abort();
+        tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// Waits until no client connection is open, or until `deadline`.
+async fn wait_until_closed(shared: &Shared, deadline: Time) {
+    while shared.connections.load(Ordering::Relaxed) > 0 && shared.now() < deadline {
+        sleep(SHUTDOWN_POLL).await;
     }
 }
 
+fn log_shutdown(shared: &Shared, event: &str, message: &str) {
+    let open = shared.connections.load(Ordering::Relaxed);
+    let busy = shared.busy_connections.load(Ordering::Relaxed);
+    tracing::info!(event, open, busy, "{message}");
+}
+
 fn is_ready(shared: &Shared) -> bool {
     shared.shutdown_at().is_none()
         && shared.layout_settled.load(Ordering::Relaxed)
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,20 +1,30 @@
 //! Serves clients over HTTP/1.1 and closes their connections gracefully.
 
 use {
-    crate::{call, shared::Shared},
+    crate::{
+        call,
+        rejection::Rejection,
+        shared::{Shared, ShutdownPhase},
+    },
+    edge::Body,
     eyre::{Result, WrapErr},
-    hyper::{server::conn::http1, service::service_fn},
+    http::{HeaderValue, Request, Response, header},
+    http_body_util::BodyExt,
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
+    parking_lot::Mutex,
     std::{
         convert::Infallible,
+        io,
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
     tokio::{
         net::{TcpListener, TcpStream},
+        sync::watch,
         task::JoinHandle,
-        time::sleep,
+        time::{Instant, sleep, sleep_until, timeout},
     },
 };
 
@@ -32,6 +42,16 @@
 /// Additional buffer space for the request line and for bytes read past the head, in bytes.
 const EXTRA_BUFFER_BYTES: usize = 4 << 10;
 
+/// How long a connection that is accepted during a shutdown may take to send its first request.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long sockets are polled once more before they are closed, so that bytes that have arrived
+/// meanwhile are read.
+const LAST_READ_DELAY: Duration = Duration::from_millis(10);
+
+/// How long an answer may take to be written after the end of the grace period.
+const LAST_WRITE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The delay before accepting again after an error, such as too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -47,75 +67,188 @@
 }
 
 async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+    let mut phase = shared.shutdown_phase.subscribe();
     loop {
-        let (socket, client) = match listener.accept().await {
-            Ok(it) => it,
-            Err(err) => {
-                tracing::warn!(
-                    event = "accept-failed",
-                    %err,
-                    "gateway: failed to accept a connection"
-                );
-                sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        if shared.connections.load(Ordering::Relaxed) >= shared.settings.connections {
+        tokio::select! {
+            biased;
+            accepted = listener.accept() => spawn_connection(&shared, accepted).await,
+            () = reached(&mut phase, ShutdownPhase::Unbound) => break,
+        }
+    }
+    // Connections in the backlog are reset when the listener is closed.
+    while let Ok(accepted) = timeout(LAST_READ_DELAY, listener.accept()).await {
+        spawn_connection(&shared, accepted).await;
+    }
+}
+
+/// Waits until a shutdown has reached a phase.
+async fn reached(phase: &mut watch::Receiver<ShutdownPhase>, wanted: ShutdownPhase) {
+    // The sender lives as long as any connection.
+    let _ = phase.wait_for(|it| *it >= wanted).await;
+}
+
+async fn spawn_connection(shared: &Arc<Shared>, accepted: io::Result<(TcpStream, SocketAddr)>) {
+    let (socket, client) = match accepted {
+        Ok(it) => it,
+        Err(err) => {
             tracing::warn!(
-                event = "connections-full",
-                caller = %client,
-                "gateway: connection limit reached"
+                event = "accept-failed",
+                %err,
+                "gateway: failed to accept a connection"
             );
-            continue;
+            sleep(ACCEPT_RETRY_DELAY).await;
+            return;
         }
-        let guard = ConnectionGuard::new(shared.clone());
-        tokio::spawn(async move {
-            if let Err(err) = serve(&guard.0, socket).await {
-                tracing::debug!("gateway: connection from {client} ended: {err}");
-            }
-        });
+    };
+    if shared.connections.load(Ordering::Relaxed) >= shared.settings.connections {
+        tracing::warn!(
+            event = "connections-full",
+            caller = %client,
+            "gateway: connection limit reached"
+        );
+        return;
     }
+    let connection = Arc::new(ClientConnection::new(shared.clone()));
+    tokio::spawn(async move {
+        if let Err(err) = serve(connection, socket).await {
+            tracing::debug!("gateway: connection from {client} ended: {err}");
+        }
+    });
 }
 
-/// Counts an open client connection until dropped.
-struct ConnectionGuard(Arc<Shared>);
+/// An open client connection, which is counted until dropped.
+struct ClientConnection {
+    shared: Arc<Shared>,
+    state: Mutex<ConnectionState>,
+}
+
+#[derive(Default)]
+struct ConnectionState {
+    /// Whether a request was received.
+    used: bool,
+    /// The request in progress, if it has an id.
+    request: Option<HeaderValue>,
+}
 
-impl ConnectionGuard {
-    fn new(shared: Arc<Shared>) -> ConnectionGuard {
+impl ClientConnection {
+    fn new(shared: Arc<Shared>) -> ClientConnection {
         shared.connections.fetch_add(1, Ordering::Relaxed);
-        ConnectionGuard(shared)
+        ClientConnection { shared, state: Mutex::default() }
     }
 }
 
-impl Drop for ConnectionGuard {
+impl Drop for ClientConnection {
     fn drop(&mut self) {
-        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+        self.shared.connections.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
-async fn serve(shared: &Arc<Shared>, socket: TcpStream) -> hyper::Result<()> {
+/// A request in progress, until its response was handed to the connection.
+struct RequestGuard(Arc<ClientConnection>);
+
+impl RequestGuard {
+    fn new(connection: &Arc<ClientConnection>, request: &Request<Incoming>) -> RequestGuard {
+        let shared = &connection.shared;
+        shared.busy_connections.fetch_add(1, Ordering::Relaxed);
+        let id = request.headers().get(&shared.names.attempt_id).cloned();
+        *connection.state.lock() = ConnectionState { used: true, request: id };
+        RequestGuard(connection.clone())
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.0.shared.busy_connections.fetch_sub(1, Ordering::Relaxed);
+        self.0.state.lock().request = None;
+    }
+}
+
+async fn serve(client: Arc<ClientConnection>, socket: TcpStream) -> hyper::Result<()> {
     if let Err(err) = socket.set_nodelay(true) {
         tracing::debug!("gateway: failed to set TCP_NODELAY for a client: {err}");
     }
+    let shared = &client.shared;
+    let first_request_by = Instant::now() + FIRST_REQUEST_TIMEOUT;
     let table = shared.table.load_full();
     let limits = table.as_ref().map(|it| it.config().limits);
     let idle_ms = limits.map_or(DEFAULT_IDLE_MS, |it| it.idle_ms) + IDLE_MARGIN_MS;
     let header_bytes = limits.map_or(MIN_BUFFER_BYTES, |it| it.header_bytes as usize);
-    let stopping = shared.shutdown_at().is_some();
     let service = service_fn(|request| {
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(call::serve(shared, request).await) }
+        let client = client.clone();
+        async move { Ok::<_, Infallible>(respond(&client, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_ms))
         .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES) + EXTRA_BUFFER_BYTES)
-        .keep_alive(!stopping)
         .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
+    let mut phase = shared.shutdown_phase.subscribe();
+    let closing = async {
+        reached(&mut phase, ShutdownPhase::Closing).await;
+        sleep_until(first_request_by.max(Instant::now() + LAST_READ_DELAY)).await;
+    };
+    tokio::select! {
+        biased;
+        served = connection.as_mut() => return served,
+        () = closing => {}
+    }
+    if !client.state.lock().used {
+        return Ok(());
+    }
+    connection.as_mut().graceful_shutdown();
+    let expired = async {
+        reached(&mut phase, ShutdownPhase::Expired).await;
+        sleep(LAST_WRITE_TIMEOUT).await;
+    };
     tokio::select! {
+        biased;
         served = connection.as_mut() => return served,
-        () = shared.shutdown.notified(), if !stopping => connection.as_mut().graceful_shutdown(),
+        () = expired => {}
     }
-    connection.await
+    let request = client.state.lock().request.take();
+    tracing::warn!(
+        event = "cut-off",
+        request = request.as_ref().and_then(|it| it.to_str().ok()),
+        reason = "the grace period is over",
+        "gateway: connection closed during a request"
+    );
+    Ok(())
+}
+
+/// Serves a request. While the gateway shuts down, its response closes the connection.
+async fn respond(client: &Arc<ClientConnection>, request: Request<Incoming>) -> Response<Body> {
+    let shared = &client.shared;
+    let guard = RequestGuard::new(client, &request);
+    let mut phase = shared.shutdown_phase.subscribe();
+    let mut response = tokio::select! {
+        biased;
+        response = call::serve(shared.clone(), request) => response,
+        () = reached(&mut phase, ShutdownPhase::Expired) => expire(client),
+    };
+    if shared.shutdown_at().is_some() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response.map(|body| {
+        let body = body.map_err(move |err| {
+            let _ = &guard;
+            err
+        });
+        body.boxed_unsync()
+    })
+}
+
+/// Ends a request that the grace period did not suffice for. It may have run.
+fn expire(client: &ClientConnection) -> Response<Body> {
+    let request = client.state.lock().request.clone();
+    let rejection = Rejection::DeadlineExceeded;
+    tracing::info!(
+        event = "ended",
+        request = request.as_ref().and_then(|it| it.to_str().ok()),
+        outcome = rejection.label(),
+        reason = "the grace period is over",
+        "gateway: request failed"
+    );
+    client.shared.metrics.record_request(rejection.label());
+    rejection.response()
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -30,10 +30,13 @@
     wire::{Clock, Dialer},
 };
 
-/// How long a gateway that is shutting down still accepts all requests, in milliseconds: until its
-/// load balancer has noticed and the requests in transit have arrived.
+/// How long a gateway that is shutting down still receives requests as before, in milliseconds:
+/// until its load balancer has noticed and the requests in transit have arrived.
 pub(crate) const DEREGISTER_MS: u64 = 3_000;
 
+/// How late a process may handle the signal to shut down, in milliseconds.
+const SIGNAL_DELAY_MS: u64 = 500;
+
 /// How long before the end of the grace period a gateway gives up on running requests, in
 /// milliseconds.
 const SHUTDOWN_MARGIN_MS: u64 = 300;
@@ -74,6 +77,22 @@
     pub(crate) retries: u32,
 }
 
+/// The stage of a shutdown.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Debug)]
+pub(crate) enum ShutdownPhase {
+    /// The gateway is not shutting down.
+    #[default]
+    Running,
+    /// Every response closes its connection.
+    Draining,
+    /// Idle connections are closed.
+    Closing,
+    /// The listener is closed.
+    Unbound,
+    /// Requests in progress are answered with a failure, and streams are cut off.
+    Expired,
+}
+
 /// State shared by all tasks.
 pub(crate) struct Shared {
     pub(crate) settings: GatewaySettings,
@@ -98,7 +117,7 @@
     pub(crate) is_relay: AtomicBool,
     /// When shutdown was requested, in microseconds of this process's clock. Zero if it was not.
     pub(crate) shutdown_at: AtomicU64,
-    pub(crate) shutdown: Notify,
+    pub(crate) shutdown_phase: watch::Sender<ShutdownPhase>,
     /// The newest announced configuration.
     pub(crate) announcement: Mutex<Option<Announcement>>,
     /// The last request for a configuration.
@@ -112,7 +131,10 @@
     pub(crate) endpoints_loaded: AtomicBool,
     /// Whether other replicas had time to report a newer configuration than the first one.
     pub(crate) layout_settled: AtomicBool,
+    /// The number of open client connections.
     pub(crate) connections: AtomicUsize,
+    /// The number of connections with a request in progress.
+    pub(crate) busy_connections: AtomicUsize,
     /// Wakes the task that expires waiting requests.
     pub(crate) waiter_added: Notify,
     pub(crate) metrics: Metrics,
@@ -138,12 +160,13 @@
     /// Returns whether a request with this timeout must be rejected, because the process could exit
     /// before it finishes.
     ///
-    /// Requests that were already in transit when shutdown was requested are still accepted.
+    /// Requests that were already in transit when shutdown was requested are still accepted. That
+    /// time ends early by the delay with which the request to shut down may have been handled.
     pub(crate) fn would_outlive_shutdown(&self, timeout_ms: u64) -> bool {
         let Some(shutdown_at) = self.shutdown_at() else { return false };
         let now = self.now();
         let ends = now + timeout_ms.saturating_mul(MILLISECOND);
-        now >= shutdown_at + DEREGISTER_MS * MILLISECOND
+        now >= shutdown_at + (DEREGISTER_MS - SIGNAL_DELAY_MS) * MILLISECOND
             && ends > self.shutdown_deadline(shutdown_at)
     }
 
