Install the signal handlers first, and judge a stop by whether the process had begun

Handlers were installed after the log was opened; they now come first in all programs.

A signal that comes before `main` can't be handled. The soak counted it as a failed stop; it now does so only if the process has logged anything since it was started. Logging is set up after the handlers and before any address is bound, so that a process that has begun to serve and is killed by a signal is found as before.

--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -42,10 +42,10 @@
 }
 
 async fn run(settings: ControlSettings) -> Result<()> {
-    let metrics = telemetry::init(&settings.log)?;
     // A signal that arrives while the replica opens its state stops it in order, too.
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let metrics = telemetry::init(&settings.log)?;
     let directory = settings.directory.map(HttpDirectory::new);
     let mut control = Control::spawn(settings).await?;
     if let Some(directory) = directory {
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -48,12 +48,12 @@
 }
 
 fn run(file: &Path, settings: GatewaySettings) -> Result<()> {
-    let metrics = telemetry::init(&settings.log)?;
     let directory = settings.directory.ok_or_eyre("settings: `directory` is missing")?;
     Builder::new_current_thread().enable_all().build()?.block_on(async {
         let mut hangup = signal(SignalKind::hangup())?;
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
+        let metrics = telemetry::init(&settings.log)?;
         let directory = HttpDirectory::new(directory);
         let gateway = Gateway::spawn(settings, HeaderNames::default(), directory, metrics).await?;
         loop {
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -47,10 +47,10 @@
 }
 
 fn run(settings: RouterSettings) -> Result<()> {
-    let telemetry = telemetry::init(&settings.log)?;
     Builder::new_multi_thread().enable_all().build()?.block_on(async {
         let mut term = signal(SignalKind::terminate())?;
         let mut int = signal(SignalKind::interrupt())?;
+        let telemetry = telemetry::init(&settings.log)?;
         let router = Router::spawn(settings, telemetry).await?;
         tokio::select! {
             _ = term.recv() => {}
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -17,7 +17,9 @@
         fs::{self, OpenOptions},
         io::Write,
         net::SocketAddr,
+        os::unix::process::ExitStatusExt,
         path::{Path, PathBuf},
+        process::ExitStatus,
         sync::{
             Arc,
             atomic::{AtomicU32, Ordering},
@@ -206,6 +208,8 @@
         let limit = Duration::from_millis(GRACE_MS) + STOP_SLACK;
         match process.wait(limit).await {
             Ok(status) if status.success() => {}
+            // The signal came before `main` could install a handler. Nothing was bound yet.
+            Ok(status) if is_terminated(status) && !process.has_logged() => {}
             Ok(status) => {
                 self.history.record_violation("stop", &format!("{component} exited with {status}"))
             }
@@ -338,6 +342,10 @@
     }
 }
 
+fn is_terminated(status: ExitStatus) -> bool {
+    status.signal() == Some(Signal::TERM.as_raw())
+}
+
 fn new_member(
     component: Component,
     process: Process,
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -38,6 +38,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    /// Size of the log when the current incarnation was started, in bytes.
+    log_offset: usize,
     /// Peak resident memory in KiB over all incarnations.
     peak_kib: u64,
 }
@@ -47,7 +49,15 @@
     pub(crate) fn new(name: String, binary: &Path, folder: &Path) -> Process {
         let settings = folder.join(format!("{name}.toml"));
         let log = folder.join(format!("{name}.log"));
-        Process { name, binary: binary.to_owned(), settings, log, child: None, peak_kib: 0 }
+        Process {
+            name,
+            binary: binary.to_owned(),
+            settings,
+            log,
+            child: None,
+            log_offset: 0,
+            peak_kib: 0,
+        }
     }
 
     /// Returns the name of the process.
@@ -74,6 +84,7 @@
         let step = || format!("failed to start {}", self.name);
         let log = OpenOptions::new().create(true).append(true).open(&self.log);
         let log = log.wrap_err_with(step)?;
+        self.log_offset = log.metadata().wrap_err_with(step)?.len() as usize;
         let copy = log.try_clone().wrap_err_with(step)?;
         let child = Command::new(&self.binary)
             .arg(&self.settings)
@@ -122,6 +133,12 @@
         self.peak_kib
     }
 
+    /// Returns whether the process has logged anything since it was started, which it does only with its signal handlers
+    /// installed.
+    pub(crate) fn has_logged(&self) -> bool {
+        fs::metadata(&self.log).is_ok_and(|it| it.len() as usize > self.log_offset)
+    }
+
     /// Returns whether the log contains a panic message.
     pub(crate) fn panicked(&self) -> bool {
         fs::read_to_string(&self.log).is_ok_and(|it| it.contains("panicked at"))
