Test for requests that have arrived when a server of ours shuts down, listed as red

`edge::Server`, on which control, routers and the admin pages serve HTTP, closes its listener and its idle connections as soon as it is asked to, without a look at what has arrived: the same cause as in the gateway.

--- a/crates/edge/tests/server.rs
+++ b/crates/edge/tests/server.rs
@@ -4,7 +4,12 @@
     edge::{Body, Client, Server, ServerLimits, empty, full},
     http::{Request, Response},
     hyper::body::Incoming,
-    std::{convert::Infallible, sync::Arc},
+    std::{
+        convert::Infallible,
+        io::{Read, Write},
+        net::TcpStream,
+        sync::Arc,
+    },
     tokio::sync::Notify,
     tower::service_fn,
 };
@@ -46,3 +51,39 @@
     assert_eq!(call.await.unwrap().unwrap().1.as_ref(), b"late");
     shutdown.await.unwrap();
 }
+
+/// Reads until an answer with the body `hello` is complete, or the connection ends.
+fn read_answer(mut socket: TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let mut chunk = [0; 1_024];
+    while !bytes.ends_with(b"hello") {
+        match socket.read(&mut chunk) {
+            Ok(0) | Err(_) => break,
+            Ok(count) => bytes.extend_from_slice(&chunk[..count]),
+        }
+    }
+    String::from_utf8(bytes).unwrap()
+}
+
+#[tokio::test]
+async fn requests_that_have_arrived_at_a_shutdown_are_answered() {
+    let loopback = "127.0.0.1:0".parse().unwrap();
+    let server = Server::bind(loopback, ServerLimits::default(), service_fn(hello)).await.unwrap();
+    let addr = server.addr();
+    let request = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n";
+    let mut idle = TcpStream::connect(addr).unwrap();
+    idle.write_all(request).unwrap();
+    let reader = idle.try_clone().unwrap();
+    let first = tokio::task::spawn_blocking(move || read_answer(reader)).await.unwrap();
+    assert!(first.starts_with("HTTP/1.1 200"), "{first}");
+    // No other task runs until the shutdown is requested.
+    idle.write_all(request).unwrap();
+    let mut queued = TcpStream::connect(addr).unwrap();
+    queued.write_all(request).unwrap();
+    let shutdown = tokio::spawn(server.shutdown());
+    for socket in [idle, queued] {
+        let answer = tokio::task::spawn_blocking(move || read_answer(socket)).await.unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200"), "no answer: {answer:?}");
+    }
+    shutdown.await.unwrap();
+}
