Read what has arrived before a server of ours closes its connections

What callers saw: operators' calls and readiness checks that had arrived at a stopping replica or gateway were reset, and had to be sent again.

Cause: `edge::Server::shutdown` closed the listener and idle connections at once, as the gateway did. It now accepts and serves for 20 ms more, which reads what has arrived, and then closes. A request that arrives in the very moment of the close is still reset unread.

Evidence: `requests_that_have_arrived_at_a_shutdown_are_answered` failed before and passes; all tests of `edge` pass.

--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -22,7 +22,7 @@
         net::{TcpListener, TcpStream},
         sync::{Notify, OwnedSemaphorePermit, Semaphore},
         task::JoinHandle,
-        time::{sleep, timeout},
+        time::{Instant, sleep, timeout, timeout_at},
     },
     tower::Service,
 };
@@ -48,6 +48,9 @@
 /// The delay before connections are accepted again after an error, such as too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
+/// How long a server that shuts down still reads from its listener and its connections.
+const LAST_READ_DELAY: Duration = Duration::from_millis(20);
+
 /// A running HTTP server.
 pub struct Server {
     addr: SocketAddr,
@@ -133,12 +136,8 @@
 {
     let graceful = GracefulShutdown::new();
     let permits = Arc::new(Semaphore::new(limits.connections));
-    loop {
-        let accepted = tokio::select! {
-            accepted = accept(&listener, &permits) => accepted,
-            () = stop.notified() => break,
-        };
-        let Some((socket, permit)) = accepted else { continue };
+    let spawn = |accepted: Option<(TcpStream, OwnedSemaphorePermit)>| {
+        let Some((socket, permit)) = accepted else { return };
         let (service, watcher) = (service.clone(), graceful.watcher());
         let tls = tls.clone();
         tokio::spawn(async move {
@@ -148,6 +147,17 @@
             }
             drop(permit);
         });
+    };
+    loop {
+        tokio::select! {
+            accepted = accept(&listener, &permits) => spawn(accepted),
+            () = stop.notified() => break,
+        }
+    }
+    // What has arrived by now would be reset with the listener and with idle connections.
+    let deadline = Instant::now() + LAST_READ_DELAY;
+    while let Ok(accepted) = timeout_at(deadline, accept(&listener, &permits)).await {
+        spawn(accepted);
     }
     drop(listener);
     graceful.shutdown().await;
