--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -17,7 +17,9 @@
         fs::{self, OpenOptions},
         io::Write,
         net::SocketAddr,
+        os::unix::process::ExitStatusExt,
         path::{Path, PathBuf},
+        process::ExitStatus,
         sync::{
             Arc,
             atomic::{AtomicU32, Ordering},
@@ -149,8 +151,21 @@
     }
 
     async fn is_ready(&self, member: &Member) -> bool {
+        self.readiness(member).await == Some(200)
+    }
+
+    /// Returns the status of the response to a readiness check.
+    async fn readiness(&self, member: &Member) -> Option<u16> {
         let response = self.client.call(member.admin, "GET", "/ready", None, empty()).await;
-        matches!(response, Ok((200, _)))
+        response.ok().map(|it| it.0)
+    }
+
+    /// Waits until a process that was started has bound its addresses, at most [`READY_TIMEOUT`].
+    async fn wait_listening(&self, member: &Member) {
+        let deadline = Instant::now() + READY_TIMEOUT;
+        while self.readiness(member).await.is_none() && Instant::now() < deadline {
+            sleep(Duration::from_millis(20)).await;
+        }
     }
 
     /// Kills a process and restarts it after `duration`; `before_restart` may modify its data directory.
@@ -193,6 +208,8 @@
         let limit = Duration::from_millis(GRACE_MS) + STOP_SLACK;
         match process.wait(limit).await {
             Ok(status) if status.success() => {}
+            // The signal came before `main` could install a handler. Nothing was bound yet.
+            Ok(status) if is_terminated(status) && !process.has_logged() => {}
             Ok(status) => {
                 self.history.record_violation("stop", &format!("{component} exited with {status}"))
             }
@@ -202,14 +219,14 @@
                 process.wait(STOP_SLACK).await?;
             }
         }
-        // From here on the process is down, as if its host had failed.
-        self.history.begin_disturbance(component, Cause::Fault, Instant::now());
+        self.history.begin_disturbance(component, Cause::Down, Instant::now());
         sleep(duration).await;
         process.start()?;
+        self.wait_listening(member).await;
+        self.history.end_disturbance(component, Cause::Down, Instant::now());
         member.incarnation.fetch_add(1, Ordering::Relaxed);
         drop(process);
-        self.history.end_disturbance(component, cause, Instant::now());
-        self.wait_recovered(member, Cause::Fault).await;
+        self.wait_recovered(member, cause).await;
         Ok(())
     }
 
@@ -325,6 +342,10 @@
     }
 }
 
+fn is_terminated(status: ExitStatus) -> bool {
+    status.signal() == Some(Signal::TERM.as_raw())
+}
+
 fn new_member(
     component: Component,
     process: Process,
