Replace a voter by joint consensus, so that the group survives as many lost disks meanwhile

Cause: a voter that did not respond was removed before its successor had a vote. In between, the loss of one disk left a group of two without a majority, and the removed voter, back with its disk, was not allowed to vote.

Now one entry makes the voter `Outgoing` and its successor `Incoming`; commits, elections and leases need a majority of both sets of voters, and a second entry ends the replacement once the first is committed. Consecutive memberships have overlapping quorums, and whichever f machines lose their disks, counting a voter and its successor as one, a quorum of each set is left. A leader that is itself outgoing is not lost, and keeps its place. A group that lacks voters still adds them one by one. On disk the roles take the byte of the former flag, so old folders open unchanged (`a_folder_of_a_release_without_replacements_opens_unchanged`).

The properties also check each committed change of members, and that no removed replica leads.

--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -19,7 +19,7 @@
         self.leader = None;
         self.reset_election_timer(now);
         self.role = Role::PreCandidate(smallvec![self.id]);
-        if self.log.members().majority() == 1 {
+        if self.log.members().is_quorum(|it| it == self.id) {
             self.campaign(actions);
             return;
         }
@@ -132,10 +132,10 @@
     }
 }
 
-/// Records a vote and returns whether the votes are a majority.
+/// Records a vote and returns whether the votes are a quorum.
 fn record_vote(votes: &mut Votes, from: ReplicaId, members: &crate::entry::Membership) -> bool {
     if members.is_voter(from) && !votes.contains(&from) {
         votes.push(from);
     }
-    votes.len() >= members.majority()
+    members.is_quorum(|it| votes.contains(&it))
 }
--- a/crates/quorum/src/entry.rs
+++ b/crates/quorum/src/entry.rs
@@ -40,7 +40,23 @@
     /// The address that it listens on.
     pub addr: SocketAddr,
     /// Whether it counts towards a quorum.
-    pub voter: bool,
+    pub role: MemberRole,
+}
+
+/// Whether a member counts towards a quorum. While a voter is replaced there are two sets of voters, and a quorum needs
+/// a majority of each.
+///
+/// Earlier releases stored a `bool`, whose encoding equals that of the first two variants.
+#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
+pub enum MemberRole {
+    /// It receives the log and does not count.
+    NonVoter,
+    /// It is in both sets of voters.
+    Voter,
+    /// It takes the place of the outgoing voter, and is in the new set only.
+    Incoming,
+    /// It is being replaced, and is in the old set only.
+    Outgoing,
 }
 
 /// The replicas of the group, sorted by id.
@@ -55,28 +71,60 @@
 
     /// Whether the replica with this id counts towards a quorum.
     pub fn is_voter(&self, id: ReplicaId) -> bool {
-        self.get(id).is_some_and(|it| it.voter)
+        self.get(id).is_some_and(Member::is_voter)
     }
 
     /// The replicas that count towards a quorum.
     pub fn voters(&self) -> impl Iterator<Item = ReplicaId> + '_ {
-        self.0.iter().filter(|it| it.voter).map(|it| it.id)
+        self.0.iter().filter(|it| it.is_voter()).map(|it| it.id)
+    }
+
+    /// The number of voters; a voter and its successor count as one.
+    pub fn voter_count(&self) -> usize {
+        self.voter_set(MemberRole::Outgoing).count()
+    }
+
+    /// Whether a voter is being replaced.
+    pub fn is_joint(&self) -> bool {
+        self.0.iter().any(|it| matches!(it.role, MemberRole::Incoming | MemberRole::Outgoing))
     }
 
-    /// The number of voters that make a majority.
-    pub fn majority(&self) -> usize {
-        self.voters().count() / 2 + 1
+    /// Whether the replicas for which `has` holds are a majority of each set of voters.
+    pub fn is_quorum<F>(&self, has: F) -> bool
+    where
+        F: Fn(ReplicaId) -> bool,
+    {
+        [MemberRole::Outgoing, MemberRole::Incoming].iter().all(|it| {
+            let count = self.voter_set(*it).filter(|it| has(*it)).count();
+            count > self.voter_set(*it).count() / 2
+        })
     }
 
-    /// The highest value that a majority of the voters has reached; the default value if there are no voters.
+    /// The highest value that a majority of each set of voters has reached; the default value if there are no voters.
     pub(crate) fn reached_by_majority<T, F>(&self, value: F) -> T
     where
         T: Ord + Default + Copy,
-        F: FnMut(ReplicaId) -> T,
+        F: Fn(ReplicaId) -> T,
     {
-        let mut values: SmallVec<[T; 5]> = self.voters().map(value).collect();
-        values.sort_unstable_by(|a, b| b.cmp(a));
-        values.get(self.majority() - 1).copied().unwrap_or_default()
+        let reached = |role| {
+            let mut values: SmallVec<[T; 5]> = self.voter_set(role).map(&value).collect();
+            values.sort_unstable_by(|a, b| b.cmp(a));
+            values.get(values.len() / 2).copied().unwrap_or_default()
+        };
+        reached(MemberRole::Outgoing).min(reached(MemberRole::Incoming))
+    }
+
+    /// The set of voters to which the members with `role` belong.
+    fn voter_set(&self, role: MemberRole) -> impl Iterator<Item = ReplicaId> + '_ {
+        let counts = move |it: &&Member| it.role == MemberRole::Voter || it.role == role;
+        self.0.iter().filter(counts).map(|it| it.id)
+    }
+}
+
+impl Member {
+    /// Whether this member counts towards a quorum.
+    pub fn is_voter(&self) -> bool {
+        self.role != MemberRole::NonVoter
     }
 }
 
--- a/crates/quorum/src/lease.rs
+++ b/crates/quorum/src/lease.rs
@@ -68,7 +68,7 @@
     }
 
     pub(crate) fn has_min_voters(&self) -> bool {
-        self.log.members().voters().count() >= self.config.min_voters
+        self.log.members().voter_count() >= self.config.min_voters
     }
 
     pub(crate) fn lease_expiry(&self, now: Time) -> Option<Time> {
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`Raft::step`] takes the current time and one [`Event`] and returns [`Action`]s: messages to send, writes to
 //! persist, committed entries to apply. It implements Raft as published (elections with pre-vote, commitment by count
-//! only of entries of the leader's own term, membership changes of one voter at a time), with these additions:
+//! only of entries of the leader's own term, membership changes of one voter at a time; a
+//! voter is replaced by joint consensus), with these additions:
 //!
 //! - A message that depends on durable state is held back until [`Event::Synced`] covers the writes before it.
 //! - A leader holds a lease that runs from the time at which the acknowledged heartbeats were *sent* and is shortened
@@ -28,7 +29,7 @@
 
 pub use crate::{
     config::{Config, ConfigError},
-    entry::{Entry, HardState, Member, Membership, Payload, Snapshot},
+    entry::{Entry, HardState, Member, MemberRole, Membership, Payload, Snapshot},
     event::{Action, Actions, Event, Write},
     message::{Envelope, Message},
     raft::{DurableState, Raft},
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -1,14 +1,17 @@
-//! Membership changes, one voter at a time.
+//! Membership changes, one at a time.
 //!
-//! A replica that asks to join becomes a non-voter. Once it has all committed entries, the voter that used the same
-//! address before it is removed (a new id at that address means that the old disk is lost), and then the new replica
-//! becomes a voter. In a group with its intended number of voters, a replica at a new address replaces a voter that
-//! has not responded for the voter timeout. Removing before adding keeps the majority from growing, and making two
-//! separate changes keeps the majorities of consecutive memberships overlapping.
+//! A replica that asks to join becomes a non-voter. Once it has all committed entries, it takes the place of the voter
+//! that used the same address before it (a new id at that address means that the old disk is lost). In a group with its
+//! intended number of voters, a replica at a new address takes the place of a voter that has not responded for the
+//! voter timeout; in a smaller group it becomes one more voter.
+//!
+//! A voter is replaced by joint consensus: first a membership in which a quorum needs majorities both with the outgoing
+//! and with the incoming voter, then, once that is committed, one without the outgoing voter. In between, the group
+//! survives the loss of as many disks as before, whether or not the outgoing voter still has its own.
 
 use {
     crate::{
-        entry::{Member, Membership, Payload},
+        entry::{Member, MemberRole, Membership, Payload},
         event::Actions,
         leader::LeaderState,
         raft::{Raft, Role},
@@ -38,41 +41,49 @@
         self.append_payloads(vec![Payload::Membership(members)], actions);
         self.update_peers(now, self.log.last_index());
         self.broadcast(now, actions);
-        // With fewer voters, a majority may already have more entries on disk.
+        // Without the outgoing voter, a majority may already have more entries on disk.
         self.advance_commit(now, actions);
     }
 
     fn next_membership(&mut self, now: Time) -> Option<Membership> {
         let members = self.log.members().clone();
         let Role::Leader(leader) = &mut self.role else { return None };
+        if members.is_joint() {
+            return Some(end_replacement(&members, self.id));
+        }
         if let Some(member) = leader.pending_joins.pop() {
             return Some(add_non_voter(&members, member));
         }
-        let ready = |it: &&Member| !it.voter && self.is_caught_up(now, it);
+        let ready = |it: &&Member| !it.is_voter() && self.is_caught_up(now, it);
         if let Some(member) = members.0.iter().copied().find(|it| ready(&it)) {
             return self.promote_or_replace(now, &members, member);
         }
         let unresponsive =
-            members.0.iter().find(|it| !it.voter && self.is_unresponsive(now, it))?;
+            members.0.iter().find(|it| !it.is_voter() && self.is_unresponsive(now, it))?;
         Some(remove_member(&members, unresponsive.id))
     }
 
-    /// Promotes `member` to a voter, or first removes the voter that it replaces.
+    /// Promotes `member` to a voter, or begins to replace a voter with it.
     fn promote_or_replace(
         &self,
         now: Time,
         members: &Membership,
         member: Member,
     ) -> Option<Membership> {
-        let mut voters = members.0.iter().filter(|it| it.voter);
-        if let Some(predecessor) = voters.find(|it| it.addr == member.addr) {
-            return Some(remove_member(members, predecessor.id));
-        }
-        if members.voters().count() < self.config.target_voters {
-            return Some(promote_to_voter(members, member.id));
+        let others = || members.0.iter().filter(|it| it.is_voter() && it.id != self.id);
+        let predecessor = others().find(|it| it.addr == member.addr);
+        if predecessor.is_none() && members.voter_count() < self.config.target_voters {
+            return Some(set_roles(members, |it| {
+                if it.id == member.id { MemberRole::Voter } else { it.role }
+            }));
         }
-        let unresponsive = members.0.iter().find(|it| it.voter && self.is_unresponsive(now, it))?;
-        Some(remove_member(members, unresponsive.id))
+        let replaced =
+            predecessor.or_else(|| others().find(|it| self.is_unresponsive(now, it)))?.id;
+        Some(set_roles(members, |it| match it.id {
+            id if id == replaced => MemberRole::Outgoing,
+            id if id == member.id => MemberRole::Incoming,
+            _ => it.role,
+        }))
     }
 
     /// Whether a replica has not answered this leader for the voter timeout.
@@ -94,7 +105,7 @@
 
 /// Adds a non-voter and removes other non-voters at its address.
 fn add_non_voter(members: &Membership, member: Member) -> Membership {
-    let kept = members.0.iter().filter(|it| it.voter || it.addr != member.addr);
+    let kept = members.0.iter().filter(|it| it.is_voter() || it.addr != member.addr);
     let mut list: Vec<_> = kept.copied().chain([member]).collect();
     list.sort_unstable_by_key(|it| it.id);
     Membership(list.into())
@@ -104,7 +115,27 @@
     Membership(members.0.iter().filter(|it| it.id != id).copied().collect())
 }
 
-fn promote_to_voter(members: &Membership, id: ReplicaId) -> Membership {
-    let vote = |it: &Member| Member { voter: it.voter || it.id == id, ..*it };
-    Membership(members.0.iter().map(vote).collect())
+/// Removes the outgoing voter. A leader that is the outgoing voter is not lost, so it keeps its place instead.
+fn end_replacement(members: &Membership, leader: ReplicaId) -> Membership {
+    let keeps_place = members.0.iter().any(|it| it.id == leader && it.role == MemberRole::Outgoing);
+    if keeps_place {
+        return set_roles(members, |it| match it.role {
+            MemberRole::Outgoing => MemberRole::Voter,
+            MemberRole::Incoming => MemberRole::NonVoter,
+            MemberRole::Voter | MemberRole::NonVoter => it.role,
+        });
+    }
+    let kept = members.0.iter().filter(|it| it.role != MemberRole::Outgoing);
+    let kept = Membership(kept.copied().collect());
+    set_roles(&kept, |it| match it.role {
+        MemberRole::Incoming => MemberRole::Voter,
+        MemberRole::Outgoing | MemberRole::Voter | MemberRole::NonVoter => it.role,
+    })
+}
+
+fn set_roles<F>(members: &Membership, role: F) -> Membership
+where
+    F: Fn(&Member) -> MemberRole,
+{
+    Membership(members.0.iter().map(|it| Member { role: role(it), ..*it }).collect())
 }
--- a/crates/quorum/src/raft.rs
+++ b/crates/quorum/src/raft.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         config::Config,
-        entry::{Entry, HardState, Member, Membership, Payload, Snapshot},
+        entry::{Entry, HardState, Member, MemberRole, Membership, Payload, Snapshot},
         event::{Action, Actions, Event, Write},
         leader::LeaderState,
         log::Log,
@@ -171,7 +171,11 @@
         let Envelope { group, from, to, term, message } = envelope;
         if let Message::JoinRequest { addr } = message {
             if group == 0 || group == self.hard_state.group {
-                self.on_join_request(now, Member { id: from, addr, voter: false }, actions);
+                self.on_join_request(
+                    now,
+                    Member { id: from, addr, role: MemberRole::NonVoter },
+                    actions,
+                );
             }
             return;
         }
--- /dev/null
+++ b/crates/quorum/tests/members.rs
@@ -0,0 +1,102 @@
+//! The quorums of a group while a voter is replaced.
+
+use {
+    model::{ReplicaId, SECOND, Term, Time},
+    quorum::{
+        Action, Actions, Config, DurableState, Entry, Envelope, Event, HardState, Member,
+        MemberRole, Membership, Message, Payload, Raft,
+    },
+    rstest::rstest,
+};
+
+/// Replica 3 is replaced by replica 4.
+fn joint() -> Membership {
+    let member =
+        |(id, role)| Member { id: ReplicaId(id), addr: ([127, 0, 0, 1], id as u16).into(), role };
+    let (outgoing, incoming) = (MemberRole::Outgoing, MemberRole::Incoming);
+    let roles = [(1, MemberRole::Voter), (2, MemberRole::Voter), (3, outgoing), (4, incoming)];
+    Membership(roles.map(member).into())
+}
+
+#[rstest]
+#[case::both_others(&[1, 2], true)]
+#[case::one_of_each_set(&[1, 3, 4], true)]
+#[case::all(&[1, 2, 3, 4], true)]
+#[case::majority_of_the_old_set_only(&[1, 3], false)]
+#[case::majority_of_the_new_set_only(&[1, 4], false)]
+#[case::replaced_and_successor(&[3, 4], false)]
+fn a_quorum_has_majorities_with_the_replaced_voter_and_with_its_successor(
+    #[case] ids: &[u64],
+    #[case] quorum: bool,
+) {
+    assert_eq!(joint().is_quorum(|it| ids.contains(&it.0)), quorum);
+    assert_eq!(joint().voter_count(), 3);
+}
+
+fn open(id: u64) -> Raft {
+    let entry = Entry { index: 1, term: Term(1), payload: Payload::Membership(joint()) };
+    let hard_state = HardState { group: 7, term: Term(1), vote: None, commit_index: 0 };
+    let durable = DurableState { hard_state, entries: vec![entry], ..DurableState::default() };
+    Raft::open(Time(SECOND), Config::default(), ReplicaId(id), durable, 1).0
+}
+
+/// Handles an event and reports its writes as synced.
+fn step(raft: &mut Raft, now: Time, event: Event) {
+    let actions: Actions = raft.step(now, event);
+    let number = |it: &Action| if let Action::Write(number, _) = it { Some(*number) } else { None };
+    if let Some(last) = actions.iter().filter_map(number).max() {
+        raft.step(now, Event::Synced(last));
+    }
+}
+
+fn receive(raft: &mut Raft, now: Time, from: u64, message: Message) {
+    let (from, to, term) = (ReplicaId(from), raft.id(), Term(2));
+    step(raft, now, Event::Received(Envelope { group: 7, from, to, term, message }));
+}
+
+/// Lets a replica win an election with votes of these replicas and commits its first entry.
+fn lead(id: u64, voters: &[u64]) -> Raft {
+    let mut raft = open(id);
+    let now = raft.deadline();
+    step(&mut raft, now, Event::Tick);
+    for from in voters {
+        receive(&mut raft, now, *from, Message::PreVoteResponse { granted: true });
+    }
+    for from in voters {
+        receive(&mut raft, now, *from, Message::VoteResponse { granted: true });
+    }
+    assert_eq!(raft.leader(), Some(ReplicaId(id)));
+    for from in voters {
+        receive(&mut raft, now, *from, Message::AppendAccepted { match_index: 2, sent_at: now });
+    }
+    raft
+}
+
+fn roles(raft: &Raft) -> Vec<(u64, MemberRole)> {
+    raft.members().0.iter().map(|it| (it.id.0, it.role)).collect()
+}
+
+#[test]
+fn a_new_leader_ends_the_replacement_that_it_finds_in_its_log() {
+    let (voter, raft) = (MemberRole::Voter, lead(1, &[3, 4]));
+    assert_eq!(raft.commit_index(), 2);
+    assert_eq!(roles(&raft), [(1, voter), (2, voter), (4, voter)]);
+}
+
+#[test]
+fn a_replaced_voter_that_is_elected_keeps_its_place() {
+    let (voter, raft) = (MemberRole::Voter, lead(3, &[1, 2]));
+    assert_eq!(raft.commit_index(), 2);
+    assert_eq!(roles(&raft), [(1, voter), (2, voter), (3, voter), (4, MemberRole::NonVoter)]);
+}
+
+#[test]
+fn a_majority_of_one_set_elects_no_leader() {
+    for (id, voter) in [(1, 3), (1, 4), (3, 1), (4, 1)] {
+        let mut raft = open(id);
+        let now = raft.deadline();
+        step(&mut raft, now, Event::Tick);
+        receive(&mut raft, now, voter, Message::PreVoteResponse { granted: true });
+        assert_eq!(raft.hard_state().term, Term(1), "{id} began an election");
+    }
+}
--- a/crates/quorum/tests/safety.rs
+++ b/crates/quorum/tests/safety.rs
@@ -5,7 +5,7 @@
     proptest::prelude::*,
     quorum::{
         Action, Actions, Config, DurableState, Entry, Envelope, Event, HardState, Member,
-        Membership, Message, Payload, Raft, Write,
+        MemberRole, Membership, Message, Payload, Raft, Write,
     },
     std::collections::BTreeMap,
 };
@@ -16,7 +16,7 @@
     let member = |id: u16| Member {
         id: ReplicaId(id.into()),
         addr: ([127, 0, 0, 1], id).into(),
-        voter: true,
+        role: MemberRole::Voter,
     };
     Membership((1..=3).map(member).collect())
 }
--- a/crates/replica/src/config.rs
+++ b/crates/replica/src/config.rs
@@ -3,7 +3,7 @@
 use {
     derive_more::{Debug, Display, Error},
     model::{MILLISECOND, ReplicaId, hash64},
-    quorum::{Config, Member, Membership},
+    quorum::{Config, Member, MemberRole, Membership},
     std::{net::SocketAddr, path::PathBuf},
 };
 
@@ -103,7 +103,11 @@
     /// The initial members of the group, if this replica may bootstrap it.
     pub(crate) fn initial_members(&self) -> Option<Membership> {
         let seeds = self.seeds.as_ref().filter(|it| it.bootstrap)?;
-        let member = |addr: &SocketAddr| Member { id: initial_id(*addr), addr: *addr, voter: true };
+        let member = |addr: &SocketAddr| Member {
+            id: initial_id(*addr),
+            addr: *addr,
+            role: MemberRole::Voter,
+        };
         let mut members: Vec<_> = seeds.addrs.iter().map(member).collect();
         members.sort_unstable_by_key(|it| it.id);
         seeds.addrs.contains(&self.addr).then(|| Membership(members.into()))
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -13,8 +13,8 @@
     bytes::Bytes,
     model::{MILLISECOND, ReplicaId, Term, Time},
     quorum::{
-        Action, Actions, Entry, Envelope, Event, Member, Membership, Message, Payload, Raft,
-        Snapshot,
+        Action, Actions, Entry, Envelope, Event, Member, MemberRole, Membership, Message, Payload,
+        Raft, Snapshot,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -211,7 +211,7 @@
         }
         let group = rand::random_range(1..=u64::MAX);
         tracing::info!("replica: {} bootstraps group {group:x}", self.raft.id());
-        let member = Member { id: self.raft.id(), addr: self.config.addr, voter: true };
+        let member = Member { id: self.raft.id(), addr: self.config.addr, role: MemberRole::Voter };
         self.step(Event::Bootstrap { group, members: Membership([member].into()) })
     }
 
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -13,7 +13,7 @@
     },
     bytes::Bytes,
     model::ReplicaId,
-    quorum::{Action, Payload, Raft},
+    quorum::{Action, MemberRole, Payload, Raft},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     store::OsFileSystem,
     tokio::{
@@ -143,9 +143,11 @@
         self.shared.view.lock().members.0.iter().map(|it| it.addr).collect()
     }
 
-    /// Whether a replica counts towards a quorum, by the latest membership known to be committed.
+    /// Whether a replica counts towards each quorum, by the latest membership known to be committed. A voter that is
+    /// being replaced and its successor count only towards one of two majorities.
     pub fn is_voter(&self, id: ReplicaId) -> bool {
-        self.shared.view.lock().members.is_voter(id)
+        let view = self.shared.view.lock();
+        view.members.get(id).is_some_and(|it| it.role == MemberRole::Voter)
     }
 
     /// Commits a command and returns the state machine's reply.
--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -39,6 +39,7 @@
     Heal,
     ReplaceHost(usize),
     CrashAll(u64),
+    ReturnOutgoingVoter(usize, u64),
     /// Another fault, once replicas have changed their membership that many times.
     AfterChange(u8, Box<Op>),
 }
@@ -92,13 +93,14 @@
         1 => any::<u64>().prop_map(Op::CrashAll),
         1 => Just(Op::IsolateLeader),
         1 => host().prop_map(Op::Isolate),
-        1 => host().prop_map(Op::ReplaceHost),
+        3 => host().prop_map(Op::ReplaceHost),
         1 => Just(Op::Heal),
     ];
     prop_oneof![
         100 => op(hosts),
         10 => host().prop_map(Op::Isolate),
         2 => any::<u64>().prop_map(Op::CrashAll),
+        4 => (host(), any::<u64>()).prop_map(|(at, pick)| Op::ReturnOutgoingVoter(at, pick)),
         30 => (1..6u8, fault).prop_map(|(count, it)| Op::AfterChange(count, Box::new(it))),
     ]
 }
@@ -150,6 +152,10 @@
         Op::ReplaceHost(at) if sim.is_seeded() => sim.replace(at),
         Op::ReplaceHost(_) => {}
         Op::CrashAll(pick) => sim.crash_all(pick),
+        Op::ReturnOutgoingVoter(at, pick) => {
+            isolate(sim, at);
+            sim.return_outgoing_voter(at, pick);
+        }
         Op::AfterChange(count, ref fault) => {
             sim.run_until_change(count);
             apply(sim, fault);
@@ -235,7 +241,8 @@
     }
 }
 
-const CHANGE_SITUATIONS: [Situation; 5] = [
+const CHANGE_SITUATIONS: [Situation; 6] = [
+    Situation::ElectedInReplacement,
     Situation::DiskLostInChange,
     Situation::SameDiskLostAgain,
     Situation::LeaderCrashedInChange,
@@ -243,8 +250,13 @@
     Situation::AddressReturnedBesideSilentVoter,
 ];
 
-const SILENT_VOTER_SITUATIONS: [Situation; 2] =
-    [Situation::DiskLostAfterRemoval, Situation::FormerVoterReturned];
+const SILENT_VOTER_SITUATIONS: [Situation; 5] = [
+    Situation::DiskLostAfterRemoval,
+    Situation::FormerVoterReturned,
+    Situation::SuccessorLostItsDisk,
+    Situation::OutgoingVoterLostItsDisk,
+    Situation::OutgoingVoterElected,
+];
 
 #[test]
 fn a_lost_disk_while_a_silent_voter_is_replaced_leaves_a_quorum() {
--- a/crates/replica/tests/journal.rs
+++ b/crates/replica/tests/journal.rs
@@ -4,10 +4,14 @@
     bytes::Bytes,
     fakes::Disk,
     model::{ReplicaId, Term},
-    quorum::{DurableState, Entry, HardState, Payload, Snapshot, Write},
+    quorum::{
+        DurableState, Entry, HardState, Member, MemberRole, Membership, Payload, Snapshot, Write,
+    },
     replica::Journal,
     rstest::rstest,
-    std::path::Path,
+    serde::Serialize,
+    std::{net::SocketAddr, path::Path},
+    store::Store,
 };
 
 const ID: ReplicaId = ReplicaId(5);
@@ -78,3 +82,78 @@
     }
     assert!(finished);
 }
+
+/// The records of releases before [`MemberRole`].
+mod earlier {
+    use super::*;
+
+    #[derive(Serialize)]
+    pub(crate) struct Member {
+        pub(crate) id: ReplicaId,
+        pub(crate) addr: SocketAddr,
+        pub(crate) voter: bool,
+    }
+
+    #[derive(Serialize)]
+    pub(crate) struct Entry {
+        pub(crate) index: u64,
+        pub(crate) term: Term,
+        pub(crate) payload: Payload,
+    }
+
+    #[derive(Serialize)]
+    #[allow(dead_code)]
+    pub(crate) enum Payload {
+        Empty,
+        Command(Bytes),
+        Membership(Vec<Member>),
+    }
+
+    #[derive(Serialize)]
+    pub(crate) struct Snapshot {
+        pub(crate) index: u64,
+        pub(crate) term: Term,
+        pub(crate) members: Vec<Member>,
+        pub(crate) data: Bytes,
+    }
+}
+
+fn encode(value: &impl Serialize) -> Vec<u8> {
+    bincode::serde::encode_to_vec(value, bincode::config::standard()).unwrap()
+}
+
+#[test]
+fn a_folder_of_a_release_without_replacements_opens_unchanged() {
+    let roles = [(3, true), (4, false), (5, true)];
+    let addr = |id: u64| SocketAddr::from(([10, 0, 0, 1], id as u16));
+    let earlier = || {
+        let member = |(id, voter)| earlier::Member { id: ReplicaId(id), addr: addr(id), voter };
+        roles.map(member).into_iter().collect::<Vec<_>>()
+    };
+    let hard_state = HardState { group: 7, term: Term(2), vote: Some(ID), commit_index: 2 };
+    let data = Bytes::from_static(b"state");
+    let disk = Disk::default();
+    let (mut store, _) = Store::open(disk.clone(), Path::new("/data")).unwrap();
+    store.set_meta(&encode(&(ID, hard_state))).unwrap();
+    let snapshot =
+        earlier::Snapshot { index: 1, term: Term(1), members: earlier(), data: data.clone() };
+    store.set_snapshot(1, &encode(&snapshot)).unwrap();
+    store.reset(1).unwrap();
+    let payload = earlier::Payload::Membership(earlier());
+    store.append(2, &encode(&earlier::Entry { index: 2, term: Term(2), payload })).unwrap();
+    store.sync().unwrap();
+    drop(store);
+
+    let member = |(id, voter)| {
+        let role = if voter { MemberRole::Voter } else { MemberRole::NonVoter };
+        Member { id: ReplicaId(id), addr: addr(id), role }
+    };
+    let members = Membership(roles.map(member).into());
+    let (journal, durable) = open(&disk);
+    assert_eq!(journal.id(), ID);
+    assert_eq!(durable.hard_state, hard_state);
+    let snapshot = Snapshot { index: 1, term: Term(1), members: members.clone(), data };
+    assert_eq!(durable.snapshot, snapshot);
+    let entry = Entry { index: 2, term: Term(2), payload: Payload::Membership(members) };
+    assert_eq!(durable.entries, [entry]);
+}
--- a/crates/replica/tests/sim/check.rs
+++ b/crates/replica/tests/sim/check.rs
@@ -1,10 +1,10 @@
 //! The invariants that are checked at every step.
 
 use {
-    super::{Host, Sim, addr},
+    super::{Host, Sim, Situation, addr},
     bytes::Bytes,
     model::{ReplicaId, Term},
-    quorum::{Entry, Member, Membership, Payload},
+    quorum::{Entry, Member, MemberRole, Membership, Payload},
     std::collections::BTreeSet,
 };
 
@@ -18,7 +18,9 @@
     pub(crate) fn has_all_voters(&self) -> bool {
         let Some(members) = self.settled_members() else { return false };
         let target = self.target_voters();
-        members.voters().count() == target && self.live_voters(members) == target
+        !members.is_joint()
+            && members.voters().count() == target
+            && self.live_voters(members) == target
     }
 
     /// The machines whose lost replicas are voters, if the leader's membership is committed and has the intended number
@@ -26,7 +28,7 @@
     fn lost_voters(&self) -> Option<BTreeSet<usize>> {
         let members = self.settled_members()?;
         let lost = |it: &ReplicaId| !self.hosts.iter().any(|host| host.id == Some(*it));
-        let complete = members.voters().count() == self.target_voters();
+        let complete = !members.is_joint() && members.voters().count() == self.target_voters();
         complete.then(|| members.voters().filter(lost).map(|it| self.machines[&it]).collect())
     }
 
@@ -35,7 +37,7 @@
     pub(super) fn can_lose_disk(&self, at: usize) -> bool {
         let tolerance = (self.target_voters() - 1) / 2;
         let members = self.settled_members();
-        let spare_voter = members.is_some_and(|it| self.live_voters(it) > it.majority());
+        let spare_voter = members.is_some_and(|it| self.survives_loss(it));
         self.lost.contains(&self.hosts[at].machine) || self.lost.len() < tolerance || spare_voter
     }
 
@@ -43,7 +45,8 @@
     pub(super) fn is_changing(&self) -> bool {
         let Some(committed) = self.last_committed_members() else { return false };
         let mut nodes = self.hosts.iter().filter_map(|it| it.node.as_ref());
-        committed.voters().count() != self.target_voters()
+        committed.is_joint()
+            || committed.voters().count() != self.target_voters()
             || nodes.any(|it| it.raft.members() != committed && it.raft.last_index() > it.applied)
     }
 
@@ -57,7 +60,7 @@
     /// Whether a voter at this host's address lost its disk while another voter does not run or is cut off.
     pub(super) fn returns_beside_silent_voter(&self, at: usize) -> bool {
         let Some(members) = self.last_committed_members() else { return false };
-        let replaced = |it: &Member| it.voter && it.addr == addr(at);
+        let replaced = |it: &Member| it.is_voter() && it.addr == addr(at);
         let silent = |(other, host): (usize, &Host)| {
             let votes = host.id.is_some_and(|it| members.is_voter(it));
             other != at && votes && (host.node.is_none() || self.net.is_blocked(at, other))
@@ -85,6 +88,12 @@
         })
     }
 
+    /// Whether the voters with disks are a quorum without any one of them.
+    fn survives_loss(&self, members: &Membership) -> bool {
+        let live = |id| self.hosts.iter().any(|it| it.id == Some(id));
+        members.voters().all(|lost| members.is_quorum(|it| it != lost && live(it)))
+    }
+
     /// The number of voters that have not lost their disks.
     fn live_voters(&self, members: &Membership) -> usize {
         self.hosts.iter().filter(|it| it.id.is_some_and(|it| members.is_voter(it))).count()
@@ -145,7 +154,57 @@
         }
     }
 
+    /// Checks that a membership follows from the one before it by one step: one voter more, the begin of a replacement
+    /// of one voter, or its end.
+    pub(super) fn check_membership_change(&self, entry: &Entry) {
+        let Payload::Membership(after) = &entry.payload else { return };
+        let Some(before) = self.last_committed_members() else { return };
+        let set = |members: &Membership, role| -> BTreeSet<ReplicaId> {
+            let counts = |it: &&Member| it.role == MemberRole::Voter || it.role == role;
+            members.0.iter().filter(counts).map(|it| it.id).collect()
+        };
+        let (outgoing, incoming) = (MemberRole::Outgoing, MemberRole::Incoming);
+        let (old, new) = (set(after, outgoing), set(after, incoming));
+        let allowed = if before.is_joint() {
+            old == new && (old == set(before, outgoing) || old == set(before, incoming))
+        } else if after.is_joint() {
+            old == set(before, outgoing)
+                && new.len() == old.len()
+                && new.difference(&old).count() == 1
+        } else {
+            let former = set(before, outgoing);
+            old.is_superset(&former) && old.len() <= former.len() + 1
+        };
+        assert!(allowed, "a change of more than one voter: from {before:?} to {after:?}");
+    }
+
+    /// Whether a running replica's membership gives the replica of this host a role.
+    pub(super) fn has_role(&self, at: usize, role: MemberRole) -> bool {
+        let Some(id) = self.hosts[at].id else { return false };
+        let mut nodes = self.hosts.iter().filter_map(|it| it.node.as_ref());
+        nodes.any(|it| it.raft.members().get(id).is_some_and(|it| it.role == role))
+    }
+
+    /// Records that a replica was elected while a voter was being replaced, once a term.
+    fn record_election(&mut self) {
+        let elected = self.hosts.iter().filter_map(|it| it.node.as_ref()).find(|it| {
+            let (id, term) = (it.raft.id(), it.raft.hard_state().term);
+            it.raft.leader() == Some(id)
+                && it.raft.members().is_joint()
+                && !self.leaders.contains_key(&term)
+                && !self.elected_in_replacement.contains(&term)
+        });
+        let Some(node) = elected else { return };
+        let role = node.raft.members().get(node.raft.id()).map(|it| it.role);
+        self.elected_in_replacement.insert(node.raft.hard_state().term);
+        self.record(Situation::ElectedInReplacement);
+        if role == Some(MemberRole::Outgoing) {
+            self.record(Situation::OutgoingVoterElected);
+        }
+    }
+
     pub(super) fn check_invariants(&mut self) {
+        self.record_election();
         let leading: Vec<_> =
             (0..self.hosts.len()).filter_map(|it| Some((it, self.lease_term(it)?))).collect();
         assert!(leading.len() <= 1, "two replicas hold a lease at {:?}: {leading:?}", self.now);
@@ -156,8 +215,11 @@
             assert!(!elected || !later, "elected while another replica holds a lease");
         }
         let Some(node) = &self.hosts[at].node else { return };
-        let leader = *self.leaders.entry(term).or_insert(node.raft.id());
-        assert_eq!(leader, node.raft.id(), "two leaders of {term}");
+        let id = node.raft.id();
+        let leader = *self.leaders.entry(term).or_insert(id);
+        assert_eq!(leader, id, "two leaders of {term}");
+        assert!(!self.is_former_voter(at), "a replica leads that was removed");
+        let Some(node) = &self.hosts[at].node else { return };
         let acknowledged = self.acknowledged.last_key_value().map_or(0, |it| *it.0);
         assert!(node.applied >= acknowledged, "the leader lacks an acknowledged command");
         if !self.lost.is_empty()
--- a/crates/replica/tests/sim/mod.rs
+++ b/crates/replica/tests/sim/mod.rs
@@ -11,7 +11,8 @@
     fakes::{Disk, DriftingClock, Network},
     model::{MILLISECOND, ReplicaId, Term, Time},
     quorum::{
-        Action, Actions, Config, Entry, Envelope, Event, Member, Membership, Message, Payload, Raft,
+        Action, Actions, Config, Entry, Envelope, Event, Member, MemberRole, Membership, Message,
+        Payload, Raft,
     },
     replica::Journal,
     std::{
@@ -30,6 +31,8 @@
 /// lost.
 const MAX_UNDELIVERED: usize = 60;
 const ROUND: u64 = 20 * MILLISECOND;
+/// Two election timeouts.
+const MAX_ROUNDS_BEFORE_RETURN: u32 = 100;
 /// Longer than the voter timeout and an election.
 const MAX_ROUNDS_BEFORE_CHANGE: u32 = 300;
 
@@ -70,6 +73,8 @@
     /// The commands that were acknowledged to callers, by index.
     pub(crate) acknowledged: BTreeMap<u64, Bytes>,
     leaders: BTreeMap<Term, ReplicaId>,
+    /// The terms in which a replica was elected while a voter was being replaced.
+    elected_in_replacement: BTreeSet<Term>,
     votes: BTreeMap<(ReplicaId, Term), ReplicaId>,
     /// How many of every eight messages are delayed by another round.
     pub(crate) delay: u64,
@@ -106,6 +111,14 @@
     AddressReturnedBesideSilentVoter,
     /// A former voter asked to join again with its old disk.
     FormerVoterReturned,
+    /// The successor lost its disk while it took a voter's place.
+    SuccessorLostItsDisk,
+    /// A voter that was being replaced lost its disk.
+    OutgoingVoterLostItsDisk,
+    /// A replica became leader while a voter was being replaced.
+    ElectedInReplacement,
+    /// A voter that was being replaced became leader.
+    OutgoingVoterElected,
 }
 
 pub(crate) fn addr(host: usize) -> SocketAddr {
@@ -181,6 +194,7 @@
             committed: BTreeMap::new(),
             acknowledged: BTreeMap::new(),
             leaders: BTreeMap::new(),
+            elected_in_replacement: BTreeSet::new(),
             votes: BTreeMap::new(),
             delay: 0,
             delivered: 0,
@@ -197,7 +211,7 @@
     /// The event with which the first replica bootstraps the group alone.
     fn bootstrap_event(&self) -> Event {
         let id = self.hosts[0].id.expect("a running replica");
-        let member = Member { id, addr: addr(0), voter: true };
+        let member = Member { id, addr: addr(0), role: MemberRole::Voter };
         Event::Bootstrap { group: 7, members: Membership([member].into()) }
     }
 
@@ -279,6 +293,12 @@
         if (0..self.hosts.len()).any(|it| it != at && self.is_former_voter(it)) {
             self.record(Situation::DiskLostAfterRemoval);
         }
+        if self.has_role(at, MemberRole::Incoming) {
+            self.record(Situation::SuccessorLostItsDisk);
+        }
+        if self.has_role(at, MemberRole::Outgoing) {
+            self.record(Situation::OutgoingVoterLostItsDisk);
+        }
         if !self.lost.insert(self.hosts[at].machine) {
             self.record(Situation::SameDiskLostAgain);
         }
@@ -302,6 +322,31 @@
         (0..self.hosts.len()).for_each(|it| self.restart(it));
     }
 
+    /// Runs until the replica of this host is being replaced, ends all cuts, and stalls all other disks until it knows
+    /// of that; then crashes the other replicas and restarts them.
+    pub(crate) fn return_outgoing_voter(&mut self, at: usize, pick: u64) {
+        let replaced = |it: &Sim| it.has_role(at, MemberRole::Outgoing);
+        if !(0..MAX_ROUNDS_BEFORE_CHANGE).any(|_| self.round_until(replaced)) {
+            return;
+        }
+        self.net.heal();
+        self.restart(at);
+        self.hosts[at].frozen = false;
+        let others: Vec<_> = (0..self.hosts.len()).filter(|it| *it != at).collect();
+        others.iter().for_each(|it| self.hosts[*it].stalled = true);
+        let is_joint =
+            |it: &Sim| it.hosts[at].node.as_ref().is_some_and(|it| it.raft.members().is_joint());
+        let known = (0..MAX_ROUNDS_BEFORE_RETURN).any(|_| self.round_until(is_joint));
+        others.iter().for_each(|it| self.hosts[*it].stalled = false);
+        if known {
+            self.sync(at);
+            for it in others {
+                self.crash(it, pick);
+                self.restart(it);
+            }
+        }
+    }
+
     /// Removes a host permanently and starts the spare one, if the group must tolerate that.
     pub(crate) fn replace(&mut self, at: usize) {
         let spare = self.initial_hosts;
@@ -328,7 +373,7 @@
         {
             return;
         }
-        let member = |it| Member { id: initial_id(it), addr: addr(it), voter: true };
+        let member = |it| Member { id: initial_id(it), addr: addr(it), role: MemberRole::Voter };
         let members = Membership((0..self.initial_hosts).map(member).collect());
         self.step(at, Event::Bootstrap { group: 7, members });
     }
@@ -586,6 +631,7 @@
     fn apply(&mut self, at: usize, entry: Entry) {
         if !self.committed.contains_key(&entry.index) {
             self.check_promotion(&entry);
+            self.check_membership_change(&entry);
         }
         let first = self.committed.entry(entry.index).or_insert_with(|| entry.clone());
         assert_eq!(*first, entry, "two entries committed at one index");
