Let a non-voter campaign if it is asked for its vote and has the newer log

The group could stand still for good although a quorum had its disks.

Cause: two replicas have an uncommitted membership by which a third one votes, and need its vote. The third one is not a voter by its own log, which has an entry of a later term from a leader that did not have that membership. It denies its vote to the older logs and does not campaign itself. The order of changes before had the same state, with a promotion in place of the replacement.

Only voters by the candidate's log are asked, so a denied request shows that the group may depend on this replica: it now campaigns itself, by its own membership, in which it does not count. Once its log is committed, it leaves the lead to the voters. Elections stay safe as each candidate needs a quorum of the membership in its own log.

`a_successor_with_a_newer_log_campaigns_when_it_is_asked_for_its_vote` failed before and passes now.

--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -16,6 +16,10 @@
         if now < self.election_deadline || !self.is_voter() {
             return;
         }
+        self.start_pre_vote(now, actions);
+    }
+
+    fn start_pre_vote(&mut self, now: Time, actions: &mut Actions) {
         self.leader = None;
         self.reset_election_timer(now);
         self.role = Role::PreCandidate(smallvec![self.id]);
@@ -43,6 +47,12 @@
         let response_term = if granted { term } else { self.hard_state.term };
         let envelope = self.envelope(from, response_term, Message::PreVoteResponse { granted });
         self.defer_until_synced(Deferred::Send(envelope), actions);
+        // By the candidate's log this replica is a voter. If its own log is newer and it did not campaign itself, the
+        // group might never have a leader again.
+        let newer = !granted && term > self.hard_state.term && self.may_vote(now);
+        if newer && !self.is_voter() {
+            self.start_pre_vote(now, actions);
+        }
     }
 
     pub(crate) fn on_pre_vote_granted(
--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -182,6 +182,11 @@
         }
         self.commit_to(majority_index, actions);
         self.complete_reads(now, actions);
+        if !self.is_voter() {
+            // A majority has this log now, so any of its voters can lead.
+            self.become_follower(now, self.hard_state.term, None, actions);
+            return;
+        }
         self.change_members(now, actions);
     }
 
--- a/crates/quorum/tests/members.rs
+++ b/crates/quorum/tests/members.rs
@@ -34,7 +34,11 @@
 }
 
 fn open(id: u64) -> Raft {
-    let entry = Entry { index: 1, term: Term(1), payload: Payload::Membership(joint()) };
+    open_with(id, joint())
+}
+
+fn open_with(id: u64, members: Membership) -> Raft {
+    let entry = Entry { index: 1, term: Term(1), payload: Payload::Membership(members) };
     let hard_state = HardState { group: 7, term: Term(1), vote: None, commit_index: 0 };
     let durable = DurableState { hard_state, entries: vec![entry], ..DurableState::default() };
     Raft::open(Time(SECOND), Config::default(), ReplicaId(id), durable, 1).0
@@ -100,3 +104,33 @@
         assert_eq!(raft.hard_state().term, Term(1), "{id} began an election");
     }
 }
+
+/// Replica 4 without a vote.
+fn without_successor() -> Membership {
+    let role = |it: &Member| match it.role {
+        MemberRole::Incoming => MemberRole::NonVoter,
+        MemberRole::Outgoing | MemberRole::Voter | MemberRole::NonVoter => MemberRole::Voter,
+    };
+    Membership(joint().0.iter().map(|it| Member { role: role(it), ..*it }).collect())
+}
+
+#[test]
+fn a_successor_with_a_newer_log_campaigns_when_it_is_asked_for_its_vote() {
+    let mut raft = open_with(4, without_successor());
+    let now = Time(10 * SECOND);
+    let request = Message::RequestPreVote { last_index: 9, last_term: Term(0) };
+    receive(&mut raft, now, 1, request);
+    for from in [1, 2] {
+        receive(&mut raft, now, from, Message::PreVoteResponse { granted: true });
+    }
+    assert_eq!(raft.hard_state().term, Term(2), "it began an election");
+    for from in [1, 2] {
+        receive(&mut raft, now, from, Message::VoteResponse { granted: true });
+    }
+    assert_eq!(raft.leader(), Some(ReplicaId(4)));
+    for from in [1, 2] {
+        receive(&mut raft, now, from, Message::AppendAccepted { match_index: 2, sent_at: now });
+    }
+    assert_eq!(raft.commit_index(), 2);
+    assert_eq!(raft.leader(), None, "it leaves the lead to the voters");
+}
