Resume a stream only at the software version that began it

Cause: a resumption was placed like a new request. Nothing read an endpoint's version, neither when a gateway resumed a stream of its own nor when a client took one up again, and a gateway that had not begun a stream had no way to learn which version did. The class: state that decides what is correct later lived in one process only, and the later request could reach any other one.

Fix: a request can demand a version of the dispatcher, which then starts and queues it at endpoints of that version alone and refuses it at once if none is listed. A gateway demands the version that brought the first event. Before that event goes to the client it tells two other gateways (crate origin): those that rank first for the attempt by rendezvous hashing, in different domains where possible. A gateway that gets a resumption looks at home, asks up to six others, once more after 60 ms, and takes the first that knows; a gateway that shuts down hands its origins over. If nobody knows, the stream goes on only when each gateway that was asked has answered and no other version was listed for as long as a stream can last; otherwise the request is refused with 503, not run. A service of a split route is found again in the same way.

It works because the origin is at three gateways before a client can have anything to resume, and because no branch takes a version that isn't proved: refusal is the default.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -10,7 +10,7 @@
         service::{Assignment, DispatchRequest, Service},
     },
     derive_more::Debug,
-    directory::ListedEndpoint,
+    directory::{BuildId, ListedEndpoint},
     model::{Domain, MILLISECOND, Name, Time, mix},
     std::collections::{HashMap, HashSet},
 };
@@ -79,8 +79,8 @@
 
 /// Returns the retry delay that a caller is told, in milliseconds. If no endpoint takes requests
 /// now, it is the time until one does.
-fn retry_ms(now: Time, service: &Service, estimated_wait_ms: u64) -> u64 {
-    let opens_at = service.opens_at();
+fn retry_ms(now: Time, service: &Service, build: Option<BuildId>, estimated_wait_ms: u64) -> u64 {
+    let opens_at = service.opens_at(build);
     if opens_at > now && opens_at != Time::NEVER {
         return opens_at.since(now).div_ceil(MILLISECOND);
     }
@@ -131,9 +131,10 @@
     }
 
     /// Returns whether a service has an endpoint that accepts new requests, now or later.
-    pub fn has_endpoints(&self, service: &Name) -> bool {
+    /// With `build`, it must have that software version.
+    pub fn has_endpoints(&self, service: &Name, build: Option<BuildId>) -> bool {
         let service = self.services.get(service);
-        service.is_some_and(Service::has_endpoints)
+        service.is_some_and(|it| it.has_endpoints(build))
     }
 
     /// Returns the list of endpoints.
@@ -173,7 +174,14 @@
             .started_at_ms
             .zip(listed.started_at_ms)
             .is_some_and(|(old, new)| old != new);
-        if endpoint.listed.addr != listed.addr || service != listed.service || restarted {
+        let updated = endpoint
+            .listed
+            .build
+            .as_ref()
+            .zip(listed.build.as_ref())
+            .is_some_and(|it| it.0 != it.1);
+        let replaced = restarted || updated;
+        if endpoint.listed.addr != listed.addr || service != listed.service || replaced {
             self.remove(&service, handle);
             self.add_endpoint(listed.clone());
             return Some(EndpointChange::Restarted(listed.id.clone()));
@@ -214,13 +222,15 @@
             return SubmitResult::Started(assignment);
         }
         let name = request.service.clone();
-        let estimated_wait_ms = self.estimated_wait_ms(now, &name, request.priority);
+        let build = request.build;
+        let estimated_wait_ms = self.estimated_wait_ms(now, &name, build, request.priority);
         let Some(service) = self.services.get_mut(&name) else {
             return SubmitResult::Refused { retry_ms: MIN_RETRY_MS };
         };
         let too_late = now + estimated_wait_ms.saturating_mul(MILLISECOND) > request.wait_until;
-        if too_late || !service.has_endpoints() || service.queue.len() >= MAX_WAITING {
-            return SubmitResult::Refused { retry_ms: retry_ms(now, service, estimated_wait_ms) };
+        if too_late || !service.has_endpoints(build) || service.queue.len() >= MAX_WAITING {
+            let retry_ms = retry_ms(now, service, build, estimated_wait_ms);
+            return SubmitResult::Refused { retry_ms };
         }
         self.last_waiter += 1;
         let id = WaiterId(self.last_waiter);
@@ -258,13 +268,19 @@
     }
 
     /// Returns the estimated time until a request of this priority starts, in milliseconds.
-    fn estimated_wait_ms(&self, now: Time, name: &Name, priority: u8) -> u64 {
+    fn estimated_wait_ms(
+        &self,
+        now: Time,
+        name: &Name,
+        build: Option<BuildId>,
+        priority: u8,
+    ) -> u64 {
         let Some(service) = self.services.get(name) else { return MAX_RETRY_MS };
-        let opens_at = service.opens_at();
+        let opens_at = service.opens_at(build);
         if opens_at > now && opens_at != Time::NEVER {
             return opens_at.since(now).div_ceil(MILLISECOND);
         }
-        let ready = service.endpoints.iter().filter(|it| it.is_open(now));
+        let ready = service.endpoints.iter().filter(|it| it.is_open(now) && it.has_build(build));
         let running: u32 = ready.map(|it| it.load.requests(now)).sum();
         let mean_ms = self.service_times_ms.get(name).copied().unwrap_or(INITIAL_SERVICE_MS);
         let ahead = service.queue.ahead(priority) as f64 + 1.0;
@@ -420,9 +436,9 @@
         let mut expired = Vec::new();
         let names: Vec<_> = self.services.keys().cloned().collect();
         for name in names {
-            let estimated_wait_ms = self.estimated_wait_ms(now, &name, u8::MAX);
+            let estimated_wait_ms = self.estimated_wait_ms(now, &name, None, u8::MAX);
             let Some(service) = self.services.get_mut(&name) else { continue };
-            let retry_ms = retry_ms(now, service, estimated_wait_ms);
+            let retry_ms = retry_ms(now, service, None, estimated_wait_ms);
             let expired_waiters = service.queue.expire(now);
             expired.extend(expired_waiters.into_iter().map(|it| (it.id, retry_ms)));
         }
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -3,7 +3,7 @@
 use {
     crate::{health::Health, load::Load, service::PromptPart},
     derive_more::{Debug, Display},
-    directory::ListedEndpoint,
+    directory::{BuildId, ListedEndpoint},
     model::{Time, hash64, mix2},
     std::{collections::HashMap, net::SocketAddr},
 };
@@ -63,6 +63,11 @@
         self.is_staying() && self.notice.closed_until <= now
     }
 
+    /// Returns whether the endpoint has this software version, if one is required.
+    pub(crate) fn has_build(&self, build: Option<BuildId>) -> bool {
+        build.is_none_or(|it| self.listed.build_id() == it)
+    }
+
     pub(crate) fn addr(&self) -> SocketAddr {
         self.listed.addr
     }
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -51,6 +51,8 @@
     pub wait_until: Time,
     /// Endpoints that the request should not be sent to again.
     pub excluded: SmallVec<[EndpointHandle; 2]>,
+    /// The only software version that may run the request, if it continues a stream.
+    pub build: Option<BuildId>,
 }
 
 /// The endpoint that a request is assigned to.
@@ -135,14 +137,20 @@
         self.endpoints.iter_mut().find(|it| it.handle == handle)
     }
 
+    /// Returns the endpoints that take new requests, now or later. With `build`, they are those of
+    /// that software version.
+    fn staying(&self, build: Option<BuildId>) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.iter().filter(move |it| it.is_staying() && it.has_build(build))
+    }
+
     /// Returns whether an endpoint takes new requests, now or later.
-    pub(crate) fn has_endpoints(&self) -> bool {
-        self.endpoints.iter().any(Endpoint::is_staying)
+    pub(crate) fn has_endpoints(&self, build: Option<BuildId>) -> bool {
+        self.staying(build).next().is_some()
     }
 
     /// Returns when the first endpoint takes new requests.
-    pub(crate) fn opens_at(&self) -> Time {
-        let staying = self.endpoints.iter().filter(|it| it.is_staying());
+    pub(crate) fn opens_at(&self, build: Option<BuildId>) -> Time {
+        let staying = self.staying(build);
         staying.map(|it| it.notice.closed_until).min().unwrap_or(Time::NEVER)
     }
 
@@ -170,7 +178,9 @@
         request: &DispatchRequest,
         random: u64,
     ) -> Option<Assignment> {
-        let usable = |it: &Endpoint| it.is_open(now) && !request.excluded.contains(&it.handle);
+        let usable = |it: &Endpoint| {
+            it.is_open(now) && it.has_build(request.build) && !request.excluded.contains(&it.handle)
+        };
         let ready: Vec<_> = self.endpoints.iter().enumerate().filter(|it| usable(it.1)).collect();
         let healthy = self.healthy(now, &ready);
         // If no endpoint is healthy, an unhealthy one may still answer.
--- a/crates/dispatch/tests/assignment.rs
+++ b/crates/dispatch/tests/assignment.rs
@@ -240,7 +240,7 @@
     let (mut dispatcher, mut listing) = dispatcher(1, 64);
     listing[0].service = "plain".into();
     dispatcher.update_endpoints(&listing);
-    assert!(!dispatcher.has_endpoints(&"model".into()));
+    assert!(!dispatcher.has_endpoints(&"model".into(), None));
 }
 
 #[test]
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -50,6 +50,7 @@
         priority: 1,
         wait_until: now + 100 * MILLISECOND,
         excluded: SmallVec::new(),
+        build: None,
     }
 }
 
--- a/crates/dispatch/tests/common/simulation.rs
+++ b/crates/dispatch/tests/common/simulation.rs
@@ -307,6 +307,7 @@
             priority: 2,
             wait_until: by_target.min(by_deadline),
             excluded: request.excluded.clone(),
+            build: None,
         };
         let at = request.router;
         match self.routers[at].dispatcher.submit(now, ask) {
--- a/crates/dispatch/tests/notices.rs
+++ b/crates/dispatch/tests/notices.rs
@@ -52,7 +52,7 @@
 fn request_is_refused_at_once_if_all_endpoints_leave() {
     let (mut dispatcher, leaving, _) = single_endpoint();
     dispatcher.record_leaving(leaving.handle);
-    assert!(!dispatcher.has_endpoints(&"plain".into()));
+    assert!(!dispatcher.has_endpoints(&"plain".into(), None));
     let request = DispatchRequest { wait_until: NOW + 10 * SECOND, ..plain(NOW) };
     let result = dispatcher.submit(NOW, request);
     assert!(matches!(result, SubmitResult::Refused { .. }), "{result:?}");
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,16 +4,19 @@
     crate::{
         attempt::{Attempt, Failure, UpstreamResponse},
         headers::RequestHead,
+        origins,
         rejection::Rejection,
         shared::{Rejected, Shared},
         stream::ProxiedStream,
     },
     bytes::Bytes,
+    directory::BuildId,
     dispatch::{Assignment, DispatchRequest, EndpointHandle},
     edge::{Body, full, read_all},
     http::{Request, Response, StatusCode, request},
     hyper::body::Incoming,
     model::{MILLISECOND, Name, Reason, Time, hash64, mix2},
+    origin::{Origin, Record, Resolution, StreamKey, Wanted},
     route::{RouteMatch, RouteTable},
     smallvec::SmallVec,
     std::{sync::Arc, time::Duration},
@@ -147,6 +150,8 @@
     /// A hash that is the same when the client sends the request again.
     pub(crate) fingerprint: u64,
     pub(crate) tried: SmallVec<[EndpointHandle; 2]>,
+    /// The software version that began the stream, once the client has an event of it.
+    build: Option<BuildId>,
     pub(crate) sends: u32,
     /// The number of sends after which the request may have run.
     pub(crate) runs: u32,
@@ -183,6 +188,7 @@
             deadline,
             fingerprint,
             tried,
+            build: None,
             sends: 0,
             runs: 0,
             version,
@@ -193,6 +199,9 @@
     }
 
     async fn run(mut self) -> Response<Body> {
+        if let Err(rejection) = self.find_origin().await {
+            return self.reject(rejection);
+        }
         self.shared.fund_retries(&self.found.service.name);
         if self.shared.crashes.lock().is_blocked(self.shared.now(), self.fingerprint) {
             return self.reject(Rejection::Quarantined);
@@ -203,7 +212,13 @@
                 Err(rejection) => return self.reject(rejection),
             };
             match attempt.run(&mut self).await {
-                Ok(response) => return self.respond(response),
+                Ok(response) => {
+                    if let UpstreamResponse::Streaming(_, stream) = &response {
+                        let build = stream.running.pick.build;
+                        self.record_origin(build).await;
+                    }
+                    return self.respond(response);
+                }
                 Err(failure) => {
                     if !self.try_retry(&failure) {
                         return self.respond_with_failure(failure);
@@ -214,6 +229,72 @@
         }
     }
 
+    /// Returns the key of the stream that this request begins or resumes, if it has one.
+    fn stream_key(&self) -> Option<StreamKey> {
+        let head = &self.head;
+        let first = if head.is_resumption { &head.resumes } else { &head.attempt_id };
+        let team = self.team.as_deref().unwrap_or_default();
+        Some(StreamKey::new(team, first.as_ref()?.as_bytes()))
+    }
+
+    /// If the client resumes a stream, finds the service and the software version that began it.
+    async fn find_origin(&mut self) -> Result<(), Rejection> {
+        let route = self.found.route.clone();
+        if !route.resumable || !self.head.is_resumption {
+            return Ok(());
+        }
+        let service = match route.split.as_slice() {
+            [only] => Some(hash64(only.service.as_bytes())),
+            _ => None,
+        };
+        let max_age_ms = self.origin_ms();
+        let wanted = Wanted { key: self.stream_key(), service, max_age_ms };
+        let (resolution, waited) = origins::find(&self.shared, wanted).await;
+        let (origin, source) = match resolution {
+            Resolution::Known { origin, source } => (origin, source),
+            Resolution::Unknown { retry_ms } => {
+                return Err(Rejection::UnknownOrigin { retry_ms });
+            }
+        };
+        tracing::info!(
+            event = "origin-found",
+            request = self.head.id(),
+            resumes = ?self.head.resumes,
+            build = %origin.build,
+            %source,
+            after_ms = waited / MILLISECOND,
+            "gateway: found the version that began the stream"
+        );
+        self.build = Some(origin.build);
+        if hash64(self.found.service.name.as_bytes()) != origin.service {
+            let mut services = route.split.iter().map(|it| &it.service);
+            let name = services.find(|it| hash64(it.as_bytes()) == origin.service);
+            let table = self.shared.table.load();
+            let service = name.zip(table.as_ref()).and_then(|(name, table)| table.service(name));
+            self.found.service = service.ok_or(Rejection::NoVersion)?.clone();
+        }
+        Ok(())
+    }
+
+    /// Records the software version that begins a resumable stream, before the client gets its
+    /// first event.
+    async fn record_origin(&mut self, build: BuildId) {
+        if !self.found.route.resumable {
+            return;
+        }
+        self.build = Some(build);
+        let Some(key) = self.stream_key() else { return };
+        let service = hash64(self.found.service.name.as_bytes());
+        let origin = Origin { service, build };
+        origins::begin(&self.shared, Record { key, origin, keep_ms: self.origin_ms() }).await;
+    }
+
+    /// Returns how long the origin of a stream may be asked for, in milliseconds: as long as the
+    /// stream may last, and as long again for the client to resume it.
+    fn origin_ms(&self) -> u64 {
+        self.found.route.timeout_ms.saturating_mul(2)
+    }
+
     /// Waits for a slot for the next attempt.
     pub(crate) async fn next_attempt(&mut self) -> Result<Attempt, Rejection> {
         let now = self.shared.now();
@@ -223,8 +304,12 @@
             priority: self.priority,
             wait_until: self.queue_deadline(now),
             excluded: self.tried.clone(),
+            build: self.build,
         };
-        let no_endpoint = !self.shared.dispatcher.lock().has_endpoints(&ask.service);
+        let has_endpoints =
+            |build| self.shared.dispatcher.lock().has_endpoints(&ask.service, build);
+        let no_endpoint = !has_endpoints(None);
+        let no_version = !has_endpoints(self.build);
         let placement = self.shared.acquire_slot(ask).await;
         match placement {
             Ok(pick) => {
@@ -234,6 +319,7 @@
             }
             Err(Rejected { .. }) if self.runs > 0 => Err(Rejection::BadGateway),
             Err(Rejected { .. }) if no_endpoint => Err(Rejection::NoEndpoint),
+            Err(Rejected { .. }) if no_version => Err(Rejection::NoVersion),
             Err(Rejected { retry_ms }) => Err(Rejection::NoCapacity { retry_ms }),
         }
     }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -195,6 +195,8 @@
         let mut membership = self.shared.membership.lock();
         membership.routers = watched().flat_map(|it| it.routers.iter().cloned()).collect();
         membership.replicas = watched().flat_map(|it| it.replicas.iter().copied()).collect();
+        let routers = membership.routers.iter().map(|it| (it.0, &it.1));
+        self.shared.origins.lock().set_members(self.shared.settings.inner, routers);
     }
 
     /// Keeps the current source of the endpoint list for as long as that replica reads the list.
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -78,6 +78,7 @@
     let next = dispatcher.start_all_queued(now);
     shared.notify_waiters(&mut dispatcher, next);
     drop(dispatcher);
+    shared.origins.lock().update_endpoints(now, endpoints);
     shared.endpoints_loaded.store(true, Ordering::Relaxed);
     changes.iter().for_each(log);
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,11 +6,12 @@
         header_names::HeaderNames,
         layout,
         metrics::Metrics,
-        relay,
+        origins, relay,
         sampler::Sampler,
         server,
         shared::{DEREGISTER_MS, Membership, Rejected, Shared},
     },
+    ::origin::Origins,
     arc_swap::ArcSwapOption,
     directory::Directory,
     dispatch::{CrashTracker, Dispatcher},
@@ -87,7 +88,6 @@
         let dispatcher = Dispatcher::new(settings.domain.clone(), rand::random());
         let shared = Arc::new(Shared {
             dispatcher: Mutex::new(dispatcher),
-            settings,
             names,
             clock,
             dialer,
@@ -99,6 +99,10 @@
             budgets: Mutex::new(HashMap::new()),
             crashes: Mutex::new(CrashTracker::default()),
             membership: Mutex::new(Membership::default()),
+            origins: Mutex::new(Origins::new(settings.inner)),
+            lookups: Mutex::new(HashMap::new()),
+            gossip: socket.clone(),
+            settings,
             unsent_strikes: Mutex::new(Vec::new()),
             is_relay: AtomicBool::new(false),
             shutdown_at: AtomicU64::new(0),
@@ -176,6 +180,7 @@
         tracing::info!(event = "stopping", "gateway: shutting down");
         shared.shutdown_at.store(shutdown_at.0, Ordering::Relaxed);
         shared.shutdown.notify_waiters();
+        origins::leave(shared).await;
         let deregistered_at = shutdown_at + DEREGISTER_MS * MILLISECOND;
         let shutdown_deadline = shared.shutdown_deadline(shutdown_at);
         loop {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -3,9 +3,11 @@
 //! Each gateway reports what it runs. In a large fleet only gateways of its domain get the loads, and
 //! relays exchange the sums of the domains ([`dispatch::Exchange`]); all get its new prompt parts and
 //! crashes. A lost datagram costs some accuracy until the next one arrives.
+//!
+//! The messages on origins of streams ([`crate::origins`]) have the same socket and another first byte.
 
 use {
-    crate::shared::Shared,
+    crate::{origins, shared::Shared},
     bincode::{
         config::standard,
         serde::{decode_from_slice, encode_to_vec},
@@ -237,6 +239,10 @@
                 continue;
             }
         };
+        if buffer[..len].first() == Some(&origins::FORMAT_VERSION) {
+            origins::receive(&shared, from, &buffer[1..len]).await;
+            continue;
+        }
         match decode_from_slice::<GossipMessage, _>(&buffer[..len], standard()) {
             Ok((message, _)) if message.version != FORMAT_VERSION => {
                 let version = message.version;
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -41,6 +41,9 @@
     pub leaving: HeaderName,
     /// The id of the last event of a stream that the client received.
     pub last_event_id: HeaderName,
+    /// The id of the client's attempt that brought the first event of a stream which the client
+    /// resumes.
+    pub resumes: HeaderName,
     /// Further headers that only the gateway may set; they are removed from client requests.
     pub reserved: Vec<HeaderName>,
 }
@@ -63,6 +66,7 @@
             load: name("endpoint-load"),
             leaving: name("endpoint-leaving"),
             last_event_id: name("last-event-id"),
+            resumes: name("resumes"),
             reserved: Vec::new(),
         }
     }
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -18,6 +18,10 @@
     #[debug(skip)]
     pub(crate) key: Option<HeaderValue>,
     pub(crate) prompt: Option<Prompt>,
+    /// Whether the client resumes a stream after an event.
+    pub(crate) is_resumption: bool,
+    /// The attempt that brought the first event of the stream that the client resumes.
+    pub(crate) resumes: Option<HeaderValue>,
 }
 
 impl RequestHead {
@@ -32,6 +36,8 @@
             attempt_id: headers.get(&names.attempt_id).cloned(),
             deadline_ms: text(&names.deadline_ms).and_then(|it| it.trim().parse().ok()),
             key: headers.get(&names.team_key).cloned(),
+            is_resumption: headers.contains_key(&names.last_event_id),
+            resumes: headers.get(&names.resumes).cloned(),
             prompt: prompt.map(|parts| Prompt {
                 tokens: tokens.unwrap_or_else(|| parts.iter().map(|it| it.tokens).sum()),
                 parts,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod headers;
 mod layout;
 mod metrics;
+mod origins;
 mod rejection;
 mod relay;
 mod sampler;
--- a/crates/gateway/src/rejection.rs
+++ b/crates/gateway/src/rejection.rs
@@ -23,6 +23,10 @@
     Stopping,
     #[display("no endpoint is known for the service")]
     NoEndpoint,
+    #[display("no endpoint of the version that began the stream")]
+    NoVersion,
+    #[display("the version that began the stream is not known")]
+    UnknownOrigin { retry_ms: u64 },
     #[display("no endpoint has capacity in time")]
     NoCapacity { retry_ms: u64 },
     #[display("request is quarantined because it crashed endpoints")]
@@ -55,6 +59,8 @@
             Rejection::TooLarge => "too-large",
             Rejection::BadBody => "bad-body",
             Rejection::NoEndpoint => "no-endpoint",
+            Rejection::NoVersion => "no-version",
+            Rejection::UnknownOrigin { .. } => "unknown-origin",
             Rejection::NoCapacity { .. } => "no-room",
             Rejection::Quarantined => "quarantined",
             Rejection::BadGateway => "broken",
@@ -71,6 +77,8 @@
             Rejection::NoConfiguration { .. }
             | Rejection::Stopping
             | Rejection::NoEndpoint
+            | Rejection::NoVersion
+            | Rejection::UnknownOrigin { .. }
             | Rejection::NoCapacity { .. }
             | Rejection::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Rejection::BadGateway => StatusCode::BAD_GATEWAY,
@@ -80,11 +88,11 @@
 
     fn retry_ms(self) -> Option<u64> {
         match self {
-            Rejection::NoCapacity { retry_ms } | Rejection::NoConfiguration { retry_ms } => {
-                Some(retry_ms)
-            }
+            Rejection::NoCapacity { retry_ms }
+            | Rejection::NoConfiguration { retry_ms }
+            | Rejection::UnknownOrigin { retry_ms } => Some(retry_ms),
             Rejection::Stopping => Some(STOPPING_RETRY_MS),
-            Rejection::NoEndpoint => Some(NO_ENDPOINT_RETRY_MS),
+            Rejection::NoEndpoint | Rejection::NoVersion => Some(NO_ENDPOINT_RETRY_MS),
             Rejection::Quarantined => Some(QUARANTINE_RETRY_MS),
             _ => None,
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by all tasks of a gateway.
 //!
-//! Lock order: `layout_history`, `dispatcher`, `waiters`. All other locks are leaves. No lock is held across an await.
+//! Lock order: `layout_history`, `dispatcher`, `waiters`; `membership`, `origins`, `lookups`. All other locks are leaves. No lock is held across an await.
 
 use {
     crate::{header_names::HeaderNames, metrics::Metrics, sampler::Sampler},
@@ -12,6 +12,7 @@
     },
     fanout::ConfigHistory,
     model::{Domain, MILLISECOND, Name, Time},
+    origin::{LookupId, Origins, Resolution},
     parking_lot::Mutex,
     route::RouteTable,
     settings::GatewaySettings,
@@ -24,6 +25,7 @@
         },
     },
     tokio::{
+        net::UdpSocket,
         sync::{Notify, oneshot, watch},
         time::Instant,
     },
@@ -92,6 +94,11 @@
     pub(crate) budgets: Mutex<HashMap<Name, RetryBudget>>,
     pub(crate) crashes: Mutex<CrashTracker>,
     pub(crate) membership: Mutex<Membership>,
+    pub(crate) origins: Mutex<Origins>,
+    /// The requests that wait for the origin of a stream.
+    pub(crate) lookups: Mutex<HashMap<LookupId, oneshot::Sender<Resolution>>>,
+    /// The socket for messages between gateways.
+    pub(crate) gossip: Arc<UdpSocket>,
     /// Crashes that have not been sent to other gateways yet.
     pub(crate) unsent_strikes: Mutex<Vec<(u64, u64)>>,
     /// Whether this gateway exchanges the sums of its domain's loads with other domains.
--- /dev/null
+++ b/crates/origin/src/builds.rs
@@ -0,0 +1,56 @@
+//! The software versions of each service that were listed lately.
+
+use {
+    crate::table::MAX_KEEP_MS,
+    derive_more::Debug,
+    directory::{BuildId, ListedEndpoint},
+    model::{MILLISECOND, Time, hash64},
+    std::collections::{BTreeSet, HashMap},
+};
+
+/// The versions listed since this process has had a list.
+#[derive(Default, Debug)]
+pub(crate) struct Builds {
+    /// When the first list arrived.
+    since: Option<Time>,
+    /// The versions of each service in the current list, by the hash of the service's name.
+    listed: HashMap<u64, BTreeSet<BuildId>>,
+    /// When versions that are not listed any more left.
+    left: HashMap<u64, Vec<(BuildId, Time)>>,
+}
+
+impl Builds {
+    /// Records a complete list.
+    pub(crate) fn update(&mut self, now: Time, endpoints: &[ListedEndpoint]) {
+        self.since.get_or_insert(now);
+        let mut listed: HashMap<u64, BTreeSet<BuildId>> = HashMap::new();
+        for endpoint in endpoints {
+            let service = hash64(endpoint.service.as_bytes());
+            listed.entry(service).or_default().insert(endpoint.build_id());
+        }
+        let before = std::mem::replace(&mut self.listed, listed);
+        for (service, builds) in before {
+            let kept = self.listed.get(&service);
+            let gone = builds.into_iter().filter(|it| !kept.is_some_and(|kept| kept.contains(it)));
+            self.left.entry(service).or_default().extend(gone.map(|it| (it, now)));
+        }
+        self.left.retain(|_, it| {
+            it.retain(|(_, at)| *at + MAX_KEEP_MS * MILLISECOND > now);
+            !it.is_empty()
+        });
+    }
+
+    /// Returns the only version of a service that can have begun a stream after `from`. The error
+    /// is the time as of which a list may prove it, or [`Time::NEVER`].
+    pub(crate) fn only_one(&self, from: Option<Time>, service: u64) -> Result<BuildId, Time> {
+        let since = self.since.ok_or(Time::NEVER)?;
+        let mut listed = self.listed.get(&service).into_iter().flatten();
+        let (Some(only), None) = (listed.next(), listed.next()) else { return Err(Time::NEVER) };
+        let left = self.left.get(&service).into_iter().flatten().filter(|it| it.0 != *only);
+        let last_change = left.map(|it| it.1).fold(since, Time::max);
+        match from {
+            Some(from) if last_change <= from => Ok(*only),
+            _ => Err(last_change),
+        }
+    }
+}
--- /dev/null
+++ b/crates/origin/src/message.rs
@@ -0,0 +1,56 @@
+//! What routers tell each other.
+
+use {
+    derive_more::{Debug, Display},
+    directory::BuildId,
+    model::{hash64, mix2},
+    serde::{Deserialize, Serialize},
+};
+
+/// Identifies a stream: a hash of its team and of the attempt that brought its first event.
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Debug, Display,
+)]
+#[display("{_0:x}")]
+pub struct StreamKey(pub u64);
+
+impl StreamKey {
+    /// Returns the key of the stream that an attempt of a team began.
+    pub fn new(team: &str, attempt_id: &[u8]) -> StreamKey {
+        StreamKey(mix2(hash64(team.as_bytes()), hash64(attempt_id)))
+    }
+}
+
+/// Where a stream began.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, Debug)]
+pub struct Origin {
+    /// The hash of the service's name.
+    pub service: u64,
+    /// The software version of the endpoint.
+    pub build: BuildId,
+}
+
+/// The origin of one stream.
+#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
+pub struct Record {
+    /// The stream.
+    pub key: StreamKey,
+    /// Where it began.
+    pub origin: Origin,
+    /// How much longer the origin is of use, in milliseconds.
+    pub keep_ms: u64,
+}
+
+/// A message between routers. Encoded by `bincode`, so the order of the variants and fields is the
+/// wire format.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
+pub enum Message {
+    /// The receiver is to keep these origins.
+    Tell(Vec<Record>),
+    /// Asks for the origin of a stream.
+    Ask(StreamKey),
+    /// The sender knows the origin of a stream.
+    Known(Record),
+    /// The sender does not know the origin of a stream.
+    NotKnown(StreamKey),
+}
