--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,12 +6,13 @@
         header_names::HeaderNames,
         layout,
         metrics::Metrics,
-        relay,
+        origins, relay,
         response_memory::ResponseMemory,
         sampler::Sampler,
         server,
         shared::{DEREGISTER_MS, Membership, Rejected, Shared, ShutdownPhase},
     },
+    ::origin::Origins,
     arc_swap::ArcSwapOption,
     directory::Directory,
     dispatch::{CrashTracker, Dispatcher},
@@ -100,7 +101,6 @@
         let dispatcher = Dispatcher::new(settings.domain.clone(), rand::random());
         let shared = Arc::new(Shared {
             dispatcher: Mutex::new(dispatcher),
-            settings,
             names,
             clock,
             dialer,
@@ -112,6 +112,10 @@
             budgets: Mutex::new(HashMap::new()),
             crashes: Mutex::new(CrashTracker::default()),
             membership: Mutex::new(Membership::default()),
+            origins: Mutex::new(Origins::new(settings.inner)),
+            lookups: Mutex::new(HashMap::new()),
+            gossip: socket.clone(),
+            settings,
             unsent_strikes: Mutex::new(Vec::new()),
             is_relay: AtomicBool::new(false),
             shutdown_at: AtomicU64::new(0),
@@ -193,6 +197,7 @@
         shared.shutdown_at.store(shutdown_at.0, Ordering::Relaxed);
         shared.shutdown_phase.send_replace(ShutdownPhase::Draining);
         log_shutdown(&shared, "stopping", "gateway: shutting down");
+        origins::leave(&shared).await;
         let expires_at = shared.shutdown_deadline(shutdown_at);
         let deregistered_at = (shutdown_at + DEREGISTER_MS * MILLISECOND).min(expires_at);
         sleep_until(shared.clock.deadline(deregistered_at)).await;
