--- a/crates/gateway/src/replacement.rs
+++ b/crates/gateway/src/replacement.rs
@@ -1,5 +1,5 @@
-//! Seeks another endpoint for a request whose endpoint is silent. A silent endpoint may still go on,
-//! so its exchange is kept until a replacement can be used at once.
+//! Seeks another endpoint for a request whose endpoint is silent. A silent endpoint may still go
+//! on, so its exchange is kept until a replacement can be used at once.
 
 use {
     crate::{attempt::Attempt, call::Call},
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -18,8 +18,8 @@
     tokio::time::timeout_at,
 };
 
-/// Another endpoint is sought for a resumable stream after a gap of this multiple of the route's longest
-/// acceptable gap.
+/// Another endpoint is sought for a resumable stream after a gap of this multiple of the route's
+/// longest acceptable gap.
 const EVENT_GAP_FACTOR: u64 = 3;
 
 /// The minimum gap before another endpoint is sought for a stream, in milliseconds.
