Ask clients back soon while a gateway that has just started may not know the others

A gateway that started a moment ago may get a resumption before control has told it the other gateways. It then has nobody to ask and refused the request with a Retry-After of up to twice the route's timeout, though others know the origin. Until 2 s after its first list it now says 1 s.

--- a/crates/origin/src/builds.rs
+++ b/crates/origin/src/builds.rs
@@ -40,6 +40,11 @@
         });
     }
 
+    /// Returns whether the first list arrived more than `ms` milliseconds ago.
+    pub(crate) fn is_older_than(&self, now: Time, ms: u64) -> bool {
+        self.since.is_some_and(|it| it + ms * MILLISECOND <= now)
+    }
+
     /// Returns the only version of a service that can have begun a stream after `from`. The error
     /// is the time as of which a list may prove it, or [`Time::NEVER`].
     pub(crate) fn only_one(&self, from: Option<Time>, service: u64) -> Result<BuildId, Time> {
--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -33,6 +33,9 @@
 /// The maximum number of lookups at a time. Each waits for [`GIVE_UP_MS`] at most.
 const MAX_LOOKUPS: usize = 4_096;
 
+/// How long after the first list of endpoints other routers may not be known yet, in milliseconds.
+const SETTLE_MS: u64 = 2_000;
+
 /// The shortest retry delay that a caller is told, in milliseconds.
 const MIN_RETRY_MS: u64 = 1_000;
 
@@ -287,6 +290,10 @@
                 let origin = Origin { service, build };
                 Resolution::Known { origin, source: Source::OnlyVersion }
             }
+            // Those that keep the origin may not be known here yet.
+            Err(_) if !self.builds.is_older_than(now, SETTLE_MS) => {
+                Resolution::Unknown { retry_ms: MIN_RETRY_MS }
+            }
             Err(Time::NEVER) => Resolution::Unknown { retry_ms: max_age_ms.max(MIN_RETRY_MS) },
             Err(since) => {
                 let left_ms = (since + max_age).since(now).div_ceil(MILLISECOND);
--- a/crates/origin/tests/fleet.rs
+++ b/crates/origin/tests/fleet.rs
@@ -400,6 +400,21 @@
     assert!(matches!(result, Resolution::Unknown { .. }), "{result:?}");
 }
 
+#[test]
+fn router_that_has_just_started_asks_the_client_to_return_soon() {
+    let mut origins = Origins::new(addr(0));
+    origins.update_endpoints(Time(0), &[endpoint("v1")]);
+    let mut retry_ms = |at| {
+        let actions = origins.look_up(Time(at * MILLISECOND), wanted(StreamKey(7))).1;
+        match actions[..] {
+            [Action::Resolve { resolution: Resolution::Unknown { retry_ms }, .. }] => retry_ms,
+            _ => panic!("expected a refusal, found {actions:?}"),
+        }
+    };
+    assert_eq!(retry_ms(500), 1_000);
+    assert_eq!(retry_ms(4_000), 6_000);
+}
+
 #[test]
 fn only_version_is_proved_once_the_list_is_older_than_any_stream() {
     let mut fleet = Fleet::new(3, 0, 1);
