--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -5,6 +5,7 @@
 use {
     common::{Behavior, Client, Endpoint, Fixture, ReceivedRequest, Response, layout, wait_until},
     gateway::Gateway,
+    route::{Service, WeightedService},
     rstest::rstest,
     std::{net::SocketAddr, time::Duration},
     tokio::time::sleep,
@@ -207,3 +208,30 @@
     sleep(Duration::from_millis(300)).await;
     assert_eq!(resume(fixture.addr, "s1-1", "s1").await.status, 503);
 }
+
+#[tokio::test]
+async fn stream_of_a_split_route_is_resumed_at_the_service_that_began_it() {
+    let endpoints = Endpoints::start(&Behavior::Events(0..3)).await;
+    let mut layout = layout(1);
+    let other = Service { name: "other".into(), ..layout.services[1].clone() };
+    layout.services.push(other);
+    let split = [("model", 1), ("other", 1)];
+    let split = split.map(|(service, weight)| WeightedService { service: service.into(), weight });
+    layout.routes.iter_mut().for_each(|it| {
+        if it.resumable {
+            it.split = split.clone().into();
+        }
+    });
+    let mut listing = endpoints.listing();
+    // Both services have the same version, so that only the service tells them apart.
+    listing[2..].iter_mut().for_each(|it| {
+        (it.service, it.build) = ("other".into(), Some("v1".into()));
+    });
+    let fixture = Fixture::start(&layout, &listing).await;
+    for stream in 0..STREAMS {
+        let first = format!("s{stream}");
+        assert_eq!(begin(fixture.addr, &first).await.status, 200);
+        assert_eq!(resume(fixture.addr, &format!("{first}-1"), &first).await.status, 200);
+    }
+    assert_eq!(endpoints.resumptions(), (STREAMS, 0));
+}
