Limit what the tools' HTTP client collects of a response

A gateway whose control replicas are silent, and control itself, read the platform's list of endpoints by this client, and routers probe endpoints by it. It collected a body of any size, and each of its parts, until its timeout, so a list without end could exhaust the memory of the process.

`Client::call` now reads at most 16 MB into one buffer and then closes the connection. A page of the platform's list is limited to 1 MB, which is over 3,000 entries; decoding takes a multiple of it.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -5,26 +5,30 @@
 
 use {
     crate::{
-        body::Body,
+        body::{Body, read_all},
         error::{HttpError, HttpStep},
     },
     bytes::Bytes,
     http::{Request, Response, header},
-    http_body_util::BodyExt,
     hyper::body::Incoming,
     hyper_util::{
         client::legacy::{Client as PoolClient, connect::HttpConnector},
         rt::{TokioExecutor, TokioTimer},
     },
+    model::Reason,
     std::{net::SocketAddr, time::Duration},
     tokio::time::timeout,
 };
 
+/// The default limit on the body of a response, in bytes.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
 /// An HTTP client with a connection pool.
 #[derive(Clone)]
 pub struct Client {
     pool: PoolClient<HttpConnector, Body>,
     timeout: Duration,
+    max_body: usize,
 }
 
 impl Client {
@@ -37,7 +41,12 @@
         let pool = PoolClient::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .build(connector);
-        Client { pool, timeout: Duration::from_millis(timeout_ms) }
+        Client { pool, timeout: Duration::from_millis(timeout_ms), max_body: MAX_BODY_BYTES }
+    }
+
+    /// Limits the bodies that [`Client::call`] returns to `bytes`; without this the limit is 16 MB.
+    pub fn with_limit(self, bytes: usize) -> Client {
+        Client { max_body: bytes, ..self }
     }
 
     /// Sends a request to `peer` and returns the response as soon as its head has been received.
@@ -68,7 +77,8 @@
     ///
     /// # Errors
     ///
-    /// As for [`Client::send`], or the body of the response cannot be read completely in time.
+    /// As for [`Client::send`], or the body of the response cannot be read completely in time, or
+    /// exceeds the limit.
     pub async fn call(
         &self,
         peer: SocketAddr,
@@ -85,9 +95,17 @@
             request.body(body).map_err(|it| HttpError::new(HttpStep::Exchange, peer, it))?;
         let response = self.send(peer, request).await?;
         let status = response.status().as_u16();
-        let result = timeout(self.timeout, response.into_body().collect()).await;
+        let body = read_all(response.into_body(), self.max_body, self.timeout);
+        let result = timeout(self.timeout, body).await;
         let result = result.map_err(|it| HttpError::new(HttpStep::Body, peer, it))?;
-        let body = result.map_err(|it| HttpError::new(HttpStep::Body, peer, it))?;
-        Ok((status, body.to_bytes()))
+        let body = result.map_err(|it| HttpError::new(HttpStep::Body, peer, body_error(it)))?;
+        Ok((status, body))
+    }
+}
+
+fn body_error(reason: Reason) -> &'static str {
+    match reason {
+        Reason::TooLarge => "response body is too large",
+        _ => "response body is incomplete",
     }
 }
