--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -153,8 +153,7 @@
 const BURST_INTERVAL_MS: u64 = 300;
 
 impl FaultPlan {
-    /// Generates a run with planned work only: graceful stops and reloads of gateways in overlapping series, and publishes,
-    /// with twice the callers.
+    /// Generates a run with planned work only: graceful stops and reloads of gateways in overlapping series, and publishes.
     pub fn planned_work(seed: u64, size: FleetSize, duration: Duration) -> FaultPlan {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let end_ms = duration.as_millis() as u64;
@@ -174,7 +173,6 @@
             steps.push(ScheduledFault { at, duration, fault });
             at_ms += rng.random_range(1..=2 * PLANNED_INTERVAL_MS);
         }
-        let size = FleetSize { callers: 2 * size.callers, ..size };
         FaultPlan { seed, size, duration, steps }
     }
 
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -18,3 +18,14 @@
     let report = run_plan(&plan, &binaries().unwrap(), folder.path()).await.unwrap();
     assert!(report.passed(), "{report:#?}");
 }
+
+#[rstest]
+#[case::requests_reset_on_idle_connections(1, SHORT)]
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_work_loses_no_request(#[case] seed: u64, #[case] duration: Duration) {
+    let folder = tempfile::tempdir().unwrap();
+    let plan = FaultPlan::planned_work(seed, FleetSize::SMALL, duration);
+    let report = run_plan(&plan, &binaries().unwrap(), folder.path()).await.unwrap();
+    assert!(report.passed(), "{report:#?}");
+    assert!(report.cuts.planned > 0, "{report:#?}");
+}
