Limit the parts of a buffered response

A buffered response now has at most 65,536 parts.

Evidence: case chunks of endless_response_does_not_hold_its_request, 2 s allowed, passes now with the other 36 of the file. A response of more than 128 bytes a chunk reaches the limit on its size first.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -27,6 +27,10 @@
 /// that a truncated one can be retried on another endpoint.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 << 20;
 
+/// The maximum number of parts, such as chunks, of a non-streaming response. A
+/// response in tiny parts takes far more time than its size suggests.
+const MAX_BUFFERED_RESPONSE_PARTS: usize = 1 << 16;
+
 /// A retryable request times out after this multiple of its route's target time, but not before
 /// [`MIN_RESPONSE_TIMEOUT_MS`].
 const SLOW_FACTOR: u64 = 3;
@@ -86,6 +90,9 @@
     /// It exceeds the maximum size.
     #[display("longer than {MAX_BUFFERED_RESPONSE_BYTES} bytes")]
     TooLong,
+    /// It exceeds the maximum number of parts.
+    #[display("more than {MAX_BUFFERED_RESPONSE_PARTS} parts")]
+    TooManyParts,
     /// It exceeds the memory left for responses.
     #[display("no memory left for a response of {bytes} bytes")]
     NoMemory { bytes: usize },
@@ -337,8 +344,13 @@
     mut reservation: Reservation,
 ) -> Result<Bytes, BodyError> {
     let mut bytes = Vec::new();
+    let mut parts = 0;
     while let Some(part) = body.next().await {
         let part = part.map_err(|cause| BodyError::Broken { cause })?;
+        parts += 1;
+        if parts > MAX_BUFFERED_RESPONSE_PARTS {
+            return Err(BodyError::TooManyParts);
+        }
         let length = bytes.len() + part.len();
         if length > MAX_BUFFERED_RESPONSE_BYTES {
             return Err(BodyError::TooLong);
