Let other gateways prove that a service had only one software version

A gateway that is asked and doesn't know an origin now says which version its lists prove to be the only one. The asker goes by it if its own lists since its start show the same version alone; for a stream that is named all that were asked must still have answered. A resumption without a name asks too, as it can't have holders.

--- a/crates/origin/src/builds.rs
+++ b/crates/origin/src/builds.rs
@@ -45,6 +45,11 @@
         self.since.is_some_and(|it| it + ms * MILLISECOND <= now)
     }
 
+    /// Returns the only version of a service that was listed since the first list.
+    pub(crate) fn only_one_ever(&self, service: u64) -> Option<BuildId> {
+        self.only_one(self.since, service).ok()
+    }
+
     /// Returns the only version of a service that can have begun a stream after `from`. The error
     /// is the time as of which a list may prove it, or [`Time::NEVER`].
     pub(crate) fn only_one(&self, from: Option<Time>, service: u64) -> Result<BuildId, Time> {
--- a/crates/origin/src/lib.rs
+++ b/crates/origin/src/lib.rs
@@ -15,6 +15,6 @@
 mod table;
 
 pub use crate::{
-    message::{Message, Origin, Record, StreamKey},
-    origins::{Action, LookupId, Origins, Resolution, Source, Wanted},
+    message::{Message, Origin, Record, StreamKey, Wanted},
+    origins::{Action, LookupId, Origins, Resolution, Source},
 };
--- a/crates/origin/src/message.rs
+++ b/crates/origin/src/message.rs
@@ -41,6 +41,17 @@
     pub keep_ms: u64,
 }
 
+/// A stream whose origin is to be found.
+#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
+pub struct Wanted {
+    /// The stream, if the client named the attempt that began it.
+    pub key: Option<StreamKey>,
+    /// The hash of the only service that can have begun it, if there is only one.
+    pub service: Option<u64>,
+    /// How long ago it may have begun at most, in milliseconds.
+    pub max_age_ms: u64,
+}
+
 /// A message between routers. Encoded by `bincode`, so the order of the variants and fields is the
 /// wire format.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
@@ -48,9 +59,14 @@
     /// The receiver is to keep these origins.
     Tell(Vec<Record>),
     /// Asks for the origin of a stream.
-    Ask(StreamKey),
+    Ask(Wanted),
     /// The sender knows the origin of a stream.
     Known(Record),
     /// The sender does not know the origin of a stream.
-    NotKnown(StreamKey),
+    NotKnown {
+        /// The question.
+        wanted: Wanted,
+        /// The only version that can have begun the stream by the sender's lists.
+        only: Option<BuildId>,
+    },
 }
--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -4,13 +4,13 @@
     crate::{
         builds::Builds,
         members::Members,
-        message::{Message, Origin, Record, StreamKey},
+        message::{Message, Origin, Record, Wanted},
         table::{MAX_KEEP_MS, Table},
     },
     derive_more::{Debug, Display},
-    directory::ListedEndpoint,
+    directory::{BuildId, ListedEndpoint},
     model::{Domain, MILLISECOND, Time},
-    smallvec::{SmallVec, smallvec},
+    smallvec::SmallVec,
     std::{collections::BTreeMap, net::SocketAddr},
 };
 
@@ -94,17 +94,6 @@
     },
 }
 
-/// A stream whose origin is to be found.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct Wanted {
-    /// The stream, if the client named the attempt that began it.
-    pub key: Option<StreamKey>,
-    /// The hash of the only service that can have begun it, if there is only one.
-    pub service: Option<u64>,
-    /// How long ago it may have begun at most, in milliseconds.
-    pub max_age_ms: u64,
-}
-
 #[derive(Debug)]
 struct Lookup {
     wanted: Wanted,
@@ -112,6 +101,8 @@
     asked: SmallVec<[SocketAddr; MAX_ASKED]>,
     /// Those of them that have not answered.
     silent: SmallVec<[SocketAddr; MAX_ASKED]>,
+    /// The only version that can have begun the stream by the lists of a router that was asked.
+    only: Option<BuildId>,
     /// When the silent ones are asked once more.
     resend_at: Time,
     give_up_at: Time,
@@ -193,14 +184,18 @@
         if let Some(Record { origin, .. }) = own {
             return (id, vec![resolve(id, Resolution::Known { origin, source: Source::Own })]);
         }
-        let asked: SmallVec<[SocketAddr; MAX_ASKED]> = match wanted.key {
-            Some(key) => self.members.ranked(key.0).take(MAX_ASKED).collect(),
-            None => smallvec![],
+        // Without a key, others can only add to what the own lists prove.
+        let rank_key = match wanted.key {
+            Some(key) => Some(key.0),
+            None => wanted.service.filter(|_| self.only_version(now, &wanted).is_err()),
         };
+        let ranked = rank_key.into_iter().flat_map(|it| self.members.ranked(it).take(MAX_ASKED));
+        let asked: SmallVec<[SocketAddr; MAX_ASKED]> = ranked.collect();
         let lookup = Lookup {
             wanted,
             silent: asked.clone(),
             asked,
+            only: None,
             resend_at: now + RESEND_MS * MILLISECOND,
             give_up_at: now + GIVE_UP_MS * MILLISECOND,
         };
@@ -219,12 +214,14 @@
                 records.iter().take(MAX_RECORDS).for_each(|it| self.table.record(now, it));
                 Vec::new()
             }
-            Message::Ask(key) => {
-                let known = self.table.get(now, key).map(Message::Known);
-                vec![send(from, known.unwrap_or(Message::NotKnown(key)))]
+            Message::Ask(wanted) => {
+                let known = wanted.key.and_then(|it| self.table.get(now, it));
+                let only = || self.only_version(now, &wanted).ok().map(|it| it.build);
+                let not_known = || Message::NotKnown { wanted, only: only() };
+                vec![send(from, known.map_or_else(not_known, Message::Known))]
             }
             Message::Known(record) => self.on_known(now, from, &record),
-            Message::NotKnown(key) => self.on_not_known(now, from, key),
+            Message::NotKnown { wanted, only } => self.on_not_known(now, from, wanted, only),
         }
     }
 
@@ -243,12 +240,21 @@
         answered.into_iter().map(|it| resolve(it, resolution)).collect()
     }
 
-    fn on_not_known(&mut self, now: Time, from: SocketAddr, key: StreamKey) -> Vec<Action> {
-        for lookup in self.lookups.values_mut().filter(|it| it.wanted.key == Some(key)) {
+    fn on_not_known(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        wanted: Wanted,
+        only: Option<BuildId>,
+    ) -> Vec<Action> {
+        let is_answered = |it: &&mut Lookup| it.wanted == wanted && it.asked.contains(&from);
+        for lookup in self.lookups.values_mut().filter(is_answered) {
             lookup.silent.retain(|it| *it != from);
+            lookup.only = lookup.only.or(only);
         }
-        let ended = self.lookups.extract_if(.., |_, it| it.silent.is_empty());
-        let ended: Vec<_> = ended.collect();
+        let is_ended =
+            |it: &Lookup| it.silent.is_empty() || (it.wanted.key.is_none() && it.only.is_some());
+        let ended: Vec<_> = self.lookups.extract_if(.., |_, it| is_ended(it)).collect();
         ended.iter().map(|(id, it)| resolve(*id, self.conclude(now, it))).collect()
     }
 
@@ -271,31 +277,45 @@
         deadlines.min().unwrap_or(Time::NEVER)
     }
 
+    /// Returns the only origin that a stream can have by the own lists. The error is the time as of
+    /// which they may prove it, or [`Time::NEVER`].
+    fn only_version(&self, now: Time, wanted: &Wanted) -> Result<Origin, Time> {
+        let service = wanted.service.ok_or(Time::NEVER)?;
+        let max_age = wanted.max_age_ms.min(MAX_KEEP_MS) * MILLISECOND;
+        let from = now.0.checked_sub(max_age).map(Time);
+        Ok(Origin { service, build: self.builds.only_one(from, service)? })
+    }
+
+    /// Returns the only origin that a stream can have by the lists of a router that was asked, and
+    /// by the own ones since this router started.
+    fn only_version_by_peer(&self, lookup: &Lookup) -> Option<Origin> {
+        let (service, build) = lookup.wanted.service.zip(lookup.only)?;
+        let agrees = self.builds.only_one_ever(service) == Some(build);
+        agrees.then_some(Origin { service, build })
+    }
+
     /// Returns the result of a lookup that found nobody who knows the origin.
     fn conclude(&self, now: Time, lookup: &Lookup) -> Resolution {
-        let Wanted { key, service, max_age_ms } = lookup.wanted;
+        let Wanted { key, max_age_ms, .. } = lookup.wanted;
         // The origin may have arrived from another router meanwhile.
         if let Some(Record { origin, .. }) = key.and_then(|it| self.table.get(now, it)) {
             return Resolution::Known { origin, source: Source::Own };
         }
-        // A router that is silent may know of a version that is not listed here yet.
-        if !lookup.silent.is_empty() {
+        // A silent router may keep the origin, or know of a version that is not listed here yet.
+        if key.is_some() && !lookup.silent.is_empty() {
             return Resolution::Unknown { retry_ms: MIN_RETRY_MS };
         }
-        let max_age = max_age_ms.min(MAX_KEEP_MS) * MILLISECOND;
-        let from = now.0.checked_sub(max_age).map(Time);
-        let only = service.map_or(Err(Time::NEVER), |it| Ok((it, self.builds.only_one(from, it)?)));
+        let own = self.only_version(now, &lookup.wanted);
+        let only = own.or_else(|err| self.only_version_by_peer(lookup).ok_or(err));
         match only {
-            Ok((service, build)) => {
-                let origin = Origin { service, build };
-                Resolution::Known { origin, source: Source::OnlyVersion }
-            }
-            // Those that keep the origin may not be known here yet.
-            Err(_) if !self.builds.is_older_than(now, SETTLE_MS) => {
+            Ok(origin) => Resolution::Known { origin, source: Source::OnlyVersion },
+            // Others may not be known here yet, or may answer later.
+            Err(_) if !self.builds.is_older_than(now, SETTLE_MS) || !lookup.silent.is_empty() => {
                 Resolution::Unknown { retry_ms: MIN_RETRY_MS }
             }
             Err(Time::NEVER) => Resolution::Unknown { retry_ms: max_age_ms.max(MIN_RETRY_MS) },
             Err(since) => {
+                let max_age = max_age_ms.min(MAX_KEEP_MS) * MILLISECOND;
                 let left_ms = (since + max_age).since(now).div_ceil(MILLISECOND);
                 Resolution::Unknown { retry_ms: left_ms.max(MIN_RETRY_MS) }
             }
@@ -304,8 +324,7 @@
 }
 
 fn ask(lookup: &Lookup) -> Vec<Action> {
-    let Some(key) = lookup.wanted.key else { return Vec::new() };
-    lookup.silent.iter().map(|to| send(*to, Message::Ask(key))).collect()
+    lookup.silent.iter().map(|to| send(*to, Message::Ask(lookup.wanted))).collect()
 }
 
 fn send(to: SocketAddr, message: Message) -> Action {
