Wait for the retry budget after a silent endpoint was left for one that refuses

The way back costs a retry, which is not secured when the silent exchange is closed. The request now waits for the budget, which other requests refill, until its deadline or until its client leaves. Requests whose endpoint failed still end at once.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -19,6 +19,7 @@
     route::{RouteMatch, RouteTable},
     smallvec::SmallVec,
     std::{sync::Arc, time::Duration},
+    tokio::time::sleep,
 };
 
 /// The share of its target time that a request may wait for capacity, in percent. The rest must
@@ -42,6 +43,9 @@
 /// not run the request.
 const EXTRA_SENDS: u32 = 2;
 
+/// How often a request that waits for the retry budget checks it.
+const BUDGET_POLL: Duration = Duration::from_millis(100);
+
 /// How long the rest of a rejected request is read, in milliseconds.
 const MAX_DISCARD_MS: u64 = 1_000;
 
@@ -236,7 +240,7 @@
             match self.exchange(attempt, EventBuffer::default()).await {
                 ExchangeEnd::Finished(Ok(response)) => return self.respond(response),
                 ExchangeEnd::Finished(Err(failure)) => {
-                    if !self.try_retry(&failure) {
+                    if !self.wait_to_retry(&failure).await {
                         return self.respond_with_failure(failure);
                     }
                     self.log_retry(&failure.to_string());
@@ -342,15 +346,34 @@
     /// Returns whether a request that failed this way may be sent to another endpoint. A retry is
     /// charged to the budget, except after [`Failure::NotSent`].
     pub(crate) fn try_retry(&self, failure: &Failure) -> bool {
-        let route = &self.found.route;
-        let in_time = self.left_ms() > 0;
+        let is_free = matches!(failure, Failure::NotSent { .. });
+        self.may_retry(failure)
+            && (is_free || self.shared.try_spend_retry(&self.found.service.name))
+    }
+
+    /// Like [`Call::try_retry`]. Waits for the retry budget if a silent endpoint was left for one
+    /// that refused the request.
+    pub(crate) async fn wait_to_retry(&self, failure: &Failure) -> bool {
+        let waits = !self.silent.is_empty() && matches!(failure, Failure::NotRun { .. });
+        loop {
+            if self.try_retry(failure) {
+                return true;
+            }
+            if !waits || !self.may_retry(failure) {
+                return false;
+            }
+            sleep(BUDGET_POLL).await;
+        }
+    }
+
+    fn may_retry(&self, failure: &Failure) -> bool {
         let allowed = match failure {
-            Failure::NotSent { .. } => return in_time && self.tried.len() < 6,
-            Failure::NotRun { .. } => self.sends < route.attempts + EXTRA_SENDS,
+            Failure::NotSent { .. } => self.tried.len() < 6,
+            Failure::NotRun { .. } => self.sends < self.found.route.attempts + EXTRA_SENDS,
             Failure::Indeterminate { .. } | Failure::Failed(_) => self.may_run_again(),
             Failure::DeadlineExceeded => false,
         };
-        allowed && in_time && self.shared.try_spend_retry(&self.found.service.name)
+        allowed && self.left_ms() > 0
     }
 
     /// Returns whether a request that may have run may be sent to another endpoint, if the retry
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -131,7 +131,7 @@
         drop(previous);
         let mut failure = Failure::Indeterminate { reason };
         loop {
-            if replacement.is_none() && !(resumable && self.call.try_retry(&failure)) {
+            if replacement.is_none() && !(resumable && self.call.wait_to_retry(&failure).await) {
                 return Err(self.abort(&failure.to_string()));
             }
             tracing::info!(
--- a/crates/gateway/tests/silence.rs
+++ b/crates/gateway/tests/silence.rs
@@ -228,3 +228,28 @@
     assert_eq!(active, 1, "{response:?}");
     assert_eq!((response.body, response.complete), (events(0..3), false));
 }
+
+#[tokio::test]
+async fn stream_that_is_refused_after_its_move_resumes_once_the_budget_allows() {
+    let mut behaviors = vec![Behavior::Events(0..6); 40];
+    behaviors[0] = paused_events();
+    let endpoint = Endpoint::start(behaviors).await;
+    let full = Endpoint::start(vec![Behavior::NotRun(503); 4]).await;
+    let alone = [endpoint.listing_entry("model", "e0")];
+    let both = [endpoint.listing_entry("model", "e0"), full.listing_entry("model", "e1")];
+    // The budget holds one retry.
+    let retries = RetrySettings { ratio: 0.2, slack: 2.0 };
+    let fixture = Fixture::start_with_retries(&layout(1), &alone, retries).await;
+    let client = fixture.client().body("x").deadline(8_000);
+    let others = async {
+        wait_until(|| endpoint.active() == 1).await;
+        fixture.set_endpoints(&both);
+        wait_until(|| full.received().len() == 1).await;
+        fixture.set_endpoints(&alone);
+        for _ in 0..12 {
+            fixture.client().body("x").call("/stream/").await;
+        }
+    };
+    let (response, ()) = tokio::join!(client.call("/resume/"), others);
+    assert_eq!((response.body, response.complete), (events(0..6), true));
+}
