Answer a request that was never sent as not run when its deadline has passed

Callers whose deadline had passed before their request was sent to an endpoint (a slow upload, a queue) got 504 in place of 503, so they could not know that it had not run; the log counted one send and one run.

Cause: the change for silent endpoints moved the counting of a send before the check of the deadline. Found by the review of that change, which saw 504 for a deadline of 0 with nothing received by the endpoint. Now the deadline is checked before anything is counted. request_that_reaches_its_deadline_before_it_is_sent_is_answered_as_not_run plays the three kinds.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -271,6 +271,9 @@
     /// Sends the request to the endpoint of `attempt`, to go on after `events`. While the endpoint
     /// is silent, another one is sought. The exchange is over when this returns.
     pub(crate) async fn exchange(&mut self, attempt: Attempt, events: EventBuffer) -> ExchangeEnd {
+        if self.left_ms() == 0 {
+            return ExchangeEnd::Finished(Err(Failure::DeadlineExceeded));
+        }
         let endpoint = attempt.pick().handle;
         self.tried.push(endpoint);
         self.last_pick = Some(attempt.pick().clone());
--- a/crates/gateway/tests/responses.rs
+++ b/crates/gateway/tests/responses.rs
@@ -116,6 +116,20 @@
     assert!(request_count(&endpoints) >= 3);
 }
 
+#[rstest]
+#[case::idempotent("/read/")]
+#[case::non_idempotent("/write/")]
+#[case::resumable("/resume/")]
+#[tokio::test]
+async fn request_that_reaches_its_deadline_before_it_is_sent_is_answered_as_not_run(
+    #[case] path: &str,
+) {
+    let service = if path == "/resume/" { "model" } else { "plain" };
+    let (fixture, endpoints) = start_service(service, [vec![], vec![]]).await;
+    let response = fixture.client().body("x").deadline(0).call(path).await;
+    assert_eq!((response.status, request_count(&endpoints)), (503, 0));
+}
+
 /// A non-idempotent request that may have run is not retried, and its response does not claim that
 /// it did not run.
 #[rstest]
