Name the cause of a failed connection in the reason of a request

The HTTP library's errors leave out their cause, so `retry`, `resume`, `ended` and `cut-off` said "connection error" for an endless response as for a reset. The cause now follows, as docs/OPERATIONS.md says.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -97,8 +97,8 @@
     #[display("no memory left for a response of {bytes} bytes")]
     NoMemory { bytes: usize },
     /// The connection failed.
-    #[display("{cause}")]
-    Broken { cause: hyper::Error },
+    #[display("{reason}")]
+    Broken { reason: String },
 }
 
 /// A slot at an endpoint, acquired but not used yet.
@@ -346,7 +346,7 @@
     let mut bytes = Vec::new();
     let mut parts = 0;
     while let Some(part) = body.next().await {
-        let part = part.map_err(|cause| BodyError::Broken { cause })?;
+        let part = part.map_err(|reason| BodyError::Broken { reason })?;
         parts += 1;
         if parts > MAX_BUFFERED_RESPONSE_PARTS {
             return Err(BodyError::TooManyParts);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -12,6 +12,7 @@
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     std::{
+        error::Error as StdError,
         io,
         net::SocketAddr,
         pin::Pin,
@@ -77,12 +78,13 @@
 }
 
 impl ResponseBody {
-    /// Returns the next part, which is not empty, or `None` at the end of the body.
-    pub(crate) async fn next(&mut self) -> Option<hyper::Result<Bytes>> {
+    /// Returns the next part, which is not empty, or `None` at the end of the body. The error says
+    /// why the connection failed.
+    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, String>> {
         loop {
             let frame = match self.body.frame().await? {
                 Ok(frame) => frame,
-                Err(err) => return Some(Err(err)),
+                Err(err) => return Some(Err(describe(&err))),
             };
             if let Some(data) = frame.into_data().ok().filter(|it| !it.is_empty()) {
                 self.connection.overhead.store(0, Ordering::Relaxed);
@@ -176,8 +178,16 @@
         Ok(response) => Ok(response.map(|body| ResponseBody { body, connection })),
         Err(mut err) => {
             let unsent = err.take_message().is_some();
-            let reason = err.into_error().to_string();
+            let reason = describe(&err.into_error());
             Err(if unsent { not_sent(reason) } else { SendError::Broken { reason } })
         }
     }
 }
+
+/// Returns an error of the HTTP library with its cause, which the library leaves out.
+fn describe(err: &hyper::Error) -> String {
+    match err.source() {
+        Some(cause) => format!("{err}: {cause}"),
+        None => err.to_string(),
+    }
+}
