--- a/crates/gateway/tests/silence.rs
+++ b/crates/gateway/tests/silence.rs
@@ -81,6 +81,13 @@
     (fixture, endpoints)
 }
 
+/// Checks that only the silent endpoint got the request, unless the others may refuse it.
+fn assert_not_moved(obstacle: Obstacle, endpoints: &[Endpoint]) {
+    let may_refuse = matches!(obstacle, Obstacle::OthersClosed | Obstacle::OthersFull);
+    let requests: usize = endpoints.iter().map(|it| it.received().len()).sum();
+    assert!(may_refuse || requests == 1, "{requests} requests were sent");
+}
+
 #[rstest]
 #[case::no_other(Obstacle::NoOther)]
 #[case::budget_exhausted(Obstacle::BudgetExhausted)]
@@ -93,11 +100,12 @@
     #[case] obstacle: Obstacle,
     #[values(paused_events(), delayed(Behavior::Events(0..6)))] behavior: Behavior,
 ) {
-    let (fixture, _endpoints) = start(&behavior, obstacle).await;
+    let (fixture, endpoints) = start(&behavior, obstacle).await;
     let client = fixture.client().body("x").deadline(8_000);
     let response = client.call("/resume/").await;
     assert_eq!((response.status, response.complete), (200, true), "{response:?}");
     assert_eq!(response.body, events(0..6));
+    assert_not_moved(obstacle, &endpoints);
 }
 
 #[rstest]
@@ -112,9 +120,10 @@
     #[case] obstacle: Obstacle,
     #[values(Behavior::PausedBody(SILENCE_MS), delayed(Behavior::Respond))] behavior: Behavior,
 ) {
-    let (fixture, _endpoints) = start(&behavior, obstacle).await;
+    let (fixture, endpoints) = start(&behavior, obstacle).await;
     let response = fixture.client().deadline(8_000).call("/read/").await;
     assert_eq!((response.status, response.body.as_str()), (200, "whole"), "{response:?}");
+    assert_not_moved(obstacle, &endpoints);
 }
 
 #[rstest]
