Log the prompt parts of a request that crashed an endpoint

The record of the incident can't tell whether the requests that crash endpoints have a part in common: no line names the parts.

--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -24,7 +24,7 @@
 
 impl Prompt {
     /// Returns the parts that other prompts may share: all but the last one.
-    pub(crate) fn shared(&self) -> &[PromptPart] {
+    pub fn shared(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |it| it.1)
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -161,7 +161,7 @@
                 return Err(self.fail(AttemptOutcome::Unreachable, Failure::NotSent { reason }));
             }
             Some(Err(SendError::Broken { reason })) => {
-                crash::probe(&shared, &self.running.pick, call.fingerprint);
+                crash::probe(call, &self.running.pick);
                 return Err(self.fail(AttemptOutcome::Broken, Failure::Indeterminate { reason }));
             }
             None => return Err(self.time_out()),
@@ -381,7 +381,7 @@
                 Ok(Ok(Some(events))) => self.buffered = events,
                 Ok(Ok(None)) => self.ended = true,
                 Ok(Err(reason)) => {
-                    crash::probe(&call.shared, &self.running.pick, call.fingerprint);
+                    crash::probe(call, &self.running.pick);
                     self.running.ending = AttemptOutcome::Broken;
                     return Err(Failure::Indeterminate { reason });
                 }
