Add a failing test: a prompt part that crashes endpoint after endpoint

Three gateways, six endpoints that crash when they begin to answer a prompt with one part, requests no two alike with that part, sound ones that share the first part.

--- a/crates/gateway/tests/common/endpoint.rs
+++ b/crates/gateway/tests/common/endpoint.rs
@@ -252,7 +252,7 @@
     }
 }
 
-async fn read_request(socket: &mut TcpStream) -> Option<ReceivedRequest> {
+pub(crate) async fn read_request(socket: &mut TcpStream) -> Option<ReceivedRequest> {
     let mut bytes = Vec::new();
     let end = loop {
         if let Some(at) = bytes.windows(4).position(|it| it == b"\r\n\r\n") {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -4,10 +4,12 @@
 #![allow(clippy::disallowed_methods, reason = "tests read the clock")]
 
 mod client;
+mod crashing;
 mod endpoint;
 
 pub(crate) use {
     client::{Client, Connection, Response, read_response},
+    crashing::{CrashingEndpoints, EVENTS, Framing},
     endpoint::{Behavior, Endpoint, ReceivedRequest, SIGNED, chunk, event},
 };
 
@@ -52,6 +54,12 @@
 #[derive(Clone, Default)]
 pub(crate) struct StaticList(Arc<Mutex<Vec<ListedEndpoint>>>);
 
+impl StaticList {
+    pub(crate) fn replace(&self, endpoints: &[ListedEndpoint]) {
+        *self.0.lock().expect("list is poisoned") = endpoints.to_vec();
+    }
+}
+
 impl Directory for StaticList {
     async fn list(&self) -> Result<Listing, DirectoryError> {
         let endpoints = self.0.lock().map_err(|it| DirectoryError { reason: it.to_string() })?;
@@ -222,7 +230,11 @@
     }
 
     pub(crate) fn set_endpoints(&self, endpoints: &[ListedEndpoint]) {
-        *self.list.0.lock().expect("list is poisoned") = endpoints.to_vec();
+        self.list.replace(endpoints);
+    }
+
+    pub(crate) fn list(&self) -> StaticList {
+        self.list.clone()
     }
 
     pub(crate) fn client(&self) -> Client {
