Quarantine prompt parts that crash endpoints, with evidence from the whole fleet

Cause: a gateway knew a crashing request by its fingerprint only. Requests that share a part were strangers, so each crashed as many endpoints as its attempts and repeats allowed. What was known was told once, in datagrams each 200 ms and more, and looked at only before the first attempt, not before retries, resumed streams or requests that had waited. Class: harm is counted per request where its cause is shared by many, and a decision is taken at entry only. Also: a crash is counted only if the endpoint refuses connections; a probe that times out said nothing about the request.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,11 +5,9 @@
 //! reports of other routers, and the outcome of each request, and it returns assignments. Load is
 //! counted in running requests and in the tokens that they hold in an endpoint's memory. This
 //! router's own load is exact, and the load of other routers is as old as their last report.
-//! [`RetryBudget`] limits retries, [`CrashTracker`] blocks requests that crash endpoints, and
-//! [`Exchange`] says which routers get which reports.
+//! [`RetryBudget`] limits retries, and [`Exchange`] says which routers get which reports.
 
 mod change;
-mod crash_tracker;
 mod dispatcher;
 mod endpoint;
 mod exchange;
@@ -22,7 +20,6 @@
 
 pub use crate::{
     change::EndpointChange,
-    crash_tracker::CrashTracker,
     dispatcher::{Dispatcher, SubmitResult},
     endpoint::EndpointHandle,
     exchange::Exchange,
--- a/crates/dispatch/tests/budget.rs
+++ b/crates/dispatch/tests/budget.rs
@@ -1,8 +1,7 @@
-//! Tests of the retry budget and of blocking requests that crash endpoints.
+//! Tests of the retry budget.
 
 use {
-    dispatch::{CrashTracker, RetryBudget, RetryBudgetLimits},
-    model::{SECOND, Time},
+    dispatch::{RetryBudget, RetryBudgetLimits},
     proptest::prelude::*,
 };
 
@@ -43,25 +42,3 @@
     let spent = (0..100).filter(|_| budget.try_spend()).count();
     assert!((1..=52).contains(&spent), "{spent}");
 }
-
-#[test]
-fn request_that_crashed_two_endpoints_is_blocked_until_its_record_expires() {
-    let (mut crashes, now) = (CrashTracker::default(), Time(SECOND));
-    crashes.record_crash(now, 7, 1);
-    assert!(!crashes.is_blocked(now, 7), "one crash may have had another cause");
-    crashes.record_crash(now, 7, 1);
-    assert!(!crashes.is_blocked(now, 7), "the same crash counts once");
-    crashes.record_crash(now, 7, 2);
-    assert!(crashes.is_blocked(now, 7));
-    assert!(!crashes.is_blocked(now, 8));
-    assert!(!crashes.is_blocked(now + 61 * SECOND, 7));
-}
-
-#[test]
-fn served_request_clears_its_crash_record() {
-    let (mut crashes, now) = (CrashTracker::default(), Time(SECOND));
-    crashes.record_crash(now, 7, 1);
-    crashes.clear(7);
-    crashes.record_crash(now, 7, 2);
-    assert!(!crashes.is_blocked(now, 7));
-}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,7 +18,7 @@
     dispatch::{Assignment, AttemptOutcome},
     http::{Request, Response, Uri, response},
     http_body_util::Full,
-    model::MILLISECOND,
+    model::{MILLISECOND, Time},
     std::sync::Arc,
     tokio::time::{sleep_until, timeout_at},
 };
@@ -42,6 +42,10 @@
 /// The minimum time without a response after which an endpoint counts as stalled, in milliseconds.
 const MIN_STALL_MS: u64 = 1_500;
 
+/// How long after its first event an answer is taken to have begun for good, in microseconds. What an
+/// endpoint wrote just before it crashed may still arrive.
+const ESTABLISHED_TIME: u64 = 250 * MILLISECOND;
+
 /// A response from an endpoint, to be forwarded to the client.
 pub(crate) enum UpstreamResponse {
     /// The complete response.
@@ -63,6 +67,10 @@
     pub(crate) ended: bool,
     /// Whether the end of the body is marked, rather than being that of the connection.
     is_framed: bool,
+    /// When the first events were received.
+    pub(crate) begun_at: Option<Time>,
+    /// Whether the answer has gone on for a while, so that beginning it crashed nothing.
+    pub(crate) is_established: bool,
 }
 
 /// Why an attempt produced no response for the client.
@@ -84,6 +92,9 @@
     /// The deadline has passed.
     #[display("deadline exceeded")]
     DeadlineExceeded,
+    /// The request must not be sent, as it may crash endpoints.
+    #[display("request is quarantined")]
+    Quarantined,
 }
 
 /// Why a response was not read in full.
@@ -246,8 +257,17 @@
             let running = self.running;
             let buffered = Bytes::new();
             let memory = Reservation::new(&running.shared.response_memory);
-            let ended = false;
-            let stream = EventStream { running, body, events, memory, buffered, ended, is_framed };
+            let stream = EventStream {
+                running,
+                body,
+                events,
+                memory,
+                buffered,
+                ended: false,
+                is_framed,
+                begun_at: None,
+                is_established: false,
+            };
             return stream.start(call, parts).await;
         }
         let memory = Reservation::new(&call.shared.response_memory);
@@ -259,10 +279,11 @@
                 }
                 self.running.ending = AttemptOutcome::Served;
                 call.shared.metrics.record_send("served");
-                call.shared.crashes.lock().clear(call.fingerprint);
+                call.record_answer();
                 Ok(UpstreamResponse::Buffered(parts, body))
             }
             Some(Err(err)) => {
+                crash::probe(call, &self.running.pick);
                 let reason = format!("response body is incomplete: {err}");
                 Err(self.fail(AttemptOutcome::Broken, Failure::Indeterminate { reason }))
             }
@@ -401,6 +422,18 @@
         Ok(UpstreamResponse::Streaming(parts, Box::new(self)))
     }
 
+    /// Records that events were received. Returns whether the answer has been established by them.
+    pub(crate) fn record_events(&mut self, now: Time) -> bool {
+        let begun_at = *self.begun_at.get_or_insert(now);
+        let is_established = now >= begun_at + ESTABLISHED_TIME;
+        is_established && !std::mem::replace(&mut self.is_established, true)
+    }
+
+    /// Returns whether the end of the stream proves that it was answered in full.
+    pub(crate) fn is_proved_complete(&self) -> bool {
+        self.is_framed || self.is_established
+    }
+
     /// Returns the next complete events, or `None` at the end of the stream. The error says why the
     /// stream broke.
     pub(crate) async fn next_events(&mut self) -> Result<Option<Bytes>, String> {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,16 +4,17 @@
     crate::{
         attempt::{Attempt, Failure, UpstreamResponse, max_silence_ms},
         headers::RequestHead,
-        origins,
+        origins, quarantine,
         rejection::Rejection,
         replacement,
         shared::{PlacementResult, Rejected, Shared},
         sse::EventBuffer,
         stream::ProxiedStream,
     },
+    ::quarantine::{Admission, Subject},
     bytes::Bytes,
     directory::BuildId,
-    dispatch::{Assignment, DispatchRequest, EndpointHandle},
+    dispatch::{Assignment, DispatchRequest, EndpointHandle, Prompt},
     edge::{Body, discard, full, read_all},
     http::{Request, Response, StatusCode, header, request},
     hyper::body::Incoming,
@@ -46,6 +47,9 @@
 /// not run the request.
 const EXTRA_SENDS: u32 = 2;
 
+/// The maximum number of prompt parts of a request that are watched for crashes.
+const MAX_SUBJECT_PARTS: usize = 64;
+
 /// How often a request that waits for the retry budget checks it.
 const BUDGET_POLL: Duration = Duration::from_millis(100);
 
@@ -167,8 +171,8 @@
     pub(crate) arrived: Time,
     /// When the response must be complete.
     pub(crate) deadline: Time,
-    /// A hash that is the same when the client sends the request again.
-    pub(crate) fingerprint: u64,
+    /// What the request has in common with others that may crash endpoints, itself first.
+    pub(crate) subjects: SmallVec<[Subject; 4]>,
     tried: SmallVec<[EndpointHandle; 2]>,
     /// The endpoints of `tried` that were only silent.
     silent: SmallVec<[EndpointHandle; 2]>,
@@ -205,6 +209,10 @@
         let prompt = head.prompt.iter().flat_map(|it| &it.parts);
         let prompt = prompt.fold(0, |hash, it| mix2(hash, it.id));
         let fingerprint = mix2(mix2(request_hash, hash64(&body)), prompt);
+        let shared_parts = head.prompt.iter().flat_map(Prompt::shared).take(MAX_SUBJECT_PARTS);
+        let part_subjects = shared_parts.map(|it| Subject::Part(it.id));
+        let subjects =
+            std::iter::once(Subject::Request(fingerprint)).chain(part_subjects).collect();
         let tried = SmallVec::new();
         Call {
             shared,
@@ -216,7 +224,7 @@
             body,
             arrived,
             deadline,
-            fingerprint,
+            subjects,
             tried,
             silent: SmallVec::new(),
             build: None,
@@ -234,8 +242,8 @@
             return self.reject(rejection);
         }
         self.shared.fund_retries(&self.found.service.name);
-        if self.shared.crashes.lock().is_blocked(self.shared.now(), self.fingerprint) {
-            return self.reject(Rejection::Quarantined);
+        if let Some(rejection) = self.quarantine_rejection() {
+            return self.reject(rejection);
         }
         let mut replacement = None;
         loop {
@@ -274,6 +282,9 @@
         if self.left_ms() == 0 {
             return ExchangeEnd::Finished(Err(Failure::DeadlineExceeded));
         }
+        if !quarantine::admit(&self.shared, &self.subjects).await {
+            return ExchangeEnd::Finished(Err(Failure::Quarantined));
+        }
         let endpoint = attempt.pick().handle;
         self.tried.push(endpoint);
         self.last_pick = Some(attempt.pick().clone());
@@ -387,6 +398,9 @@
                 Ok(Attempt::new(&self.shared, pick))
             }
             Err(Rejected { .. }) if self.runs > 0 => Err(Rejection::BadGateway),
+            Err(Rejected { .. }) if self.is_quarantined() => {
+                Err(self.quarantine_rejection().unwrap_or(Rejection::BadGateway))
+            }
             Err(Rejected { .. }) if no_endpoint => Err(Rejection::NoEndpoint),
             Err(Rejected { .. }) if no_version => Err(Rejection::NoVersion),
             Err(Rejected { retry_ms }) => Err(Rejection::NoCapacity { retry_ms }),
@@ -394,8 +408,14 @@
     }
 
     async fn place(&self, now: Time) -> PlacementResult {
+        quarantine::decided(&self.shared, &self.subjects).await;
         let mut ask = self.dispatch_request(self.queue_deadline(now));
-        let placement = self.shared.acquire_slot(ask.clone()).await;
+        let placement = tokio::select! {
+            it = self.shared.acquire_slot(ask.clone()) => it,
+            () = quarantine::blocked(&self.shared, &self.subjects) => {
+                return Err(Rejected { retry_ms: 0 });
+            }
+        };
         if placement.is_ok() || self.silent.is_empty() {
             return placement;
         }
@@ -459,9 +479,9 @@
             Failure::NotSent { .. } => self.tried.len() < 6,
             Failure::NotRun { .. } => self.sends < self.found.route.attempts + EXTRA_SENDS,
             Failure::Indeterminate { .. } | Failure::Failed(_) => self.may_run_again(),
-            Failure::DeadlineExceeded => false,
+            Failure::DeadlineExceeded | Failure::Quarantined => false,
         };
-        allowed && self.left_ms() > 0
+        allowed && self.left_ms() > 0 && !self.is_quarantined()
     }
 
     /// Returns whether a request that may have run may be sent to another endpoint, if the retry
@@ -470,6 +490,38 @@
         self.found.route.is_retryable() && self.runs < self.found.route.attempts
     }
 
+    /// Returns whether the request must not be sent because it may crash endpoints.
+    pub(crate) fn is_quarantined(&self) -> bool {
+        matches!(quarantine::check(&self.shared, &self.subjects), Admission::Blocked { .. })
+    }
+
+    fn quarantine_rejection(&self) -> Option<Rejection> {
+        match quarantine::check(&self.shared, &self.subjects) {
+            Admission::Allowed | Admission::Trial(_) | Admission::Undecided { .. } => None,
+            Admission::Blocked { subject, retry_at } => {
+                let retry_ms = retry_at.since(self.shared.now()) / MILLISECOND;
+                tracing::info!(
+                    event = "blocked",
+                    request = self.head.id(),
+                    %subject,
+                    retry_ms,
+                    "gateway: request may crash endpoints"
+                );
+                Some(Rejection::Quarantined { retry_ms })
+            }
+        }
+    }
+
+    /// Records that the request was answered in full.
+    pub(crate) fn record_answer(&self) {
+        quarantine::record_answer(&self.shared, &self.subjects);
+    }
+
+    /// Records that an answer has begun and goes on.
+    pub(crate) fn record_begun_answer(&self) {
+        quarantine::record_answer(&self.shared, &self.subjects[1..]);
+    }
+
     /// Returns the id of the endpoint of the last attempt.
     pub(crate) fn endpoint_id(&self) -> &str {
         self.last_pick.as_ref().map_or("", |it| &it.id)
@@ -517,6 +569,9 @@
             Failure::Indeterminate { .. } if self.left_ms() == 0 => Rejection::DeadlineExceeded,
             Failure::Indeterminate { .. } => Rejection::BadGateway,
             _ if self.runs > 0 => Rejection::BadGateway,
+            Failure::Quarantined => {
+                self.quarantine_rejection().unwrap_or(Rejection::Quarantined { retry_ms: 0 })
+            }
             Failure::NotSent { .. } | Failure::DeadlineExceeded => {
                 Rejection::NoCapacity { retry_ms: 300 }
             }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -197,6 +197,8 @@
         membership.replicas = watched().flat_map(|it| it.replicas.iter().copied()).collect();
         let routers = membership.routers.iter().map(|it| (it.0, &it.1));
         self.shared.origins.lock().set_members(self.shared.settings.inner, routers);
+        let routers = membership.routers.iter().map(|it| it.0);
+        self.shared.quarantine.lock().set_members(routers);
     }
 
     /// Keeps the current source of the endpoint list for as long as that replica reads the list.
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -1,49 +1,59 @@
-//! Detects whether an endpoint crashed while it ran a request.
+//! Detects whether an endpoint crashed before it began to answer a request.
 
 use {
     crate::call::Call,
     dispatch::{Assignment, Prompt},
-    std::{fmt::Write, time::Duration},
+    std::{fmt::Write, io, net::SocketAddr, time::Duration},
     tokio::{
         net::TcpStream,
         time::{sleep, timeout},
     },
 };
 
-/// How long to wait after a broken connection before probing: a crashed endpoint refuses
+/// How long after a broken connection the endpoint is probed again: a process that ends refuses
 /// connections by then.
 const PROBE_DELAY: Duration = Duration::from_millis(50);
 
-/// The timeout of the probe connection.
+/// The timeout of a probe's connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Records a strike against the request if its endpoint no longer accepts connections. A connection
-/// that was merely reset gives no strike.
+/// Records a crash against a request if its endpoint refuses connections. A connection that was
+/// merely reset says nothing, nor does an endpoint that cannot be reached.
 pub(crate) fn probe(call: &Call, pick: &Assignment) {
-    let (shared, pick, fingerprint) = (call.shared.clone(), pick.clone(), call.fingerprint);
+    let (shared, pick, subjects) = (call.shared.clone(), pick.clone(), call.subjects.clone());
     let request = call.head.id().to_owned();
     let parts = call.head.prompt.as_ref().map(format_parts);
+    let broke_at = shared.now();
     tokio::spawn(async move {
-        sleep(PROBE_DELAY).await;
-        if matches!(timeout(PROBE_TIMEOUT, TcpStream::connect(pick.addr)).await, Ok(Ok(_))) {
-            return;
+        if !refuses_connections(pick.addr).await {
+            sleep(PROBE_DELAY).await;
+            if !refuses_connections(pick.addr).await {
+                return;
+            }
         }
-        let new = shared.crashes.lock().record_crash(shared.now(), fingerprint, pick.incarnation);
-        if new {
+        let now = shared.now();
+        let is_new =
+            shared.quarantine.lock().record_crash(now, &subjects, pick.incarnation, broke_at);
+        shared.crash_news.notify_one();
+        if is_new {
             shared.metrics.record_send("crashed");
             tracing::warn!(
                 event = "strike",
-                fingerprint = format!("{fingerprint:016x}"),
+                fingerprint = subjects.first().map(ToString::to_string),
                 endpoint = %pick.id,
                 request,
                 parts,
                 "gateway: endpoint crashed while running a request"
             );
-            shared.unsent_strikes.lock().push((fingerprint, pick.incarnation));
         }
     });
 }
 
+async fn refuses_connections(addr: SocketAddr) -> bool {
+    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(addr)).await;
+    matches!(connected, Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Returns the ids of the parts of a prompt that other prompts may share.
 fn format_parts(prompt: &Prompt) -> String {
     let mut text = String::new();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,13 +1,14 @@
 //! Gossip of load to other gateways, over UDP.
 //!
 //! Each gateway reports what it runs. In a large fleet only gateways of its domain get the loads, and
-//! relays exchange the sums of the domains ([`dispatch::Exchange`]); all get its new prompt parts and
-//! crashes. A lost datagram costs some accuracy until the next one arrives.
+//! relays exchange the sums of the domains ([`dispatch::Exchange`]); all get its new prompt parts.
+//! A lost datagram costs some accuracy until the next one arrives.
 //!
-//! The messages on origins of streams ([`crate::origins`]) have the same socket and another first byte.
+//! The messages on origins of streams ([`crate::origins`]) and on crashes ([`crate::quarantine`]) have
+//! the same socket and another first byte.
 
 use {
-    crate::{origins, shared::Shared},
+    crate::{origins, quarantine, shared::Shared},
     bincode::{
         config::standard,
         serde::{decode_from_slice, encode_to_vec},
@@ -26,13 +27,13 @@
 };
 
 /// The version of the message format. Messages of other versions are refused.
-const FORMAT_VERSION: u8 = 2;
+const FORMAT_VERSION: u8 = 3;
 
 /// The base interval between reports, in milliseconds. Some requests finish in less.
 const INTERVAL_MS: u64 = 200;
 
-/// How much the interval grows per gateway that gets the reports, in milliseconds. Prompt parts and
-/// crashes go to gateways of other domains at this interval alone.
+/// How much the interval grows per gateway that gets the reports, in milliseconds. Prompt parts
+/// go to gateways of other domains at this interval alone.
 const INTERVAL_PER_ROUTER_MS: u64 = 10;
 
 /// After this time, unchanged loads are sent again, before gateways that have them expire them, in
@@ -82,27 +83,6 @@
     loads: Option<LoadChunk>,
     /// Prompt parts that endpoints started to process, with the hash of the endpoint's id.
     placed: Vec<(u64, u64)>,
-    /// Fingerprints of requests, with the incarnation of an endpoint that crashed while running
-    /// them.
-    strikes: Vec<(u64, u64)>,
-}
-
-/// What is sent once, unlike loads: prompt parts and crashes, as in a [`GossipMessage`].
-#[derive(Clone, Default, Debug)]
-struct News {
-    placed: Vec<(u64, u64)>,
-    strikes: Vec<(u64, u64)>,
-}
-
-impl News {
-    fn is_empty(&self) -> bool {
-        self.placed.is_empty() && self.strikes.is_empty()
-    }
-
-    fn extend(&mut self, other: &News) {
-        self.placed.extend(&other.placed);
-        self.strikes.extend(&other.strikes);
-    }
 }
 
 /// Binds the UDP socket at the internal address.
@@ -125,7 +105,7 @@
 /// Sends this gateway's reports for as long as the process runs.
 pub(crate) async fn send_reports(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let (mut last_loads, mut repeat_at) = (Vec::new(), Time(0));
-    let (mut unsent_news, mut news_at) = (News::default(), Time(0));
+    let (mut unsent_parts, mut parts_at) = (Vec::new(), Time(0));
     loop {
         let Exchange { direct, indirect, .. } = exchange(&shared);
         let interval_ms = INTERVAL_MS + INTERVAL_PER_ROUTER_MS * direct.len() as u64;
@@ -136,20 +116,18 @@
             (dispatcher.local_loads(), dispatcher.take_new_parts(MAX_REPORT_PARTS))
         };
         loads.sort_unstable_by_key(|it| it.0);
-        let strikes = std::mem::take(&mut *shared.unsent_strikes.lock());
-        let news = News { placed, strikes };
-        unsent_news.extend(&news);
+        unsent_parts.extend(&placed);
         let is_due = !loads.is_empty() && now >= repeat_at;
-        if loads != last_loads || !news.is_empty() || is_due {
+        if loads != last_loads || !placed.is_empty() || is_due {
             last_loads.clone_from(&loads);
             repeat_at = now + REPEAT_MS * MILLISECOND;
             let loads = LoadChunk::split(loads, MAX_DATAGRAM_LOADS);
-            send(&socket, &encode(&shared, Scope::Gateway, loads, news), direct).await;
+            send(&socket, &encode(&shared, Scope::Gateway, loads, &placed), direct).await;
         }
-        if !unsent_news.is_empty() && now >= news_at {
-            news_at = now + INTERVAL_PER_ROUTER_MS * indirect.len() as u64 * MILLISECOND;
-            let news = std::mem::take(&mut unsent_news);
-            send(&socket, &encode(&shared, Scope::Gateway, Vec::new(), news), indirect).await;
+        if !unsent_parts.is_empty() && now >= parts_at {
+            parts_at = now + INTERVAL_PER_ROUTER_MS * indirect.len() as u64 * MILLISECOND;
+            let placed = std::mem::take(&mut unsent_parts);
+            send(&socket, &encode(&shared, Scope::Gateway, Vec::new(), &placed), indirect).await;
         }
     }
 }
@@ -172,7 +150,7 @@
         let now = shared.now();
         let sums = |scope, loads| {
             let loads = LoadChunk::split(loads, MAX_DATAGRAM_LOADS);
-            encode(&shared, scope, loads, News::default())
+            encode(&shared, scope, loads, &[])
         };
         let loads = shared.dispatcher.lock().domain_loads(now);
         send(&socket, &sums(Scope::Domain, loads), exchange.remote_relays(round)).await;
@@ -189,15 +167,19 @@
     }
 }
 
-/// Encodes loads and news as datagrams.
-fn encode(shared: &Shared, scope: Scope, loads: Vec<LoadChunk>, news: News) -> Vec<Vec<u8>> {
+/// Encodes loads and prompt parts as datagrams.
+fn encode(
+    shared: &Shared,
+    scope: Scope,
+    loads: Vec<LoadChunk>,
+    placed: &[(u64, u64)],
+) -> Vec<Vec<u8>> {
     let mut loads = loads.into_iter();
-    let mut placed = news.placed.chunks(MAX_DATAGRAM_PARTS);
-    let mut strikes = Some(news.strikes).filter(|it| !it.is_empty());
+    let mut placed = placed.chunks(MAX_DATAGRAM_PARTS);
     let mut datagrams = Vec::new();
     loop {
-        let (loads, placed, strikes) = (loads.next(), placed.next(), strikes.take());
-        if loads.is_none() && placed.is_none() && strikes.is_none() {
+        let (loads, placed) = (loads.next(), placed.next());
+        if loads.is_none() && placed.is_none() {
             return datagrams;
         }
         let message = GossipMessage {
@@ -207,7 +189,6 @@
             domain: domain_hash(shared),
             loads,
             placed: placed.unwrap_or_default().to_vec(),
-            strikes: strikes.unwrap_or_default(),
         };
         datagrams.extend(encode_to_vec(&message, standard()).ok());
     }
@@ -243,6 +224,10 @@
             origins::receive(&shared, from, &buffer[1..len]).await;
             continue;
         }
+        if buffer[..len].first() == Some(&quarantine::FORMAT_VERSION) {
+            quarantine::receive(&shared, from, &buffer[1..len]).await;
+            continue;
+        }
         match decode_from_slice::<GossipMessage, _>(&buffer[..len], standard()) {
             Ok((message, _)) if message.version != FORMAT_VERSION => {
                 let version = message.version;
@@ -257,7 +242,7 @@
 fn apply(shared: &Shared, message: &GossipMessage) {
     let is_local = message.domain == domain_hash(shared);
     let is_relay = shared.is_relay.load(Ordering::Relaxed);
-    let GossipMessage { router, placed, strikes, .. } = message;
+    let GossipMessage { router, placed, .. } = message;
     let reporter = match (message.scope, is_local) {
         _ if *router == shared.instance_id => return,
         (Scope::Gateway, true) => Reporter::LocalRouter(*router),
@@ -274,9 +259,4 @@
         dispatcher.apply_peer_report(now, reporter, loads);
     }
     dispatcher.record_peer_parts(now, placed);
-    drop(dispatcher);
-    let mut crashes = shared.crashes.lock();
-    for (fingerprint, incarnation) in strikes {
-        crashes.record_crash(now, *fingerprint, *incarnation);
-    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod layout;
 mod metrics;
 mod origins;
+mod quarantine;
 mod rejection;
 mod relay;
 mod replacement;
--- a/crates/gateway/src/rejection.rs
+++ b/crates/gateway/src/rejection.rs
@@ -30,7 +30,7 @@
     #[display("no endpoint has capacity in time")]
     NoCapacity { retry_ms: u64 },
     #[display("request is quarantined because it crashed endpoints")]
-    Quarantined,
+    Quarantined { retry_ms: u64 },
     #[display("no valid response from the endpoint")]
     BadGateway,
     #[display("deadline exceeded")]
@@ -45,9 +45,6 @@
 /// milliseconds.
 const STOPPING_RETRY_MS: u64 = 50;
 
-/// The retry delay for a request that crashes endpoints, in milliseconds.
-const QUARANTINE_RETRY_MS: u64 = 5_000;
-
 impl Rejection {
     /// Returns the name used in logs and metrics.
     pub(crate) fn label(self) -> &'static str {
@@ -62,7 +59,7 @@
             Rejection::NoVersion => "no-version",
             Rejection::UnknownOrigin { .. } => "unknown-origin",
             Rejection::NoCapacity { .. } => "no-room",
-            Rejection::Quarantined => "quarantined",
+            Rejection::Quarantined { .. } => "quarantined",
             Rejection::BadGateway => "broken",
             Rejection::DeadlineExceeded => "late",
         }
@@ -80,7 +77,7 @@
             | Rejection::NoVersion
             | Rejection::UnknownOrigin { .. }
             | Rejection::NoCapacity { .. }
-            | Rejection::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
+            | Rejection::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Rejection::BadGateway => StatusCode::BAD_GATEWAY,
             Rejection::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -90,10 +87,10 @@
         match self {
             Rejection::NoCapacity { retry_ms }
             | Rejection::NoConfiguration { retry_ms }
-            | Rejection::UnknownOrigin { retry_ms } => Some(retry_ms),
+            | Rejection::UnknownOrigin { retry_ms }
+            | Rejection::Quarantined { retry_ms } => Some(retry_ms),
             Rejection::Stopping => Some(STOPPING_RETRY_MS),
             Rejection::NoEndpoint | Rejection::NoVersion => Some(NO_ENDPOINT_RETRY_MS),
-            Rejection::Quarantined => Some(QUARANTINE_RETRY_MS),
             _ => None,
         }
     }
--- a/crates/gateway/src/replacement.rs
+++ b/crates/gateway/src/replacement.rs
@@ -19,6 +19,8 @@
 enum Obstacle {
     #[display("no attempt is left")]
     NoAttempt,
+    #[display("request is quarantined")]
+    Quarantined,
     #[display("retry budget is exhausted")]
     NoBudget,
     #[display("no other endpoint has capacity")]
@@ -59,7 +61,10 @@
         match obstacle {
             // An attempt that was made is not given back.
             Obstacle::NoAttempt => return pending().await,
-            Obstacle::NoBudget | Obstacle::NoCapacity | Obstacle::Unreachable => {
+            Obstacle::Quarantined
+            | Obstacle::NoBudget
+            | Obstacle::NoCapacity
+            | Obstacle::Unreachable => {
                 let retry_at = shared.now() + RETRY_MS * MILLISECOND;
                 sleep_until(shared.clock.deadline(retry_at)).await;
             }
@@ -73,6 +78,9 @@
     if !call.may_run_again() {
         return Err(Obstacle::NoAttempt);
     }
+    if call.is_quarantined() {
+        return Err(Obstacle::Quarantined);
+    }
     if !shared.can_spend_retry(service) {
         return Err(Obstacle::NoBudget);
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by all tasks of a gateway.
 //!
-//! Lock order: `layout_history`, `dispatcher`, `waiters`; `membership`, `origins`, `lookups`. All other locks are leaves. No lock is held across an await.
+//! Lock order: `layout_history`, `dispatcher`, `waiters`; `membership`, `origins`, `lookups`; `membership`, `quarantine`. All other locks are leaves. No lock is held across an await.
 
 use {
     crate::{
@@ -10,13 +10,14 @@
     arc_swap::ArcSwapOption,
     derive_more::Debug,
     dispatch::{
-        Assignment, AttemptOutcome, CrashTracker, DispatchRequest, Dispatcher, RetryBudget,
-        RetryBudgetLimits, SubmitResult, WaiterId,
+        Assignment, AttemptOutcome, DispatchRequest, Dispatcher, RetryBudget, RetryBudgetLimits,
+        SubmitResult, WaiterId,
     },
     fanout::ConfigHistory,
     model::{Domain, MILLISECOND, Name, Time},
     origin::{LookupId, Origins, Resolution},
     parking_lot::Mutex,
+    quarantine::Quarantine,
     route::RouteTable,
     settings::GatewaySettings,
     std::{
@@ -114,15 +115,17 @@
     pub(crate) dispatcher: Mutex<Dispatcher>,
     pub(crate) waiters: Mutex<HashMap<WaiterId, oneshot::Sender<PlacementResult>>>,
     pub(crate) budgets: Mutex<HashMap<Name, RetryBudget>>,
-    pub(crate) crashes: Mutex<CrashTracker>,
+    pub(crate) quarantine: Mutex<Quarantine>,
+    /// Wakes the task that tells other gateways of crashes.
+    pub(crate) crash_news: Notify,
+    /// Notified when a verdict began.
+    pub(crate) convicted: watch::Sender<()>,
     pub(crate) membership: Mutex<Membership>,
     pub(crate) origins: Mutex<Origins>,
     /// The requests that wait for the origin of a stream.
     pub(crate) lookups: Mutex<HashMap<LookupId, oneshot::Sender<Resolution>>>,
     /// The socket for messages between gateways.
     pub(crate) gossip: Arc<UdpSocket>,
-    /// Crashes that have not been sent to other gateways yet.
-    pub(crate) unsent_strikes: Mutex<Vec<(u64, u64)>>,
     /// Whether this gateway exchanges the sums of its domain's loads with other domains.
     pub(crate) is_relay: AtomicBool,
     /// When shutdown was requested, in microseconds of this process's clock. Zero if it was not.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -4,7 +4,7 @@
     crate::{
         attempt::{Attempt, EventStream, Failure, UpstreamResponse},
         call::{Call, ExchangeEnd},
-        replacement,
+        crash, replacement,
         sse::EventBuffer,
     },
     bytes::Bytes,
@@ -62,14 +62,22 @@
     async fn next_frame(mut self) -> NextFrame {
         loop {
             let (replacement, reason) = match self.next_events().await {
-                Next::Events(events) => return Some((Ok(Frame::data(events)), Some(self))),
+                Next::Events(events) => {
+                    let now = self.call.shared.now();
+                    if self.upstream.as_mut().is_some_and(|it| it.record_events(now)) {
+                        self.call.record_begun_answer();
+                    }
+                    return Some((Ok(Frame::data(events)), Some(self)));
+                }
                 Next::End => {
                     if let Some(stream) = &mut self.upstream {
                         stream.running.ending = AttemptOutcome::Served;
+                        if stream.is_proved_complete() {
+                            self.call.record_answer();
+                        }
                     }
                     self.call.shared.metrics.record_send("served");
                     self.call.log_served();
-                    self.call.shared.crashes.lock().clear(self.call.fingerprint);
                     return None;
                 }
                 Next::Broken(reason) => (None, reason),
@@ -124,6 +132,9 @@
     ) -> Result<(), String> {
         let Some(mut previous) = self.upstream.take() else { return Err(reason) };
         let broke = replacement.is_none() && self.call.left_ms() > 0;
+        if broke && !previous.is_established {
+            crash::probe(&self.call, &previous.running.pick);
+        }
         previous.running.ending =
             if broke { AttemptOutcome::Broken } else { AttemptOutcome::Abandoned };
         let resumable = is_resumable(&self.call, &previous.events);
--- /dev/null
+++ b/crates/quarantine/src/message.rs
@@ -0,0 +1,53 @@
+//! What routers tell each other.
+
+use {
+    crate::subject::Subject,
+    derive_more::Debug,
+    serde::{Deserialize, Serialize},
+};
+
+/// An answer that a router knows of.
+#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
+pub struct AnswerReport {
+    /// How long ago it was, in milliseconds.
+    pub age_ms: u32,
+    /// How often it has been passed on. Each time makes it seem later by the delay of the message.
+    pub hops: u8,
+}
+
+/// What a router knows about one subject.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
+pub struct Report {
+    /// The subject.
+    pub subject: Subject,
+    /// The runs of endpoints that crashed before they began to answer a request with the subject,
+    /// since the last answer, and how long ago, in milliseconds.
+    pub crashes: Vec<(u64, u32)>,
+    /// When a request with the subject was last answered.
+    pub answer: Option<AnswerReport>,
+    /// The number of trials since the last answer.
+    pub trials: u32,
+    /// How long ago the last trial began, in milliseconds.
+    pub tried_ms: u32,
+}
+
+impl Report {
+    /// Returns about how many bytes the report takes in a message.
+    pub(crate) fn encoded_len(&self) -> usize {
+        const FIXED_BYTES: usize = 24;
+        const CRASH_BYTES: usize = 13;
+        FIXED_BYTES + self.crashes.len() * CRASH_BYTES
+    }
+}
+
+/// A message between routers. Encoded by `bincode`, so the order of the variants and fields is the
+/// wire format.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
+pub enum Message {
+    /// Asks for evidence if the receiver's differs from that with this digest.
+    Ask(u64),
+    /// The evidence of a router that was asked, and its digest. The receiver tells what is missing.
+    Answer(u64, Vec<Report>),
+    /// Evidence.
+    Tell(Vec<Report>),
+}
