Identify the run of an endpoint by what all routers know

One crash that several gateways see counted once for each of them, so three gateways could convict a part that merely ran during a single crash. Cause: where the list has no time of start, a run was identified by the router's own handle of the endpoint. Evidence: all_routers_agree_on_the_run_of_an_endpoint failed before with two incarnations for one endpoint. Why this works: the identifier is derived from the listed id and the time of start alone. Ids are new with each start on the platform; elsewhere a restart under the same id and without a time of start was not noticed before either.

--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -72,9 +72,10 @@
         self.listed.addr
     }
 
-    /// Returns a value that distinguishes this run of the endpoint from its earlier and later ones.
+    /// Returns a value that distinguishes this run of the endpoint from its earlier and later ones. All
+    /// routers agree on it.
     pub(crate) fn incarnation(&self) -> u64 {
-        mix2(self.hash, self.listed.started_at_ms.unwrap_or(u64::from(self.handle.0)))
+        mix2(self.hash, self.listed.started_at_ms.unwrap_or_default())
     }
 
     /// Returns how many tokens at the beginning of a prompt are expected to be in the endpoint's
--- a/crates/dispatch/tests/assignment.rs
+++ b/crates/dispatch/tests/assignment.rs
@@ -289,3 +289,18 @@
     assert!(assignments[..3].iter().all(|it| it.domain == assignments[0].domain));
     assert!(assignments.iter().any(|it| it.domain != assignments[0].domain));
 }
+
+/// A crash of one endpoint that several routers see must not count several times.
+#[test]
+fn all_routers_agree_on_the_run_of_an_endpoint() {
+    let (mut first, mut listing) = dispatcher(5, 64);
+    listing.reverse();
+    let mut second = Dispatcher::new(domain("d0"), 2);
+    second.set_kv_capacity(&"model".into(), Some(600_000));
+    second.update_endpoints(&listing);
+    let run = |it: &mut Dispatcher| {
+        let assignment = assigned(it.submit(NOW, chat(NOW, 1, 5_000, 0)));
+        (assignment.id, assignment.incarnation)
+    };
+    assert_eq!(run(&mut first), run(&mut second));
+}
