Read and log how many requests an endpoint says it takes

Nothing told whether a gateway knows the limit that an endpoint names, and what its share of it would be. The line endpoint-limit now says both, whenever they change; an invalid value is counted and logged. Nothing is decided by it yet.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -5,6 +5,7 @@
         change::EndpointChange,
         endpoint::{Endpoint, EndpointHandle, Notice},
         health::AttemptOutcome,
+        limit::{Fleet, LimitChange, LimitReport},
         load::{Load, LoadChunk, LoadReport, Reporter},
         queue::{Waiter, WaiterId},
         service::{Assignment, DispatchRequest, Service},
@@ -12,7 +13,10 @@
     derive_more::Debug,
     directory::{BuildId, ListedEndpoint},
     model::{Domain, MILLISECOND, Name, Time, mix},
-    std::collections::{HashMap, HashSet},
+    std::{
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+    },
 };
 
 /// The result of submitting a request.
@@ -93,6 +97,7 @@
     domain: Domain,
     /// The notices of endpoints that are not listed at the moment.
     unlisted_notices: UnlistedNotices,
+    fleet: Fleet,
     /// The random number of the next choice.
     random: u64,
     services: HashMap<Name, Service>,
@@ -114,6 +119,7 @@
         Dispatcher {
             domain,
             unlisted_notices: UnlistedNotices::default(),
+            fleet: Fleet::default(),
             random: mix(seed),
             services: HashMap::new(),
             service_names: HashMap::new(),
@@ -309,6 +315,50 @@
         }
     }
 
+    /// Replaces the list of routers that send requests to the same endpoints.
+    pub fn set_routers<I>(&mut self, now: Time, own: SocketAddr, routers: I)
+    where
+        I: IntoIterator<Item = SocketAddr>,
+    {
+        self.fleet = Fleet::new(own, routers);
+        for endpoint in self.services.values_mut().flat_map(|it| &mut it.endpoints) {
+            endpoint.notice.limit.set_share(now, &self.fleet, endpoint.hash);
+        }
+    }
+
+    /// Records how many requests an endpoint takes per second from all routers together, or that it
+    /// takes any number. Returns the change, if there is one.
+    pub fn record_limit(
+        &mut self,
+        now: Time,
+        handle: EndpointHandle,
+        rate: Option<f64>,
+    ) -> Option<LimitChange> {
+        let name = self.service_names.get(&handle)?;
+        let endpoint = self.services.get_mut(name)?.get_mut(handle)?;
+        endpoint.notice.limit.record(now, rate).then(|| endpoint.set_share(now, &self.fleet))
+    }
+
+    /// Returns what other routers should know about limits.
+    pub fn limit_reports(&self, now: Time) -> Vec<LimitReport> {
+        let endpoints = self.services.values().flat_map(|it| &it.endpoints);
+        endpoints.filter_map(|it| it.notice.limit.report(now, it.incarnation())).collect()
+    }
+
+    /// Applies what other routers know about limits. Returns the changes.
+    pub fn apply_limit_reports(&mut self, now: Time, reports: &[LimitReport]) -> Vec<LimitChange> {
+        let endpoints = self.services.values_mut().flat_map(|it| &mut it.endpoints);
+        let mut endpoints: HashMap<_, _> = endpoints.map(|it| (it.incarnation(), it)).collect();
+        let mut changes = Vec::new();
+        for report in reports {
+            let Some(endpoint) = endpoints.get_mut(&report.incarnation) else { continue };
+            if endpoint.notice.limit.merge(now, report) {
+                changes.push(endpoint.set_share(now, &self.fleet));
+            }
+        }
+        changes
+    }
+
     /// Applies a report of what other routers run. They run nothing on covered endpoints that are
     /// not listed.
     pub fn apply_peer_report(&mut self, now: Time, reporter: Reporter, chunk: &LoadChunk) {
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -1,7 +1,12 @@
 //! One endpoint, as a router sees it.
 
 use {
-    crate::{health::Health, load::Load, service::PromptPart},
+    crate::{
+        health::Health,
+        limit::{Fleet, Limit, LimitChange},
+        load::Load,
+        service::PromptPart,
+    },
     derive_more::{Debug, Display},
     directory::{BuildId, ListedEndpoint},
     model::{Time, hash64, mix2},
@@ -17,12 +22,14 @@
 const MAX_PARTS: usize = 8_192;
 
 /// What an endpoint asked of this router in its responses.
-#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+#[derive(Clone, Copy, PartialEq, Default, Debug)]
 pub(crate) struct Notice {
     /// The endpoint is leaving and wants no further requests.
     pub(crate) leaving: bool,
     /// Until when the endpoint wants no requests.
     pub(crate) closed_until: Time,
+    /// How many requests the endpoint takes.
+    pub(crate) limit: Limit,
 }
 
 /// An endpoint and its load, health and cached prompt parts.
@@ -68,6 +75,13 @@
         build.is_none_or(|it| self.listed.build_id() == it)
     }
 
+    /// Determines this router's share of the endpoint's limit, which has changed.
+    pub(crate) fn set_share(&mut self, now: Time, fleet: &Fleet) -> LimitChange {
+        let limit = &mut self.notice.limit;
+        limit.set_share(now, fleet, self.hash);
+        LimitChange { endpoint: self.listed.id.clone(), rate: limit.rate(), share: limit.share() }
+    }
+
     pub(crate) fn addr(&self) -> SocketAddr {
         self.listed.addr
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod endpoint;
 mod exchange;
 mod health;
+mod limit;
 mod load;
 mod queue;
 mod rendezvous;
@@ -24,6 +25,7 @@
     endpoint::EndpointHandle,
     exchange::Exchange,
     health::AttemptOutcome,
+    limit::{LimitChange, LimitReport},
     load::{LoadChunk, LoadReport, Reporter},
     queue::WaiterId,
     retry_budget::{RetryBudget, RetryBudgetLimits},
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,9 +5,10 @@
         call::Call,
         crash,
         headers::{
-            ForwardHeaders, ResponseProof, is_event_stream, is_framed, is_leaving, reported_load,
-            request_headers, response_headers, retry_after, verify_response,
+            ForwardHeaders, ResponseProof, is_event_stream, is_framed, is_leaving, named_limit,
+            reported_load, request_headers, response_headers, retry_after, verify_response,
         },
+        limits,
         response_memory::{BufferedBody, Reservation},
         shared::{RunningRequest, Shared},
         sse::EventBuffer,
@@ -236,6 +237,9 @@
         if proof != ResponseProof::Unverified {
             self.record_notices(call, &parts);
         }
+        if matches!(proof, ResponseProof::Valid | ResponseProof::Full) {
+            self.record_limit(call, &parts);
+        }
         match proof {
             ResponseProof::Valid => {}
             ResponseProof::Full => {
@@ -323,6 +327,24 @@
         }
     }
 
+    /// Records how many requests a second the endpoint takes.
+    fn record_limit(&self, call: &Call, response: &response::Parts) {
+        let shared = &call.shared;
+        let Assignment { handle, id, .. } = &self.running.pick;
+        match named_limit(&shared.names, &response.headers) {
+            Ok(limit) => limits::record(shared, *handle, limit),
+            Err(value) => {
+                shared.metrics.record_send("invalid-limit");
+                tracing::info!(
+                    event = "invalid-limit",
+                    endpoint = %id,
+                    ?value,
+                    "gateway: ignored invalid limit of endpoint"
+                );
+            }
+        }
+    }
+
     fn time_out(self) -> Failure {
         self.fail(AttemptOutcome::Abandoned, Failure::DeadlineExceeded)
     }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -199,6 +199,10 @@
         self.shared.origins.lock().set_members(self.shared.settings.inner, routers);
         let routers = membership.routers.iter().map(|it| it.0);
         self.shared.quarantine.lock().set_members(routers);
+        let routers: Vec<_> = membership.routers.iter().map(|it| it.0).collect();
+        drop(membership);
+        let (now, own) = (self.shared.now(), self.shared.settings.inner);
+        self.shared.dispatcher.lock().set_routers(now, own, routers);
     }
 
     /// Keeps the current source of the endpoint list for as long as that replica reads the list.
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -39,6 +39,9 @@
     pub load: HeaderName,
     /// In a response: `1` if the endpoint is leaving and wants no further requests.
     pub leaving: HeaderName,
+    /// In a response: how many requests a second the endpoint takes from all gateways together, as a
+    /// decimal number, until a response comes without it.
+    pub limit: HeaderName,
     /// The id of the last event of a stream that the client received.
     pub last_event_id: HeaderName,
     /// The id of the client's attempt that brought the first event of a stream which the client
@@ -65,6 +68,7 @@
             signature: name("endpoint-signature"),
             load: name("endpoint-load"),
             leaving: name("endpoint-leaving"),
+            limit: name("endpoint-limit"),
             last_event_id: name("last-event-id"),
             resumes: name("resumes"),
             reserved: Vec::new(),
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -204,6 +204,20 @@
     headers.get(&names.leaving).is_some_and(|it| it.as_bytes().trim_ascii() == b"1")
 }
 
+/// Returns how many requests a second an endpoint takes from all gateways together. The error is a
+/// value that is not a finite number, or is negative.
+pub(crate) fn named_limit(
+    names: &HeaderNames,
+    headers: &HeaderMap,
+) -> Result<Option<f64>, HeaderValue> {
+    let Some(value) = headers.get(&names.limit) else { return Ok(None) };
+    let rate = value.to_str().ok().and_then(|it| it.trim().parse::<f64>().ok());
+    match rate.filter(|it| it.is_finite() && *it >= 0.0) {
+        Some(rate) => Ok(Some(rate)),
+        None => Err(value.clone()),
+    }
+}
+
 /// The longest retry delay that is believed, in seconds.
 const MAX_RETRY_AFTER_S: f64 = 86_400.0;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod header_names;
 mod headers;
 mod layout;
+mod limits;
 mod metrics;
 mod origins;
 mod quarantine;
