Keep to the limits that endpoints name, shared by all gateways

Class: what an endpoint says to one gateway is meant for the fleet. Why this works: each gateway takes a share that needs no agreement but on the members: as many gateways as the limit allows requests in a burst use the endpoint, in an order by hash, each with an equal token bucket. All ways to an endpoint pass the bucket: first attempts, retries, resumed streams, replacements. News of a limit go to all at once and again each 500 ms to one. If all endpoints of a service are at their limits, the caller is told when to come back.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -264,6 +264,7 @@
         let Some(service) = self.services.get_mut(&request.service) else { return };
         let Some(endpoint) = service.get_mut(assignment.handle) else { return };
         endpoint.load.add(assignment.tokens);
+        endpoint.notice.limit.take(now);
         if let Some(prompt) = &request.prompt {
             let new = prompt.shared().iter().filter(|it| endpoint.record_part(now, it.id));
             // The last part implies those before it.
@@ -283,8 +284,12 @@
     ) -> u64 {
         let Some(service) = self.services.get(name) else { return MAX_RETRY_MS };
         let opens_at = service.opens_at(build);
-        if opens_at > now && opens_at != Time::NEVER {
-            return opens_at.since(now).div_ceil(MILLISECOND);
+        if opens_at == Time::NEVER {
+            return MAX_RETRY_MS;
+        }
+        if opens_at > now {
+            let opens_ms = opens_at.since(now).div_ceil(MILLISECOND);
+            return opens_ms + service.limit_wait_ms(build, service.queue.ahead(priority));
         }
         let ready = service.endpoints.iter().filter(|it| it.is_open(now) && it.has_build(build));
         let running: u32 = ready.map(|it| it.load.requests(now)).sum();
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -67,7 +67,12 @@
 
     /// Returns whether the endpoint takes new requests now.
     pub(crate) fn is_open(&self, now: Time) -> bool {
-        self.is_staying() && self.notice.closed_until <= now
+        self.is_staying() && self.opens_at() <= now
+    }
+
+    /// Returns when the endpoint takes the next request of this router, if it is staying.
+    pub(crate) fn opens_at(&self) -> Time {
+        self.notice.closed_until.max(self.notice.limit.opens_at())
     }
 
     /// Returns whether the endpoint has this software version, if one is required.
--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -112,7 +112,8 @@
     /// Records what the endpoint said to another router. Returns whether the rate has changed much.
     pub(crate) fn merge(&mut self, now: Time, report: &LimitReport) -> bool {
         let said_at = now.saturating_sub(u64::from(report.age_ms) * MILLISECOND);
-        if report.hops >= MAX_HOPS || said_at <= self.said_at {
+        let is_valid = report.rate.is_none_or(|it| it.is_finite() && it >= 0.0);
+        if !is_valid || report.hops >= MAX_HOPS || said_at <= self.said_at {
             return false;
         }
         self.update(now, said_at, report.hops + 1, report.rate)
@@ -155,6 +156,26 @@
         self.refilled_at = now;
     }
 
+    /// Returns when this router may send the next request.
+    pub(crate) fn opens_at(&self) -> Time {
+        if self.rate.is_none() || self.tokens >= 1.0 {
+            return Time(0);
+        }
+        if self.share <= 0.0 {
+            return Time::NEVER;
+        }
+        let seconds = (1.0 - self.tokens) / self.share;
+        self.refilled_at + (seconds * SECOND as f64).ceil() as u64
+    }
+
+    /// Takes the allowance for one request.
+    pub(crate) fn take(&mut self, now: Time) {
+        if self.rate.is_some() {
+            self.refill(now);
+            self.tokens = (self.tokens - 1.0).max(0.0);
+        }
+    }
+
     /// Returns what other routers should know, if there is or was a limit.
     pub(crate) fn report(&self, now: Time, incarnation: u64) -> Option<LimitReport> {
         let has_ended = self.ended_at.is_some_and(|it| now.since(it) < ENDED_TIME);
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         endpoint::{Endpoint, EndpointHandle},
+        limit::Limit,
         queue::WaitQueue,
         rendezvous::ranked,
     },
@@ -151,7 +152,18 @@
     /// Returns when the first endpoint takes new requests.
     pub(crate) fn opens_at(&self, build: Option<BuildId>) -> Time {
         let staying = self.staying(build);
-        staying.map(|it| it.notice.closed_until).min().unwrap_or(Time::NEVER)
+        staying.map(Endpoint::opens_at).min().unwrap_or(Time::NEVER)
+    }
+
+    /// Returns how long requests wait at least behind `ahead` others because of the limits of
+    /// endpoints, in milliseconds.
+    pub(crate) fn limit_wait_ms(&self, build: Option<BuildId>, ahead: usize) -> u64 {
+        let limits = || self.staying(build).map(|it| &it.notice.limit);
+        if limits().any(|it| it.rate().is_none()) {
+            return 0;
+        }
+        let rate: f64 = limits().map(Limit::share).sum();
+        if rate > 0.0 { (ahead as f64 / rate * 1_000.0) as u64 } else { 0 }
     }
 
     /// Records that an endpoint answered a request `service_ms` milliseconds after it was sent.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,7 +4,7 @@
     crate::{
         control, discovery, gossip,
         header_names::HeaderNames,
-        layout,
+        layout, limits,
         metrics::Metrics,
         origins, quarantine, relay,
         response_memory::ResponseMemory,
@@ -112,6 +112,7 @@
             waiters: Mutex::new(HashMap::new()),
             budgets: Mutex::new(HashMap::new()),
             quarantine: Mutex::new(Quarantine::new(settings.inner)),
+            limit_news: Notify::new(),
             crash_news: Notify::new(),
             convicted: watch::Sender::default(),
             membership: Mutex::new(Membership::default()),
@@ -147,6 +148,7 @@
             tokio::spawn(gossip::receive(shared.clone(), socket)),
             tokio::spawn(quarantine::send_news(shared.clone())),
             tokio::spawn(quarantine::compare(shared.clone())),
+            tokio::spawn(limits::send_reports(shared.clone())),
             tokio::spawn(process_queue(shared.clone())),
         ];
         tracing::info!(
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -154,7 +154,8 @@
     }
 }
 
-fn peers(shared: &Shared) -> Vec<SocketAddr> {
+/// Returns the other gateways.
+pub(crate) fn peers(shared: &Shared) -> Vec<SocketAddr> {
     let own = shared.settings.inner;
     let membership = shared.membership.lock();
     membership.routers.iter().map(|it| it.0).filter(|it| *it != own).collect()
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -116,6 +116,8 @@
     pub(crate) waiters: Mutex<HashMap<WaiterId, oneshot::Sender<PlacementResult>>>,
     pub(crate) budgets: Mutex<HashMap<Name, RetryBudget>>,
     pub(crate) quarantine: Mutex<Quarantine>,
+    /// Wakes the task that tells other gateways of the limits of endpoints.
+    pub(crate) limit_news: Notify,
     /// Wakes the task that tells other gateways of crashes.
     pub(crate) crash_news: Notify,
     /// Notified when a verdict began.
