Soak: play a crashing prompt part and an endpoint that names a limit

Endpoints that may crash so are listed by their own address, as the proxies before the others accept connections while an endpoint is gone.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        config::{HOST, KEY, TIMEOUT_MS},
+        config::{CRASHING_PART, HOST, KEY, TIMEOUT_MS},
         history::{Outcome, RequestKind, SentRequest, SharedHistory},
     },
     bytes::{Bytes, BytesMut},
@@ -13,7 +13,7 @@
         client::conn::http1::{SendRequest, handshake},
     },
     hyper_util::rt::TokioIo,
-    rand::{Rng, SeedableRng},
+    rand::{Rng, SeedableRng, random},
     rand_chacha::ChaCha8Rng,
     std::{
         net::SocketAddr,
@@ -141,7 +141,7 @@
             .header("deadline-ms", TIMEOUT_MS)
             .header("team-key", KEY)
             .header("prompt-tokens", "900,100")
-            .header("prompt-parts", format!("5:300,{:x}:600", chat + 16))
+            .header("prompt-parts", prompt_parts(kind, chat))
             .body(Full::new(body));
         let Ok(request) = request else { return Some(connection) };
         self.history.record_sent(id, sent);
@@ -158,11 +158,18 @@
     /// Sends one request on a new connection; returns its status, or zero without a complete response.
     pub(crate) async fn send_once(&self, id: &str, kind: RequestKind) -> u16 {
         let Some(open) = self.connect(None).await else { return 0 };
-        self.call(open, id, kind, 0, None).await;
+        self.call(open, id, kind, random(), None).await;
         self.history.response_status(id).unwrap_or(0)
     }
 }
 
+fn prompt_parts(kind: RequestKind, chat: u32) -> String {
+    match kind {
+        RequestKind::Crashing => format!("5:300,{CRASHING_PART}:100,{chat:x}:600"),
+        _ => format!("5:300,{:x}:600", chat + 16),
+    }
+}
+
 async fn exchange(sender: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>) -> Outcome {
     match sender.send_request(request).await {
         Ok(response) => read(response).await,
--- a/soak/src/config.rs
+++ b/soak/src/config.rs
@@ -41,6 +41,12 @@
 /// Grace period of a gateway in milliseconds; longer than any request.
 pub(crate) const GRACE_MS: u64 = 6_000;
 
+/// The prompt part that crashes endpoints, in hexadecimal.
+pub(crate) const CRASHING_PART: &str = "bad";
+
+/// The requests a second that a limited endpoint takes from all gateways.
+pub(crate) const LIMIT: f64 = 3.0;
+
 /// Maximum number of concurrent requests per endpoint.
 pub(crate) const SLOTS: u32 = 16;
 
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        config::SLOTS,
+        config::{CRASHING_PART, LIMIT, SLOTS},
         history::{
             ReceivedRequest, STREAM_EVENTS, SharedHistory, expected_event, expected_response,
             expected_signature,
@@ -35,7 +35,7 @@
     },
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::watch,
+        sync::{mpsc::UnboundedSender, watch},
         time::sleep,
     },
 };
@@ -74,6 +74,8 @@
     running: AtomicU32,
     /// When the directory first listed it as draining.
     draining_since: Mutex<Option<Instant>>,
+    /// Receives the number of an endpoint that crashes.
+    crashes: UnboundedSender<usize>,
 }
 
 /// A running endpoint. Dropping it closes its connections abruptly.
@@ -94,6 +96,7 @@
         addr: SocketAddr,
         identity: Identity,
         history: SharedHistory,
+        crashes: UnboundedSender<usize>,
     ) -> Result<Endpoint> {
         let listener = TcpListener::bind(addr).await.wrap_err("failed to bind an endpoint")?;
         let addr = listener.local_addr().wrap_err("failed to read the address of an endpoint")?;
@@ -103,6 +106,7 @@
             behavior: Mutex::new(Behavior::Healthy),
             running: AtomicU32::new(0),
             draining_since: Mutex::new(None),
+            crashes,
         });
         let (alive, ended) = watch::channel(());
         tokio::spawn(accept(listener, state.clone(), ended));
@@ -168,6 +172,9 @@
     if header(&parts, "endpoint-id").as_ref() != Some(&state.identity.id) {
         return not_run(&id, StatusCode::MISDIRECTED_REQUEST);
     }
+    if behavior == Behavior::Limited {
+        state.history.record_limited(state.identity.number, &id, Instant::now());
+    }
     if behavior == Behavior::Rejecting || state.running.load(Ordering::Relaxed) >= SLOTS {
         return not_run(&id, StatusCode::SERVICE_UNAVAILABLE);
     }
@@ -177,6 +184,13 @@
         Behavior::Hanging if random_bool(0.5) => pending().await,
         _ => {}
     }
+    if header(&parts, "prompt-parts").is_some_and(|it| it.contains(CRASHING_PART)) {
+        state.history.record_crashing_part(&id, Instant::now());
+        sleep(random_work()).await;
+        state.history.record_part_crash(Instant::now());
+        let _ = state.crashes.send(state.identity.number);
+        return pending().await;
+    }
     if state.identity.service == "model" {
         return stream_events(&state, running, &parts, behavior);
     }
@@ -252,7 +266,11 @@
 
 fn response_head(state: &State, id: &str) -> http::response::Builder {
     let running = state.running.load(Ordering::Relaxed);
-    Response::builder()
+    let limited = *state.behavior.lock() == Behavior::Limited;
+    let builder = Response::builder();
+    let builder =
+        if limited { builder.header("endpoint-limit", LIMIT.to_string()) } else { builder };
+    builder
         .header("attempt-id", id)
         .header("endpoint-signature", expected_signature(state.identity.number, id))
         .header("endpoint-load", format!("{running},0,{SLOTS}"))
--- a/soak/src/endpoints.rs
+++ b/soak/src/endpoints.rs
@@ -22,13 +22,19 @@
         sync::Arc,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
-    tokio::time::sleep,
+    tokio::{
+        sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+        time::sleep,
+    },
     tower::service_fn,
 };
 
 /// How long an endpoint keeps running after it was listed as draining; longer than any request.
 const DRAIN_TIME: Duration = Duration::from_millis(5_000);
 
+/// How long an endpoint that a request crashed is down.
+const PART_CRASH_DOWNTIME: Duration = Duration::from_millis(1_500);
+
 /// Pause before the address of a replaced endpoint is reused, which stands for the lag of the directory.
 const DIRECTORY_LAG: Duration = Duration::from_millis(300);
 
@@ -37,6 +43,8 @@
 struct EndpointEntry {
     /// How often the endpoint of this entry was replaced.
     generation: u32,
+    /// Whether gateways connect to the endpoint itself, so that they notice that it is gone.
+    is_direct: bool,
     /// `None` while the endpoint is down.
     endpoint: Option<Endpoint>,
     identity: Identity,
@@ -60,18 +68,27 @@
 pub(crate) struct Endpoints {
     history: SharedHistory,
     inner: Arc<Mutex<Inner>>,
+    crashes: UnboundedSender<usize>,
     directory: SocketAddr,
     #[debug(skip)]
     _server: Server,
 }
 
 impl Endpoints {
-    /// Starts the endpoints and the directory.
-    pub(crate) async fn start(size: FleetSize, history: SharedHistory) -> Result<Endpoints> {
+    /// Starts the endpoints and the directory. With `is_direct`, gateways connect to the endpoints of models themselves.
+    pub(crate) async fn start(
+        size: FleetSize,
+        is_direct: bool,
+        history: SharedHistory,
+    ) -> Result<Endpoints> {
+        let (crashes, crashed) = unbounded_channel();
         let mut entries = Vec::new();
         for number in 0..size.models + size.plains {
             let service = if number < size.models { "model" } else { "plain" };
-            entries.push(start_entry(number, 0, service, history.clone()).await?);
+            let started = start_entry(number, 0, service, history.clone(), crashes.clone());
+            let mut entry = started.await?;
+            entry.is_direct = is_direct && service == "model";
+            entries.push(entry);
         }
         let inner = Arc::new(Mutex::new(Inner { entries, reused_addrs: Vec::new(), outages: 0 }));
         let listed = inner.clone();
@@ -80,7 +97,10 @@
             async move { Ok(response) }
         });
         let server = Server::bind(ephemeral_addr(), ServerLimits::default(), service).await?;
-        Ok(Endpoints { history, inner, directory: server.addr(), _server: server })
+        let endpoints =
+            Endpoints { history, inner, crashes, directory: server.addr(), _server: server };
+        tokio::spawn(restart_crashed(endpoints.handle(), crashed));
+        Ok(endpoints)
     }
 
     /// Returns the address of the directory.
@@ -113,22 +133,12 @@
 
     /// Crashes an endpoint and restarts it with the same id after `duration`.
     pub(crate) async fn crash(&self, number: usize, duration: Duration) -> Result<()> {
-        let crashed = {
-            let mut inner = self.inner.lock();
-            let entry = &mut inner.entries[number];
-            entry.endpoint.take().map(|_| (entry.addr, entry.identity.clone()))
-        };
-        let Some((addr, identity)) = crashed else { return Ok(()) };
-        sleep(duration).await;
-        let restarted = Endpoint::bind(addr, identity, self.history.clone()).await?;
-        let mut inner = self.inner.lock();
-        let entry = &mut inner.entries[number];
-        if entry.draining {
-            restarted.mark_draining(Instant::now());
-        }
-        entry.endpoint = Some(restarted);
-        entry.started_at_ms = unix_time_ms();
-        Ok(())
+        self.handle().crash(number, duration).await
+    }
+
+    fn handle(&self) -> Handle {
+        let (history, inner) = (self.history.clone(), self.inner.clone());
+        Handle { history, inner, crashes: self.crashes.clone() }
     }
 
     /// Drains an endpoint and replaces it by a new one. An endpoint of another service reuses its address.
@@ -146,7 +156,8 @@
             }
         };
         let Some((generation, service)) = taken else { return Ok(()) };
-        let next = start_entry(number, generation + 1, service, self.history.clone()).await?;
+        let (history, crashes) = (self.history.clone(), self.crashes.clone());
+        let next = start_entry(number, generation + 1, service, history, crashes).await?;
         sleep(DRAIN_TIME).await;
         let old = {
             let mut inner = self.inner.lock();
@@ -161,7 +172,8 @@
         drop(old.endpoint);
         sleep(DIRECTORY_LAG).await;
         let identity = Identity { number, id: format!("other-{number}"), service: "other" };
-        let other = Endpoint::bind(addr, identity, self.history.clone()).await?;
+        let (history, crashes) = (self.history.clone(), self.crashes.clone());
+        let other = Endpoint::bind(addr, identity, history, crashes).await?;
         self.inner.lock().reused_addrs.push((other, old.proxy));
         Ok(())
     }
@@ -176,19 +188,67 @@
     }
 }
 
+/// What is needed to crash and restart endpoints.
+struct Handle {
+    history: SharedHistory,
+    inner: Arc<Mutex<Inner>>,
+    crashes: UnboundedSender<usize>,
+}
+
+impl Handle {
+    /// Crashes an endpoint and restarts it with the same id after `duration`.
+    async fn crash(&self, number: usize, duration: Duration) -> Result<()> {
+        let crashed = {
+            let mut inner = self.inner.lock();
+            let entry = &mut inner.entries[number];
+            entry.endpoint.take().map(|_| (entry.addr, entry.identity.clone()))
+        };
+        let Some((addr, identity)) = crashed else { return Ok(()) };
+        sleep(duration).await;
+        let (history, crashes) = (self.history.clone(), self.crashes.clone());
+        let restarted = Endpoint::bind(addr, identity, history, crashes).await?;
+        let mut inner = self.inner.lock();
+        let entry = &mut inner.entries[number];
+        if entry.draining {
+            restarted.mark_draining(Instant::now());
+        }
+        entry.endpoint = Some(restarted);
+        entry.started_at_ms = unix_time_ms();
+        Ok(())
+    }
+}
+
+/// Restarts the endpoints that a request crashed.
+async fn restart_crashed(handle: Handle, mut crashed: UnboundedReceiver<usize>) {
+    let handle = Arc::new(handle);
+    while let Some(number) = crashed.recv().await {
+        let handle = handle.clone();
+        tokio::spawn(async move {
+            let (component, history) = (Component::Endpoint(number), handle.history.clone());
+            history.begin_disturbance(component, Cause::Fault, Instant::now());
+            if let Err(err) = handle.crash(number, PART_CRASH_DOWNTIME).await {
+                history.record_violation("restart", &format!("{component}: {err:#}"));
+            }
+            history.end_disturbance(component, Cause::Fault, Instant::now());
+        });
+    }
+}
+
 async fn start_entry(
     number: usize,
     generation: u32,
     service: &'static str,
     history: SharedHistory,
+    crashes: UnboundedSender<usize>,
 ) -> Result<EndpointEntry> {
     let identity = Identity { number, id: format!("{service}-{number}-{generation}"), service };
-    let endpoint = Endpoint::bind(ephemeral_addr(), identity.clone(), history).await?;
+    let endpoint = Endpoint::bind(ephemeral_addr(), identity.clone(), history, crashes).await?;
     let addr = endpoint.addr();
     let proxy = Proxy::bind(addr).await.wrap_err("failed to start the proxy of an endpoint")?;
     let (endpoint, started_at_ms) = (Some(endpoint), unix_time_ms());
     Ok(EndpointEntry {
         generation,
+        is_direct: false,
         endpoint,
         identity,
         addr,
@@ -202,7 +262,7 @@
     let listed = |entry: &EndpointEntry| ListedEndpoint {
         id: entry.identity.id.as_str().into(),
         service: entry.identity.service.into(),
-        addr: entry.proxy.addr(),
+        addr: if entry.is_direct { entry.addr } else { entry.proxy.addr() },
         domain: Domain(format!("d{}", entry.identity.number % 3).into()),
         slots: SLOTS,
         draining: entry.draining,
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -2,10 +2,12 @@
 
 mod check;
 mod cuts;
+mod incidents;
 
 pub use cuts::{Cuts, Excuse};
 
 use {
+    self::incidents::Incidents,
     crate::{
         disturbances::{Cause, DisturbanceLog},
         plan::Component,
@@ -51,6 +53,9 @@
     /// An event stream that may be resumed on another endpoint.
     #[display("stream")]
     Stream,
+    /// Like [`RequestKind::Stream`], with the prompt part that crashes endpoints.
+    #[display("stream")]
+    Crashing,
     /// Routed only by the configuration with this version.
     #[display("only-{_0}")]
     VersionOnly(u64),
@@ -146,6 +151,7 @@
     /// The highest version that each incarnation of a gateway used, and when it first did.
     used_versions: HashMap<(usize, u32), (u64, Instant)>,
     cuts: Cuts,
+    incidents: Incidents,
     violations: Vec<String>,
     /// Number of violations whose text was not kept.
     omitted: usize,
@@ -167,7 +173,7 @@
 /// Returns the service that handles a kind of request.
 pub(crate) fn service_for(kind: RequestKind) -> &'static str {
     match kind {
-        RequestKind::Stream => "model",
+        RequestKind::Stream | RequestKind::Crashing => "model",
         RequestKind::Read | RequestKind::Write | RequestKind::VersionOnly(_) => "plain",
     }
 }
@@ -236,6 +242,22 @@
         self.0.lock().disturbances.end(component, cause, now);
     }
 
+    /// Records that an endpoint received a request with the part that crashes endpoints.
+    pub fn record_crashing_part(&self, id: &str, now: Instant) {
+        self.0.lock().incidents.arrivals.push((id.to_owned(), now));
+    }
+
+    /// Records that an endpoint crashed because of that part.
+    pub fn record_part_crash(&self, now: Instant) {
+        self.0.lock().incidents.crashes.push(now);
+    }
+
+    /// Records that an endpoint received a request while it named a limit.
+    pub fn record_limited(&self, endpoint: usize, id: &str, now: Instant) {
+        let mut inner = self.0.lock();
+        inner.incidents.limited.entry(endpoint).or_default().push((id.to_owned(), now));
+    }
+
     /// Records a violated invariant.
     pub fn record_violation(&self, rule: &str, text: &str) {
         self.0.lock().record_violation(rule, text);
@@ -258,6 +280,8 @@
         inner.check_cancelled();
         inner.check_cuts();
         inner.check_retry_budget();
+        inner.check_crashing_part();
+        inner.check_limits();
         inner.counts()
     }
 }
@@ -374,6 +398,7 @@
             };
             let kind = match entry.sent.kind {
                 RequestKind::VersionOnly(_) => "only".to_owned(),
+                RequestKind::Crashing => "crashing".to_owned(),
                 kind => kind.to_string(),
             };
             let tally = counts.entry(format!("{kind} {outcome}")).or_default();
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -34,6 +34,8 @@
             optional --seconds seconds: u64
             /// Inject no faults, only stops and reloads of gateways and publishes.
             optional --planned
+            /// Send requests of which one prompt part crashes endpoints, and let an endpoint name a limit.
+            optional --incidents
             /// Run a hundred processes instead of a dozen.
             optional --large
             /// Directory for settings, state and logs. Default: a temporary one, removed unless an invariant was violated.
@@ -68,7 +70,11 @@
     let runtime = Runtime::new().wrap_err("start")?;
     let mut all_passed = true;
     for seed in first..first + flags.count.unwrap_or(1) {
-        let generate = if flags.planned { FaultPlan::planned_work } else { FaultPlan::generate };
+        let generate = match (flags.planned, flags.incidents) {
+            (true, _) => FaultPlan::planned_work,
+            (false, true) => FaultPlan::incidents,
+            (false, false) => FaultPlan::generate,
+        };
         let plan = generate(seed, size, duration);
         let mut folder = tempfile::Builder::new().prefix("jf-soak-").tempdir()?;
         let path = match &flags.folder {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -79,6 +79,8 @@
     Truncating,
     /// It rejects every request without running it.
     Rejecting,
+    /// It names how many requests a second it takes from all gateways.
+    Limited,
 }
 
 /// A fault or an operator action injected during a run.
@@ -104,6 +106,8 @@
     Crash(usize),
     /// An endpoint drains and is replaced, and an endpoint of another service reuses its address.
     Replace(usize),
+    /// Requests are sent of which one prompt part crashes each endpoint that begins to answer them.
+    CrashingPart,
     /// The directory returns errors.
     DirectoryOutage,
     /// A configuration is published.
@@ -146,6 +150,9 @@
 /// Mean interval between the steps of planned work in milliseconds.
 const PLANNED_INTERVAL_MS: u64 = 500;
 
+/// Mean interval between the steps beside a crashing prompt part in milliseconds. Some gateways must stay undisturbed.
+const INCIDENT_INTERVAL_MS: u64 = 3_000;
+
 /// Maximum time between the end of a stopped process and its restart in milliseconds.
 const PLANNED_DOWNTIME_MS: u64 = 1_000;
 
@@ -176,6 +183,30 @@
         FaultPlan { seed, size, duration, steps }
     }
 
+    /// Generates a run with a crashing prompt part and limited endpoints, while gateways are killed, stopped and reloaded.
+    pub fn incidents(seed: u64, size: FleetSize, duration: Duration) -> FaultPlan {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let step = |at, duration, fault| ScheduledFault { at, duration, fault };
+        let limited = rng.random_range(size.models..size.models + size.plains);
+        let mut steps = vec![
+            step(Duration::ZERO, duration, Fault::CrashingPart),
+            step(Duration::ZERO, duration, Fault::Misbehave(limited, Behavior::Limited)),
+        ];
+        let mut at_ms = 0;
+        loop {
+            at_ms += rng.random_range(1..=2 * INCIDENT_INTERVAL_MS);
+            let downtime = Duration::from_millis(rng.random_range(100..=PLANNED_DOWNTIME_MS));
+            let at = Duration::from_millis(at_ms);
+            if at + downtime > duration {
+                break;
+            }
+            let gateway = Component::Gateway(rng.random_range(0..size.gateways));
+            let faults = [Fault::Kill(gateway), Fault::Stop(gateway), Fault::Reload(gateway)];
+            steps.extend(faults.choose(&mut rng).map(|it| step(at, downtime, *it)));
+        }
+        FaultPlan { seed, size, duration, steps }
+    }
+
     /// Generates the faults of a run.
     pub fn generate(seed: u64, size: FleetSize, duration: Duration) -> FaultPlan {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -36,6 +36,9 @@
 /// How long callers run without faults before the first fault and after recovery.
 const QUIET_PERIOD: Duration = Duration::from_secs(2);
 
+/// The interval between requests with the crashing part.
+const CRASHING_INTERVAL: Duration = Duration::from_millis(200);
+
 /// The result of a run.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Report {
@@ -75,7 +78,8 @@
 /// The fleet cannot be started or stopped. In this case the run says nothing about the invariants.
 pub async fn run_plan(plan: &FaultPlan, binaries: &Path, folder: &Path) -> Result<Report> {
     let history: SharedHistory = Arc::new(History::default());
-    let endpoints = Endpoints::start(plan.size, history.clone()).await?;
+    let is_direct = plan.steps.iter().any(|it| it.fault == Fault::CrashingPart);
+    let endpoints = Endpoints::start(plan.size, is_direct, history.clone()).await?;
     let directory = endpoints.directory_addr();
     let fleet = Fleet::start(plan.size, binaries, folder, directory, history.clone()).await?;
     let admins = fleet.replicas.iter().map(|it| it.admin).collect();
@@ -189,6 +193,10 @@
             .await
         }
         Fault::Replace(number) => env.endpoints.replace(number).await,
+        Fault::CrashingPart => {
+            send_crashing(env, duration).await;
+            Ok(())
+        }
         Fault::DirectoryOutage => {
             env.endpoints.fail_directory(duration).await;
             Ok(())
@@ -204,6 +212,25 @@
     }
 }
 
+/// Sends requests with the crashing part, no two alike, to one gateway after the other.
+async fn send_crashing(env: &Environment, duration: Duration) {
+    let until = Instant::now() + duration;
+    let mut tasks = JoinSet::new();
+    for number in 0.. {
+        if Instant::now() >= until {
+            break;
+        }
+        let gateway = number % env.fleet.gateways.len();
+        let stop = Arc::new(AtomicBool::new(false));
+        let caller = caller(env, gateway, format!("crashing-{number}"), &stop);
+        tasks.spawn(async move {
+            caller.send_once(&caller.name, RequestKind::Crashing).await;
+        });
+        sleep(CRASHING_INTERVAL).await;
+    }
+    while tasks.join_next().await.is_some() {}
+}
+
 async fn with_disturbance<F>(env: &Environment, component: Component, fault: F) -> F::Output
 where
     F: Future,
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -35,6 +35,7 @@
                 Fault::Misbehave(it, _) | Fault::Crash(it) => Some(Component::Endpoint(it)),
                 Fault::Replace(it) => Some(Component::Endpoint(it)),
                 Fault::DirectoryOutage | Fault::Publish | Fault::ConcurrentPublish => None,
+                Fault::CrashingPart => None,
             };
             assert!(component.is_none_or(known), "{step:?}");
         }
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -29,3 +29,13 @@
     assert!(report.passed(), "{report:#?}");
     assert!(report.cuts.planned > 0, "{report:#?}");
 }
+
+#[rstest]
+#[case::gateways_killed_and_stopped_meanwhile(1, Duration::from_secs(20))]
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_part_and_limit_are_kept_in_check(#[case] seed: u64, #[case] duration: Duration) {
+    let folder = tempfile::tempdir().unwrap();
+    let plan = FaultPlan::incidents(seed, FleetSize::SMALL, duration);
+    let report = run_plan(&plan, &binaries().unwrap(), folder.path()).await.unwrap();
+    assert!(report.passed(), "{report:#?}");
+}
