--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -39,7 +39,7 @@
             shared.metrics.record_send("crashed");
             tracing::warn!(
                 event = "strike",
-                fingerprint = subjects.first().map(ToString::to_string),
+                subject = subjects.first().map(ToString::to_string),
                 endpoint = %pick.id,
                 request,
                 parts,
--- a/crates/quarantine/tests/verdicts.rs
+++ b/crates/quarantine/tests/verdicts.rs
@@ -2,7 +2,7 @@
 
 use {
     model::{MILLISECOND, SECOND, Time},
-    quarantine::{Admission, Change, Message, Quarantine, Subject},
+    quarantine::{Admission, AnswerReport, Change, Message, Quarantine, Report, Subject},
     rstest::rstest,
     std::net::SocketAddr,
 };
@@ -196,6 +196,20 @@
     assert!(is_blocked(&mut quarantine, at_ms(2_000), PART));
 }
 
+/// Each time makes an answer seem later, so that it would contradict all crashes in the end.
+#[test]
+fn answer_is_passed_on_only_a_few_times() {
+    let mut quarantine = quarantine();
+    crash(&mut quarantine, &[PART], 0, 3);
+    let now = at_ms(1_000);
+    for (hops, released) in [(4, false), (3, true)] {
+        let answer = Some(AnswerReport { age_ms: 0, hops });
+        let report = Report { subject: PART, crashes: Vec::new(), answer, trials: 0, tried_ms: 0 };
+        quarantine.receive(now, &Message::Tell(vec![report]));
+        assert_eq!(is_blocked(&mut quarantine, now, PART), !released);
+    }
+}
+
 /// One router tells another one what it knows, whichever of them asks.
 #[rstest]
 #[case::asked(true)]
