Count only whole successful responses as answers that acquit

Read while the change was reviewed: a response with status 400, or one whose end is that of its connection, counted as an answer to the parts of its prompt. Neither shows that an endpoint can answer them. No test of its own; those of crashing parts and of responses pass as before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -283,7 +283,9 @@
                 }
                 self.running.ending = AttemptOutcome::Served;
                 call.shared.metrics.record_send("served");
-                call.record_answer();
+                if parts.status.is_success() && is_framed {
+                    call.record_answer();
+                }
                 Ok(UpstreamResponse::Buffered(parts, body))
             }
             Some(Err(err)) => {
