Keep two random fleets that broke the bound as cases of their own

Found by part_that_crashes_endpoints_is_stopped_in_any_fleet while the quarantine was written: all endpoints down within half a second (8 late requests, 3 allowed, when crashes less than 100 ms apart counted as one), and a domain cut off beside restarts (4 late requests).

--- a/crates/quarantine/tests/fleet.rs
+++ b/crates/quarantine/tests/fleet.rs
@@ -421,6 +421,29 @@
 #[case::restarts(Plan { restarts: true, ..SMALL })]
 #[case::sound_at_first(Plan { sound_at_first: true, ..SMALL })]
 #[case::rare(Plan { crashing_rate: 1, seconds: 60, ..SMALL })]
+#[case::all_endpoints_down_at_once(Plan {
+    routers: 9,
+    endpoints: 6,
+    crashing_rate: 17,
+    sound_rate: 64,
+    loss: 19,
+    cut_s: Some((7, 15)),
+    seconds: 20,
+    seed: 356_025_601_136_589_209,
+    ..SMALL
+})]
+#[case::cut_and_restarts(Plan {
+    routers: 4,
+    endpoints: 7,
+    crashing_rate: 17,
+    sound_rate: 133,
+    loss: 23,
+    cut_s: Some((2, 10)),
+    restarts: true,
+    seconds: 20,
+    seed: 3_322_661_127_909_629_942,
+    ..SMALL
+})]
 #[case::many(Plan { crashing_rate: 40, ..SMALL })]
 #[case::large(LARGE)]
 #[case::large_datagrams_lost(Plan { loss: 30, ..LARGE })]
