Log whether a gateway reaches endpoints by itself, and which step of a send failed

Callers saw 503 and 504 with the cause "deadline has elapsed", which may be connecting or a response, and nothing told a gateway that lost its paths from endpoints that are down. The new crate path holds, for each service and for all, which endpoints could not be connected to since one last was; path-lost and path-regained say when that belief changes, of what, and how old the last success is.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -149,6 +149,14 @@
         endpoints.map(|it| it.listed.clone()).collect()
     }
 
+    /// Returns the service and the incarnation of each endpoint.
+    pub fn incarnations(&self) -> Vec<(Name, u64)> {
+        let services = self.services.iter();
+        let endpoints =
+            services.flat_map(|(name, it)| it.endpoints.iter().map(move |it| (name, it)));
+        endpoints.map(|(name, it)| (name.clone(), it.incarnation())).collect()
+    }
+
     /// Replaces the list of endpoints. Returns what changed.
     pub fn update_endpoints(&mut self, listed_endpoints: &[ListedEndpoint]) -> Vec<EndpointChange> {
         let mut changes = Vec::new();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,18 +8,18 @@
             ForwardHeaders, ResponseProof, is_event_stream, is_framed, is_leaving, named_limit,
             reported_load, request_headers, response_headers, retry_after, verify_response,
         },
-        limits,
+        limits, paths,
         response_memory::{BufferedBody, Reservation},
         shared::{RunningRequest, Shared},
         sse::EventBuffer,
-        upstream::{self, IdleConnection, ResponseBody, SendError},
+        upstream::{IdleConnection, ResponseBody, SendError},
     },
     bytes::Bytes,
     derive_more::{Debug, Display, Error},
     dispatch::{Assignment, AttemptOutcome},
     http::{Request, Response, Uri, response},
     http_body_util::Full,
-    model::{MILLISECOND, Time},
+    model::{MILLISECOND, Name, Time},
     std::sync::Arc,
     tokio::time::{sleep_until, timeout_at},
 };
@@ -131,9 +131,9 @@
         &self.running.pick
     }
 
-    /// Connects to the endpoint. The slot is released if that fails.
-    pub(crate) async fn connect(mut self) -> Option<Attempt> {
-        match upstream::connect(self.running.pick.addr).await {
+    /// Connects to the endpoint, which belongs to `service`. The slot is released if that fails.
+    pub(crate) async fn connect(mut self, service: &Name) -> Option<Attempt> {
+        match paths::connect(&self.running.shared, service, &self.running.pick).await {
             Ok(connection) => {
                 self.connection = Some(connection);
                 Some(self)
@@ -158,13 +158,13 @@
             return Err(Failure::DeadlineExceeded);
         }
         let request = self.to_request(call, left_ms, events.last_id());
-        let addr = self.running.pick.addr;
+        let pick = self.running.pick.clone();
         self.log_send(call, left_ms, events.last_id());
         let connection = self.connection.take();
         let exchange = async {
             let connection = match connection {
                 Some(it) => it,
-                None => upstream::connect(addr).await?,
+                None => paths::connect(&shared, &call.found.service.name, &pick).await?,
             };
             connection.send(request).await
         };
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -6,6 +6,7 @@
     directory::{Directory, ListedEndpoint, PollInterval},
     dispatch::EndpointChange,
     model::{MILLISECOND, Time},
+    path::Endpoint,
     std::{
         sync::{Arc, atomic::Ordering},
         time::Duration,
@@ -76,8 +77,12 @@
     let mut dispatcher = shared.dispatcher.lock();
     let changes = dispatcher.update_endpoints(endpoints);
     let next = dispatcher.start_all_queued(now);
+    let incarnations = dispatcher.incarnations();
     shared.notify_waiters(&mut dispatcher, next);
     drop(dispatcher);
+    let endpoints_by_path =
+        incarnations.into_iter().map(|(service, incarnation)| Endpoint { service, incarnation });
+    shared.paths.lock().set_endpoints(endpoints_by_path);
     shared.origins.lock().update_endpoints(now, endpoints);
     shared.endpoints_loaded.store(true, Ordering::Relaxed);
     changes.iter().for_each(log);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -113,6 +113,7 @@
             budgets: Mutex::new(HashMap::new()),
             quarantine: Mutex::new(Quarantine::new(settings.inner)),
             limit_news: Notify::new(),
+            paths: Mutex::default(),
             crash_news: Notify::new(),
             convicted: watch::Sender::default(),
             membership: Mutex::new(Membership::default()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod limits;
 mod metrics;
 mod origins;
+mod paths;
 mod quarantine;
 mod rejection;
 mod relay;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -17,6 +17,7 @@
     model::{Domain, MILLISECOND, Name, Time},
     origin::{LookupId, Origins, Resolution},
     parking_lot::Mutex,
+    path::Paths,
     quarantine::Quarantine,
     route::RouteTable,
     settings::GatewaySettings,
@@ -116,6 +117,8 @@
     pub(crate) waiters: Mutex<HashMap<WaiterId, oneshot::Sender<PlacementResult>>>,
     pub(crate) budgets: Mutex<HashMap<Name, RetryBudget>>,
     pub(crate) quarantine: Mutex<Quarantine>,
+    /// Which endpoints this gateway reaches by itself.
+    pub(crate) paths: Mutex<Paths>,
     /// Wakes the task that tells other gateways of the limits of endpoints.
     pub(crate) limit_news: Notify,
     /// Wakes the task that tells other gateways of crashes.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -46,7 +46,7 @@
 #[derive(Debug, Display, Error)]
 pub(crate) enum SendError {
     /// No byte of the request was sent.
-    #[display("connection failed: {reason}")]
+    #[display("{reason}")]
     NotSent {
         /// The cause.
         reason: String,
@@ -161,8 +161,8 @@
     let dialed = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
     let socket = match dialed {
         Ok(Ok(socket)) => socket,
-        Ok(Err(err)) => return Err(not_sent(err.to_string())),
-        Err(elapsed) => return Err(not_sent(elapsed.to_string())),
+        Ok(Err(err)) => return Err(not_sent(format!("connecting failed: {err}"))),
+        Err(_) => return Err(not_sent(format!("no connection within {CONNECT_TIMEOUT:?}"))),
     };
     if let Err(err) = socket.set_nodelay(true) {
         tracing::debug!("gateway: failed to set TCP_NODELAY for {addr}: {err}");
