Add failing tests: a gateway without a path to endpoints serves none of its callers

A TCP proxy between each gateway and each endpoint hangs, resets or refuses connections to the endpoints of one gateway of three: 0 of 20 requests are answered there, 10 of 10 before the cut.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -6,11 +6,13 @@
 mod client;
 mod crashing;
 mod endpoint;
+mod link;
 
 pub(crate) use {
     client::{Client, Connection, Response, read_response},
     crashing::{CrashingEndpoints, EVENTS, Framing},
     endpoint::{Behavior, Endpoint, ReceivedRequest, SIGNED, chunk, event},
+    link::{Cut, Link},
 };
 
 use {
@@ -44,6 +46,9 @@
 /// How long a test may wait for a condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// How long the news of a new gateway may take to reach the others.
+const MEMBERSHIP_DELAY: Duration = Duration::from_millis(1_500);
+
 const RETRIES: RetrySettings = RetrySettings { ratio: 0.2, slack: 50.0 };
 
 static METRICS: OnceLock<telemetry::Metrics> = OnceLock::new();
@@ -178,6 +183,36 @@
         Fixture { gateway, configs, addr, admin, list, control, others, _data: data }
     }
 
+    /// Starts a gateway with `layout` for each list of endpoints. Control has no list, so that each
+    /// gateway reads its own one. Waits until all know each other.
+    pub(crate) async fn start_with_lists(
+        layout: &RoutingConfig,
+        lists: &[(&str, Vec<ListedEndpoint>)],
+    ) -> Fixture {
+        let data = tempfile::tempdir().expect("failed to create a directory");
+        let control = Control::spawn(control_settings(&data)).await;
+        let mut control = control.expect("failed to start control");
+        control.wait_until_leader().await;
+        let mut gateways = Vec::new();
+        let mut admin = None;
+        for (domain, endpoints) in lists {
+            let domain = Domain((*domain).into());
+            let settings = GatewaySettings { domain, ..gateway_settings(control.internal_addr()) };
+            admin.get_or_insert(settings.admin);
+            let list = StaticList(Arc::new(Mutex::new(endpoints.clone())));
+            gateways.push(start_gateway(settings, list).await);
+        }
+        let others = gateways.split_off(1);
+        let gateway = gateways.pop().expect("no list of endpoints");
+        let (addr, configs) = (gateway.addr(), control.routing_configs());
+        let (admin, list) = (admin.expect("no list of endpoints"), StaticList::default());
+        let fixture = Fixture { gateway, configs, addr, admin, list, control, others, _data: data };
+        fixture.publish(layout).await;
+        wait_until(|| fixture.gateways().iter().all(|it| it.is_ready())).await;
+        sleep(MEMBERSHIP_DELAY).await;
+        fixture
+    }
+
     /// Starts another gateway with the same control replica.
     pub(crate) async fn add_gateway(&mut self) {
         self.add_gateway_in("d0").await;
@@ -192,6 +227,11 @@
         self.others.push(start_gateway(settings, self.list.clone()).await);
     }
 
+    /// Takes a gateway that is not the first one out of the fixture.
+    pub(crate) fn take_gateway(&mut self, at: usize) -> Gateway {
+        self.others.remove(at - 1)
+    }
+
     /// Starts another gateway in this domain with the same control replica, which can be killed.
     pub(crate) async fn start_killable(&self, domain: &str) -> KillableGateway {
         let settings = GatewaySettings {
