Reach endpoints by way of another gateway when the own path to them is lost

Cause: a gateway knew one way to an endpoint, its own connection, and took what it can't reach for unreachable. It tried up to six endpoints in turn, 400 ms each when connections hang, blamed each of them, and gave up, while the others reached all of them. Class: what one member can't reach is taken for what the fleet can't reach. The same cause in the evidence of crashes: an endpoint that refuses a gateway that is cut off counted as crashed, which accuses sound requests over all gateways; another gateway is asked first now.

Evidence: only gateways that were cut logged failures, all on connecting, with nothing sent (docs/incidents/partitioned-gateway.md).

Why this works: three endpoints in a row that are not reached mean that the path is lost (crate path); from then on the connection of each send leads by way of another gateway (gateway::detour), which uses only its own ones. All decisions stay with the first gateway, so attempts, budget and deadline span both legs, and what was not sent is still proved. docs/design/path.md weighs the ways.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,11 +4,11 @@
     crate::{
         change::EndpointChange,
         endpoint::{Endpoint, EndpointHandle, Notice},
-        health::AttemptOutcome,
+        health::{AttemptOutcome, Health},
         limit::{Fleet, LimitChange, LimitReport},
         load::{Load, LoadChunk, LoadReport, Reporter},
         queue::{Waiter, WaiterId},
-        service::{Assignment, DispatchRequest, Service},
+        service::{Assignment, DispatchRequest, Service, assignment},
     },
     derive_more::Debug,
     directory::{BuildId, ListedEndpoint},
@@ -157,6 +157,30 @@
         endpoints.map(|(name, it)| (name.clone(), it.incarnation())).collect()
     }
 
+    /// Returns the service of an endpoint and how to send a request there.
+    pub fn find(&self, now: Time, incarnation: u64) -> Option<(Name, Assignment)> {
+        self.services.iter().find_map(|(name, service)| {
+            let found = service.endpoints.iter().find(|it| it.incarnation() == incarnation)?;
+            Some((name.clone(), assignment(now, found, 0)))
+        })
+    }
+
+    /// Returns whether an endpoint has not asked this router to send nothing.
+    pub fn accepts(&self, now: Time, service: &Name, handle: EndpointHandle) -> bool {
+        let endpoints = self.services.get(service).into_iter().flat_map(|it| &it.endpoints);
+        endpoints.filter(|it| it.handle == handle).any(|it| it.accepts(now))
+    }
+
+    /// Forgets the failures of the endpoints of a service, or of all endpoints, as they were those of
+    /// the path to them.
+    pub fn forgive_failures(&mut self, service: Option<&Name>) {
+        let services =
+            self.services.iter_mut().filter(|it| service.is_none_or(|name| it.0 == name));
+        for endpoint in services.flat_map(|it| &mut it.1.endpoints) {
+            endpoint.health = Health::default();
+        }
+    }
+
     /// Replaces the list of endpoints. Returns what changed.
     pub fn update_endpoints(&mut self, listed_endpoints: &[ListedEndpoint]) -> Vec<EndpointChange> {
         let mut changes = Vec::new();
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -65,6 +65,12 @@
         !self.listed.draining && !self.notice.leaving
     }
 
+    /// Returns whether the endpoint has not asked this router to send nothing. Its limit is shared by
+    /// all routers and is not looked at.
+    pub(crate) fn accepts(&self, now: Time) -> bool {
+        self.is_staying() && self.notice.closed_until <= now
+    }
+
     /// Returns whether the endpoint takes new requests now.
     pub(crate) fn is_open(&self, now: Time) -> bool {
         self.is_staying() && self.opens_at() <= now
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -349,7 +349,7 @@
     (key, shared.iter().map(|it| it.tokens).sum())
 }
 
-fn assignment(now: Time, endpoint: &Endpoint, tokens: u32) -> Assignment {
+pub(crate) fn assignment(now: Time, endpoint: &Endpoint, tokens: u32) -> Assignment {
     Assignment {
         handle: endpoint.handle,
         id: endpoint.listed.id.clone(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,10 +5,10 @@
         call::Call,
         crash,
         headers::{
-            ForwardHeaders, ResponseProof, is_event_stream, is_framed, is_leaving, named_limit,
-            reported_load, request_headers, response_headers, retry_after, verify_response,
+            ForwardHeaders, ResponseProof, is_event_stream, is_framed, request_headers,
+            response_headers, verify_response,
         },
-        limits, paths,
+        notices, paths,
         response_memory::{BufferedBody, Reservation},
         shared::{RunningRequest, Shared},
         sse::EventBuffer,
@@ -119,7 +119,7 @@
 pub(crate) struct Attempt {
     running: RunningRequest,
     /// A connection to the endpoint, if one has been established.
-    connection: Option<IdleConnection>,
+    connection: Option<Box<IdleConnection>>,
 }
 
 impl Attempt {
@@ -135,9 +135,10 @@
     pub(crate) async fn connect(mut self, service: &Name) -> Option<Attempt> {
         match paths::connect(&self.running.shared, service, &self.running.pick).await {
             Ok(connection) => {
-                self.connection = Some(connection);
+                self.connection = Some(Box::new(connection));
                 Some(self)
             }
+            Err(SendError::NoPath { .. }) => None,
             Err(_) => {
                 self.running.ending = AttemptOutcome::Unreachable;
                 None
@@ -163,9 +164,10 @@
         let connection = self.connection.take();
         let exchange = async {
             let connection = match connection {
-                Some(it) => it,
+                Some(it) => *it,
                 None => paths::connect(&shared, &call.found.service.name, &pick).await?,
             };
+            *call.peer.lock() = connection.peer();
             connection.send(request).await
         };
         let sent = self.wait(call, exchange).await;
@@ -174,6 +176,13 @@
             Some(Err(SendError::NotSent { reason })) => {
                 return Err(self.fail(AttemptOutcome::Unreachable, Failure::NotSent { reason }));
             }
+            Some(Err(SendError::NoPath { reason })) => {
+                return Err(self.fail(AttemptOutcome::Abandoned, Failure::NotSent { reason }));
+            }
+            Some(Err(err @ SendError::PathBroken { .. })) => {
+                let reason = err.to_string();
+                return Err(self.fail(AttemptOutcome::Abandoned, Failure::Indeterminate { reason }));
+            }
             Some(Err(SendError::Broken { reason })) => {
                 crash::probe(call, &self.running.pick);
                 return Err(self.fail(AttemptOutcome::Broken, Failure::Indeterminate { reason }));
@@ -229,17 +238,8 @@
     ) -> Result<UpstreamResponse, Failure> {
         let names = &call.shared.names;
         let (mut parts, mut body) = response.into_parts();
-        if let Some(load) = reported_load(names, &parts.headers) {
-            let no = self.running.pick.handle;
-            call.shared.dispatcher.lock().record_reported_load(call.shared.now(), no, load);
-        }
         let proof = verify_response(names, call.head.attempt_id.as_ref(), &parts);
-        if proof != ResponseProof::Unverified {
-            self.record_notices(call, &parts);
-        }
-        if matches!(proof, ResponseProof::Valid | ResponseProof::Full) {
-            self.record_limit(call, &parts);
-        }
+        notices::record(&call.shared, &self.running.pick, proof, &parts);
         match proof {
             ResponseProof::Valid => {}
             ResponseProof::Full => {
@@ -291,62 +291,12 @@
             Some(Err(err)) => {
                 crash::probe(call, &self.running.pick);
                 let reason = format!("response body is incomplete: {err}");
-                Err(self.fail(AttemptOutcome::Broken, Failure::Indeterminate { reason }))
+                Err(self.fail(body.broken_outcome(), Failure::Indeterminate { reason }))
             }
             None => Err(self.time_out()),
         }
     }
 
-    /// Records whether the endpoint wants no further requests, or none for some time.
-    fn record_notices(&self, call: &Call, response: &response::Parts) {
-        let shared = &call.shared;
-        let Assignment { handle, id, .. } = &self.running.pick;
-        if is_leaving(&shared.names, &response.headers)
-            && shared.dispatcher.lock().record_leaving(*handle)
-        {
-            tracing::info!(event = "endpoint-leaving", endpoint = %id, "gateway: endpoint is leaving");
-        }
-        match retry_after(response) {
-            Ok(None) => {}
-            Ok(Some(delay)) => {
-                shared.dispatcher.lock().record_closed(*handle, shared.now() + delay);
-                tracing::info!(
-                    event = "endpoint-closed",
-                    endpoint = %id,
-                    for_ms = delay / MILLISECOND,
-                    "gateway: endpoint wants no requests for some time"
-                );
-            }
-            Err(value) => {
-                shared.metrics.record_send("invalid-retry-after");
-                tracing::info!(
-                    event = "invalid-retry-after",
-                    endpoint = %id,
-                    ?value,
-                    "gateway: ignored invalid retry delay of endpoint"
-                );
-            }
-        }
-    }
-
-    /// Records how many requests a second the endpoint takes.
-    fn record_limit(&self, call: &Call, response: &response::Parts) {
-        let shared = &call.shared;
-        let Assignment { handle, id, .. } = &self.running.pick;
-        match named_limit(&shared.names, &response.headers) {
-            Ok(limit) => limits::record(shared, *handle, limit),
-            Err(value) => {
-                shared.metrics.record_send("invalid-limit");
-                tracing::info!(
-                    event = "invalid-limit",
-                    endpoint = %id,
-                    ?value,
-                    "gateway: ignored invalid limit of endpoint"
-                );
-            }
-        }
-    }
-
     fn time_out(self) -> Failure {
         self.fail(AttemptOutcome::Abandoned, Failure::DeadlineExceeded)
     }
@@ -437,7 +387,7 @@
                 }
                 Ok(Err(reason)) => {
                     crash::probe(call, &self.running.pick);
-                    self.running.ending = AttemptOutcome::Broken;
+                    self.running.ending = self.body.broken_outcome();
                     return Err(Failure::Indeterminate { reason });
                 }
                 Err(_) => return Err(Failure::DeadlineExceeded),
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         attempt::{Attempt, Failure, UpstreamResponse, max_silence_ms},
+        detour,
         headers::RequestHead,
         origins, quarantine,
         rejection::Rejection,
@@ -20,9 +21,10 @@
     hyper::body::Incoming,
     model::{MILLISECOND, Name, Reason, Time, hash64, mix2},
     origin::{Origin, Record, Resolution, StreamKey, Wanted},
+    parking_lot::Mutex,
     route::{RouteMatch, RouteTable},
     smallvec::SmallVec,
-    std::{sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -185,6 +187,8 @@
     version: u64,
     /// The endpoint of the last attempt.
     last_pick: Option<Assignment>,
+    /// The gateway by way of which the last attempt went, if there was one.
+    pub(crate) peer: Mutex<Option<SocketAddr>>,
     /// How long the request waited for capacity, in milliseconds.
     waited_ms: u64,
     /// The time from arrival to the start of the response, in milliseconds.
@@ -232,6 +236,7 @@
             runs: 0,
             version,
             last_pick: None,
+            peer: Mutex::default(),
             waited_ms: 0,
             first_ms: 0,
         }
@@ -316,6 +321,9 @@
     /// Records that the exchange with a silent endpoint was given up for another one.
     pub(crate) fn record_replaced(&mut self, endpoint: EndpointHandle) {
         self.silent.push(endpoint);
+        if let Some(peer) = *self.peer.get_mut() {
+            detour::record_silence(&self.shared, peer);
+        }
         self.shared.metrics.record_send("replaced");
     }
 
@@ -597,6 +605,7 @@
             route = %self.found.route.name,
             team = self.team.as_deref(),
             endpoint = self.endpoint_id(),
+            peer = ?*self.peer.lock(),
             build = self.last_pick.as_ref().map(|it| it.build.0),
             load = self.last_pick.as_ref().map(|it| it.load),
             fetch = ?self.last_pick.as_ref().and_then(|it| it.fetch_from),
@@ -626,6 +635,7 @@
             runs = self.runs,
             version = self.version,
             endpoint = self.endpoint_id(),
+            peer = ?*self.peer.lock(),
             waited_ms = self.waited_ms,
             left_ms = self.left_ms(),
             after_ms = self.shared.now().since(self.arrived) / MILLISECOND,
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -1,9 +1,10 @@
 //! Detects whether an endpoint crashed before it began to answer a request.
 
 use {
-    crate::call::Call,
+    crate::{call::Call, detour, shared::Shared},
     dispatch::{Assignment, Prompt},
-    std::{fmt::Write, io, net::SocketAddr, time::Duration},
+    model::Name,
+    std::{fmt::Write, io, sync::Arc, time::Duration},
     tokio::{
         net::TcpStream,
         time::{sleep, timeout},
@@ -17,17 +18,19 @@
 /// The timeout of a probe's connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Records a crash against a request if its endpoint refuses connections. A connection that was
-/// merely reset says nothing, nor does an endpoint that cannot be reached.
+/// Records a crash against a request if its endpoint refuses connections, of another gateway too if
+/// one can tell. A connection that was merely reset says nothing, nor does an endpoint that cannot be
+/// reached, nor one that refuses only this gateway.
 pub(crate) fn probe(call: &Call, pick: &Assignment) {
     let (shared, pick, subjects) = (call.shared.clone(), pick.clone(), call.subjects.clone());
     let request = call.head.id().to_owned();
     let parts = call.head.prompt.as_ref().map(format_parts);
     let broke_at = shared.now();
+    let service = call.found.service.name.clone();
     tokio::spawn(async move {
-        if !refuses_connections(pick.addr).await {
+        if !refuses_connections(&shared, &service, &pick).await {
             sleep(PROBE_DELAY).await;
-            if !refuses_connections(pick.addr).await {
+            if !refuses_connections(&shared, &service, &pick).await {
                 return;
             }
         }
@@ -49,9 +52,15 @@
     });
 }
 
-async fn refuses_connections(addr: SocketAddr) -> bool {
-    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(addr)).await;
-    matches!(connected, Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused)
+async fn refuses_connections(shared: &Arc<Shared>, service: &Name, pick: &Assignment) -> bool {
+    let is_lost = shared.paths.lock().is_lost(service);
+    if is_lost {
+        return detour::is_refused(shared, pick).await.unwrap_or(false);
+    }
+    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(pick.addr)).await;
+    let is_refused =
+        matches!(connected, Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused);
+    is_refused && detour::is_refused(shared, pick).await.unwrap_or(true)
 }
 
 /// Returns the ids of the parts of a prompt that other prompts may share.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,7 @@
         header_names::HeaderNames,
         layout, limits,
         metrics::Metrics,
-        origins, quarantine, relay,
+        origins, paths, quarantine, relay,
         response_memory::ResponseMemory,
         sampler::Sampler,
         server,
@@ -114,6 +114,8 @@
             quarantine: Mutex::new(Quarantine::new(settings.inner)),
             limit_news: Notify::new(),
             paths: Mutex::default(),
+            path_lost: watch::Sender::default(),
+            peers: Mutex::default(),
             crash_news: Notify::new(),
             convicted: watch::Sender::default(),
             membership: Mutex::new(Membership::default()),
@@ -150,6 +152,7 @@
             tokio::spawn(quarantine::send_news(shared.clone())),
             tokio::spawn(quarantine::compare(shared.clone())),
             tokio::spawn(limits::send_reports(shared.clone())),
+            tokio::spawn(paths::probe(shared.clone())),
             tokio::spawn(process_queue(shared.clone())),
         ];
         tracing::info!(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        discovery,
+        detour, discovery,
         layout::{self, installed_version},
         shared::Shared,
     },
@@ -22,7 +22,7 @@
     },
     wire::{
         Compressed, Encoded, Listener, Peer, Step, Stream, WireError,
-        msg::{RELAY_PATH, RelayRequest, WatchUpdate},
+        msg::{DETOUR_PATH, RELAY_PATH, RelayRequest, WatchUpdate},
     },
 };
 
@@ -46,6 +46,10 @@
 pub(crate) async fn serve(shared: Arc<Shared>, mut listener: Listener) {
     let slots = Arc::new(Semaphore::new(MAX_REQUESTS));
     while let Some(incoming) = listener.accept().await {
+        if incoming.path == DETOUR_PATH {
+            tokio::spawn(detour::serve(shared.clone(), incoming.peer, incoming.stream));
+            continue;
+        }
         if incoming.path != RELAY_PATH {
             tracing::warn!(peer = %incoming.peer, path = incoming.path, "gateway: unknown path");
             continue;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by all tasks of a gateway.
 //!
-//! Lock order: `layout_history`, `dispatcher`, `waiters`; `membership`, `origins`, `lookups`; `membership`, `quarantine`. All other locks are leaves. No lock is held across an await.
+//! Lock order: `layout_history`, `dispatcher`, `waiters`; `membership`, `origins`, `lookups`; `membership`, `quarantine`; `membership`, `paths`. All other locks are leaves. No lock is held across an await.
 
 use {
     crate::{
@@ -34,7 +34,7 @@
         sync::{Notify, oneshot, watch},
         time::Instant,
     },
-    wire::{Clock, Dialer},
+    wire::{Clock, Dialer, Peer},
 };
 
 /// How long a gateway that is shutting down still receives requests as before, in milliseconds:
@@ -119,6 +119,10 @@
     pub(crate) quarantine: Mutex<Quarantine>,
     /// Which endpoints this gateway reaches by itself.
     pub(crate) paths: Mutex<Paths>,
+    /// Notified when a path to endpoints was lost.
+    pub(crate) path_lost: watch::Sender<()>,
+    /// The connections to other gateways that reach endpoints for this one.
+    pub(crate) peers: Mutex<HashMap<SocketAddr, Peer>>,
     /// Wakes the task that tells other gateways of the limits of endpoints.
     pub(crate) limit_news: Notify,
     /// Wakes the task that tells other gateways of crashes.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -136,7 +136,7 @@
             crash::probe(&self.call, &previous.running.pick);
         }
         previous.running.ending =
-            if broke { AttemptOutcome::Broken } else { AttemptOutcome::Abandoned };
+            if broke { previous.body.broken_outcome() } else { AttemptOutcome::Abandoned };
         let resumable = is_resumable(&self.call, &previous.events);
         let (last, passed) = (previous.events.last_id(), previous.events.forwarded());
         drop(previous);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -5,8 +5,13 @@
 //! request at most.
 
 use {
+    crate::{
+        detour::{Detour, DetourBody},
+        paths::Connection,
+    },
     bytes::Bytes,
     derive_more::{Debug, Display, Error},
+    dispatch::AttemptOutcome,
     http::{Request, Response},
     http_body_util::{BodyExt, Full},
     hyper::{body::Incoming, client::conn::http1},
@@ -42,6 +47,15 @@
 /// interim responses or framing. It exceeds what can be buffered before a part is taken.
 const MAX_OVERHEAD_BYTES: usize = 4 * MAX_RESPONSE_HEAD_BYTES;
 
+/// A connection to an endpoint was not established.
+#[derive(Debug, Display, Error)]
+#[display("{reason}")]
+pub(crate) struct ConnectError {
+    /// Whether the endpoint's host refused the connection.
+    pub(crate) is_refused: bool,
+    reason: String,
+}
+
 /// Why there is no response.
 #[derive(Debug, Display, Error)]
 pub(crate) enum SendError {
@@ -51,6 +65,20 @@
         /// The cause.
         reason: String,
     },
+    /// No byte of the request was sent, as neither this gateway nor another one has a path to the
+    /// endpoint. This says nothing about the endpoint.
+    #[display("{reason}")]
+    NoPath {
+        /// The cause.
+        reason: String,
+    },
+    /// The request was handed to another gateway, and the connection to that one failed. This says
+    /// nothing about the endpoint.
+    #[display("connection to another gateway lost: {reason}")]
+    PathBroken {
+        /// The cause.
+        reason: String,
+    },
     /// The request was sent, at least in part.
     #[display("connection lost: {reason}")]
     Broken {
@@ -60,34 +88,59 @@
 }
 
 /// Closes the connection when dropped, so that the endpoint stops working on the request.
-struct Connection {
-    driver: JoinHandle<()>,
+struct Driver {
+    task: JoinHandle<()>,
     overhead: Arc<AtomicUsize>,
 }
 
-impl Drop for Connection {
+impl Drop for Driver {
     fn drop(&mut self) {
-        self.driver.abort();
+        self.task.abort();
     }
 }
 
 /// The body of a response. The connection is closed when it is dropped.
-pub(crate) struct ResponseBody {
-    body: Incoming,
-    connection: Connection,
+pub(crate) enum ResponseBody {
+    /// From the endpoint.
+    Direct(DirectBody),
+    /// By way of another gateway.
+    Detour(DetourBody),
 }
 
 impl ResponseBody {
     /// Returns the next part, which is not empty, or `None` at the end of the body. The error says
     /// why the connection failed.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, String>> {
+        match self {
+            ResponseBody::Direct(it) => it.next().await,
+            ResponseBody::Detour(it) => it.next().await,
+        }
+    }
+
+    /// Returns how the attempt ends whose response broke off.
+    pub(crate) fn broken_outcome(&self) -> AttemptOutcome {
+        match self {
+            ResponseBody::Detour(it) if it.is_path_broken => AttemptOutcome::Abandoned,
+            _ => AttemptOutcome::Broken,
+        }
+    }
+}
+
+/// The body of a response that comes from the endpoint.
+pub(crate) struct DirectBody {
+    body: Incoming,
+    driver: Driver,
+}
+
+impl DirectBody {
+    async fn next(&mut self) -> Option<Result<Bytes, String>> {
         loop {
             let frame = match self.body.frame().await? {
                 Ok(frame) => frame,
                 Err(err) => return Some(Err(describe(&err))),
             };
             if let Some(data) = frame.into_data().ok().filter(|it| !it.is_empty()) {
-                self.connection.overhead.store(0, Ordering::Relaxed);
+                self.driver.overhead.store(0, Ordering::Relaxed);
                 return Some(Ok(data));
             }
         }
@@ -150,19 +203,51 @@
 }
 
 /// A connection over which nothing has been sent.
-pub(crate) struct IdleConnection {
+pub(crate) enum IdleConnection {
+    /// To the endpoint.
+    Direct(Connection),
+    /// By way of another gateway.
+    Detour(Detour),
+}
+
+impl IdleConnection {
+    /// Returns the gateway by way of which the connection leads.
+    pub(crate) fn peer(&self) -> Option<SocketAddr> {
+        match self {
+            IdleConnection::Direct(_) => None,
+            IdleConnection::Detour(it) => Some(it.peer),
+        }
+    }
+
+    /// Sends a request and returns the head of its response.
+    pub(crate) async fn send(
+        self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<ResponseBody>, SendError> {
+        match self {
+            IdleConnection::Direct(it) => it.send(request).await,
+            IdleConnection::Detour(it) => it.send(request).await,
+        }
+    }
+}
+
+/// A connection to an endpoint over which nothing has been sent.
+pub(crate) struct DirectConnection {
     sender: http1::SendRequest<Full<Bytes>>,
-    connection: Connection,
+    driver: Driver,
 }
 
 /// Connects to an endpoint.
-pub(crate) async fn connect(addr: SocketAddr) -> Result<IdleConnection, SendError> {
-    let not_sent = |reason: String| SendError::NotSent { reason };
+pub(crate) async fn connect(addr: SocketAddr) -> Result<DirectConnection, ConnectError> {
+    let failed = |reason: String| ConnectError { is_refused: false, reason };
     let dialed = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
     let socket = match dialed {
         Ok(Ok(socket)) => socket,
-        Ok(Err(err)) => return Err(not_sent(format!("connecting failed: {err}"))),
-        Err(_) => return Err(not_sent(format!("no connection within {CONNECT_TIMEOUT:?}"))),
+        Ok(Err(err)) => {
+            let is_refused = err.kind() == io::ErrorKind::ConnectionRefused;
+            return Err(ConnectError { is_refused, reason: format!("connecting failed: {err}") });
+        }
+        Err(_) => return Err(failed(format!("no connection within {CONNECT_TIMEOUT:?}"))),
     };
     if let Err(err) = socket.set_nodelay(true) {
         tracing::debug!("gateway: failed to set TCP_NODELAY for {addr}: {err}");
@@ -170,16 +255,21 @@
     let overhead = Arc::new(AtomicUsize::new(0));
     let io = TokioIo::new(MeteredSocket { inner: socket, overhead: overhead.clone() });
     let handshake = http1::Builder::new().max_buf_size(MAX_RESPONSE_HEAD_BYTES).handshake(io);
-    let (sender, driver) = handshake.await.map_err(|it| not_sent(it.to_string()))?;
-    let driver = tokio::spawn(async move {
+    let (sender, driver) = handshake.await.map_err(|it| failed(it.to_string()))?;
+    let task = tokio::spawn(async move {
         if let Err(err) = driver.await {
             tracing::debug!("gateway: connection to {addr} ended: {err}");
         }
     });
-    Ok(IdleConnection { sender, connection: Connection { driver, overhead } })
+    Ok(DirectConnection { sender, driver: Driver { task, overhead } })
 }
 
-impl IdleConnection {
+impl DirectConnection {
+    /// Returns whether the connection is still open after this time.
+    pub(crate) async fn stays_open(mut self, time: Duration) -> bool {
+        timeout(time, &mut self.driver.task).await.is_err()
+    }
+
     /// Sends a request and returns the head of its response.
     pub(crate) async fn send(
         mut self,
@@ -187,7 +277,8 @@
     ) -> Result<Response<ResponseBody>, SendError> {
         match self.sender.try_send_request(request).await {
             Ok(response) => {
-                Ok(response.map(|body| ResponseBody { body, connection: self.connection }))
+                Ok(response
+                    .map(|body| ResponseBody::Direct(DirectBody { body, driver: self.driver })))
             }
             Err(mut err) => {
                 let unsent = err.take_message().is_some();
--- a/crates/path/src/paths.rs
+++ b/crates/path/src/paths.rs
@@ -69,7 +69,7 @@
         self.all.is_lost() || self.services.get(service).is_some_and(Scope::is_lost)
     }
 
-    /// Records that a direct connection, begun at `begun_at`, was established.
+    /// Records that an endpoint was reached over a direct connection begun at `begun_at`.
     pub fn record_reached(
         &mut self,
         now: Time,
@@ -85,7 +85,8 @@
         all.into_iter().chain(regained(Some(endpoint.service.clone()), lost_for)).collect()
     }
 
-    /// Records that a direct connection, begun at `begun_at`, failed.
+    /// Records that an endpoint was not reached over a direct connection begun at `begun_at`: it was not
+    /// established, or broke before a response came.
     pub fn record_failed(
         &mut self,
         now: Time,
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -358,3 +358,83 @@
         router: SocketAddr,
     },
 }
+
+/// The path of the streams over which a router that does not reach an endpoint asks another one to
+/// connect to it and to pass on a single request: one [`DetourRequest::Open`] frame, answered with a
+/// [`DetourReply`]; after [`DetourReply::Connected`] one [`DetourRequest::Send`] frame, answered with
+/// the response. The router that asks ends the stream to cancel the request.
+pub const DETOUR_PATH: &str = "/forward-detour";
+
+/// A message of a router that does not reach an endpoint.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
+pub enum DetourRequest {
+    /// Connect to an endpoint.
+    Open {
+        /// Identifies the run of the endpoint.
+        incarnation: u64,
+    },
+    /// Send a request to the endpoint.
+    Send {
+        /// The method.
+        method: Name,
+        /// The path and the query.
+        path: Name,
+        /// The headers, in order.
+        headers: Vec<Header>,
+        /// The whole body.
+        #[debug("{} bytes", body.len())]
+        body: Bytes,
+    },
+}
+
+/// Why a router does not connect to an endpoint for another one.
+#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug, derive_more::Display)]
+pub enum DetourRefusal {
+    /// It does not reach the endpoints of the service either.
+    #[display("it does not reach endpoints either")]
+    Unreachable,
+    /// It has too many connections.
+    #[display("it has too many connections")]
+    Full,
+    /// It is shutting down.
+    #[display("it is shutting down")]
+    Stopping,
+    /// Its list of endpoints does not have the endpoint.
+    #[display("it does not know the endpoint")]
+    Unknown,
+    /// The endpoint is leaving, or asked it for a pause.
+    #[display("the endpoint wants no requests from it")]
+    Closed,
+}
+
+/// A message of the router that connects to an endpoint for another one.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
+pub enum DetourReply {
+    /// There is a connection to the endpoint. Nothing was sent over it.
+    Connected,
+    /// This router does not try to connect.
+    Refused(DetourRefusal),
+    /// The endpoint cannot be connected to, or the request was not sent.
+    NotSent {
+        /// Whether the endpoint's host refused the connection.
+        is_refused: bool,
+        /// The cause.
+        reason: String,
+    },
+    /// The connection to the endpoint failed after the request was sent, at least in part.
+    Broken {
+        /// The cause.
+        reason: String,
+    },
+    /// The head of the endpoint's response.
+    Head {
+        /// The status code.
+        status: u16,
+        /// The headers, in order.
+        headers: Vec<Header>,
+    },
+    /// The next part of the response's body.
+    Data(#[debug("{} bytes", _0.len())] Bytes),
+    /// The end of the response's body.
+    End,
+}
