Find a gateway with a path when a whole domain is cut off

A domain of which three in a row failed isn't preferred for 1 s, and after the first refusal those go first that reached an endpoint lately.

Also tests at the socket: own path used again after the cut, two of three cut, none left (503, not run), resumable streams, a gateway that carries and shuts down, callers that leave, endpoints that refuse one gateway only. Nothing ran twice.

--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -12,7 +12,7 @@
         shared::Shared,
         upstream::{ResponseBody, SendError},
     },
-    ::path::PeerFailure,
+    ::path::{Member, PeerFailure},
     bytes::Bytes,
     derive_more::{Debug, Display, Error},
     dispatch::Assignment,
@@ -93,10 +93,12 @@
 
 /// Connects to the endpoint of an assignment by way of another gateway.
 pub(crate) async fn open(shared: &Arc<Shared>, pick: &Assignment) -> Result<Detour, OpenError> {
-    for _ in 0..MAX_PEERS {
-        let Some(peer) = choose_peer(shared, &pick.domain) else { break };
+    for failed in 0..MAX_PEERS {
+        let Some((peer, domain)) = choose_peer(shared, &pick.domain, failed) else { break };
         match ask(shared, peer, pick.incarnation).await {
             Ok((send, recv)) => {
+                let member = Member { addr: peer, domain: &domain };
+                shared.paths.lock().record_carried(shared.now(), member);
                 if shared.sampler.admit(shared.now()) {
                     tracing::info!(
                         event = "detour",
@@ -137,7 +139,10 @@
 }
 
 fn avoid(shared: &Shared, peer: SocketAddr, failure: PeerFailure, reason: &str) {
-    if shared.paths.lock().record_peer_failure(shared.now(), peer, failure) {
+    let membership = shared.membership.lock();
+    let Some((addr, domain)) = membership.routers.iter().find(|it| it.0 == peer) else { return };
+    let member = Member { addr: *addr, domain };
+    if shared.paths.lock().record_peer_failure(shared.now(), member, failure) {
         tracing::info!(
             event = "detour-refused",
             %peer,
@@ -148,11 +153,13 @@
     }
 }
 
-fn choose_peer(shared: &Shared, domain: &Domain) -> Option<SocketAddr> {
+fn choose_peer(shared: &Shared, domain: &Domain, failed: usize) -> Option<(SocketAddr, Domain)> {
     let membership = shared.membership.lock();
     let others = membership.routers.iter().filter(|it| it.0 != shared.settings.inner);
-    let others = others.map(|it| (it.0, &it.1));
-    shared.paths.lock().choose_peer(shared.now(), others, domain, rand::random())
+    let members = others.clone().map(|it| Member { addr: it.0, domain: &it.1 });
+    let mut paths = shared.paths.lock();
+    let addr = paths.choose_peer(shared.now(), members, domain, failed, rand::random())?;
+    others.into_iter().find(|it| it.0 == addr).cloned()
 }
 
 async fn ask(
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -191,7 +191,7 @@
     ) -> Fixture {
         let data = tempfile::tempdir().expect("failed to create a directory");
         let control = Control::spawn(control_settings(&data)).await;
-        let mut control = control.expect("failed to start control");
+        let control = control.expect("failed to start control");
         control.wait_until_leader().await;
         let mut gateways = Vec::new();
         let mut admin = None;
--- a/crates/gateway/tests/partition.rs
+++ b/crates/gateway/tests/partition.rs
@@ -3,15 +3,18 @@
 mod common;
 
 use {
-    common::{Behavior, Client, Cut, Endpoint, Fixture, Link, layout},
+    common::{Behavior, Client, Cut, Endpoint, Fixture, Link, event, layout, wait_until},
     rstest::rstest,
-    std::time::Duration,
+    std::{collections::HashMap, ops::Range, time::Duration},
     tokio::time::{Instant, sleep},
 };
 
 /// How long a gateway may take to notice that it is cut off.
 const NOTICE_TIME: Duration = Duration::from_millis(3_000);
 
+/// How long a gateway may take to notice that a cut has ended.
+const REGAIN_TIME: Duration = Duration::from_millis(1_500);
+
 const ENDPOINTS: usize = 4;
 
 /// Gateways with a path of their own to each endpoint.
@@ -52,6 +55,22 @@
         }
     }
 
+    async fn restore(&self, gateway: usize) {
+        for link in &self.links[gateway] {
+            link.restore().await;
+        }
+    }
+
+    /// Returns the most runs of one request.
+    fn max_runs(&self) -> usize {
+        let received = self.endpoints.iter().flat_map(Endpoint::received);
+        let mut runs: HashMap<String, usize> = HashMap::new();
+        for id in received.filter_map(|it| it.header("attempt-id").map(str::to_owned)) {
+            *runs.entry(id).or_default() += 1;
+        }
+        runs.into_values().max().unwrap_or(0)
+    }
+
     fn client(&mut self, gateway: usize) -> Client {
         self.requests += 1;
         let addr = self.fixture.gateways()[gateway].addr();
@@ -99,3 +118,146 @@
         assert_eq!(fleet.served(0, path, 20).await, 20, "{path}");
     }
 }
+
+/// Returns the events of a stream as the client receives them.
+fn events(numbers: Range<u64>) -> String {
+    numbers.map(event).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_uses_its_own_path_again_when_the_cut_ends() {
+    let mut fleet = Fleet::start(&["d0", "d1"]).await;
+    fleet.cut(0, Cut::Hang).await;
+    fleet.notice(0).await;
+    assert_eq!(fleet.served(0, "/write/", 5).await, 5);
+    fleet.restore(0).await;
+    sleep(REGAIN_TIME).await;
+    // Only its own path is left.
+    fleet.cut(1, Cut::Refuse).await;
+    assert_eq!(fleet.served(0, "/write/", 10).await, 10);
+}
+
+#[rstest]
+#[case::hanging(Cut::Hang)]
+#[case::refused(Cut::Refuse)]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_two_of_three_gateways_are_cut_off(#[case] cut: Cut) {
+    let mut fleet = Fleet::start(&["d0", "d0", "d1"]).await;
+    fleet.cut(0, cut).await;
+    fleet.cut(1, cut).await;
+    fleet.notice(0).await;
+    fleet.notice(1).await;
+    for gateway in [0, 1] {
+        assert_eq!(fleet.served(gateway, "/write/", 20).await, 20, "gateway {gateway}");
+    }
+    assert_eq!(fleet.max_runs(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_no_gateway_can_reach_is_refused_as_not_run() {
+    let mut fleet = Fleet::start(&["d0", "d1"]).await;
+    fleet.cut(0, Cut::Refuse).await;
+    fleet.cut(1, Cut::Refuse).await;
+    fleet.notice(0).await;
+    let response = fleet.client(0).call("/write/").await;
+    assert_eq!(response.status, 503);
+    assert!(response.header("retry-after").is_some());
+}
+
+#[rstest]
+#[case::hanging(Cut::Hang)]
+#[case::reset(Cut::Reset)]
+#[tokio::test(flavor = "multi_thread")]
+async fn resumable_stream_goes_on_by_way_of_another_gateway(#[case] cut: Cut) {
+    let mut fleet = Fleet::start(&["d0", "d1"]).await;
+    for endpoint in &fleet.endpoints[ENDPOINTS..] {
+        endpoint.set_behaviors([Behavior::PausedEvents(1..4, 10_000, 4..8)]);
+    }
+    let client = fleet.client(0).deadline(4_000);
+    let call = tokio::spawn(async move { client.call("/resume/").await });
+    sleep(Duration::from_millis(150)).await;
+    for endpoint in &fleet.endpoints[ENDPOINTS..] {
+        endpoint.set_behaviors(vec![Behavior::Events(4..8); 10]);
+    }
+    fleet.cut(0, cut).await;
+    let response = call.await.expect("the call panicked");
+    assert!(response.complete, "{response:?}");
+    assert_eq!(response.body, events(1..8));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_by_way_of_a_gateway_that_shuts_down_is_completed() {
+    let mut fleet = Fleet::start(&["d0", "d1"]).await;
+    fleet.cut(0, Cut::Refuse).await;
+    fleet.notice(0).await;
+    for endpoint in &fleet.endpoints[ENDPOINTS..] {
+        endpoint.set_behaviors([Behavior::PausedEvents(1..4, 2_000, 4..8)]);
+    }
+    let client = fleet.client(0);
+    let call = tokio::spawn(async move { client.call("/stream/").await });
+    sleep(Duration::from_millis(200)).await;
+    fleet.fixture.take_gateway(1).shutdown().await;
+    let response = call.await.expect("the call panicked");
+    assert!(response.complete, "{response:?}");
+    assert_eq!(response.body, events(1..8));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_that_shuts_down_is_not_asked_for_a_path() {
+    let mut fleet = Fleet::start(&["d0", "d1", "d1"]).await;
+    fleet.cut(0, Cut::Refuse).await;
+    fleet.notice(0).await;
+    let stopping = fleet.fixture.take_gateway(1);
+    let stopping = tokio::spawn(stopping.shutdown());
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(fleet.served(0, "/write/", 20).await, 20);
+    stopping.await.expect("the shutdown panicked");
+    assert_eq!(fleet.served(0, "/write/", 20).await, 20);
+    assert_eq!(fleet.max_runs(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn client_that_leaves_ends_its_request_behind_another_gateway() {
+    let mut fleet = Fleet::start(&["d0", "d1"]).await;
+    fleet.cut(0, Cut::Refuse).await;
+    fleet.notice(0).await;
+    for endpoint in &fleet.endpoints[..ENDPOINTS] {
+        endpoint.set_behaviors([Behavior::NoResponse]);
+    }
+    let active = |fleet: &Fleet| fleet.endpoints.iter().map(Endpoint::active).sum::<usize>();
+    let socket = fleet.client(0).send("/write/").await;
+    wait_until(|| active(&fleet) == 1).await;
+    drop(socket);
+    let left_at = Instant::now();
+    wait_until(|| active(&fleet) == 0).await;
+    assert!(left_at.elapsed() < Duration::from_millis(500), "{:?}", left_at.elapsed());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoints_that_refuse_only_one_gateway_are_no_evidence_of_a_crash() {
+    let mut fleet = Fleet::start(&["d0", "d1"]).await;
+    for endpoint in &fleet.endpoints[ENDPOINTS..] {
+        endpoint.set_behaviors(vec![Behavior::NoResponse; 8]);
+    }
+    // Three requests with a prompt part in common are running when their connections are reset.
+    let mut calls = Vec::new();
+    for own in 1..=3 {
+        let parts = format!("prompt-parts: a0:800,bad:200,{own}:50");
+        let client = fleet.client(0).header(&parts).deadline(2_000);
+        calls.push(tokio::spawn(async move { client.call("/stream/").await }));
+    }
+    sleep(Duration::from_millis(300)).await;
+    fleet.cut(0, Cut::Reset).await;
+    fleet.cut(0, Cut::Refuse).await;
+    for call in calls {
+        call.await.expect("the call panicked");
+    }
+    for endpoint in &fleet.endpoints[ENDPOINTS..] {
+        endpoint.set_behaviors(vec![Behavior::Events(1..6); 40]);
+    }
+    sleep(NOTICE_TIME).await;
+    for gateway in [0, 1] {
+        let client = fleet.client(gateway).header("prompt-parts: a0:800,bad:200,9:50");
+        assert_eq!(client.call("/stream/").await.status, 200, "gateway {gateway}");
+    }
+}
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -12,5 +12,5 @@
 
 pub use crate::{
     paths::{Endpoint, PathChange, Paths},
-    peers::PeerFailure,
+    peers::{Member, PeerFailure},
 };
--- a/crates/path/src/paths.rs
+++ b/crates/path/src/paths.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        peers::{PeerFailure, Peers},
+        peers::{Member, PeerFailure, Peers},
         scope::Scope,
     },
     derive_more::Debug,
@@ -120,25 +120,32 @@
     }
 
     /// Returns the router among `members` to ask for a path to an endpoint in `domain`, or `None` if
-    /// all have failed lately. The endpoint's own domain goes first, where its bytes pass anyway.
+    /// all have failed lately. The endpoint's own domain goes first, where its bytes pass anyway. Once
+    /// `failed` others have failed for this endpoint, those go first that reached one lately.
     pub fn choose_peer<'a, I>(
         &mut self,
         now: Time,
         members: I,
         domain: &Domain,
+        failed: usize,
         random: u64,
     ) -> Option<SocketAddr>
     where
-        I: IntoIterator<Item = (SocketAddr, &'a Domain)>,
+        I: IntoIterator<Item = Member<'a>>,
     {
-        self.peers.choose(now, members, domain, random)
+        self.peers.choose(now, members, domain, failed, random)
+    }
+
+    /// Records that a router reached an endpoint for this one.
+    pub fn record_carried(&mut self, now: Time, peer: Member<'_>) {
+        self.peers.record_carried(now, peer);
     }
 
     /// Records that a router did not reach an endpoint for this one. Returns whether this is news.
     pub fn record_peer_failure(
         &mut self,
         now: Time,
-        peer: SocketAddr,
+        peer: Member<'_>,
         failure: PeerFailure,
     ) -> bool {
         self.peers.record_failure(now, peer, failure)
