--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -344,12 +344,13 @@
         !std::mem::replace(&mut endpoint.notice.leaving, true)
     }
 
-    /// Records that an endpoint wants no requests until `closed_until`.
-    pub fn record_closed(&mut self, handle: EndpointHandle, closed_until: Time) {
-        if let Some(endpoint) = self.endpoint(handle) {
-            let notice = &mut endpoint.notice;
-            notice.closed_until = notice.closed_until.max(closed_until);
-        }
+    /// Records that an endpoint wants no requests until `closed_until`. Returns whether the endpoint
+    /// is known.
+    pub fn record_closed(&mut self, handle: EndpointHandle, closed_until: Time) -> bool {
+        let Some(endpoint) = self.endpoint(handle) else { return false };
+        let notice = &mut endpoint.notice;
+        notice.closed_until = notice.closed_until.max(closed_until);
+        true
     }
 
     /// Replaces the list of routers that send requests to the same endpoints.
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -15,7 +15,7 @@
     ::quarantine::{Admission, Subject},
     bytes::Bytes,
     directory::BuildId,
-    dispatch::{Assignment, DispatchRequest, EndpointHandle, Prompt},
+    dispatch::{Assignment, DispatchRequest, Dispatcher, EndpointHandle, Prompt},
     edge::{Body, discard, full, read_all},
     http::{Request, Response, StatusCode, header, request},
     hyper::body::Incoming,
@@ -291,6 +291,16 @@
             return ExchangeEnd::Finished(Err(Failure::Quarantined));
         }
         let endpoint = attempt.pick().handle;
+        let accepts =
+            |it: &Dispatcher| it.accepts(self.shared.now(), &self.found.service.name, endpoint);
+        if !accepts(&self.shared.dispatcher.lock()) {
+            tracing::info!(
+                event = "sent-unwanted",
+                request = self.head.id(),
+                endpoint = %attempt.pick().id,
+                "gateway: endpoint asked for no requests after it was chosen"
+            );
+        }
         self.tried.push(endpoint);
         self.last_pick = Some(attempt.pick().clone());
         // Once handed to a connection, the request may run unless the endpoint proves otherwise.
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -40,11 +40,12 @@
     match retry_after(response) {
         Ok(None) => {}
         Ok(Some(delay)) => {
-            shared.dispatcher.lock().record_closed(*handle, shared.now() + delay);
+            let is_known = shared.dispatcher.lock().record_closed(*handle, shared.now() + delay);
             tracing::info!(
                 event = "endpoint-closed",
                 endpoint = %id,
                 for_ms = delay / MILLISECOND,
+                is_known,
                 "gateway: endpoint wants no requests for some time"
             );
         }
