Add failing tests: an endpoint that asked for a pause gets requests after it is listed anew

At the socket: the endpoint answers 503 with Retry-After, or says that it leaves, 0.9 s after the request; meanwhile lists omit it and show it again. The next requests reach it at once.

--- a/crates/dispatch/tests/notices.rs
+++ b/crates/dispatch/tests/notices.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use {
-    common::{NOW, dispatcher, plain},
+    common::{NOW, dispatcher, listed, plain},
+    directory::ListedEndpoint,
     dispatch::{Assignment, AttemptOutcome, DispatchRequest, Dispatcher, SubmitResult},
     model::{MILLISECOND, SECOND, Time},
     std::collections::BTreeSet,
@@ -28,7 +29,7 @@
 }
 
 /// Returns a dispatcher that knows only the first plain endpoint, and an assignment to it.
-fn single_endpoint() -> (Dispatcher, Assignment, Vec<directory::ListedEndpoint>) {
+fn single_endpoint() -> (Dispatcher, Assignment, Vec<ListedEndpoint>) {
     let (mut dispatcher, mut listing) = dispatcher(0, 64);
     listing.truncate(1);
     dispatcher.update_endpoints(&listing);
@@ -115,3 +116,59 @@
     dispatcher.update_endpoints(&listing);
     assert!(assign(&mut dispatcher, NOW).is_ok(), "after a restart");
 }
+
+#[test]
+fn pause_asked_for_while_an_endpoint_is_listed_anew_is_kept() {
+    let (mut dispatcher, assignment, listing) = single_endpoint();
+    dispatcher.update_endpoints(&[]);
+    dispatcher.update_endpoints(&listing);
+    dispatcher.record_closed(assignment.handle, NOW + 3 * SECOND);
+    assert!(used(&mut dispatcher, NOW + SECOND).is_empty());
+    assert!(!used(&mut dispatcher, NOW + 3 * SECOND).is_empty());
+}
+
+#[test]
+fn pause_asked_for_while_an_endpoint_is_not_listed_is_kept() {
+    let (mut dispatcher, assignment, listing) = single_endpoint();
+    dispatcher.update_endpoints(&[]);
+    dispatcher.record_closed(assignment.handle, NOW + 3 * SECOND);
+    dispatcher.update_endpoints(&listing);
+    assert!(used(&mut dispatcher, NOW + SECOND).is_empty());
+}
+
+#[test]
+fn endpoint_that_leaves_while_it_is_listed_anew_gets_no_requests() {
+    let (mut dispatcher, assignment, listing) = single_endpoint();
+    dispatcher.update_endpoints(&[]);
+    dispatcher.update_endpoints(&listing);
+    dispatcher.record_leaving(assignment.handle);
+    assert!(used(&mut dispatcher, NOW + SECOND).is_empty());
+}
+
+#[test]
+fn pause_asked_by_an_endpoint_ends_when_it_restarts() {
+    let (mut dispatcher, _, listing) = single_endpoint();
+    let started =
+        |at| listing.iter().map(move |it| ListedEndpoint { started_at_ms: Some(at), ..it.clone() });
+    dispatcher.update_endpoints(&started(1).collect::<Vec<_>>());
+    let assignment = assign(&mut dispatcher, NOW).expect("no endpoint");
+    dispatcher.update_endpoints(&started(2).collect::<Vec<_>>());
+    dispatcher.record_closed(assignment.handle, NOW + 3 * SECOND);
+    assert!(!used(&mut dispatcher, NOW + SECOND).is_empty());
+}
+
+#[test]
+fn pause_is_kept_while_many_other_endpoints_come_and_go() {
+    let (mut dispatcher, assignment, listing) = single_endpoint();
+    dispatcher.record_closed(assignment.handle, NOW + 60 * SECOND);
+    dispatcher.update_endpoints(&[]);
+    for at in 0..1_500 {
+        let other = listed("plain", 1_000 + at, 6);
+        dispatcher.update_endpoints(std::slice::from_ref(&other));
+        let now = NOW + u64::from(at) * MILLISECOND;
+        let assignment = assign(&mut dispatcher, now).expect("no endpoint");
+        dispatcher.record_closed(assignment.handle, now + 10 * MILLISECOND);
+    }
+    dispatcher.update_endpoints(&listing);
+    assert!(used(&mut dispatcher, NOW + 2 * SECOND).is_empty());
+}
--- a/crates/gateway/tests/notices.rs
+++ b/crates/gateway/tests/notices.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use {
-    common::{Behavior, Endpoint, Fixture, layout},
+    common::{Behavior, Endpoint, Fixture, layout, wait_until},
     rstest::rstest,
     std::time::Duration,
     tokio::time::sleep,
@@ -102,3 +102,28 @@
     assert_eq!(fixture.client().call("/read/").await.status, 200);
     assert_eq!(received(&endpoints), [2]);
 }
+
+#[rstest]
+#[case::pause("retry-after: 3")]
+#[case::leaving("endpoint-leaving: 1")]
+#[tokio::test]
+async fn endpoint_that_wants_no_requests_gets_none_though_it_is_listed_anew(
+    #[case] header: &'static str,
+) {
+    let rejection = Behavior::WithHeader(header, Box::new(Behavior::NotRun(503)));
+    let endpoint = Endpoint::start([Behavior::Delayed(900, Box::new(rejection))]).await;
+    let listing = [endpoint.listing_entry("plain", "e0")];
+    let fixture = Fixture::start(&layout(1), &listing).await;
+    let client = fixture.client();
+    let first = tokio::spawn(async move { client.call("/read/").await });
+    wait_until(|| !endpoint.received().is_empty()).await;
+    for endpoints in [&[][..], &listing] {
+        fixture.set_endpoints(endpoints);
+        sleep(Duration::from_millis(300)).await;
+    }
+    first.await.expect("the call panicked");
+    for _ in 0..10 {
+        assert_eq!(fixture.client().call("/read/").await.status, 503);
+    }
+    assert_eq!(endpoint.received().len(), 1);
+}
