Send nothing to an endpoint that asked for no requests after it was chosen

It is looked at once more before the send; such a request was not sent and goes elsewhere free of charge, and the endpoint isn't blamed. Not reproduced: loopback connections are not slow enough, so there is no test of its own. The tests of the gateway pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -138,7 +138,7 @@
                 self.connection = Some(Box::new(connection));
                 Some(self)
             }
-            Err(SendError::NoPath { .. }) => None,
+            Err(SendError::Withheld { .. }) => None,
             Err(_) => {
                 self.running.ending = AttemptOutcome::Unreachable;
                 None
@@ -167,6 +167,10 @@
                 Some(it) => *it,
                 None => paths::connect(&shared, &call.found.service.name, &pick).await?,
             };
+            if call.is_unwanted(&pick) {
+                let reason = "endpoint asked for no requests after it was chosen".to_owned();
+                return Err(SendError::Withheld { reason });
+            }
             *call.peer.lock() = connection.peer();
             connection.send(request).await
         };
@@ -176,7 +180,7 @@
             Some(Err(SendError::NotSent { reason })) => {
                 return Err(self.fail(AttemptOutcome::Unreachable, Failure::NotSent { reason }));
             }
-            Some(Err(SendError::NoPath { reason })) => {
+            Some(Err(SendError::Withheld { reason })) => {
                 return Err(self.fail(AttemptOutcome::Abandoned, Failure::NotSent { reason }));
             }
             Some(Err(err @ SendError::PathBroken { .. })) => {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -15,7 +15,7 @@
     ::quarantine::{Admission, Subject},
     bytes::Bytes,
     directory::BuildId,
-    dispatch::{Assignment, DispatchRequest, Dispatcher, EndpointHandle, Prompt},
+    dispatch::{Assignment, DispatchRequest, EndpointHandle, Prompt},
     edge::{Body, discard, full, read_all},
     http::{Request, Response, StatusCode, header, request},
     hyper::body::Incoming,
@@ -291,16 +291,6 @@
             return ExchangeEnd::Finished(Err(Failure::Quarantined));
         }
         let endpoint = attempt.pick().handle;
-        let accepts =
-            |it: &Dispatcher| it.accepts(self.shared.now(), &self.found.service.name, endpoint);
-        if !accepts(&self.shared.dispatcher.lock()) {
-            tracing::info!(
-                event = "sent-unwanted",
-                request = self.head.id(),
-                endpoint = %attempt.pick().id,
-                "gateway: endpoint asked for no requests after it was chosen"
-            );
-        }
         self.tried.push(endpoint);
         self.last_pick = Some(attempt.pick().clone());
         // Once handed to a connection, the request may run unless the endpoint proves otherwise.
@@ -508,6 +498,12 @@
         self.found.route.is_retryable() && self.runs < self.found.route.attempts
     }
 
+    /// Returns whether the endpoint of an attempt has asked for no requests since it was chosen.
+    pub(crate) fn is_unwanted(&self, pick: &Assignment) -> bool {
+        let service = &self.found.service.name;
+        !self.shared.dispatcher.lock().accepts(self.shared.now(), service, pick.handle)
+    }
+
     /// Returns whether the request must not be sent because it may crash endpoints.
     pub(crate) fn is_quarantined(&self) -> bool {
         matches!(quarantine::check(&self.shared, &self.subjects), Admission::Blocked { .. })
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -361,7 +361,7 @@
         Err(err) => {
             let reason = err.to_string();
             let reply = match err {
-                SendError::NotSent { .. } | SendError::NoPath { .. } => {
+                SendError::NotSent { .. } | SendError::Withheld { .. } => {
                     DetourReply::NotSent { is_refused: false, reason }
                 }
                 SendError::Broken { .. } | SendError::PathBroken { .. } => {
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -56,7 +56,7 @@
             Err(err) => err,
         },
     };
-    Err(SendError::NoPath { reason: err.to_string() })
+    Err(SendError::Withheld { reason: err.to_string() })
 }
 
 /// A direct connection to an endpoint, over which nothing has been sent. How it ends says whether this
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -65,10 +65,10 @@
         /// The cause.
         reason: String,
     },
-    /// No byte of the request was sent, as neither this gateway nor another one has a path to the
-    /// endpoint. This says nothing about the endpoint.
+    /// No byte of the request was sent, for a reason that says nothing about the endpoint's health:
+    /// neither this gateway nor another one has a path to it, or it wants no requests.
     #[display("{reason}")]
-    NoPath {
+    Withheld {
         /// The cause.
         reason: String,
     },
