--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -234,13 +234,22 @@
 
     /// Starts another gateway in this domain with the same control replica, which can be killed.
     pub(crate) async fn start_killable(&self, domain: &str) -> KillableGateway {
+        self.start_killable_with(domain, self.list.clone()).await
+    }
+
+    /// Like [`Fixture::start_killable`], with a list of endpoints of its own.
+    pub(crate) async fn start_killable_with(
+        &self,
+        domain: &str,
+        list: StaticList,
+    ) -> KillableGateway {
         let settings = GatewaySettings {
             domain: Domain(domain.into()),
             ..gateway_settings(self.control.internal_addr())
         };
         let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build();
         let runtime = runtime.expect("failed to start a runtime");
-        let gateway = runtime.spawn(start_gateway(settings, self.list.clone()));
+        let gateway = runtime.spawn(start_gateway(settings, list));
         let gateway = gateway.await.expect("the gateway panicked");
         KillableGateway { gateway, runtime: Some(runtime) }
     }
--- a/crates/gateway/tests/partition.rs
+++ b/crates/gateway/tests/partition.rs
@@ -4,8 +4,10 @@
 
 use {
     common::{
-        Behavior, Client, Cut, Endpoint, Fixture, Link, SWITCH_TIME, event, layout, wait_until,
+        Behavior, Client, Cut, Endpoint, Fixture, Link, SWITCH_TIME, StaticList, event, layout,
+        wait_until,
     },
+    directory::ListedEndpoint,
     rstest::rstest,
     std::{collections::HashMap, ops::Range, time::Duration},
     tokio::time::{Instant, sleep},
@@ -19,6 +21,19 @@
 
 const ENDPOINTS: usize = 4;
 
+/// Returns a path of its own to each endpoint, and the list of endpoints that leads over them.
+async fn start_links(endpoints: &[Endpoint]) -> (Vec<Link>, Vec<ListedEndpoint>) {
+    let (mut links, mut list) = (Vec::new(), Vec::new());
+    for (at, endpoint) in endpoints.iter().enumerate() {
+        let link = Link::start(endpoint.addr).await;
+        let service = if at < ENDPOINTS { "plain" } else { "model" };
+        let entry = endpoint.listing_entry(service, &format!("e{at}"));
+        list.push(ListedEndpoint { addr: link.addr, ..entry });
+        links.push(link);
+    }
+    (links, list)
+}
+
 /// Gateways with a path of their own to each endpoint.
 struct Fleet {
     fixture: Fixture,
@@ -36,14 +51,7 @@
         }
         let (mut links, mut lists) = (Vec::new(), Vec::new());
         for domain in domains {
-            let (mut paths, mut list) = (Vec::new(), Vec::new());
-            for (at, endpoint) in endpoints.iter().enumerate() {
-                let path = Link::start(endpoint.addr).await;
-                let service = if at < ENDPOINTS { "plain" } else { "model" };
-                let entry = endpoint.listing_entry(service, &format!("e{at}"));
-                list.push(directory::ListedEndpoint { addr: path.addr, ..entry });
-                paths.push(path);
-            }
+            let (paths, list) = start_links(&endpoints).await;
             lists.push((*domain, list));
             links.push(paths);
         }
@@ -263,3 +271,37 @@
         assert_eq!(client.call("/stream/").await.status, 200, "gateway {gateway}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn death_of_the_gateway_that_carries_requests_runs_none_twice() {
+    let mut fleet = Fleet::start(&["d0", "d1"]).await;
+    let (_links, list) = start_links(&fleet.endpoints).await;
+    let own_list = StaticList::default();
+    own_list.replace(&list);
+    let carrier = fleet.fixture.start_killable_with("d0", own_list).await;
+    wait_until(|| carrier.gateway.is_ready()).await;
+    sleep(REGAIN_TIME).await;
+    // Only the gateway that will be killed has a path.
+    fleet.cut(0, Cut::Refuse).await;
+    fleet.cut(1, Cut::Refuse).await;
+    fleet.notice(0).await;
+    fleet.notice(1).await;
+    for endpoint in &fleet.endpoints[..ENDPOINTS] {
+        endpoint.set_behaviors([Behavior::NoResponse]);
+    }
+    let client = fleet.client(0);
+    let call = tokio::spawn(async move { client.call("/write/").await });
+    wait_until(|| fleet.endpoints.iter().any(|it| it.active() > 0)).await;
+    carrier.kill();
+    let response = call.await.expect("the call panicked");
+    // It may have run, so a refusal would be a lie.
+    assert_eq!(response.status, 502);
+    assert!(response.elapsed < Duration::from_secs(2), "{:?}", response.elapsed);
+    fleet.restore(1).await;
+    sleep(2 * REGAIN_TIME).await;
+    for endpoint in &fleet.endpoints[..ENDPOINTS] {
+        endpoint.set_behaviors([]);
+    }
+    assert_eq!(fleet.served(0, "/write/", 10).await, 10);
+    assert_eq!(fleet.max_runs(), 1);
+}
