Spare endpoints that fail when they have to reject too many requests

What would be seen: gateways fill an endpoint by loads that are late and make it reject more than it bears, and it falls over again and again. Cause, by reading: nothing read the header.

Each gateway uses an equal part of the slots, so that all together don't exceed them without an agreement; with more gateways than slots one that was rejected stays away until the others had their part. A header that is no number is ignored.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -283,7 +283,7 @@
     fn start(&mut self, now: Time, request: &DispatchRequest) -> Option<Assignment> {
         let service = self.services.get(&request.service)?;
         let ahead = service.queue.ahead(request.priority).min(MAX_COMPARED);
-        let choose = |it| service.choose(now, &self.domain, it, self.random);
+        let choose = |it| service.choose(now, &self.domain, self.fleet.len(), it, self.random);
         if service.queue.iter().take(ahead).any(|it| choose(&it.request).is_some()) {
             return None;
         }
@@ -371,6 +371,12 @@
         false
     }
 
+    /// Records how many rejections per second an endpoint bears from all routers together, or that it
+    /// bears any number. Returns whether this is new.
+    pub fn record_brittle(&mut self, handle: EndpointHandle, rate: Option<f64>) -> bool {
+        self.endpoint(handle).is_some_and(|it| it.notice.brittle.record(rate))
+    }
+
     /// Replaces the list of routers that send requests to the same endpoints.
     pub fn set_routers<I>(&mut self, now: Time, own: SocketAddr, routers: I)
     where
@@ -483,9 +489,14 @@
         let Some(name) = self.service_names.get(&assignment.handle).cloned() else {
             return Vec::new();
         };
+        let routers = self.fleet.len();
         if let Some(endpoint) = self.endpoint(assignment.handle) {
             endpoint.load.remove(assignment.tokens);
             endpoint.health.record(now, outcome);
+            let closed_until = endpoint.notice.brittle.closed_until(now, routers);
+            if let Some(until) = closed_until.filter(|_| outcome == AttemptOutcome::Full) {
+                endpoint.notice.closed_until = endpoint.notice.closed_until.max(until);
+            }
         }
         if matches!(outcome, AttemptOutcome::Served | AttemptOutcome::Failed) {
             let mean_ms = self.service_times_ms.entry(name.clone()).or_insert(INITIAL_SERVICE_MS);
@@ -533,7 +544,9 @@
 
     /// Returns the first waiting request for which there is room, and its assignment.
     fn next_start(&self, now: Time, service: &Service) -> Option<(WaiterId, Assignment)> {
-        let choose = |it: &Waiter| service.choose(now, &self.domain, &it.request, self.random);
+        let choose = |it: &Waiter| {
+            service.choose(now, &self.domain, self.fleet.len(), &it.request, self.random)
+        };
         service.queue.iter().find_map(|it| Some((it.id, choose(it)?)))
     }
 
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        brittle::Brittle,
         health::Health,
         limit::{Fleet, Limit, LimitChange},
         load::Load,
@@ -30,6 +31,8 @@
     pub(crate) closed_until: Time,
     /// How many requests the endpoint takes.
     pub(crate) limit: Limit,
+    /// How many rejections the endpoint bears.
+    pub(crate) brittle: Brittle,
 }
 
 /// An endpoint and its load, health and cached prompt parts.
@@ -76,6 +79,15 @@
         self.is_staying() && self.opens_at() <= now
     }
 
+    /// Returns whether another request of one of `routers` is unlikely to be rejected, if rejections
+    /// make the endpoint fail.
+    pub(crate) fn bears_another(&self, now: Time, routers: usize) -> bool {
+        let max_requests = self.notice.brittle.max_requests(self.listed.slots, routers);
+        max_requests.is_none_or(|max| {
+            self.load.own.requests < max && self.load.requests(now) < self.listed.slots
+        })
+    }
+
     /// Returns when the endpoint takes the next request of this router, if it is staying.
     pub(crate) fn opens_at(&self) -> Time {
         self.notice.closed_until.max(self.notice.limit.opens_at())
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! router's own load is exact, and the load of other routers is as old as their last report.
 //! [`RetryBudget`] limits retries, and [`Exchange`] says which routers get which reports.
 
+mod brittle;
 mod change;
 mod dispatcher;
 mod endpoint;
--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -68,6 +68,11 @@
         Fleet { own: hash(own), others }
     }
 
+    /// Returns the number of routers, with this one.
+    pub(crate) fn len(&self) -> usize {
+        self.others.len() + 1
+    }
+
     /// Returns how many routers go before this one in the order in which they use an endpoint.
     fn rank(&self, endpoint: u64) -> usize {
         let own = Reverse(mix2(endpoint, self.own));
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -182,16 +182,20 @@
         self.run_ms = Some(mean_ms + (run_ms - mean_ms) * RUN_MS_WEIGHT);
     }
 
-    /// Selects an endpoint that has room. Equal random numbers give equal choices.
+    /// Selects an endpoint that has room for one of `routers`. Equal random numbers give equal choices.
     pub(crate) fn choose(
         &self,
         now: Time,
         local_domain: &Domain,
+        routers: usize,
         request: &DispatchRequest,
         random: u64,
     ) -> Option<Assignment> {
         let usable = |it: &Endpoint| {
-            it.is_open(now) && it.has_build(request.build) && !request.excluded.contains(&it.handle)
+            it.is_open(now)
+                && it.bears_another(now, routers)
+                && it.has_build(request.build)
+                && !request.excluded.contains(&it.handle)
         };
         let ready: Vec<_> = self.endpoints.iter().enumerate().filter(|it| usable(it.1)).collect();
         let healthy = self.healthy(now, &ready);
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -42,6 +42,9 @@
     /// In a response: how many requests a second the endpoint takes from all gateways together, as a
     /// decimal number, until a response comes without it.
     pub limit: HeaderName,
+    /// In a response: how many requests a second all gateways together may make the endpoint reject
+    /// before it fails, until a response comes without it.
+    pub brittle: HeaderName,
     /// The id of the last event of a stream that the client received.
     pub last_event_id: HeaderName,
     /// The id of the client's attempt that brought the first event of a stream which the client
@@ -69,6 +72,7 @@
             load: name("endpoint-load"),
             leaving: name("endpoint-leaving"),
             limit: name("endpoint-limit"),
+            brittle: name("endpoint-brittle"),
             last_event_id: name("last-event-id"),
             resumes: name("resumes"),
             reserved: Vec::new(),
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -204,13 +204,13 @@
     headers.get(&names.leaving).is_some_and(|it| it.as_bytes().trim_ascii() == b"1")
 }
 
-/// Returns how many requests a second an endpoint takes from all gateways together. The error is a
+/// Returns a number of requests a second that an endpoint states in the header `name`. The error is a
 /// value that is not a finite number, or is negative.
-pub(crate) fn named_limit(
-    names: &HeaderNames,
+pub(crate) fn request_rate(
+    name: &HeaderName,
     headers: &HeaderMap,
 ) -> Result<Option<f64>, HeaderValue> {
-    let Some(value) = headers.get(&names.limit) else { return Ok(None) };
+    let Some(value) = headers.get(name) else { return Ok(None) };
     let rate = value.to_str().ok().and_then(|it| it.trim().parse::<f64>().ok());
     match rate.filter(|it| it.is_finite() && *it >= 0.0) {
         Some(rate) => Ok(Some(rate)),
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -2,17 +2,18 @@
 
 use {
     crate::{
-        headers::{ResponseProof, is_leaving, named_limit, reported_load, retry_after},
+        header_names::HeaderNames,
+        headers::{ResponseProof, is_leaving, reported_load, request_rate, retry_after},
         limits,
         shared::Shared,
     },
     dispatch::Assignment,
-    http::response,
+    http::{HeaderValue, response},
     model::MILLISECOND,
 };
 
 /// Records the load of an endpoint, whether it wants no further requests or none for some time, and
-/// how many requests it takes.
+/// how many requests it takes and may reject.
 pub(crate) fn record(
     shared: &Shared,
     pick: &Assignment,
@@ -26,7 +27,7 @@
         record_requests_unwanted(shared, pick, parts);
     }
     if matches!(proof, ResponseProof::Valid | ResponseProof::Full) {
-        record_limit(shared, pick, parts);
+        record_rates(shared, pick, parts);
     }
 }
 
@@ -60,17 +61,28 @@
     }
 }
 
-fn record_limit(shared: &Shared, pick: &Assignment, response: &response::Parts) {
-    match named_limit(&shared.names, &response.headers) {
+fn record_rates(shared: &Shared, pick: &Assignment, response: &response::Parts) {
+    let HeaderNames { limit, brittle, .. } = &shared.names;
+    match request_rate(limit, &response.headers) {
         Ok(limit) => limits::record(shared, pick.handle, limit),
-        Err(value) => {
-            shared.metrics.record_send("invalid-limit");
-            tracing::info!(
-                event = "invalid-limit",
-                endpoint = %pick.id,
-                ?value,
-                "gateway: ignored invalid limit of endpoint"
-            );
+        Err(value) => ignore(shared, pick, "invalid-limit", &value),
+    }
+    match request_rate(brittle, &response.headers) {
+        Ok(rate) => {
+            if shared.dispatcher.lock().record_brittle(pick.handle, rate) {
+                tracing::info!(
+                    event = "endpoint-brittle",
+                    endpoint = %pick.id,
+                    rate,
+                    "gateway: number of rejections that endpoint bears changed"
+                );
+            }
         }
+        Err(value) => ignore(shared, pick, "invalid-brittle", &value),
     }
 }
+
+fn ignore(shared: &Shared, pick: &Assignment, event: &'static str, value: &HeaderValue) {
+    shared.metrics.record_send(event);
+    tracing::info!(event, endpoint = %pick.id, ?value, "gateway: ignored invalid rate of endpoint");
+}
--- a/crates/gateway/tests/notices.rs
+++ b/crates/gateway/tests/notices.rs
@@ -127,3 +127,31 @@
     }
     assert_eq!(endpoint.received().len(), 1);
 }
+
+#[rstest]
+#[case::stated("endpoint-brittle: 2", 8)]
+#[case::negative("endpoint-brittle: -1", 12)]
+#[case::word("endpoint-brittle: yes", 12)]
+#[tokio::test]
+async fn brittle_endpoint_gets_no_more_requests_than_it_runs(
+    #[case] header: &'static str,
+    #[case] expected: usize,
+) {
+    let answer = Behavior::WithHeader(header, Box::new(Behavior::Respond));
+    let slow = Behavior::Delayed(400, Box::new(answer.clone()));
+    let endpoint = Endpoint::start([answer]).await;
+    let listing = [endpoint.listing_entry("plain", "e0")];
+    let fixture = Fixture::start(&layout(1), &listing).await;
+    assert_eq!(fixture.client().call("/write/").await.status, 200);
+    endpoint.set_behaviors(vec![slow; 12]);
+    let calls = (0..12).map(|_| {
+        let client = fixture.client();
+        tokio::spawn(async move { client.call("/write/").await })
+    });
+    let calls: Vec<_> = calls.collect();
+    sleep(Duration::from_millis(60)).await;
+    assert_eq!(endpoint.active(), expected);
+    for call in calls {
+        call.await.expect("the call panicked");
+    }
+}
