--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -159,11 +159,15 @@
             shared.dispatcher.lock().forgive_failures(service.as_ref());
             shared.path_lost.send_replace(());
         }
-        PathChange::Regained { service, lost_for } => tracing::info!(
-            event = "path-regained",
-            service = service.as_deref(),
-            lost_ms = lost_for / MILLISECOND,
-            "gateway: endpoints are reached again"
-        ),
+        PathChange::Regained { service, lost_for } => {
+            tracing::info!(
+                event = "path-regained",
+                service = service.as_deref(),
+                lost_ms = lost_for / MILLISECOND,
+                "gateway: endpoints are reached again"
+            );
+            // Their connections are closed once no request uses them.
+            shared.peers.lock().clear();
+        }
     }
 }
