Split placement from dispatch's service, and a gateway's call into its steps

Requests and assignments stand in request.rs, the choice of an endpoint in placement.rs, the notices of unlisted endpoints in a file of their own; a call's resumption, retries and outcome are modules of it. No behaviour changes.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -3,12 +3,14 @@
 use {
     crate::{
         change::EndpointChange,
-        endpoint::{Endpoint, EndpointHandle, Notice},
+        endpoint::{Endpoint, Notice},
         health::{AttemptOutcome, Health},
         limit::{Fleet, LimitChange, LimitReport},
         load::{Load, LoadChunk, LoadReport, Reporter},
         queue::{Waiter, WaiterId},
-        service::{Assignment, DispatchRequest, Service, assignment},
+        request::{Assignment, DispatchRequest, EndpointHandle},
+        service::Service,
+        unlisted_notices::UnlistedNotices,
     },
     derive_more::Debug,
     directory::{BuildId, ListedEndpoint},
@@ -54,34 +56,6 @@
 /// The weight of one request in the moving average of the time that requests occupy an endpoint.
 const SERVICE_MS_WEIGHT: f64 = 0.05;
 
-/// The maximum number of endpoints that are not listed and whose notices are kept.
-const MAX_UNLISTED_NOTICES: usize = 1_024;
-
-/// The notices of endpoints that are not listed, in case a list omits an endpoint by mistake. The key
-/// identifies the run of the endpoint.
-#[derive(Default, Debug)]
-struct UnlistedNotices(HashMap<u64, Notice>);
-
-impl UnlistedNotices {
-    fn record(&mut self, incarnation: u64, notice: Notice) {
-        if notice == Notice::default() {
-            return;
-        }
-        if self.0.len() >= MAX_UNLISTED_NOTICES && !self.0.contains_key(&incarnation) {
-            // The one that matters for the shortest time is dropped.
-            let shortest = self.0.iter().min_by_key(|it| (it.1.leaving, it.1.closed_until));
-            if let Some(incarnation) = shortest.map(|it| *it.0) {
-                self.0.remove(&incarnation);
-            }
-        }
-        self.0.insert(incarnation, notice);
-    }
-
-    fn take(&mut self, incarnation: u64) -> Notice {
-        self.0.remove(&incarnation).unwrap_or_default()
-    }
-}
-
 /// Returns the retry delay that a caller is told, in milliseconds. If no endpoint takes requests
 /// now, it is the time until one does.
 fn retry_ms(now: Time, service: &Service, build: Option<BuildId>, estimated_wait_ms: u64) -> u64 {
@@ -162,7 +136,7 @@
     pub fn find(&self, now: Time, incarnation: u64) -> Option<(Name, Assignment)> {
         self.services.iter().find_map(|(name, service)| {
             let found = service.endpoints.iter().find(|it| it.incarnation() == incarnation)?;
-            Some((name.clone(), assignment(now, found, 0)))
+            Some((name.clone(), found.assignment(now, 0)))
         })
     }
 
@@ -283,7 +257,8 @@
     fn start(&mut self, now: Time, request: &DispatchRequest) -> Option<Assignment> {
         let service = self.services.get(&request.service)?;
         let ahead = service.queue.ahead(request.priority).min(MAX_COMPARED);
-        let choose = |it| service.choose(now, &self.domain, self.fleet.len(), it, self.random);
+        let placement = service.placement(now, &self.domain, self.fleet.len());
+        let choose = |it| placement.choose(it, self.random);
         if service.queue.iter().take(ahead).any(|it| choose(&it.request).is_some()) {
             return None;
         }
@@ -544,9 +519,8 @@
 
     /// Returns the first waiting request for which there is room, and its assignment.
     fn next_start(&self, now: Time, service: &Service) -> Option<(WaiterId, Assignment)> {
-        let choose = |it: &Waiter| {
-            service.choose(now, &self.domain, self.fleet.len(), &it.request, self.random)
-        };
+        let placement = service.placement(now, &self.domain, self.fleet.len());
+        let choose = |it: &Waiter| placement.choose(&it.request, self.random);
         service.queue.iter().find_map(|it| Some((it.id, choose(it)?)))
     }
 
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -6,19 +6,14 @@
         health::Health,
         limit::{Fleet, Limit, LimitChange},
         load::Load,
-        service::PromptPart,
+        request::{Assignment, EndpointHandle, PromptPart},
     },
-    derive_more::{Debug, Display},
+    derive_more::Debug,
     directory::{BuildId, ListedEndpoint},
     model::{Time, hash64, mix2},
     std::{collections::HashMap, net::SocketAddr},
 };
 
-/// Identifies an endpoint within one router. An endpoint that restarts gets a new handle.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display)]
-#[display("e{_0}")]
-pub struct EndpointHandle(pub u32);
-
 /// The maximum number of prompt parts that are tracked per endpoint.
 const MAX_PARTS: usize = 8_192;
 
@@ -115,6 +110,21 @@
         mix2(self.hash, self.listed.started_at_ms.unwrap_or_default())
     }
 
+    /// Returns how to send a request of `tokens` tokens here.
+    pub(crate) fn assignment(&self, now: Time, tokens: u32) -> Assignment {
+        Assignment {
+            handle: self.handle,
+            id: self.listed.id.clone(),
+            addr: self.addr(),
+            domain: self.listed.domain.clone(),
+            build: self.listed.build_id(),
+            incarnation: self.incarnation(),
+            fetch_from: None,
+            tokens,
+            load: self.load.requests(now),
+        }
+    }
+
     /// Returns how many tokens at the beginning of a prompt are expected to be in the endpoint's
     /// memory. An endpoint that processed a part has processed those before it.
     pub(crate) fn cached_tokens(&self, shared: &[PromptPart]) -> u32 {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,20 +15,22 @@
 mod health;
 mod limit;
 mod load;
+mod placement;
 mod queue;
 mod rendezvous;
+mod request;
 mod retry_budget;
 mod service;
+mod unlisted_notices;
 
 pub use crate::{
     change::EndpointChange,
     dispatcher::{Dispatcher, SubmitResult},
-    endpoint::EndpointHandle,
     exchange::Exchange,
     health::AttemptOutcome,
     limit::{LimitChange, LimitReport},
     load::{LoadChunk, LoadReport, Reporter},
     queue::WaiterId,
+    request::{Assignment, DispatchRequest, EndpointHandle, Prompt, PromptPart},
     retry_budget::{RetryBudget, RetryBudgetLimits},
-    service::{Assignment, DispatchRequest, Prompt, PromptPart},
 };
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -1,7 +1,7 @@
 //! Requests that wait for room.
 
 use {
-    crate::service::DispatchRequest,
+    crate::request::DispatchRequest,
     derive_more::{Debug, Display},
     model::Time,
 };
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,31 +1,32 @@
 //! Handles a client request, from its head to the last byte of its response.
 
+mod outcome;
+mod resumption;
+mod retry;
+
 use {
     crate::{
         attempt::{Attempt, Failure, UpstreamResponse, max_silence_ms},
         detour,
         headers::RequestHead,
-        origins, quarantine,
+        quarantine,
         rejection::Rejection,
         replacement,
         shared::{PlacementResult, Rejected, Shared},
         sse::EventBuffer,
-        stream::ProxiedStream,
     },
     ::quarantine::{Admission, Subject},
     bytes::Bytes,
     directory::BuildId,
     dispatch::{Assignment, DispatchRequest, EndpointHandle, Prompt},
-    edge::{Body, discard, full, read_all},
-    http::{Request, Response, StatusCode, header, request},
+    edge::{Body, discard, read_all},
+    http::{Request, Response, header, request},
     hyper::body::Incoming,
     model::{MILLISECOND, Name, Reason, Time, hash64, mix2},
-    origin::{Origin, Record, Resolution, StreamKey, Wanted},
     parking_lot::Mutex,
     route::{RouteMatch, RouteTable},
     smallvec::SmallVec,
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::time::sleep,
 };
 
 /// The share of its target time that a request may wait for capacity, in percent. The rest must
@@ -52,9 +53,6 @@
 /// The maximum number of prompt parts of a request that are watched for crashes.
 const MAX_SUBJECT_PARTS: usize = 64;
 
-/// How often a request that waits for the retry budget checks it.
-const BUDGET_POLL: Duration = Duration::from_millis(100);
-
 /// How long the rest of a rejected request is read, in milliseconds.
 const MAX_DISCARD_MS: u64 = 1_000;
 
@@ -327,72 +325,6 @@
         self.shared.metrics.record_send("replaced");
     }
 
-    /// Returns the key of the stream that this request begins or resumes, if it has one.
-    fn stream_key(&self) -> Option<StreamKey> {
-        let head = &self.head;
-        let first = if head.is_resumption { &head.resumes } else { &head.attempt_id };
-        let team = self.team.as_deref().unwrap_or_default();
-        Some(StreamKey::new(team, first.as_ref()?.as_bytes()))
-    }
-
-    /// If the client resumes a stream, finds the service and the software version that began it.
-    async fn find_origin(&mut self) -> Result<(), Rejection> {
-        let route = self.found.route.clone();
-        if !route.resumable || !self.head.is_resumption {
-            return Ok(());
-        }
-        let service = match route.split.as_slice() {
-            [only] => Some(hash64(only.service.as_bytes())),
-            _ => None,
-        };
-        let max_age_ms = self.origin_ms();
-        let wanted = Wanted { key: self.stream_key(), service, max_age_ms };
-        let (resolution, waited) = origins::find(&self.shared, wanted).await;
-        let (origin, source) = match resolution {
-            Resolution::Known { origin, source } => (origin, source),
-            Resolution::Unknown { retry_ms } => {
-                return Err(Rejection::UnknownOrigin { retry_ms });
-            }
-        };
-        tracing::info!(
-            event = "origin-found",
-            request = self.head.id(),
-            resumes = ?self.head.resumes,
-            build = %origin.build,
-            %source,
-            after_ms = waited / MILLISECOND,
-            "gateway: found the version that began the stream"
-        );
-        self.build = Some(origin.build);
-        if hash64(self.found.service.name.as_bytes()) != origin.service {
-            let mut services = route.split.iter().map(|it| &it.service);
-            let name = services.find(|it| hash64(it.as_bytes()) == origin.service);
-            let table = self.shared.table.load();
-            let service = name.zip(table.as_ref()).and_then(|(name, table)| table.service(name));
-            self.found.service = service.ok_or(Rejection::NoVersion)?.clone();
-        }
-        Ok(())
-    }
-
-    /// Records the software version that begins a resumable stream, before the client gets its
-    /// first event.
-    async fn record_origin(&mut self, build: BuildId) {
-        if !self.found.route.resumable {
-            return;
-        }
-        self.build = Some(build);
-        let Some(key) = self.stream_key() else { return };
-        let service = hash64(self.found.service.name.as_bytes());
-        let origin = Origin { service, build };
-        origins::begin(&self.shared, Record { key, origin, keep_ms: self.origin_ms() }).await;
-    }
-
-    /// Returns how long the origin of a stream may be asked for, in milliseconds: as long as the
-    /// stream may last, and as long again for the client to resume it.
-    fn origin_ms(&self) -> u64 {
-        self.found.route.timeout_ms.saturating_mul(2)
-    }
-
     /// Waits for a slot for the next attempt.
     pub(crate) async fn next_attempt(&mut self) -> Result<Attempt, Rejection> {
         let now = self.shared.now();
@@ -459,45 +391,6 @@
         self.deadline.since(self.shared.now()) / MILLISECOND
     }
 
-    /// Returns whether a request that failed this way may be sent to another endpoint. A retry is
-    /// charged to the budget, except after [`Failure::NotSent`].
-    pub(crate) fn try_retry(&self, failure: &Failure) -> bool {
-        let is_free = matches!(failure, Failure::NotSent { .. });
-        self.may_retry(failure)
-            && (is_free || self.shared.try_spend_retry(&self.found.service.name))
-    }
-
-    /// Like [`Call::try_retry`]. Waits for the retry budget if a silent endpoint was left for one
-    /// that refused the request.
-    pub(crate) async fn wait_to_retry(&self, failure: &Failure) -> bool {
-        let waits = !self.silent.is_empty() && matches!(failure, Failure::NotRun { .. });
-        loop {
-            if self.try_retry(failure) {
-                return true;
-            }
-            if !waits || !self.may_retry(failure) {
-                return false;
-            }
-            sleep(BUDGET_POLL).await;
-        }
-    }
-
-    fn may_retry(&self, failure: &Failure) -> bool {
-        let allowed = match failure {
-            Failure::NotSent { .. } => self.tried.len() < 6,
-            Failure::NotRun { .. } => self.sends < self.found.route.attempts + EXTRA_SENDS,
-            Failure::Indeterminate { .. } | Failure::Failed(_) => self.may_run_again(),
-            Failure::DeadlineExceeded | Failure::Quarantined => false,
-        };
-        allowed && self.left_ms() > 0 && !self.is_quarantined()
-    }
-
-    /// Returns whether a request that may have run may be sent to another endpoint, if the retry
-    /// budget allows it.
-    pub(crate) fn may_run_again(&self) -> bool {
-        self.found.route.is_retryable() && self.runs < self.found.route.attempts
-    }
-
     /// Returns whether the endpoint of an attempt has asked for no requests since it was chosen.
     pub(crate) fn is_unwanted(&self, pick: &Assignment) -> bool {
         let service = &self.found.service.name;
@@ -540,125 +433,6 @@
     pub(crate) fn endpoint_id(&self) -> &str {
         self.last_pick.as_ref().map_or("", |it| &it.id)
     }
-
-    fn log_retry(&self, cause: &str) {
-        tracing::info!(
-            event = "retry",
-            request = self.head.id(),
-            sends = self.sends,
-            endpoint = self.endpoint_id(),
-            cause,
-            "gateway: retrying request"
-        );
-    }
-
-    fn respond(self, response: UpstreamResponse) -> Response<Body> {
-        self.shared.metrics.record_request("answered");
-        if matches!(response, UpstreamResponse::Buffered(..)) {
-            self.log_served();
-        }
-        match response {
-            UpstreamResponse::Buffered(parts, body) => Response::from_parts(parts, full(body)),
-            UpstreamResponse::Streaming(parts, stream) => {
-                Response::from_parts(parts, ProxiedStream::body(self, stream))
-            }
-        }
-    }
-
-    /// Gives up on a request and responds with what is known about its outcome.
-    fn respond_with_failure(self, failure: Failure) -> Response<Body> {
-        let cause = failure.to_string();
-        let rejection = match failure {
-            Failure::Failed(response) => {
-                self.log_failure("failed", &cause);
-                self.shared.metrics.record_request("failed");
-                let (parts, body) = *response;
-                // These statuses would claim that the request did not run.
-                if implies_not_run(parts.status) {
-                    return Rejection::BadGateway.response();
-                }
-                return Response::from_parts(parts, full(body));
-            }
-            Failure::DeadlineExceeded if self.runs > 0 => Rejection::DeadlineExceeded,
-            Failure::Indeterminate { .. } if self.left_ms() == 0 => Rejection::DeadlineExceeded,
-            Failure::Indeterminate { .. } => Rejection::BadGateway,
-            _ if self.runs > 0 => Rejection::BadGateway,
-            Failure::Quarantined => {
-                self.quarantine_rejection().unwrap_or(Rejection::Quarantined { retry_ms: 0 })
-            }
-            Failure::NotSent { .. } | Failure::DeadlineExceeded => {
-                Rejection::NoCapacity { retry_ms: 300 }
-            }
-            Failure::NotRun { .. } => Rejection::NoCapacity { retry_ms: 300 },
-        };
-        self.log_failure(rejection.label(), &cause);
-        self.shared.metrics.record_request(rejection.label());
-        rejection.response()
-    }
-
-    /// Logs a served request. Requests that were late or retried are always logged, others are
-    /// sampled.
-    pub(crate) fn log_served(&self) {
-        let now = self.shared.now();
-        let after_ms = now.since(self.arrived) / MILLISECOND;
-        let always_logged = self.sends > 1 || self.first_ms > self.found.route.target_ms;
-        if !always_logged && !self.shared.sampler.admit(now) {
-            return;
-        }
-        tracing::info!(
-            event = "served",
-            request = self.head.id(),
-            route = %self.found.route.name,
-            team = self.team.as_deref(),
-            endpoint = self.endpoint_id(),
-            peer = ?*self.peer.lock(),
-            build = self.last_pick.as_ref().map(|it| it.build.0),
-            load = self.last_pick.as_ref().map(|it| it.load),
-            fetch = ?self.last_pick.as_ref().and_then(|it| it.fetch_from),
-            version = self.version,
-            sends = self.sends,
-            waited_ms = self.waited_ms,
-            first_ms = self.first_ms,
-            after_ms,
-            "gateway: request served"
-        );
-    }
-
-    fn reject(&self, rejection: Rejection) -> Response<Body> {
-        self.log_failure(rejection.label(), &rejection.to_string());
-        self.shared.metrics.record_request(rejection.label());
-        rejection.response()
-    }
-
-    fn log_failure(&self, outcome: &str, reason: &str) {
-        tracing::info!(
-            event = "ended",
-            request = self.head.id(),
-            route = %self.found.route.name,
-            outcome,
-            reason,
-            sends = self.sends,
-            runs = self.runs,
-            version = self.version,
-            endpoint = self.endpoint_id(),
-            peer = ?*self.peer.lock(),
-            waited_ms = self.waited_ms,
-            left_ms = self.left_ms(),
-            after_ms = self.shared.now().since(self.arrived) / MILLISECOND,
-            "gateway: request failed"
-        );
-    }
-}
-
-/// Returns whether a status tells the client that the request did not run and will not run.
-pub(crate) fn implies_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
 }
 
 impl Rejection {
--- /dev/null
+++ b/crates/gateway/src/call/resumption.rs
@@ -0,0 +1,77 @@
+//! Which software version may run a request that begins or resumes a stream.
+
+use {
+    super::Call,
+    crate::{origins, rejection::Rejection},
+    directory::BuildId,
+    model::{MILLISECOND, hash64},
+    origin::{Origin, Record, Resolution, StreamKey, Wanted},
+};
+
+impl Call {
+    /// Returns the key of the stream that this request begins or resumes, if it has one.
+    fn stream_key(&self) -> Option<StreamKey> {
+        let head = &self.head;
+        let first = if head.is_resumption { &head.resumes } else { &head.attempt_id };
+        let team = self.team.as_deref().unwrap_or_default();
+        Some(StreamKey::new(team, first.as_ref()?.as_bytes()))
+    }
+
+    /// If the client resumes a stream, finds the service and the software version that began it.
+    pub(super) async fn find_origin(&mut self) -> Result<(), Rejection> {
+        let route = self.found.route.clone();
+        if !route.resumable || !self.head.is_resumption {
+            return Ok(());
+        }
+        let service = match route.split.as_slice() {
+            [only] => Some(hash64(only.service.as_bytes())),
+            _ => None,
+        };
+        let max_age_ms = self.origin_ms();
+        let wanted = Wanted { key: self.stream_key(), service, max_age_ms };
+        let (resolution, waited) = origins::find(&self.shared, wanted).await;
+        let (origin, source) = match resolution {
+            Resolution::Known { origin, source } => (origin, source),
+            Resolution::Unknown { retry_ms } => {
+                return Err(Rejection::UnknownOrigin { retry_ms });
+            }
+        };
+        tracing::info!(
+            event = "origin-found",
+            request = self.head.id(),
+            resumes = ?self.head.resumes,
+            build = %origin.build,
+            %source,
+            after_ms = waited / MILLISECOND,
+            "gateway: found the version that began the stream"
+        );
+        self.build = Some(origin.build);
+        if hash64(self.found.service.name.as_bytes()) != origin.service {
+            let mut services = route.split.iter().map(|it| &it.service);
+            let name = services.find(|it| hash64(it.as_bytes()) == origin.service);
+            let table = self.shared.table.load();
+            let service = name.zip(table.as_ref()).and_then(|(name, table)| table.service(name));
+            self.found.service = service.ok_or(Rejection::NoVersion)?.clone();
+        }
+        Ok(())
+    }
+
+    /// Records the software version that begins a resumable stream, before the client gets its
+    /// first event.
+    pub(super) async fn record_origin(&mut self, build: BuildId) {
+        if !self.found.route.resumable {
+            return;
+        }
+        self.build = Some(build);
+        let Some(key) = self.stream_key() else { return };
+        let service = hash64(self.found.service.name.as_bytes());
+        let origin = Origin { service, build };
+        origins::begin(&self.shared, Record { key, origin, keep_ms: self.origin_ms() }).await;
+    }
+
+    /// Returns how long the origin of a stream may be asked for, in milliseconds: as long as the
+    /// stream may last, and as long again for the client to resume it.
+    fn origin_ms(&self) -> u64 {
+        self.found.route.timeout_ms.saturating_mul(2)
+    }
+}
