--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         change::EndpointChange,
+        cold::ColdRate,
         endpoint::{Endpoint, Notice},
         health::{AttemptOutcome, Health},
         limit::{Fleet, LimitChange, LimitReport},
@@ -111,6 +112,27 @@
         self.services.entry(service.clone()).or_default().kv_capacity = tokens;
     }
 
+    /// Sets how many requests the cold endpoints of a service take, or `None` if its endpoints are
+    /// never cold.
+    pub fn set_cold_rate(&mut self, now: Time, service: &Name, rate: Option<ColdRate>) {
+        let _ = (now, service, rate);
+    }
+
+    /// Replaces the listed cold endpoints, each with the time that it stays cold, in milliseconds.
+    pub fn set_cold(&mut self, now: Time, endpoints: &[(Name, u32)]) {
+        let _ = (now, endpoints);
+    }
+
+    /// Replaces the evacuated domains. Their endpoints get no further requests.
+    pub fn set_evacuated(&mut self, now: Time, domains: &[Domain]) {
+        let _ = (now, domains);
+    }
+
+    /// Replaces the regions of the failure domains.
+    pub fn set_regions(&mut self, regions: HashMap<Domain, Name>) {
+        let _ = regions;
+    }
+
     /// Returns whether a service has an endpoint that accepts new requests, now or later.
     /// With `build`, it must have that software version.
     pub fn has_endpoints(&self, service: &Name, build: Option<BuildId>) -> bool {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod brittle;
 mod change;
+mod cold;
 mod dispatcher;
 mod endpoint;
 mod exchange;
@@ -25,6 +26,7 @@
 
 pub use crate::{
     change::EndpointChange,
+    cold::ColdRate,
     dispatcher::{Dispatcher, SubmitResult},
     exchange::Exchange,
     health::AttemptOutcome,
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -53,6 +53,8 @@
     pub excluded: SmallVec<[EndpointHandle; 2]>,
     /// The only software version that may run the request, if it continues a stream.
     pub build: Option<BuildId>,
+    /// The regions whose endpoints may run the request, or `None` if all may.
+    pub regions: Option<SmallVec<[Name; 2]>>,
 }
 
 /// The endpoint that a request is assigned to.
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -51,6 +51,7 @@
         wait_until: now + 100 * MILLISECOND,
         excluded: SmallVec::new(),
         build: None,
+        regions: None,
     }
 }
 
--- a/crates/dispatch/tests/common/simulation.rs
+++ b/crates/dispatch/tests/common/simulation.rs
@@ -308,6 +308,7 @@
             wait_until: by_target.min(by_deadline),
             excluded: request.excluded.clone(),
             build: None,
+            regions: None,
         };
         let at = request.router;
         match self.routers[at].dispatcher.submit(now, ask) {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -372,6 +372,7 @@
             wait_until,
             excluded: self.tried.clone(),
             build: self.build,
+            regions: None,
         }
     }
 
