Hold requests until a gateway that has just started can serve them

Such a request is held for up to half of its time, and never beyond 2 s after the start. Tests: lifecycle.rs, seen failing before.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -14,6 +14,7 @@
         replacement,
         shared::{PlacementResult, Rejected, Shared},
         sse::EventBuffer,
+        startup::{self, EXPECTED_START_MS, MAX_HELD_BODY_BYTES},
     },
     ::quarantine::{Admission, Subject},
     bytes::Bytes,
@@ -39,10 +40,6 @@
 /// How long a request without a target time may wait for capacity, in milliseconds.
 const DEFAULT_QUEUE_MS: u64 = 500;
 
-/// How long after its start a gateway usually has a configuration, in milliseconds, even if the
-/// control plane restarts too.
-const EXPECTED_CONFIGURATION_MS: u64 = 2_000;
-
 /// The minimum retry delay given to clients, in milliseconds.
 const MIN_RETRY_MS: u64 = 300;
 
@@ -64,6 +61,21 @@
     let arrived = shared.now();
     let (parts, body) = request.into_parts();
     let head = RequestHead::read(&shared.names, &parts);
+    if let Some(hold_deadline) = startup::hold_deadline(&shared, &head, arrived) {
+        let stall = Duration::from_millis(MAX_DISCARD_MS);
+        let body = match read_all(body, MAX_HELD_BODY_BYTES, stall).await {
+            Ok(body) => body,
+            Err(_) => return reject(&shared, &head, no_configuration(&shared)),
+        };
+        startup::hold(&shared, &head, hold_deadline).await;
+        return match admit(&shared, &head, &parts) {
+            Ok(admitted) if body.len() > admitted.body_limit => {
+                reject(&shared, &head, Rejection::TooLarge)
+            }
+            Ok(admitted) => run(shared, admitted, parts, head, body, arrived).await,
+            Err(rejection) => reject(&shared, &head, rejection),
+        };
+    }
     let admitted = match admit(&shared, &head, &parts) {
         Ok(it) => it,
         Err(rejection) => {
@@ -76,14 +88,30 @@
             return reject(&shared, &head, rejection);
         }
     };
-    let timeout_ms = admitted.found.route.timeout_ms;
-    let left_ms = head.deadline_ms.unwrap_or(timeout_ms).min(timeout_ms);
-    let stall = Duration::from_millis(left_ms);
+    let stall = Duration::from_millis(time_limit_ms(&admitted, &head));
     let body = match read_all(body, admitted.body_limit, stall).await {
         Ok(body) => body,
         Err(reason) => return reject(&shared, &head, Rejection::from_body_error(reason)),
     };
-    let deadline = arrived + left_ms.saturating_mul(MILLISECOND);
+    run(shared, admitted, parts, head, body, arrived).await
+}
+
+/// Returns how long after its arrival a request must be answered, in milliseconds.
+fn time_limit_ms(admitted: &Admitted, head: &RequestHead) -> u64 {
+    let timeout_ms = admitted.found.route.timeout_ms;
+    head.deadline_ms.unwrap_or(timeout_ms).min(timeout_ms)
+}
+
+/// Proxies an admitted request, received in full.
+async fn run(
+    shared: Arc<Shared>,
+    admitted: Admitted,
+    parts: request::Parts,
+    head: RequestHead,
+    body: Bytes,
+    arrived: Time,
+) -> Response<Body> {
+    let deadline = arrived + time_limit_ms(&admitted, &head).saturating_mul(MILLISECOND);
     let request = ClientRequest { parts, head, body, arrived, deadline };
     Call::new(shared, admitted, request).run().await
 }
@@ -128,7 +156,7 @@
 /// Asks the client to retry when a process that has just started should have its configuration.
 fn no_configuration(shared: &Shared) -> Rejection {
     let age_ms = shared.now().since(shared.started) / MILLISECOND;
-    let left_ms = EXPECTED_CONFIGURATION_MS.saturating_sub(age_ms);
+    let left_ms = EXPECTED_START_MS.saturating_sub(age_ms);
     Rejection::NoConfiguration { retry_ms: left_ms.max(MIN_RETRY_MS) }
 }
 
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -84,7 +84,9 @@
         incarnations.into_iter().map(|(service, incarnation)| Endpoint { service, incarnation });
     shared.paths.lock().set_endpoints(endpoints_by_path);
     shared.origins.lock().update_endpoints(now, endpoints);
-    shared.endpoints_loaded.store(true, Ordering::Relaxed);
+    if !shared.endpoints_loaded.swap(true, Ordering::Relaxed) {
+        shared.startup_progress.send_replace(());
+    }
     changes.iter().for_each(log);
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -129,6 +129,8 @@
             announcement: Mutex::new(None),
             layout_request: Mutex::new(None),
             layout_changed: watch::Sender::default(),
+            startup_progress: watch::Sender::default(),
+            held: AtomicUsize::new(0),
             catalog_updated_at: AtomicU64::new(clock.now().0),
             endpoints_loaded: AtomicBool::new(false),
             layout_settled: AtomicBool::new(false),
--- a/crates/gateway/src/layout.rs
+++ b/crates/gateway/src/layout.rs
@@ -97,6 +97,7 @@
     set_kv_capacities(&mut shared.dispatcher.lock(), layout);
     shared.table.store(Some(Arc::new(RouteTable::new(layout.clone()))));
     if installed.is_none() {
+        shared.startup_progress.send_replace(());
         let shared = shared.clone();
         tokio::spawn(async move {
             sleep(SETTLE_DELAY).await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod server;
 mod shared;
 mod sse;
+mod startup;
 mod stream;
 mod subscription;
 mod upstream;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -146,6 +146,10 @@
     pub(crate) layout_request: Mutex<Option<LayoutRequest>>,
     /// Notified when a configuration was installed or a request for one failed.
     pub(crate) layout_changed: watch::Sender<()>,
+    /// Notified when the first configuration or list of endpoints was applied.
+    pub(crate) startup_progress: watch::Sender<()>,
+    /// The number of requests held until this gateway has started.
+    pub(crate) held: AtomicUsize,
     /// When the control plane last confirmed the endpoint list, in microseconds of this process's
     /// clock.
     pub(crate) catalog_updated_at: AtomicU64,
--- a/crates/gateway/tests/lifecycle.rs
+++ b/crates/gateway/tests/lifecycle.rs
@@ -193,3 +193,32 @@
     assert_eq!(endpoint.received().len(), 0);
     stopping.await.expect("shutdown panicked");
 }
+
+/// Guards against requests that are refused right after a restart of the whole fleet, although the
+/// configuration arrives a moment later. Clients that retry once would not be served at all.
+#[tokio::test]
+async fn request_that_arrives_before_the_configuration_is_served_once_it_is_there() {
+    let endpoint = Endpoint::start([]).await;
+    let fixture = Fixture::start_unconfigured(&[endpoint.listing_entry("plain", "e0")]).await;
+    let client = fixture.client();
+    let early = tokio::spawn(async move { client.body("x").call("/write/").await });
+    sleep(Duration::from_millis(200)).await;
+    fixture.publish(&layout(1)).await;
+    let response = early.await.expect("client panicked");
+    assert_eq!(response.status, 200);
+    assert_eq!(endpoint.received().len(), 1);
+}
+
+/// Guards against requests that are held although nothing is to be expected: the hold ends long
+/// before the deadline, with the promise that the request did not run.
+#[tokio::test]
+async fn request_is_refused_in_time_if_no_configuration_arrives() {
+    let endpoint = Endpoint::start([]).await;
+    let fixture = Fixture::start_unconfigured(&[endpoint.listing_entry("plain", "e0")]).await;
+    let sent = Instant::now();
+    let response = fixture.client().deadline(1_000).call("/read/").await;
+    assert_eq!(response.status, 503);
+    assert!(response.header("retry-after").is_some());
+    assert!(sent.elapsed() < Duration::from_millis(800), "{:?}", sent.elapsed());
+    assert!(endpoint.received().is_empty());
+}
