Tell other gateways which endpoints are replaced or unreachable

The list lags: after a crash of 48 endpoints each of 83 gateways found out by itself, with requests of its own, which of them were gone: 406 requests answered 421 in 1.7 s, many without a retry left in the budget; with a dark domain 2,841 connections were refused at 37 endpoints. A gateway now tells all others what it found (first byte 0x86; older gateways drop it). A replaced endpoint is avoided for 4 s or until it is listed anew, an unreachable one for 0.5 s if routers of two domains say so. A request leaves its own domain after two failures there.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -8,6 +8,7 @@
         health::{AttemptOutcome, Health},
         limit::{Fleet, LimitChange, LimitReport},
         load::{Load, LoadChunk, LoadReport, Reporter},
+        outage::{Outage, OutageReport},
         queue::{Waiter, WaiterId},
         request::{Assignment, DispatchRequest, EndpointHandle},
         service::Service,
@@ -57,6 +58,9 @@
 /// The weight of one request in the moving average of the time that requests occupy an endpoint.
 const SERVICE_MS_WEIGHT: f64 = 0.05;
 
+/// The maximum number of outages that wait to be told to other routers.
+const MAX_NEW_OUTAGES: usize = 256;
+
 /// Returns the retry delay that a caller is told, in milliseconds. If no endpoint takes requests
 /// now, it is the time until one does.
 fn retry_ms(now: Time, service: &Service, build: Option<BuildId>, estimated_wait_ms: u64) -> u64 {
@@ -86,6 +90,8 @@
     /// The endpoint hashes and last shared parts of prompts that are new there since other routers
     /// were last informed.
     new_parts: Vec<(u64, u64)>,
+    /// The outages that other routers have not been told yet.
+    new_outages: Vec<OutageReport>,
 }
 
 impl Dispatcher {
@@ -103,6 +109,7 @@
             last_waiter: 0,
             service_times_ms: HashMap::new(),
             new_parts: Vec::new(),
+            new_outages: Vec::new(),
         }
     }
 
@@ -447,6 +454,37 @@
         }
     }
 
+    /// Returns whether [`Dispatcher::take_outages`] has something to return.
+    pub fn has_outages(&self) -> bool {
+        !self.new_outages.is_empty()
+    }
+
+    /// Returns the outages of endpoints that this router found since the last call and that it had
+    /// not heard of.
+    pub fn take_outages(&mut self) -> Vec<OutageReport> {
+        std::mem::take(&mut self.new_outages)
+    }
+
+    /// Applies the reports of a router in the failure domain with this hash. Returns the ids of the
+    /// endpoints that are avoided because of them, each with the reason.
+    pub fn apply_outages(
+        &mut self,
+        now: Time,
+        domain: u64,
+        reports: &[OutageReport],
+    ) -> Vec<(Name, Outage)> {
+        let endpoints = self.services.values_mut().flat_map(|it| &mut it.endpoints);
+        let mut endpoints: HashMap<_, _> = endpoints.map(|it| (it.incarnation(), it)).collect();
+        let mut avoided = Vec::new();
+        for report in reports {
+            let Some(endpoint) = endpoints.get_mut(&report.incarnation) else { continue };
+            if endpoint.apply_outage(now, domain, report.outage) {
+                avoided.push((endpoint.listed.id.clone(), report.outage));
+            }
+        }
+        avoided
+    }
+
     /// Returns what this router runs, keyed by the hash of the endpoint's id. Idle endpoints are
     /// omitted.
     pub fn local_loads(&self) -> Vec<(u64, LoadReport)> {
@@ -489,11 +527,12 @@
         let routers = self.fleet.len();
         if let Some(endpoint) = self.endpoint(assignment.handle) {
             endpoint.load.remove(assignment.tokens);
-            endpoint.health.record(now, outcome);
+            let outage = endpoint.record_outcome(now, outcome);
             let closed_until = endpoint.notice.brittle.closed_until(now, routers);
             if let Some(until) = closed_until.filter(|_| outcome == AttemptOutcome::Full) {
                 endpoint.notice.closed_until = endpoint.notice.closed_until.max(until);
             }
+            self.new_outages.extend(outage.filter(|_| self.new_outages.len() < MAX_NEW_OUTAGES));
         }
         if matches!(outcome, AttemptOutcome::Served | AttemptOutcome::Failed) {
             let mean_ms = self.service_times_ms.entry(name.clone()).or_insert(INITIAL_SERVICE_MS);
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -3,20 +3,24 @@
 use {
     crate::{
         brittle::Brittle,
-        health::Health,
+        health::{AttemptOutcome, Health},
         limit::{Fleet, Limit, LimitChange},
         load::Load,
+        outage::{Outage, OutageReport, PeerReports},
         request::{Assignment, EndpointHandle, PromptPart},
     },
     derive_more::Debug,
     directory::{BuildId, ListedEndpoint},
-    model::{Time, hash64, mix2},
+    model::{MILLISECOND, Time, hash64, mix2},
     std::{collections::HashMap, net::SocketAddr},
 };
 
 /// The maximum number of prompt parts that are tracked per endpoint.
 const MAX_PARTS: usize = 8_192;
 
+/// How long a response of an endpoint outweighs reports that it is unreachable, in microseconds.
+const RESPONSE_PROOF_TIME: u64 = 300 * MILLISECOND;
+
 /// What an endpoint asked of this router in its responses.
 #[derive(Clone, Copy, PartialEq, Default, Debug)]
 pub(crate) struct Notice {
@@ -39,6 +43,9 @@
     pub(crate) hash: u64,
     pub(crate) load: Load,
     pub(crate) health: Health,
+    pub(crate) peer_reports: PeerReports,
+    /// When the endpoint last responded to this router.
+    responded_at: Option<Time>,
     pub(crate) notice: Notice,
     /// The prompt parts that routers sent to the endpoint, and when they were last sent.
     parts: HashMap<u64, Time>,
@@ -53,6 +60,8 @@
             listed,
             load: Load::default(),
             health: Health::default(),
+            peer_reports: PeerReports::default(),
+            responded_at: None,
             notice: Notice::default(),
             parts: HashMap::new(),
         }
@@ -93,6 +102,40 @@
         build.is_none_or(|it| self.listed.build_id() == it)
     }
 
+    /// Records how an attempt ended. Returns what other routers should know, unless they said so.
+    pub(crate) fn record_outcome(
+        &mut self,
+        now: Time,
+        outcome: AttemptOutcome,
+    ) -> Option<OutageReport> {
+        self.health.record(now, outcome);
+        let outage = match outcome {
+            AttemptOutcome::Misdirected => Outage::Replaced,
+            AttemptOutcome::Unreachable => Outage::Unreachable,
+            AttemptOutcome::Served | AttemptOutcome::Failed | AttemptOutcome::Full => {
+                self.responded_at = Some(now);
+                self.peer_reports.clear();
+                return None;
+            }
+            AttemptOutcome::Broken | AttemptOutcome::Abandoned => return None,
+        };
+        let is_known = self.peer_reports.is_avoided(now);
+        (!is_known).then(|| OutageReport { incarnation: self.incarnation(), outage })
+    }
+
+    /// Applies a report of another router. An endpoint that responded to this router just now is
+    /// not unreachable. Returns whether it is avoided from now on.
+    pub(crate) fn apply_outage(&mut self, now: Time, domain: u64, outage: Outage) -> bool {
+        let has_responded = self.responded_at.is_some_and(|it| now.since(it) < RESPONSE_PROOF_TIME);
+        let is_refuted = outage == Outage::Unreachable && has_responded;
+        !is_refuted && self.peer_reports.record(now, domain, outage)
+    }
+
+    /// Returns whether requests should prefer other endpoints.
+    pub(crate) fn is_avoided(&self, now: Time) -> bool {
+        self.health.is_avoided(now) || self.peer_reports.is_avoided(now)
+    }
+
     /// Determines this router's share of the endpoint's limit, which has changed.
     pub(crate) fn set_share(&mut self, now: Time, fleet: &Fleet) -> LimitChange {
         let limit = &mut self.notice.limit;
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -1,6 +1,7 @@
 //! Tracks recent failures of an endpoint to decide whether to send it further requests.
 
 use {
+    crate::outage::REPLACED_TIME,
     derive_more::Debug,
     model::{MILLISECOND, SECOND, Time},
 };
@@ -83,10 +84,14 @@
                     self.back_off(now);
                 }
             }
-            AttemptOutcome::Unreachable | AttemptOutcome::Misdirected => {
+            AttemptOutcome::Unreachable => {
                 self.consecutive_failures += 1;
                 self.back_off(now);
             }
+            AttemptOutcome::Misdirected => {
+                self.consecutive_failures += 1;
+                self.avoid_until = self.avoid_until.max(now + REPLACED_TIME);
+            }
             AttemptOutcome::Abandoned => {}
         }
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 mod health;
 mod limit;
 mod load;
+mod outage;
 mod placement;
 mod queue;
 mod rendezvous;
@@ -32,6 +33,7 @@
     health::AttemptOutcome,
     limit::{LimitChange, LimitReport},
     load::{LoadChunk, LoadReport, Reporter},
+    outage::{Outage, OutageReport},
     queue::WaiterId,
     request::{Assignment, DispatchRequest, EndpointHandle, Prompt, PromptPart},
     retry_budget::{RetryBudget, RetryBudgetLimits},
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -4,7 +4,7 @@
     crate::{
         endpoint::Endpoint,
         rendezvous::ranked,
-        request::{Assignment, DispatchRequest, Prompt},
+        request::{Assignment, DispatchRequest, EndpointHandle, Prompt},
     },
     derive_more::Debug,
     model::{Domain, MILLISECOND, Time},
@@ -16,6 +16,10 @@
 /// domain costs less than sending requests to another domain.
 const LOCAL_PREFIX_TOKENS: u32 = 1_000;
 
+/// The number of failures in the own failure domain after which a request prefers no endpoints
+/// there. All of them may be down.
+const MAX_LOCAL_FAILURES: usize = 2;
+
 /// An endpoint that is not the least loaded takes a prompt only while its load is at most this
 /// multiple of the mean. The bound that must hold is twice the mean.
 const SPILL_FACTOR: f64 = 1.4;
@@ -82,7 +86,7 @@
         // If no endpoint is healthy, an unhealthy one may still answer.
         let candidates = if healthy.is_empty() { ready } else { healthy };
         match request.prompt.as_ref().filter(|it| !it.parts.is_empty()) {
-            Some(prompt) => self.choose_by_prompt(prompt, &candidates),
+            Some(prompt) => self.choose_by_prompt(request, prompt, &candidates),
             None => self.choose_by_load(request, &candidates, random),
         }
     }
@@ -90,7 +94,7 @@
     /// Returns the endpoints that respond and whose failure rate is comparable to the lowest one.
     fn healthy(&self, ready: &[(usize, &'a Endpoint)]) -> Vec<(usize, &'a Endpoint)> {
         let now = self.now;
-        let answering = ready.iter().filter(|(_, it)| !it.health.is_avoided(now));
+        let answering = ready.iter().filter(|(_, it)| !it.is_avoided(now));
         let rates = answering.clone().map(|(_, it)| it.health.failure_rate(now));
         let best = rates.fold(1.0, f64::min);
         let comparable = |it: &&(usize, &Endpoint)| {
@@ -156,6 +160,7 @@
 
     fn choose_by_prompt(
         &self,
+        request: &DispatchRequest,
         prompt: &Prompt,
         candidates: &[(usize, &Endpoint)],
     ) -> Option<Assignment> {
@@ -163,7 +168,8 @@
         let (key, shared) = affinity(prompt);
         let ranked = ranked(key, candidates.iter().copied());
         let is_local = |it: &usize| self.endpoints[*it].listed.domain == *local_domain;
-        let local_first = shared < LOCAL_PREFIX_TOKENS;
+        let failed_locally = request.excluded.iter().filter(|it| self.is_local(**it)).count();
+        let local_first = shared < LOCAL_PREFIX_TOKENS && failed_locally < MAX_LOCAL_FAILURES;
         let local_endpoints = ranked.iter().copied().filter(|it| local_first && is_local(it));
         let other_endpoints = ranked.iter().copied().filter(|it| !(local_first && is_local(it)));
         let search_order: Vec<_> = local_endpoints.chain(other_endpoints).collect();
@@ -195,6 +201,12 @@
         Some(Assignment { fetch_from, unread, ..assignment })
     }
 
+    /// Returns whether an endpoint is in the failure domain of this router.
+    fn is_local(&self, handle: EndpointHandle) -> bool {
+        let found = self.endpoints.iter().find(|it| it.handle == handle);
+        found.is_some_and(|it| it.listed.domain == *self.local_domain)
+    }
+
     fn mean_load(&self, candidates: &[(usize, &Endpoint)]) -> f64 {
         let total: u32 = candidates.iter().map(|(_, it)| it.load.requests(self.now)).sum();
         f64::from(total) / candidates.len().max(1) as f64
@@ -212,7 +224,7 @@
         }
         // A draining endpoint can still be fetched from.
         let others = self.endpoints.iter().enumerate().filter(|it| it.0 != chosen);
-        let healthy = others.filter(|it| !it.1.health.is_avoided(self.now));
+        let healthy = others.filter(|it| !it.1.is_avoided(self.now));
         let is_local = |it: &Endpoint| it.listed.domain == target.listed.domain;
         let holders =
             healthy.clone().map(|(_, it)| (it.cached_tokens(shared), is_local(it), it.addr()));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod metrics;
 mod notices;
 mod origins;
+mod outages;
 mod paths;
 mod quarantine;
 mod rejection;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -125,6 +125,8 @@
     pub(crate) peers: Mutex<HashMap<SocketAddr, Peer>>,
     /// Wakes the task that tells other gateways of the limits of endpoints.
     pub(crate) limit_news: Notify,
+    /// Wakes the task that tells other gateways of endpoints that cannot be used.
+    pub(crate) outage_news: Notify,
     /// Wakes the task that tells other gateways of crashes.
     pub(crate) crash_news: Notify,
     /// Notified when a verdict began.
@@ -230,6 +232,9 @@
         let hold_ms = now.since(started) as f64 / 1_000.0;
         let mut dispatcher = self.dispatcher.lock();
         let next = dispatcher.finish(now, pick, ending, hold_ms);
+        if dispatcher.has_outages() {
+            self.outage_news.notify_one();
+        }
         self.notify_waiters(&mut dispatcher, next);
     }
 
