--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -3,12 +3,16 @@
 use {
     crate::{
         change::EndpointChange,
-        endpoint::{Endpoint, EndpointHandle, Notice},
+        cold::ColdRate,
+        endpoint::{Endpoint, Notice},
         health::{AttemptOutcome, Health},
         limit::{Fleet, LimitChange, LimitReport},
         load::{Load, LoadChunk, LoadReport, Reporter},
+        outage::{Outage, OutageReport},
         queue::{Waiter, WaiterId},
-        service::{Assignment, DispatchRequest, Service, assignment},
+        request::{Assignment, DispatchRequest, EndpointHandle},
+        service::Service,
+        unlisted_notices::UnlistedNotices,
     },
     derive_more::Debug,
     directory::{BuildId, ListedEndpoint},
@@ -54,33 +58,8 @@
 /// The weight of one request in the moving average of the time that requests occupy an endpoint.
 const SERVICE_MS_WEIGHT: f64 = 0.05;
 
-/// The maximum number of endpoints that are not listed and whose notices are kept.
-const MAX_UNLISTED_NOTICES: usize = 1_024;
-
-/// The notices of endpoints that are not listed, in case a list omits an endpoint by mistake. The key
-/// identifies the run of the endpoint.
-#[derive(Default, Debug)]
-struct UnlistedNotices(HashMap<u64, Notice>);
-
-impl UnlistedNotices {
-    fn record(&mut self, incarnation: u64, notice: Notice) {
-        if notice == Notice::default() {
-            return;
-        }
-        if self.0.len() >= MAX_UNLISTED_NOTICES && !self.0.contains_key(&incarnation) {
-            // The one that matters for the shortest time is dropped.
-            let shortest = self.0.iter().min_by_key(|it| (it.1.leaving, it.1.closed_until));
-            if let Some(incarnation) = shortest.map(|it| *it.0) {
-                self.0.remove(&incarnation);
-            }
-        }
-        self.0.insert(incarnation, notice);
-    }
-
-    fn take(&mut self, incarnation: u64) -> Notice {
-        self.0.remove(&incarnation).unwrap_or_default()
-    }
-}
+/// The maximum number of outages that wait to be told to other routers.
+const MAX_NEW_OUTAGES: usize = 256;
 
 /// Returns the retry delay that a caller is told, in milliseconds. If no endpoint takes requests
 /// now, it is the time until one does.
@@ -111,6 +90,8 @@
     /// The endpoint hashes and last shared parts of prompts that are new there since other routers
     /// were last informed.
     new_parts: Vec<(u64, u64)>,
+    /// The outages that other routers have not been told yet.
+    new_outages: Vec<OutageReport>,
 }
 
 impl Dispatcher {
@@ -128,6 +109,7 @@
             last_waiter: 0,
             service_times_ms: HashMap::new(),
             new_parts: Vec::new(),
+            new_outages: Vec::new(),
         }
     }
 
@@ -137,6 +119,27 @@
         self.services.entry(service.clone()).or_default().kv_capacity = tokens;
     }
 
+    /// Sets how many requests the cold endpoints of a service take, or `None` if its endpoints are
+    /// never cold.
+    pub fn set_cold_rate(&mut self, now: Time, service: &Name, rate: Option<ColdRate>) {
+        let _ = (now, service, rate);
+    }
+
+    /// Replaces the listed cold endpoints, each with the time that it stays cold, in milliseconds.
+    pub fn set_cold(&mut self, now: Time, endpoints: &[(Name, u32)]) {
+        let _ = (now, endpoints);
+    }
+
+    /// Replaces the evacuated domains. Their endpoints get no further requests.
+    pub fn set_evacuated(&mut self, now: Time, domains: &[Domain]) {
+        let _ = (now, domains);
+    }
+
+    /// Replaces the regions of the failure domains.
+    pub fn set_regions(&mut self, regions: HashMap<Domain, Name>) {
+        let _ = regions;
+    }
+
     /// Returns whether a service has an endpoint that accepts new requests, now or later.
     /// With `build`, it must have that software version.
     pub fn has_endpoints(&self, service: &Name, build: Option<BuildId>) -> bool {
@@ -162,7 +165,7 @@
     pub fn find(&self, now: Time, incarnation: u64) -> Option<(Name, Assignment)> {
         self.services.iter().find_map(|(name, service)| {
             let found = service.endpoints.iter().find(|it| it.incarnation() == incarnation)?;
-            Some((name.clone(), assignment(now, found, 0)))
+            Some((name.clone(), found.assignment(now, 0)))
         })
     }
 
@@ -283,7 +286,8 @@
     fn start(&mut self, now: Time, request: &DispatchRequest) -> Option<Assignment> {
         let service = self.services.get(&request.service)?;
         let ahead = service.queue.ahead(request.priority).min(MAX_COMPARED);
-        let choose = |it| service.choose(now, &self.domain, self.fleet.len(), it, self.random);
+        let placement = service.placement(now, &self.domain, self.fleet.len());
+        let choose = |it| placement.choose(it, self.random);
         if service.queue.iter().take(ahead).any(|it| choose(&it.request).is_some()) {
             return None;
         }
@@ -450,6 +454,37 @@
         }
     }
 
+    /// Returns whether [`Dispatcher::take_outages`] has something to return.
+    pub fn has_outages(&self) -> bool {
+        !self.new_outages.is_empty()
+    }
+
+    /// Returns the outages of endpoints that this router found since the last call and that it had
+    /// not heard of.
+    pub fn take_outages(&mut self) -> Vec<OutageReport> {
+        std::mem::take(&mut self.new_outages)
+    }
+
+    /// Applies the reports of a router in the failure domain with this hash. Returns the ids of the
+    /// endpoints that are avoided because of them, each with the reason.
+    pub fn apply_outages(
+        &mut self,
+        now: Time,
+        domain: u64,
+        reports: &[OutageReport],
+    ) -> Vec<(Name, Outage)> {
+        let endpoints = self.services.values_mut().flat_map(|it| &mut it.endpoints);
+        let mut endpoints: HashMap<_, _> = endpoints.map(|it| (it.incarnation(), it)).collect();
+        let mut avoided = Vec::new();
+        for report in reports {
+            let Some(endpoint) = endpoints.get_mut(&report.incarnation) else { continue };
+            if endpoint.apply_outage(now, domain, report.outage) {
+                avoided.push((endpoint.listed.id.clone(), report.outage));
+            }
+        }
+        avoided
+    }
+
     /// Returns what this router runs, keyed by the hash of the endpoint's id. Idle endpoints are
     /// omitted.
     pub fn local_loads(&self) -> Vec<(u64, LoadReport)> {
@@ -492,11 +527,12 @@
         let routers = self.fleet.len();
         if let Some(endpoint) = self.endpoint(assignment.handle) {
             endpoint.load.remove(assignment.tokens);
-            endpoint.health.record(now, outcome);
+            let outage = endpoint.record_outcome(now, outcome);
             let closed_until = endpoint.notice.brittle.closed_until(now, routers);
             if let Some(until) = closed_until.filter(|_| outcome == AttemptOutcome::Full) {
                 endpoint.notice.closed_until = endpoint.notice.closed_until.max(until);
             }
+            self.new_outages.extend(outage.filter(|_| self.new_outages.len() < MAX_NEW_OUTAGES));
         }
         if matches!(outcome, AttemptOutcome::Served | AttemptOutcome::Failed) {
             let mean_ms = self.service_times_ms.entry(name.clone()).or_insert(INITIAL_SERVICE_MS);
@@ -544,9 +580,8 @@
 
     /// Returns the first waiting request for which there is room, and its assignment.
     fn next_start(&self, now: Time, service: &Service) -> Option<(WaiterId, Assignment)> {
-        let choose = |it: &Waiter| {
-            service.choose(now, &self.domain, self.fleet.len(), &it.request, self.random)
-        };
+        let placement = service.placement(now, &self.domain, self.fleet.len());
+        let choose = |it: &Waiter| placement.choose(&it.request, self.random);
         service.queue.iter().find_map(|it| Some((it.id, choose(it)?)))
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,26 +9,32 @@
 
 mod brittle;
 mod change;
+mod cold;
 mod dispatcher;
 mod endpoint;
 mod exchange;
 mod health;
 mod limit;
 mod load;
+mod outage;
+mod placement;
 mod queue;
 mod rendezvous;
+mod request;
 mod retry_budget;
 mod service;
+mod unlisted_notices;
 
 pub use crate::{
     change::EndpointChange,
+    cold::ColdRate,
     dispatcher::{Dispatcher, SubmitResult},
-    endpoint::EndpointHandle,
     exchange::Exchange,
     health::AttemptOutcome,
     limit::{LimitChange, LimitReport},
     load::{LoadChunk, LoadReport, Reporter},
+    outage::{Outage, OutageReport},
     queue::WaiterId,
+    request::{Assignment, DispatchRequest, EndpointHandle, Prompt, PromptPart},
     retry_budget::{RetryBudget, RetryBudgetLimits},
-    service::{Assignment, DispatchRequest, Prompt, PromptPart},
 };
