--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -47,7 +47,7 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// How long the news of a new gateway may take to reach the others.
-const MEMBERSHIP_DELAY: Duration = Duration::from_millis(1_500);
+pub(crate) const MEMBERSHIP_DELAY: Duration = Duration::from_millis(1_500);
 
 const RETRIES: RetrySettings = RetrySettings { ratio: 0.2, slack: 50.0 };
 
@@ -291,6 +291,47 @@
     }
 }
 
+/// A control replica whose gateways can all be killed.
+pub(crate) struct Site {
+    pub(crate) list: StaticList,
+    pub(crate) control: Control,
+    _data: TempDir,
+}
+
+impl Site {
+    /// Starts the replica with a configuration and these endpoints.
+    pub(crate) async fn start(layout: &RoutingConfig, endpoints: &[ListedEndpoint]) -> Site {
+        let data = tempfile::tempdir().expect("failed to create a directory");
+        let control = Control::spawn(control_settings(&data)).await;
+        let mut control = control.expect("failed to start control");
+        control.wait_until_leader().await;
+        let list = StaticList(Arc::new(Mutex::new(endpoints.to_vec())));
+        control.poll_directory(list.clone());
+        let document = serde_json::to_vec(layout).expect("failed to serialize the configuration");
+        let published = control.routing_configs().publish(document.into()).await;
+        published.expect("failed to publish the configuration");
+        Site { list, control, _data: data }
+    }
+
+    /// Returns the settings of a gateway that has the same addresses after a restart.
+    pub(crate) fn gateway_settings(&self, domain: &str) -> GatewaySettings {
+        GatewaySettings {
+            domain: Domain(domain.into()),
+            listen: free_port(),
+            inner: free_port(),
+            ..gateway_settings(self.control.internal_addr())
+        }
+    }
+
+    pub(crate) async fn start_gateway(&self, settings: GatewaySettings) -> KillableGateway {
+        let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build();
+        let runtime = runtime.expect("failed to start a runtime");
+        let gateway = runtime.spawn(start_gateway(settings, self.list.clone()));
+        let gateway = gateway.await.expect("the gateway panicked");
+        KillableGateway { gateway, runtime: Some(runtime) }
+    }
+}
+
 async fn start_gateway(settings: GatewaySettings, list: StaticList) -> Gateway {
     // Telemetry can be initialized only once per process.
     let open = || telemetry::init(&settings.log).expect("failed to initialize telemetry");
--- /dev/null
+++ b/crates/origin/tests/outage.rs
@@ -0,0 +1,155 @@
+//! All gateways are killed at once and start again, while replicas of the control plane live on.
+
+use {
+    directory::{BuildId, ListedEndpoint},
+    model::{Domain, MILLISECOND, Time, hash64},
+    origin::{Action, Message, Origin, Origins, Record, Resolution, StreamKey, Wanted},
+    rstest::rstest,
+    std::{collections::BTreeMap, net::SocketAddr},
+};
+
+const GATEWAYS: u16 = 6;
+const REPLICAS: u16 = 5;
+const STREAMS: u64 = 200;
+const MAX_AGE_MS: u64 = 10_000;
+
+fn addr(port: u16) -> SocketAddr {
+    ([10, 0, 0, 1], port).into()
+}
+
+fn build(version: &str) -> BuildId {
+    BuildId(hash64(version.as_bytes()))
+}
+
+fn origin(version: &str) -> Origin {
+    Origin { service: hash64(b"model"), build: build(version) }
+}
+
+fn listing(versions: &[&str]) -> Vec<ListedEndpoint> {
+    let endpoint = |version: &&str| ListedEndpoint {
+        id: format!("e-{version}").into(),
+        service: "model".into(),
+        addr: addr(0),
+        domain: Domain("d0".into()),
+        slots: 1,
+        draining: false,
+        started_at_ms: None,
+        build: Some((*version).into()),
+    };
+    versions.iter().map(endpoint).collect()
+}
+
+fn wanted(key: StreamKey) -> Wanted {
+    Wanted { key: Some(key), service: Some(hash64(b"model")), max_age_ms: MAX_AGE_MS }
+}
+
+/// Gateways at the ports from 1, replicas at those from 101. Datagrams arrive at once.
+struct Site {
+    now: Time,
+    processes: BTreeMap<SocketAddr, Origins>,
+}
+
+impl Site {
+    /// Starts all processes with a list of these versions, and waits for a minute.
+    fn start(versions: &[&str]) -> Site {
+        let mut site = Site { now: Time(0), processes: BTreeMap::new() };
+        site.processes.extend((101..=100 + REPLICAS).map(|it| (addr(it), replica(addr(it)))));
+        site.start_gateways(versions);
+        site.list(versions);
+        site.wait(60_000);
+        site
+    }
+
+    fn start_gateways(&mut self, versions: &[&str]) {
+        for port in 1..=GATEWAYS {
+            let mut gateway = gateway(addr(port));
+            let domains = [0, 1, 2].map(|it| Domain(format!("d{it}").into()));
+            let members = (1..=GATEWAYS).map(|it| (addr(it), &domains[usize::from(it) % 3]));
+            gateway.set_members(addr(port), members);
+            gateway.update_endpoints(self.now, &listing(versions));
+            self.processes.insert(addr(port), gateway);
+        }
+    }
+
+    fn list(&mut self, versions: &[&str]) {
+        let now = self.now;
+        self.processes.values_mut().for_each(|it| it.update_endpoints(now, &listing(versions)));
+    }
+
+    fn wait(&mut self, ms: u64) {
+        self.now = self.now + ms * MILLISECOND;
+    }
+
+    fn tell(&mut self, port: u16, key: StreamKey, version: &str) {
+        let record = Record { key, origin: origin(version), keep_ms: MAX_AGE_MS };
+        let gateway = self.processes.get_mut(&addr(port)).expect("no such gateway");
+        let actions = gateway.begin(self.now, record);
+        self.deliver(addr(port), actions);
+    }
+
+    /// Delivers messages until none is left; returns the result of a lookup, if there is one.
+    fn deliver(&mut self, from: SocketAddr, actions: Vec<Action>) -> Option<Resolution> {
+        let mut queue: Vec<_> = actions.into_iter().map(|it| (from, it)).collect();
+        let mut result = None;
+        while let Some((from, action)) = queue.pop() {
+            match action {
+                Action::Resolve { resolution, .. } => result = Some(resolution),
+                Action::Send { to, message } => {
+                    let Some(receiver) = self.processes.get_mut(&to) else { continue };
+                    let actions = receiver.receive(self.now, from, message);
+                    queue.extend(actions.into_iter().map(|it| (to, it)));
+                }
+            }
+        }
+        result
+    }
+
+    fn resume(&mut self, port: u16, key: StreamKey) -> Resolution {
+        let gateway = self.processes.get_mut(&addr(port)).expect("no such gateway");
+        let (_, actions) = gateway.look_up(self.now, wanted(key));
+        let mut result = self.deliver(addr(port), actions);
+        while result.is_none() {
+            let gateway = self.processes.get_mut(&addr(port)).expect("no such gateway");
+            self.now = self.now.max(gateway.next_deadline());
+            let actions = gateway.tick(self.now);
+            result = self.deliver(addr(port), actions);
+        }
+        result.expect("the lookup ended")
+    }
+}
+
+fn gateway(own: SocketAddr) -> Origins {
+    Origins::new(own)
+}
+
+fn replica(own: SocketAddr) -> Origins {
+    Origins::new(own)
+}
+
+/// Guards against refusing (or mixing up) the streams of services with several versions after no
+/// gateway is left that knows where they began.
+#[rstest]
+#[case::two_versions(&["v1", "v2"], &["v1", "v2"])]
+#[case::one_left_lately(&["v1", "v2"], &["v1"])]
+#[case::changed_meanwhile(&["v1", "v2"], &["v2", "v3"])]
+#[case::one_version(&["v1"], &["v1"])]
+fn streams_go_on_after_all_gateways_were_killed(#[case] before: &[&str], #[case] after: &[&str]) {
+    let mut site = Site::start(before);
+    let streams = (0..STREAMS).map(|it| (StreamKey(it), before[it as usize % before.len()]));
+    let streams: Vec<_> = streams.collect();
+    for (key, version) in &streams {
+        site.tell(1 + key.0 as u16 % GATEWAYS, *key, version);
+    }
+    site.wait(1_000);
+    site.start_gateways(after);
+    site.list(after);
+    site.wait(1_000);
+    let mut refused = 0;
+    for (key, version) in &streams {
+        match site.resume(1 + (key.0 as u16 + 1) % GATEWAYS, *key) {
+            Resolution::Known { origin: found, .. } => assert_eq!(found, origin(version)),
+            _ => refused += 1,
+        }
+    }
+    assert_eq!(refused, 0, "of {STREAMS} resumptions");
+}
