Keep the origins of streams at control replicas, so that streams outlive all gateways

Cause: the version that began a stream was known to three gateways only, and a restarted gateway has no list that proves a single version. After all gateways were killed, every resumption was refused as unknown-origin.

Control replicas keep origins in memory (origin::Origins::replica) and answer at a UDP socket at their internal address. A gateway tells two of them unless its lists prove that the service had a single version, tells them of earlier streams once a second version is listed, and asks three. A resumption at a gateway that has just started waits up to 2,000 ms, and half of the time to its deadline at most, for the first list and the other gateways. A lookup hears the others for up to 60 ms after the origin is known: an attempt id that began streams at two versions is refused as ambiguous-origin, where the first answer decided before.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -9,7 +9,7 @@
         membership::{self, Membership},
         metrics::Metrics,
         operators::Operators,
-        orders,
+        orders, origins,
         replicated_log::{ReplicaAddrs, ReplicatedLog},
         router_reports::RouterReports,
         routing_configs::{self, JsonFormat, RoutingConfigFormat, RoutingConfigStore},
@@ -45,6 +45,7 @@
     pub(crate) config_format: Arc<dyn RoutingConfigFormat>,
     pub(crate) routing_config: watch::Sender<Option<Arc<ConfigHistory>>>,
     pub(crate) discovery: Discovery,
+    pub(crate) origins: origins::KeptOrigins,
     pub(crate) watchers: Watchers,
     pub(crate) bulk_limiter: BulkLimiter,
     pub(crate) dialer: Dialer,
@@ -132,6 +133,7 @@
         config_format: Arc<dyn RoutingConfigFormat>,
     ) -> Result<Control> {
         let operators = Operators::load(settings.operators.as_deref())?;
+        let bound_addr = sockets.internal_addr();
         let internal = settings.advertise.unwrap_or(sockets.internal_addr());
         let own_addrs = ReplicaAddrs { internal, admin: sockets.admin_addr() };
         let Sockets { identity, traffic, listener, server, shared_slot } = sockets;
@@ -154,6 +156,7 @@
             config_format,
             routing_config: watch::Sender::default(),
             discovery: Discovery::default(),
+            origins: origins::KeptOrigins::new(own_addrs.internal),
             watchers: Watchers::default(),
             bulk_limiter,
             dialer,
@@ -170,6 +173,7 @@
             tokio::spawn(state_versions::run(shared.clone())),
             tokio::spawn(routing_configs::run(shared.clone())),
             tokio::spawn(watch_service::run(shared.clone())),
+            tokio::spawn(origins::run(shared.clone(), bound_addr)),
         ];
         let hosts = shared.settings.host_list;
         tasks.extend(hosts.map(|it| tokio::spawn(host_list::run(shared.clone(), it))));
--- a/crates/control/src/discovery.rs
+++ b/crates/control/src/discovery.rs
@@ -59,6 +59,7 @@
         if let Ok(listing) = &listed {
             poll_interval.record_calls(listing.calls);
             update_catalog(&shared, listing);
+            shared.origins.update_endpoints(shared.clock.now(), &listing.endpoints);
         }
         // The jitter only spreads the polls of the replicas over time.
         let delay =
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -24,6 +24,7 @@
 mod metrics;
 mod operators;
 mod orders;
+mod origins;
 mod quarantine;
 mod replicated_log;
 mod response;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -28,7 +28,8 @@
     }
 }
 
-fn state_values(shared: &Shared) -> [(&'static str, u64); 9] {
+fn state_values(shared: &Shared) -> [(&'static str, u64); 14] {
+    let origins = shared.origins.counts();
     let progress = *shared.order_progress.lock();
     let (revision, epoch, routers, claims) = shared.log.with_state(|it| {
         let roster = it.rosters.current();
@@ -45,5 +46,10 @@
         ("orders_due", progress.pending as u64),
         ("control_bytes_sent", shared.traffic.sent(TrafficClass::Control)),
         ("control_bytes_received", shared.traffic.received(TrafficClass::Control)),
+        ("origins_kept", shared.origins.len() as u64),
+        ("origin_messages", origins.messages),
+        ("origin_answers", origins.answers),
+        ("origin_malformed", origins.malformed),
+        ("origin_unsent", origins.unsent),
     ]
 }
--- a/crates/gateway/src/call/resumption.rs
+++ b/crates/gateway/src/call/resumption.rs
@@ -23,18 +23,17 @@
         if !route.resumable || !self.head.is_resumption {
             return Ok(());
         }
-        let service = match route.split.as_slice() {
-            [only] => Some(hash64(only.service.as_bytes())),
-            _ => None,
-        };
         let max_age_ms = self.origin_ms();
-        let wanted = Wanted { key: self.stream_key(), service, max_age_ms };
-        let (resolution, waited) = origins::find(&self.shared, wanted).await;
+        let wanted = Wanted { key: self.stream_key(), service: self.only_service(), max_age_ms };
+        let (resolution, waited) = origins::find(&self.shared, wanted, self.deadline).await;
         let (origin, source) = match resolution {
             Resolution::Known { origin, source } => (origin, source),
             Resolution::Unknown { retry_ms } => {
                 return Err(Rejection::UnknownOrigin { retry_ms });
             }
+            Resolution::Conflict => {
+                return Err(Rejection::AmbiguousOrigin { retry_ms: max_age_ms });
+            }
         };
         tracing::info!(
             event = "origin-found",
@@ -66,7 +65,16 @@
         let Some(key) = self.stream_key() else { return };
         let service = hash64(self.found.service.name.as_bytes());
         let origin = Origin { service, build };
-        origins::begin(&self.shared, Record { key, origin, keep_ms: self.origin_ms() }).await;
+        let record = Record { key, origin, keep_ms: self.origin_ms() };
+        origins::begin(&self.shared, record, self.only_service()).await;
+    }
+
+    /// Returns the hash of the only service that the route leads to, if there is only one.
+    fn only_service(&self) -> Option<u64> {
+        match self.found.route.split.as_slice() {
+            [only] => Some(hash64(only.service.as_bytes())),
+            _ => None,
+        }
     }
 
     /// Returns how long the origin of a stream may be asked for, in milliseconds: as long as the
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -196,7 +196,13 @@
         membership.routers = watched().flat_map(|it| it.routers.iter().cloned()).collect();
         membership.replicas = watched().flat_map(|it| it.replicas.iter().copied()).collect();
         let routers = membership.routers.iter().map(|it| (it.0, &it.1));
-        self.shared.origins.lock().set_members(self.shared.settings.inner, routers);
+        let mut origins = self.shared.origins.lock();
+        origins.set_members(self.shared.settings.inner, routers);
+        if !membership.replicas.is_empty() {
+            let replicas = membership.replicas.iter().copied();
+            origins.set_replicas(self.shared.settings.inner, replicas);
+        }
+        drop(origins);
         let routers = membership.routers.iter().map(|it| it.0);
         self.shared.quarantine.lock().set_members(routers);
         let routers: Vec<_> = membership.routers.iter().map(|it| it.0).collect();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -100,6 +100,9 @@
         let clock = Clock::start();
         let response_bytes = settings.memory_mb * BYTES_PER_MB * RESPONSE_MEMORY_SHARE;
         let dispatcher = Dispatcher::new(settings.domain.clone(), rand::random());
+        let mut origins = Origins::new(settings.inner);
+        // Replicas outlive gateways, so they are asked before a list of members has arrived.
+        origins.set_replicas(settings.inner, settings.control.iter().copied());
         let shared = Arc::new(Shared {
             dispatcher: Mutex::new(dispatcher),
             names,
@@ -119,7 +122,7 @@
             crash_news: Notify::new(),
             convicted: watch::Sender::default(),
             membership: Mutex::new(Membership::default()),
-            origins: Mutex::new(Origins::new(settings.inner)),
+            origins: Mutex::new(origins),
             lookups: Mutex::new(HashMap::new()),
             gossip: socket.clone(),
             settings,
@@ -152,6 +155,7 @@
             tokio::spawn(quarantine::send_news(shared.clone())),
             tokio::spawn(quarantine::compare(shared.clone())),
             tokio::spawn(limits::send_reports(shared.clone())),
+            tokio::spawn(origins::tell_due(shared.clone())),
             tokio::spawn(paths::probe(shared.clone())),
             tokio::spawn(process_queue(shared.clone())),
         ];
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -1,4 +1,5 @@
-//! Tells other gateways which software version began a stream, and asks them, over UDP.
+//! Tells other gateways and control replicas which software version began a stream, and asks them,
+//! over UDP.
 
 use {
     crate::shared::Shared,
@@ -6,24 +7,60 @@
         config::standard,
         serde::{decode_from_slice, encode_into_std_write},
     },
+    model::{MILLISECOND, Time},
     origin::{Action, Message, Record, Resolution, Wanted},
-    std::net::SocketAddr,
-    tokio::{sync::oneshot, time::timeout_at},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::{
+        sync::oneshot,
+        time::{sleep, timeout_at},
+    },
 };
 
 /// The version of the message format, the first byte of a datagram. No other message between
 /// gateways begins with it.
 pub(crate) const FORMAT_VERSION: u8 = 0x81;
 
-/// Tells other gateways where a stream begins.
-pub(crate) async fn begin(shared: &Shared, record: Record) {
-    let actions = shared.origins.lock().begin(shared.now(), record);
+/// How long a resumption waits for what a gateway that has just started does not know yet, in
+/// milliseconds. Gateways that were killed at once come back within 1 to 2.6 s, so the first one
+/// waits up to 1.6 s for the last, and then for its answer.
+const MAX_START_WAIT_MS: u64 = 2_000;
+
+/// The share of the time until its deadline that a resumption may wait so, in percent. The rest
+/// must suffice to go on with the stream.
+const START_WAIT_PERCENT: u64 = 50;
+
+/// How often a waiting resumption checks what is known now.
+const START_POLL: Duration = Duration::from_millis(50);
+
+/// The pause between the messages on streams that began before a second version was listed: 320
+/// gateways send each of 5 replicas 51,200 such streams a second at most, in 1,600 to 3,200
+/// datagrams.
+const DUE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Tells replicas of streams that began before a second version was listed, for as long as the
+/// process runs.
+pub(crate) async fn tell_due(shared: Arc<Shared>) {
+    loop {
+        sleep(DUE_PAUSE).await;
+        let actions = shared.origins.lock().tell_due(shared.now());
+        perform(&shared, actions).await;
+    }
+}
+
+/// Tells other gateways and replicas where a stream begins. `service` is the hash of the only
+/// service that can have begun it, if there is only one.
+pub(crate) async fn begin(shared: &Shared, record: Record, service: Option<u64>) {
+    let actions = shared.origins.lock().begin(shared.now(), record, service);
     tracing::debug!(
         event = "origin-told",
         stream = %record.key,
         build = %record.origin.build,
         copies = actions.len(),
-        "gateway: told other gateways which version begins a stream"
+        "gateway: told others which version begins a stream"
     );
     perform(shared, actions).await;
 }
@@ -43,8 +80,28 @@
     perform(shared, actions).await;
 }
 
-/// Finds the origin of a stream. Also returns how long that took, in microseconds.
-pub(crate) async fn find(shared: &Shared, wanted: Wanted) -> (Resolution, u64) {
+/// Finds the origin of a stream, for a request with this deadline. Also returns how long that took,
+/// in microseconds. A gateway that has just started waits for its first list of endpoints, and
+/// asks again until it should know the others.
+pub(crate) async fn find(shared: &Shared, wanted: Wanted, deadline: Time) -> (Resolution, u64) {
+    let started = shared.now();
+    let share = deadline.since(started) * START_WAIT_PERCENT / 100;
+    let wait_until = started + share.min(MAX_START_WAIT_MS * MILLISECOND);
+    while !shared.endpoints_loaded.load(Ordering::Relaxed) && shared.now() < wait_until {
+        sleep(START_POLL).await;
+    }
+    loop {
+        let resolution = look_up(shared, wanted).await;
+        let settles_at = shared.origins.lock().settles_at();
+        let is_final = !matches!(resolution, Resolution::Unknown { .. });
+        if is_final || shared.now() >= settles_at.min(wait_until) {
+            return (resolution, shared.now().since(started));
+        }
+        sleep(START_POLL).await;
+    }
+}
+
+async fn look_up(shared: &Shared, wanted: Wanted) -> Resolution {
     let started = shared.now();
     let (sender, mut receiver) = oneshot::channel();
     let actions = {
@@ -57,8 +114,7 @@
     loop {
         let deadline = shared.clock.deadline(shared.origins.lock().next_deadline());
         if let Ok(resolution) = timeout_at(deadline, &mut receiver).await {
-            let resolution = resolution.unwrap_or(Resolution::Unknown { retry_ms: 0 });
-            return (resolution, shared.now().since(started));
+            return resolution.unwrap_or(Resolution::Unknown { retry_ms: 0 });
         }
         let actions = shared.origins.lock().tick(shared.now());
         perform(shared, actions).await;
--- a/crates/gateway/src/rejection.rs
+++ b/crates/gateway/src/rejection.rs
@@ -27,6 +27,8 @@
     NoVersion,
     #[display("the version that began the stream is not known")]
     UnknownOrigin { retry_ms: u64 },
+    #[display("the attempt began streams at several versions")]
+    AmbiguousOrigin { retry_ms: u64 },
     #[display("no endpoint has capacity in time")]
     NoCapacity { retry_ms: u64 },
     #[display("request is quarantined because it crashed endpoints")]
@@ -58,6 +60,7 @@
             Rejection::NoEndpoint => "no-endpoint",
             Rejection::NoVersion => "no-version",
             Rejection::UnknownOrigin { .. } => "unknown-origin",
+            Rejection::AmbiguousOrigin { .. } => "ambiguous-origin",
             Rejection::NoCapacity { .. } => "no-room",
             Rejection::Quarantined { .. } => "quarantined",
             Rejection::BadGateway => "broken",
@@ -76,6 +79,7 @@
             | Rejection::NoEndpoint
             | Rejection::NoVersion
             | Rejection::UnknownOrigin { .. }
+            | Rejection::AmbiguousOrigin { .. }
             | Rejection::NoCapacity { .. }
             | Rejection::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Rejection::BadGateway => StatusCode::BAD_GATEWAY,
@@ -88,6 +92,7 @@
             Rejection::NoCapacity { retry_ms }
             | Rejection::NoConfiguration { retry_ms }
             | Rejection::UnknownOrigin { retry_ms }
+            | Rejection::AmbiguousOrigin { retry_ms }
             | Rejection::Quarantined { retry_ms } => Some(retry_ms),
             Rejection::Stopping => Some(STOPPING_RETRY_MS),
             Rejection::NoEndpoint | Rejection::NoVersion => Some(NO_ENDPOINT_RETRY_MS),
--- a/crates/origin/src/builds.rs
+++ b/crates/origin/src/builds.rs
@@ -13,6 +13,8 @@
 pub(crate) struct Builds {
     /// When the first list arrived.
     since: Option<Time>,
+    /// When the last list arrived.
+    updated: Option<Time>,
     /// The versions of each service in the current list, by the hash of the service's name.
     listed: HashMap<u64, BTreeSet<BuildId>>,
     /// When versions that are not listed any more left.
@@ -20,15 +22,17 @@
 }
 
 impl Builds {
-    /// Records a complete list.
-    pub(crate) fn update(&mut self, now: Time, endpoints: &[ListedEndpoint]) {
+    /// Records a complete list. Returns whether versions changed.
+    pub(crate) fn update(&mut self, now: Time, endpoints: &[ListedEndpoint]) -> bool {
         self.since.get_or_insert(now);
+        self.updated = Some(now);
         let mut listed: HashMap<u64, BTreeSet<BuildId>> = HashMap::new();
         for endpoint in endpoints {
             let service = hash64(endpoint.service.as_bytes());
             listed.entry(service).or_default().insert(endpoint.build_id());
         }
         let before = std::mem::replace(&mut self.listed, listed);
+        let changed = before != self.listed;
         for (service, builds) in before {
             let kept = self.listed.get(&service);
             let gone = builds.into_iter().filter(|it| !kept.is_some_and(|kept| kept.contains(it)));
@@ -38,11 +42,17 @@
             it.retain(|(_, at)| *at + MAX_KEEP_MS * MILLISECOND > now);
             !it.is_empty()
         });
+        changed
     }
 
-    /// Returns whether the first list arrived more than `ms` milliseconds ago.
-    pub(crate) fn is_older_than(&self, now: Time, ms: u64) -> bool {
-        self.since.is_some_and(|it| it + ms * MILLISECOND <= now)
+    /// Returns when the first list arrived.
+    pub(crate) fn since(&self) -> Option<Time> {
+        self.since
+    }
+
+    /// Returns whether the last list arrived at most `ms` milliseconds ago.
+    pub(crate) fn is_fresh(&self, now: Time, ms: u64) -> bool {
+        self.updated.is_some_and(|it| now <= it + ms * MILLISECOND)
     }
 
     /// Returns the only version of a service that was listed since the first list.
--- a/crates/origin/src/members.rs
+++ b/crates/origin/src/members.rs
@@ -1,4 +1,4 @@
-//! Which routers keep the origin of a stream.
+//! Which routers, or replicas of the control plane, keep the origin of a stream.
 
 use {
     derive_more::Debug,
@@ -42,6 +42,10 @@
         Members { own, members, domains: domains.len() }
     }
 
+    pub(crate) fn contains(&self, addr: SocketAddr) -> bool {
+        self.members.binary_search_by_key(&addr, |it| it.addr).is_ok()
+    }
+
     /// Returns the other routers in the order of preference for a stream: the first of each domain
     /// by rendezvous hashing, then the second of each, and so on.
     pub(crate) fn ranked(&self, key: u64) -> impl Iterator<Item = SocketAddr> {
--- a/crates/origin/src/message.rs
+++ b/crates/origin/src/message.rs
@@ -1,4 +1,4 @@
-//! What routers tell each other.
+//! What routers tell each other and replicas of the control plane.
 
 use {
     derive_more::{Debug, Display},
@@ -52,8 +52,9 @@
     pub max_age_ms: u64,
 }
 
-/// A message between routers. Encoded by `bincode`, so the order of the variants and fields is the
-/// wire format.
+/// A message between routers, or of a router and a replica of the control plane. Encoded by
+/// `bincode`, so the order of the variants and fields is the wire format. Readers drop a message
+/// with a variant that they do not know, and take its sender to be silent.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
 pub enum Message {
     /// The receiver is to keep these origins.
@@ -69,4 +70,11 @@
         /// The only version that can have begun the stream by the sender's lists.
         only: Option<BuildId>,
     },
+    /// The attempt began streams at several versions. Unknown to readers of commit 0d4d3b9.
+    Conflict {
+        /// The stream.
+        key: StreamKey,
+        /// How much longer this is of use, in milliseconds.
+        keep_ms: u64,
+    },
 }
--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -1,41 +1,68 @@
-//! The origins of streams that a router keeps, tells, and asks for.
+//! The origins of streams that a router or a replica keeps, tells, and asks for.
 
 use {
     crate::{
         builds::Builds,
         members::Members,
-        message::{Message, Origin, Record, Wanted},
-        table::{MAX_KEEP_MS, Table},
+        message::{Message, Origin, Record, StreamKey, Wanted},
+        table::{Entry, MAX_KEEP_MS, Table, Untold},
     },
     derive_more::{Debug, Display},
     directory::{BuildId, ListedEndpoint},
     model::{Domain, MILLISECOND, Time},
     smallvec::SmallVec,
-    std::{collections::BTreeMap, net::SocketAddr},
+    std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        net::SocketAddr,
+    },
 };
 
-/// The number of other routers that are told the origin of a stream.
+/// The number of other routers that are told the origin of a stream, and of replicas, if any.
 const COPIES: usize = 2;
 
 /// The maximum number of routers that are asked for an origin. It is more than are told, as routers
 /// may know different members.
 const MAX_ASKED: usize = 6;
 
-/// When routers that have not answered are asked once more, in milliseconds after the first time.
+/// The maximum number of replicas that are asked for an origin.
+const MAX_ASKED_REPLICAS: usize = 3;
+
+/// When processes that have not answered are asked once more, in milliseconds after the first time.
 const RESEND_MS: u64 = 60;
 
 /// When a lookup ends without an answer of all that were asked, in milliseconds after its start.
 const GIVE_UP_MS: u64 = 250;
 
+/// How long a known origin waits for the other answers, in milliseconds. One of them may tell that
+/// the attempt began streams at several versions. Routers and replicas that are dead or of an older
+/// build never answer.
+const CONFIRM_MS: u64 = 60;
+
 /// The maximum number of origins in a message, so that it fits into a packet.
 const MAX_RECORDS: usize = 32;
 
+/// The maximum number of streams that replicas are told of at a time after their services got a
+/// second version.
+const MAX_DUE: usize = 80;
+
 /// The maximum number of lookups at a time. Each waits for [`GIVE_UP_MS`] at most.
 const MAX_LOOKUPS: usize = 4_096;
 
+/// The maximum number of origins that a router keeps.
+const MAX_ORIGINS: usize = 65_536;
+
+/// The maximum number of origins that a replica keeps. 15,000 streams a second that are kept for
+/// 24 s, each at two of five replicas, are 144,000. This is the most that fits into a hash table of
+/// 4.5 MB.
+const MAX_REPLICA_ORIGINS: usize = 229_376;
+
 /// How long after the first list of endpoints other routers may not be known yet, in milliseconds.
 const SETTLE_MS: u64 = 2_000;
 
+/// The age of a replica's last list at which it proves nothing, in milliseconds. Replicas read
+/// the list every 0.8 s, and gateways that were killed take at least 1 s to serve again.
+const MAX_LIST_AGE_MS: u64 = 1_500;
+
 /// The shortest retry delay that a caller is told, in milliseconds.
 const MIN_RETRY_MS: u64 = 1_000;
 
@@ -50,7 +77,7 @@
     /// This router kept it.
     #[display("own")]
     Own,
-    /// Another router kept it.
+    /// Another router or a replica kept it.
     #[display("{_0}")]
     Peer(SocketAddr),
     /// No other version can have begun the stream.
@@ -73,12 +100,14 @@
         /// The time after which it may be known, in milliseconds.
         retry_ms: u64,
     },
+    /// The attempt began streams at several versions.
+    Conflict,
 }
 
-/// What a router must do.
+/// What a router or a replica must do.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Action {
-    /// Send a message to another router.
+    /// Send a message to another process.
     Send {
         /// The receiver.
         to: SocketAddr,
@@ -94,26 +123,67 @@
     },
 }
 
+/// A process that was asked for an origin.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    addr: SocketAddr,
+    is_replica: bool,
+    is_silent: bool,
+}
+
 #[derive(Debug)]
 struct Lookup {
     wanted: Wanted,
-    /// The routers that were asked.
-    asked: SmallVec<[SocketAddr; MAX_ASKED]>,
-    /// Those of them that have not answered.
-    silent: SmallVec<[SocketAddr; MAX_ASKED]>,
-    /// The only version that can have begun the stream by the lists of a router that was asked.
-    only: Option<BuildId>,
+    asked: SmallVec<[Asked; MAX_ASKED + MAX_ASKED_REPLICAS]>,
+    /// The origin with its source, if a process knows it.
+    known: Option<(Origin, Source)>,
+    /// Whether the attempt began streams at several versions.
+    is_conflict: bool,
+    /// The only version that can have begun the stream, by the lists of each that was asked.
+    only: BTreeSet<BuildId>,
     /// When the silent ones are asked once more.
     resend_at: Time,
     give_up_at: Time,
 }
 
-/// The origins of streams, as one router knows them.
+impl Lookup {
+    /// Records that a process has answered. Returns whether it was asked.
+    fn record_answer(&mut self, from: SocketAddr) -> bool {
+        let asked = self.asked.iter_mut().find(|it| it.addr == from);
+        asked.map(|it| it.is_silent = false).is_some()
+    }
+
+    fn set_known(&mut self, now: Time, origin: Origin, source: Source) {
+        let (known, _) = *self.known.get_or_insert((origin, source));
+        self.is_conflict |= known != origin;
+        self.give_up_at = self.give_up_at.min(now + CONFIRM_MS * MILLISECOND);
+    }
+
+    fn is_ended(&self) -> bool {
+        let is_proved = self.wanted.key.is_none() && !self.only.is_empty();
+        self.is_conflict || is_proved || !self.asked.iter().any(|it| it.is_silent)
+    }
+
+    /// Returns whether a router that may keep the origin has not answered.
+    fn is_router_silent(&self) -> bool {
+        self.asked.iter().any(|it| it.is_silent && !it.is_replica)
+    }
+}
+
+/// The origins of streams, as one router or replica knows them.
 #[derive(Debug)]
 pub struct Origins {
+    is_replica: bool,
     members: Members,
+    /// Whether other routers were heard of.
+    has_members: bool,
+    /// The replicas of the control plane, which outlive the routers.
+    replicas: Members,
     builds: Builds,
     table: Table,
+    /// The streams that replicas must be told of now, as their services no longer have a single
+    /// version.
+    due: VecDeque<StreamKey>,
     lookups: BTreeMap<LookupId, Lookup>,
     last_lookup: u64,
 }
@@ -121,10 +191,23 @@
 impl Origins {
     /// Returns the state of the router at `own`, which knows no other router yet.
     pub fn new(own: SocketAddr) -> Origins {
+        Origins::with_table(own, false, MAX_ORIGINS)
+    }
+
+    /// Returns the state of a replica of the control plane. It keeps what it is told and answers.
+    pub fn replica(own: SocketAddr) -> Origins {
+        Origins::with_table(own, true, MAX_REPLICA_ORIGINS)
+    }
+
+    fn with_table(own: SocketAddr, is_replica: bool, max_origins: usize) -> Origins {
         Origins {
+            is_replica,
             members: Members::new(own, []),
+            has_members: false,
+            replicas: Members::new(own, []),
             builds: Builds::default(),
-            table: Table::default(),
+            table: Table::new(max_origins),
+            due: VecDeque::new(),
             lookups: BTreeMap::new(),
             last_lookup: 0,
         }
@@ -136,11 +219,55 @@
         I: IntoIterator<Item = (SocketAddr, &'a Domain)>,
     {
         self.members = Members::new(own, routers);
+        self.has_members = true;
     }
 
-    /// Replaces the list of endpoints.
+    /// Replaces the known replicas of the control plane.
+    pub fn set_replicas<I>(&mut self, own: SocketAddr, replicas: I)
+    where
+        I: IntoIterator<Item = SocketAddr>,
+    {
+        // Replicas are ranked regardless of their domains, which routers do not know.
+        let domain = Domain("".into());
+        self.replicas = Members::new(own, replicas.into_iter().map(|it| (it, &domain)));
+    }
+
+    /// Replaces the list of endpoints. A replica must be given each list that it reads, as it
+    /// proves nothing by an old one.
     pub fn update_endpoints(&mut self, now: Time, endpoints: &[ListedEndpoint]) {
-        self.builds.update(now, endpoints);
+        if self.builds.update(now, endpoints) && !self.is_replica {
+            let builds = &self.builds;
+            let due = self.table.take_untold(|it| builds.only_one_ever(it.service).is_none());
+            self.due.extend(due);
+        }
+    }
+
+    /// Returns the messages for replicas on some of the streams that began before a second version
+    /// was listed, and on conflicts. Call this repeatedly, with pauses, so that all routers together
+    /// do not send too much at once.
+    pub fn tell_due(&mut self, now: Time) -> Vec<Action> {
+        let mut by_replica: BTreeMap<SocketAddr, Vec<Record>> = BTreeMap::new();
+        let mut actions = Vec::new();
+        for key in self.due.drain(..self.due.len().min(MAX_DUE)) {
+            let Some(entry) = self.table.get(now, key) else { continue };
+            for replica in self.replicas.ranked(key.0).take(COPIES) {
+                match entry {
+                    Entry::Known(record) => by_replica.entry(replica).or_default().push(record),
+                    Entry::Conflict { keep_ms } => {
+                        actions.push(send(replica, Message::Conflict { key, keep_ms }));
+                    }
+                }
+            }
+        }
+        actions.extend(tell(&by_replica));
+        actions
+    }
+
+    /// Records an origin, and queues it for replicas if it is a conflict.
+    fn record(&mut self, now: Time, record: &Record) {
+        if self.table.record(now, record) && !self.is_replica {
+            self.due.push_back(record.key);
+        }
     }
 
     /// Returns the number of origins kept.
@@ -153,26 +280,41 @@
         self.len() == 0
     }
 
-    /// Records that a stream begins or goes on at an endpoint. The actions must be performed before
-    /// the client gets an event.
-    pub fn begin(&mut self, now: Time, record: Record) -> Vec<Action> {
-        self.table.record(now, &record);
-        let holders = self.members.ranked(record.key.0).take(COPIES);
+    /// Returns until when others that may know more are not known yet.
+    pub fn settles_at(&self) -> Time {
+        self.builds.since().map_or(Time::NEVER, |it| it + SETTLE_MS * MILLISECOND)
+    }
+
+    /// Records that a stream begins or goes on at an endpoint. `service` is that of [`Wanted`] when
+    /// the stream is resumed. The actions must be performed before the client gets an event.
+    pub fn begin(&mut self, now: Time, record: Record, service: Option<u64>) -> Vec<Action> {
+        self.record(now, &record);
+        let Record { key, keep_ms, .. } = record;
+        // A resumption needs no record of a service whose only version replicas can prove.
+        let wanted = Wanted { key: Some(key), service, max_age_ms: keep_ms };
+        let is_proved = self.only_version(now, &wanted).is_ok();
+        self.table.set_untold(key, if is_proved { Untold::Own } else { Untold::No });
+        let replicas = self.replicas.ranked(key.0).take(if is_proved { 0 } else { COPIES });
+        let holders = self.members.ranked(key.0).take(COPIES).chain(replicas);
         holders.map(|to| send(to, Message::Tell(vec![record]))).collect()
     }
 
     /// Hands the origins kept to other routers, as this one is leaving.
     pub fn leave(&self, now: Time) -> Vec<Action> {
         let mut by_holder: BTreeMap<SocketAddr, Vec<Record>> = BTreeMap::new();
-        for record in self.table.records(now) {
-            for holder in self.members.ranked(record.key.0).take(COPIES) {
-                by_holder.entry(holder).or_default().push(record);
+        let mut actions = Vec::new();
+        for (key, entry) in self.table.entries(now) {
+            for holder in self.members.ranked(key.0).take(COPIES) {
+                match entry {
+                    Entry::Known(record) => by_holder.entry(holder).or_default().push(record),
+                    Entry::Conflict { keep_ms } => {
+                        actions.push(send(holder, Message::Conflict { key, keep_ms }));
+                    }
+                }
             }
         }
-        let chunks = by_holder.iter().flat_map(|(to, records)| {
-            records.chunks(MAX_RECORDS).map(|it| send(*to, Message::Tell(it.to_vec())))
-        });
-        chunks.collect()
+        actions.extend(tell(&by_holder));
+        actions
     }
 
     /// Looks up the origin of a stream. The lookup ends with an [`Action::Resolve`], at once or
@@ -180,26 +322,31 @@
     pub fn look_up(&mut self, now: Time, wanted: Wanted) -> (LookupId, Vec<Action>) {
         self.last_lookup += 1;
         let id = LookupId(self.last_lookup);
-        let own = wanted.key.and_then(|it| self.table.get(now, it));
-        if let Some(Record { origin, .. }) = own {
-            return (id, vec![resolve(id, Resolution::Known { origin, source: Source::Own })]);
-        }
         // Without a key, others can only add to what the own lists prove.
         let rank_key = match wanted.key {
             Some(key) => Some(key.0),
             None => wanted.service.filter(|_| self.only_version(now, &wanted).is_err()),
         };
-        let ranked = rank_key.into_iter().flat_map(|it| self.members.ranked(it).take(MAX_ASKED));
-        let asked: SmallVec<[SocketAddr; MAX_ASKED]> = ranked.collect();
-        let lookup = Lookup {
+        let asked = |is_replica| move |addr| Asked { addr, is_replica, is_silent: true };
+        let routers = |key| self.members.ranked(key).take(MAX_ASKED).map(asked(false));
+        let replicas = |key| self.replicas.ranked(key).take(MAX_ASKED_REPLICAS).map(asked(true));
+        let asked = rank_key.into_iter().flat_map(|it| routers(it).chain(replicas(it))).collect();
+        let mut lookup = Lookup {
             wanted,
-            silent: asked.clone(),
             asked,
-            only: None,
+            known: None,
+            is_conflict: false,
+            only: BTreeSet::new(),
             resend_at: now + RESEND_MS * MILLISECOND,
             give_up_at: now + GIVE_UP_MS * MILLISECOND,
         };
-        if lookup.silent.is_empty() || self.lookups.len() >= MAX_LOOKUPS {
+        let own = wanted.key.and_then(|it| self.table.get(now, it));
+        if let Some(Entry::Known(record)) = own {
+            lookup.set_known(now, record.origin, Source::Own);
+        }
+        lookup.is_conflict = matches!(own, Some(Entry::Conflict { .. }));
+        let is_ended = lookup.is_ended();
+        if is_ended || self.lookups.len() >= MAX_LOOKUPS {
             return (id, vec![resolve(id, self.conclude(now, &lookup))]);
         }
         let actions = ask(&lookup);
@@ -207,37 +354,84 @@
         (id, actions)
     }
 
-    /// Handles a message of another router.
+    /// Handles a message of another process.
     pub fn receive(&mut self, now: Time, from: SocketAddr, message: Message) -> Vec<Action> {
         match message {
             Message::Tell(records) => {
-                records.iter().take(MAX_RECORDS).for_each(|it| self.table.record(now, it));
+                records.iter().take(MAX_RECORDS).for_each(|it| self.on_told(now, from, it));
                 Vec::new()
             }
-            Message::Ask(wanted) => {
-                let known = wanted.key.and_then(|it| self.table.get(now, it));
-                let only = || self.only_version(now, &wanted).ok().map(|it| it.build);
-                let not_known = || Message::NotKnown { wanted, only: only() };
-                vec![send(from, known.map_or_else(not_known, Message::Known))]
-            }
+            Message::Ask(wanted) => vec![send(from, self.answer(now, wanted))],
             Message::Known(record) => self.on_known(now, from, &record),
             Message::NotKnown { wanted, only } => self.on_not_known(now, from, wanted, only),
+            Message::Conflict { key, keep_ms } => self.on_conflict(now, from, key, keep_ms),
+        }
+    }
+
+    fn on_told(&mut self, now: Time, from: SocketAddr, record: &Record) {
+        // A replica does not know the routers. At a router, a stranger must not end a stream.
+        let is_trusted = self.is_replica || self.members.contains(from);
+        let known = self.table.get(now, record.key);
+        let differs = matches!(known, Some(Entry::Known(it)) if it.origin != record.origin);
+        if is_trusted || !differs {
+            self.record(now, record);
+            // Otherwise the teller has told replicas, too.
+            let is_single = self.builds.only_one_ever(record.origin.service).is_some();
+            if known.is_none() && is_single && !self.is_replica {
+                self.table.set_untold(record.key, Untold::Held);
+            }
+        }
+    }
+
+    fn answer(&self, now: Time, wanted: Wanted) -> Message {
+        match wanted.key.and_then(|it| Some((it, self.table.get(now, it)?))) {
+            Some((_, Entry::Known(record))) => Message::Known(record),
+            Some((key, Entry::Conflict { keep_ms })) => Message::Conflict { key, keep_ms },
+            None => {
+                // A router is given only lists that differ from the one before.
+                let is_current = !self.is_replica || self.builds.is_fresh(now, MAX_LIST_AGE_MS);
+                let only = self.only_version(now, &wanted).ok().filter(|_| is_current);
+                Message::NotKnown { wanted, only: only.map(|it| it.build) }
+            }
         }
     }
 
     fn on_known(&mut self, now: Time, from: SocketAddr, record: &Record) -> Vec<Action> {
-        let is_answered =
-            |it: &Lookup| it.wanted.key == Some(record.key) && it.asked.contains(&from);
-        let answered: Vec<_> =
-            self.lookups.extract_if(.., |_, it| is_answered(it)).map(|it| it.0).collect();
-        if answered.is_empty() {
+        let mut is_answer = false;
+        for lookup in self.lookups.values_mut().filter(|it| it.wanted.key == Some(record.key)) {
+            if lookup.record_answer(from) {
+                is_answer = true;
+                lookup.set_known(now, record.origin, Source::Peer(from));
+            }
+        }
+        if !is_answer {
             return Vec::new();
         }
-        self.table.record(now, record);
-        // An origin that this router learned meanwhile is the one that it goes by.
-        let origin = self.table.get(now, record.key).map_or(record.origin, |it| it.origin);
-        let resolution = Resolution::Known { origin, source: Source::Peer(from) };
-        answered.into_iter().map(|it| resolve(it, resolution)).collect()
+        // Another origin than that of an earlier answer is a conflict.
+        self.record(now, record);
+        self.end_lookups(now)
+    }
+
+    fn on_conflict(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        key: StreamKey,
+        keep_ms: u64,
+    ) -> Vec<Action> {
+        let mut is_answer = false;
+        for lookup in self.lookups.values_mut().filter(|it| it.wanted.key == Some(key)) {
+            is_answer |= lookup.record_answer(from);
+        }
+        // A router that is leaving hands its conflicts over.
+        if is_answer || self.is_replica || self.members.contains(from) {
+            if self.table.record_conflict(now, key, keep_ms) && !self.is_replica {
+                self.due.push_back(key);
+            }
+            let lookups = self.lookups.values_mut().filter(|it| it.wanted.key == Some(key));
+            lookups.for_each(|it| it.is_conflict = true);
+        }
+        self.end_lookups(now)
     }
 
     fn on_not_known(
@@ -247,14 +441,17 @@
         wanted: Wanted,
         only: Option<BuildId>,
     ) -> Vec<Action> {
-        let is_answered = |it: &&mut Lookup| it.wanted == wanted && it.asked.contains(&from);
-        for lookup in self.lookups.values_mut().filter(is_answered) {
-            lookup.silent.retain(|it| *it != from);
-            lookup.only = lookup.only.or(only);
+        for lookup in self.lookups.values_mut().filter(|it| it.wanted == wanted) {
+            if lookup.record_answer(from) {
+                lookup.only.extend(only);
+            }
         }
-        let is_ended =
-            |it: &Lookup| it.silent.is_empty() || (it.wanted.key.is_none() && it.only.is_some());
-        let ended: Vec<_> = self.lookups.extract_if(.., |_, it| is_ended(it)).collect();
+        self.end_lookups(now)
+    }
+
+    /// Ends the lookups that need no more answers.
+    fn end_lookups(&mut self, now: Time) -> Vec<Action> {
+        let ended: Vec<_> = self.lookups.extract_if(.., |_, it| it.is_ended()).collect();
         ended.iter().map(|(id, it)| resolve(*id, self.conclude(now, it))).collect()
     }
 
@@ -286,31 +483,44 @@
         Ok(Origin { service, build: self.builds.only_one(from, service)? })
     }
 
-    /// Returns the only origin that a stream can have by the lists of a router that was asked, and
+    /// Returns the only origin that a stream can have by the lists of processes that were asked, and
     /// by the own ones since this router started.
-    fn only_version_by_peer(&self, lookup: &Lookup) -> Option<Origin> {
-        let (service, build) = lookup.wanted.service.zip(lookup.only)?;
-        let agrees = self.builds.only_one_ever(service) == Some(build);
-        agrees.then_some(Origin { service, build })
+    fn only_version_by_peer(&self, now: Time, lookup: &Lookup) -> Option<Origin> {
+        // Routers that were not heard of yet may know of a newer version.
+        let is_settled = self.has_members || self.settles_at() <= now;
+        let mut only = lookup.only.iter();
+        let (service, build) = lookup.wanted.service.zip(only.next().copied())?;
+        let agrees = only.next().is_none() && self.builds.only_one_ever(service) == Some(build);
+        (agrees && is_settled).then_some(Origin { service, build })
     }
 
-    /// Returns the result of a lookup that found nobody who knows the origin.
+    /// Returns the result of a lookup that has ended.
     fn conclude(&self, now: Time, lookup: &Lookup) -> Resolution {
         let Wanted { key, max_age_ms, .. } = lookup.wanted;
-        // The origin may have arrived from another router meanwhile.
-        if let Some(Record { origin, .. }) = key.and_then(|it| self.table.get(now, it)) {
-            return Resolution::Known { origin, source: Source::Own };
+        let known = lookup.known.map(|(origin, source)| Resolution::Known { origin, source });
+        match key.and_then(|it| self.table.get(now, it)) {
+            _ if lookup.is_conflict => return Resolution::Conflict,
+            Some(Entry::Conflict { .. }) => return Resolution::Conflict,
+            // The origin may have arrived from another router meanwhile.
+            Some(Entry::Known(Record { origin, .. })) => {
+                return known.unwrap_or(Resolution::Known { origin, source: Source::Own });
+            }
+            None => {}
+        }
+        if let Some(known) = known {
+            return known;
         }
         // A silent router may keep the origin, or know of a version that is not listed here yet.
-        if key.is_some() && !lookup.silent.is_empty() {
+        let is_router_silent = lookup.is_router_silent();
+        if key.is_some() && is_router_silent {
             return Resolution::Unknown { retry_ms: MIN_RETRY_MS };
         }
         let own = self.only_version(now, &lookup.wanted);
-        let only = own.or_else(|err| self.only_version_by_peer(lookup).ok_or(err));
+        let only = own.or_else(|err| self.only_version_by_peer(now, lookup).ok_or(err));
         match only {
             Ok(origin) => Resolution::Known { origin, source: Source::OnlyVersion },
             // Others may not be known here yet, or may answer later.
-            Err(_) if !self.builds.is_older_than(now, SETTLE_MS) || !lookup.silent.is_empty() => {
+            Err(_) if self.settles_at() > now || is_router_silent => {
                 Resolution::Unknown { retry_ms: MIN_RETRY_MS }
             }
             Err(Time::NEVER) => Resolution::Unknown { retry_ms: max_age_ms.max(MIN_RETRY_MS) },
@@ -323,8 +533,15 @@
     }
 }
 
+fn tell(records: &BTreeMap<SocketAddr, Vec<Record>>) -> impl Iterator<Item = Action> {
+    records.iter().flat_map(|(to, records)| {
+        records.chunks(MAX_RECORDS).map(|it| send(*to, Message::Tell(it.to_vec())))
+    })
+}
+
 fn ask(lookup: &Lookup) -> Vec<Action> {
-    lookup.silent.iter().map(|to| send(*to, Message::Ask(lookup.wanted))).collect()
+    let silent = lookup.asked.iter().filter(|it| it.is_silent);
+    silent.map(|it| send(it.addr, Message::Ask(lookup.wanted))).collect()
 }
 
 fn send(to: SocketAddr, message: Message) -> Action {
