--- a/crates/origin/tests/outage.rs
+++ b/crates/origin/tests/outage.rs
@@ -87,6 +87,18 @@
         self.deliver(addr(port), actions);
     }
 
+    /// Lets gateways tell replicas of earlier streams for 2 s.
+    fn tell_due(&mut self) {
+        for _ in 0..10 {
+            self.wait(200);
+            for port in 1..=GATEWAYS {
+                let Some(gateway) = self.processes.get_mut(&addr(port)) else { continue };
+                let actions = gateway.tell_due(self.now);
+                self.deliver(addr(port), actions);
+            }
+        }
+    }
+
     /// Delivers messages until none is left; returns the result of a lookup, if there is one.
     fn deliver(&mut self, from: SocketAddr, actions: Vec<Action>) -> Option<Resolution> {
         let mut queue: Vec<_> = actions.into_iter().map(|it| (from, it)).collect();
@@ -164,14 +176,7 @@
         site.tell(1 + key.0 as u16 % GATEWAYS, key, "v1");
     }
     site.list(&["v1", "v2"]);
-    for _ in 0..10 {
-        site.wait(200);
-        for port in 1..=GATEWAYS {
-            let gateway = site.processes.get_mut(&addr(port)).expect("no such gateway");
-            let actions = gateway.tell_due(site.now);
-            site.deliver(addr(port), actions);
-        }
-    }
+    site.tell_due();
     site.start_gateways(&["v1", "v2"]);
     for key in (0..STREAMS).map(StreamKey) {
         let result = site.resume(1, key);
@@ -235,3 +240,89 @@
     site.wait(200);
     assert!(matches!(site.resume(1, StreamKey(7)), Resolution::Unknown { .. }));
 }
+
+/// Guards against losing streams whose gateway was killed before a second version was listed.
+#[test]
+fn holders_tell_replicas_of_the_streams_of_a_gateway_that_is_gone() {
+    let mut site = Site::start(&["v1"]);
+    for key in (0..STREAMS).map(StreamKey) {
+        site.tell(1, key, "v1");
+    }
+    site.processes.remove(&addr(1));
+    site.list(&["v1", "v2"]);
+    site.tell_due();
+    site.start_gateways(&["v1", "v2"]);
+    for key in (0..STREAMS).map(StreamKey) {
+        let result = site.resume(2, key);
+        let known = matches!(result, Resolution::Known { origin: it, .. } if it == origin("v1"));
+        assert!(known, "{key}: {result:?}");
+    }
+}
+
+/// Guards against a conflict that only gateways know, which may all be killed.
+#[test]
+fn replicas_hear_of_a_conflict_with_a_stream_that_they_forgot() {
+    let mut site = Site::start(&["v1", "v2"]);
+    site.tell(1, StreamKey(7), "v1");
+    let replicas = (101..=100 + REPLICAS).map(|it| (addr(it), replica(addr(it))));
+    site.processes.extend(replicas);
+    site.tell(4, StreamKey(7), "v2");
+    site.tell_due();
+    site.start_gateways(&["v1", "v2"]);
+    assert_eq!(site.resume(2, StreamKey(7)), Resolution::Conflict);
+}
+
+/// Guards against a proof by replicas whose lists lag, while other gateways may know better.
+#[test]
+fn gateway_that_has_heard_of_no_others_takes_no_proof_of_a_replica() {
+    let mut site = Site::start(&["v1"]);
+    site.list(&["v1"]);
+    let mut started = gateway(addr(1));
+    started.update_endpoints(site.now, &listing(&["v1"]));
+    site.processes.insert(addr(1), started);
+    let result = site.resume(1, StreamKey(7));
+    assert_eq!(result, Resolution::Unknown { retry_ms: 1_000 });
+    site.wait(1_000);
+    site.list(&["v1"]);
+    site.wait(1_000);
+    assert!(matches!(site.resume(1, StreamKey(7)), Resolution::Known { .. }));
+}
+
+/// Guards against lists of two processes of which each proves another version.
+#[rstest]
+#[case("v1", "v2")]
+#[case("v2", "v1")]
+fn differing_proofs_prove_nothing(#[case] own: &str, #[case] other: &str) {
+    let mut site = Site::start(&[own]);
+    for port in 101..=100 + REPLICAS {
+        site.processes.insert(addr(port), replica(addr(port)));
+    }
+    for _ in 0..2 {
+        site.wait(MAX_AGE_MS);
+        for port in 101..=100 + REPLICAS {
+            let version = if port <= 102 { other } else { own };
+            let replica = site.processes.get_mut(&addr(port)).expect("no such replica");
+            replica.update_endpoints(site.now, &listing(&[version]));
+        }
+    }
+    site.start_gateways(&[own]);
+    let results = (0..STREAMS).map(|it| site.resume(1, StreamKey(it)));
+    let known = results.filter(|it| matches!(it, Resolution::Known { .. })).count();
+    // Three of five replicas are asked, so one key in ten gets only those that agree.
+    assert!(known < STREAMS as usize / 5, "{known} of {STREAMS}");
+}
+
+/// Guards against an origin that is dropped when it would have expired without its resumption.
+#[test]
+fn resumed_stream_is_kept_for_longer() {
+    let mut gateway = Origins::new(addr(1));
+    let mut tell = |at_ms, key| {
+        let record = Record { key: StreamKey(key), origin: origin("v1"), keep_ms: MAX_AGE_MS };
+        gateway.begin(Time(at_ms * MILLISECOND), record, None);
+        gateway.len()
+    };
+    tell(0, 7);
+    tell(8_000, 7);
+    assert_eq!(tell(12_000, 8), 2);
+    assert_eq!(tell(19_000, 9), 2);
+}
