Encode routing configurations explicitly, with later fields in an extension section

The fields are Route::regions, Team::regions and Service::cold. A gateway whose configuration came without the section passes it on without one, keeps the fields of the version before, and asks every other replica once for the whole configuration. The decoder has a limit: without one, bincode allocates the claimed length of a string, and random bytes aborted the process (seen in random_bytes_never_panic).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -109,6 +109,7 @@
             instance_id: rand::random(),
             table: ArcSwapOption::empty(),
             layout_history: Mutex::default(),
+            field_requests: Mutex::default(),
             waiters: Mutex::new(HashMap::new()),
             budgets: Mutex::new(HashMap::new()),
             quarantine: Mutex::new(Quarantine::new(settings.inner)),
--- a/crates/gateway/src/layout.rs
+++ b/crates/gateway/src/layout.rs
@@ -4,8 +4,7 @@
     crate::shared::{Announcement, Shared},
     dispatch::Dispatcher,
     fanout::ConfigHistory,
-    route::{RouteDelta, RouteTable, RoutingConfig},
-    serde::de::DeserializeOwned,
+    route::{Decoded, EncodingError, FIELD_LEVEL, RouteDelta, RouteTable, RoutingConfig},
     std::{
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
@@ -32,7 +31,8 @@
 }
 
 /// Installs the configuration in an update from a replica or another gateway, if it is newer than
-/// the installed one. Other updates are ignored.
+/// the installed one, or the same version with fields that the sender of the installed one did not
+/// know. Other updates are ignored.
 ///
 /// # Errors
 ///
@@ -46,42 +46,58 @@
     let installed = history.as_deref();
     let next = match update {
         WatchUpdate::Layout(compressed) => {
-            let layout: RoutingConfig = decode(compressed, sender)?;
-            if installed.is_some_and(|it| it.version() >= layout.version) {
-                return Ok(());
+            let Decoded { value: mut layout, level } =
+                decode(compressed, sender, RoutingConfig::decode)?;
+            if let Some(installed) = installed {
+                if (installed.version(), installed.level()) >= (layout.version, level) {
+                    return Ok(());
+                }
+                inherit(&mut layout, level, installed);
             }
-            ConfigHistory::new(Arc::new(layout))
+            ConfigHistory::with_level(Arc::new(layout), level)
         }
         WatchUpdate::LayoutDelta(compressed) => {
-            let delta: RouteDelta = decode(compressed, sender)?;
+            let Decoded { value: delta, level } = decode(compressed, sender, RouteDelta::decode)?;
             let Some(installed) = installed else { return Ok(()) };
             // Another process may have sent the same version in the meantime.
-            let Ok(layout) = delta.apply(installed.config()) else { return Ok(()) };
-            installed.next_with_delta(Arc::new(layout), compressed.clone())
+            let Ok(mut layout) = delta.apply(installed.config()) else { return Ok(()) };
+            inherit(&mut layout, level, installed);
+            installed.next_with_delta(Arc::new(layout), compressed.clone(), level)
         }
         _ => return Ok(()),
     };
-    install(shared, sender, installed.map(ConfigHistory::version), next.config());
+    let (version, level) = (next.version(), next.level());
+    install(shared, sender, installed.map(ConfigHistory::version), &next);
+    shared.field_requests.lock().record_received(version, level, sender);
     *history = Some(Arc::new(next));
     drop(history);
     shared.layout_changed.send_replace(());
     Ok(())
 }
 
-fn decode<T>(compressed: &Compressed, sender: SocketAddr) -> Result<T, WireError>
+/// Keeps restrictions of the installed configuration in force if the sender of a later one did not
+/// know such fields.
+fn inherit(layout: &mut RoutingConfig, level: u32, installed: &ConfigHistory) {
+    if level < FIELD_LEVEL {
+        layout.inherit(installed.config());
+    }
+}
+
+fn decode<T, F>(
+    compressed: &Compressed,
+    sender: SocketAddr,
+    decode: F,
+) -> Result<Decoded<T>, WireError>
 where
-    T: DeserializeOwned,
+    F: Fn(&[u8]) -> Result<Decoded<T>, EncodingError>,
 {
-    compressed.decode().map_err(|it| WireError::new(Step::Receive, sender, it))
+    let bytes = compressed.decompress().map_err(|it| WireError::new(Step::Receive, sender, it))?;
+    decode(&bytes).map_err(|it| WireError::new(Step::Receive, sender, it))
 }
 
 /// Puts a configuration in force. The caller holds the lock of the history.
-fn install(
-    shared: &Arc<Shared>,
-    sender: SocketAddr,
-    installed: Option<u64>,
-    layout: &Arc<RoutingConfig>,
-) {
+fn install(shared: &Arc<Shared>, sender: SocketAddr, installed: Option<u64>, next: &ConfigHistory) {
+    let layout = next.config();
     let announcement = shared.announcement.lock().filter(|it| it.version >= layout.version);
     let request = shared.layout_request.lock().filter(|it| it.version >= layout.version);
     tracing::info!(
@@ -90,6 +106,7 @@
         before = installed,
         replica = %sender,
         routes = layout.routes.len(),
+        level = next.level(),
         announced_ms = announcement.map(|it| it.heard_at.elapsed().as_millis() as u64),
         requested_ms = request.map(|it| it.first_sent_at.elapsed().as_millis() as u64),
         "gateway: configuration applied"
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -164,7 +164,10 @@
     let stream = timeout(STALL_TIMEOUT, peer.open(RELAY_PATH)).await.map_err(stalled)??;
     let (mut send, mut recv) = stream.split();
     let wants_catalog = !shared.endpoints_loaded.load(Ordering::Relaxed);
-    let request = RelayRequest { installed_version: installed_version(shared), wants_catalog };
+    // Whoever has the same version sends it only to a gateway that has none.
+    let is_incomplete = shared.field_requests.lock().is_incomplete();
+    let installed_version = installed_version(shared).filter(|_| !is_incomplete);
+    let request = RelayRequest { installed_version, wants_catalog };
     send.send(&request).await?;
     loop {
         let received = recv.received();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,8 +4,8 @@
 
 use {
     crate::{
-        header_names::HeaderNames, metrics::Metrics, response_memory::ResponseMemory,
-        sampler::Sampler,
+        field_requests::FieldRequests, header_names::HeaderNames, metrics::Metrics,
+        response_memory::ResponseMemory, sampler::Sampler,
     },
     arc_swap::ArcSwapOption,
     derive_more::Debug,
@@ -113,6 +113,8 @@
     pub(crate) table: ArcSwapOption<RouteTable>,
     /// The messages that update other gateways to the installed configuration.
     pub(crate) layout_history: Mutex<Option<Arc<ConfigHistory>>>,
+    /// The requests for fields that the installed configuration lacks.
+    pub(crate) field_requests: Mutex<FieldRequests>,
     pub(crate) dispatcher: Mutex<Dispatcher>,
     pub(crate) waiters: Mutex<HashMap<WaiterId, oneshot::Sender<PlacementResult>>>,
     pub(crate) budgets: Mutex<HashMap<Name, RetryBudget>>,
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        field_requests::FieldRequest,
         layout::{self, installed_version},
         relay,
         shared::{LayoutRequest, Shared},
@@ -149,6 +150,8 @@
     request_at: Option<Instant>,
     /// Whether a requested configuration is outstanding.
     layout_pending: bool,
+    /// Whether fields that the installed configuration lacks were requested here.
+    fields_pending: bool,
     /// Whether the endpoint list was requested.
     catalog_requested: bool,
     catalog: Option<Catalog>,
@@ -163,7 +166,27 @@
         let installed = installed_version(shared);
         if self.announced <= installed {
             self.request_at = None;
-            return std::mem::take(&mut self.layout_pending).then_some(installed);
+            match shared.field_requests.lock().next(shared.now(), replica, self.announced) {
+                FieldRequest::None => {}
+                FieldRequest::At(at) => self.request_at = Some(shared.clock.deadline(at)),
+                FieldRequest::Now => {
+                    tracing::info!(
+                        event = "fields-requested",
+                        version = installed,
+                        %replica,
+                        "gateway: requested a configuration again, as its sender did not know all fields"
+                    );
+                    self.layout_pending = false;
+                    self.fields_pending = true;
+                    // A replica sends the version that this gateway has only if it seems to have none.
+                    return Some(None);
+                }
+            }
+            let fields_arrived =
+                self.fields_pending && !shared.field_requests.lock().is_incomplete();
+            self.fields_pending &= !fields_arrived;
+            let is_obsolete = std::mem::take(&mut self.layout_pending) || fields_arrived;
+            return is_obsolete.then_some(installed);
         }
         let now = Instant::now();
         if self.request_at.is_some_and(|it| now < it) {
@@ -192,6 +215,7 @@
             LayoutRequest { version, first_sent_at, expires_at, retries }
         });
         self.layout_pending = true;
+        self.fields_pending = false;
         Some(installed)
     }
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -112,7 +112,7 @@
 }
 
 /// Returns a port below the ephemeral range, so that no other socket takes it before it is bound.
-fn free_port() -> SocketAddr {
+pub(crate) fn free_port() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(20_000);
     loop {
         let addr = SocketAddr::from(([127, 0, 0, 1], NEXT.fetch_add(1, Ordering::Relaxed)));
@@ -291,7 +291,7 @@
     }
 }
 
-async fn start_gateway(settings: GatewaySettings, list: StaticList) -> Gateway {
+pub(crate) async fn start_gateway(settings: GatewaySettings, list: StaticList) -> Gateway {
     // Telemetry can be initialized only once per process.
     let open = || telemetry::init(&settings.log).expect("failed to initialize telemetry");
     let metrics = METRICS.get_or_init(open).clone();
@@ -344,7 +344,7 @@
     }
 }
 
-fn gateway_settings(control: SocketAddr) -> GatewaySettings {
+pub(crate) fn gateway_settings(control: SocketAddr) -> GatewaySettings {
     GatewaySettings {
         host: HostName("g1".into()),
         domain: Domain("d0".into()),
@@ -379,6 +379,7 @@
         open: false,
         prompt_affinity: false,
         resumable: false,
+        regions: smallvec![],
     }
 }
 
@@ -391,6 +392,7 @@
         health: "/health".into(),
         connections: 100,
         engine,
+        cold: None,
     };
     let resume = Route { resumable: true, ..route("resume", RouteKind::Stream, "model") };
     RoutingConfig {
@@ -412,6 +414,7 @@
             name: "one".into(),
             keys: vec![Digest::of(TEAM_KEY.as_bytes())],
             priority: None,
+            regions: smallvec![],
         }],
     }
 }
--- a/crates/route/src/config.rs
+++ b/crates/route/src/config.rs
@@ -7,6 +7,9 @@
     smallvec::SmallVec,
 };
 
+/// Names of regions.
+pub type Regions = SmallVec<[Name; 2]>;
+
 /// Whether the requests of a route may be repeated, and whether they are answered by a stream.
 #[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug, Display)]
 pub enum RouteKind {
@@ -60,6 +63,9 @@
     pub prompt_affinity: bool,
     /// Whether a broken stream may be resumed at another endpoint.
     pub resumable: bool,
+    /// Regions whose endpoints may run the requests; empty means all.
+    #[serde(default)]
+    pub regions: Regions,
 }
 
 impl Route {
@@ -84,8 +90,17 @@
     pub kv_bytes: u64,
 }
 
+/// The start of an endpoint that takes few requests until it is warm. If a value is zero, it is never cold.
+#[derive(Clone, Copy, PartialEq, Serialize, Deserialize, Debug)]
+pub struct ColdStart {
+    /// How long an endpoint is cold after its start, in milliseconds.
+    pub start_ms: f64,
+    /// Requests per second that a cold endpoint tolerates from all routers together.
+    pub rate: f64,
+}
+
 /// A service that requests are routed to.
-#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
+#[derive(Clone, PartialEq, Serialize, Deserialize, Debug)]
 pub struct Service {
     /// Name of the service.
     pub name: Name,
@@ -95,6 +110,9 @@
     pub connections: u32,
     /// Capacity of its endpoints, for model services.
     pub engine: Option<Engine>,
+    /// How its endpoints start; without it they are never cold.
+    #[serde(default)]
+    pub cold: Option<ColdStart>,
 }
 
 /// Limits on the requests and connections of callers.
@@ -120,10 +138,16 @@
     pub keys: Vec<Digest>,
     /// Priority of the requests of the team; overrides the priority of the route.
     pub priority: Option<u8>,
+    /// Regions whose endpoints may run the requests of the team; empty means all.
+    #[serde(default)]
+    pub regions: Regions,
 }
 
 /// A complete routing configuration.
-#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
+///
+/// `serde` is for documents in JSON. Processes send each other [`RoutingConfig::encode`], as a new field here would
+/// change the encoding of `bincode`.
+#[derive(Clone, PartialEq, Serialize, Deserialize, Debug)]
 pub struct RoutingConfig {
     /// Version number assigned by the publisher; the highest published version is in force.
     pub version: u64,
--- a/crates/route/src/delta.rs
+++ b/crates/route/src/delta.rs
@@ -6,29 +6,26 @@
     crate::config::{CallerLimits, Route, RoutingConfig, Service, Team},
     derive_more::{Debug, Display, Error},
     model::Name,
-    serde::{Deserialize, Serialize},
     std::collections::{HashMap, HashSet},
 };
 
 /// The changes from one version of a configuration to another.
-#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
+#[derive(Clone, PartialEq, Debug)]
 pub struct RouteDelta {
     /// The version that the delta applies to.
     pub base: u64,
     /// The version that results from applying the delta.
     pub version: u64,
     /// Added and changed routes.
-    routes: Vec<Route>,
+    pub(crate) routes: Vec<Route>,
     /// Host and prefix of each removed route.
-    #[serde(rename = "gone")]
-    removed_routes: Vec<(Name, Name)>,
+    pub(crate) removed_routes: Vec<(Name, Name)>,
     /// All services, if any of them changed.
-    services: Option<Vec<Service>>,
-    limits: Option<CallerLimits>,
+    pub(crate) services: Option<Vec<Service>>,
+    pub(crate) limits: Option<CallerLimits>,
     /// Added and changed teams.
-    teams: Vec<Team>,
-    #[serde(rename = "disbanded")]
-    removed_teams: Vec<Name>,
+    pub(crate) teams: Vec<Team>,
+    pub(crate) removed_teams: Vec<Name>,
 }
 
 /// A delta was applied to a configuration of another version than its base.
@@ -92,6 +89,6 @@
     }
 }
 
-fn route_key(route: &Route) -> (Name, Name) {
+pub(crate) fn route_key(route: &Route) -> (Name, Name) {
     (route.host.clone(), route.prefix.clone())
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -7,15 +7,19 @@
 mod check;
 mod config;
 mod delta;
+mod encoding;
+mod frozen;
 mod published;
 mod table;
 
 pub use crate::{
     check::ConfigError,
     config::{
-        CallerLimits, Engine, Route, RouteKind, RoutingConfig, Service, Team, WeightedService,
+        CallerLimits, ColdStart, Engine, Regions, Route, RouteKind, RoutingConfig, Service, Team,
+        WeightedService,
     },
     delta::{RouteDelta, VersionMismatch},
+    encoding::{Decoded, EncodingError, FIELD_LEVEL},
     published::{PublishOutcome, PublishedConfig},
     table::{RouteMatch, RouteTable},
 };
--- a/crates/route/tests/config.rs
+++ b/crates/route/tests/config.rs
@@ -1,58 +1,19 @@
 //! Tests validation, lookups, publication and deltas of routing configurations.
 
+mod common;
+
 use {
+    crate::common::{any_config, config},
     model::Digest,
     proptest::prelude::*,
     route::{
-        CallerLimits, ConfigError, PublishOutcome, PublishedConfig, Route, RouteDelta, RouteKind,
-        RouteTable, RoutingConfig, Service, Team, WeightedService,
+        ConfigError, PublishOutcome, PublishedConfig, RouteDelta, RouteTable, RoutingConfig,
+        WeightedService,
     },
     rstest::rstest,
     smallvec::smallvec,
 };
 
-fn route(host: &str, prefix: &str, service: &str) -> Route {
-    Route {
-        name: format!("{host}{prefix}").into(),
-        host: host.into(),
-        prefix: prefix.into(),
-        kind: RouteKind::Idempotent,
-        timeout_ms: 1_000,
-        target_ms: 100,
-        gap_ms: 0,
-        priority: 0,
-        split: smallvec![WeightedService { service: service.into(), weight: 1 }],
-        attempts: 2,
-        open: false,
-        prompt_affinity: false,
-        resumable: false,
-    }
-}
-
-fn service(name: &str) -> Service {
-    Service { name: name.into(), health: "/".into(), connections: 10, engine: None }
-}
-
-fn team(name: &str, keys: &[&str]) -> Team {
-    let keys = keys.iter().map(|it| Digest::of(it.as_bytes())).collect();
-    Team { name: name.into(), keys, priority: None }
-}
-
-fn config(version: u64) -> RoutingConfig {
-    RoutingConfig {
-        version,
-        routes: vec![route("a", "/", "s"), route("a", "/x/", "t"), route("a", "/x/y/", "s")],
-        services: vec![service("s"), service("t")],
-        limits: CallerLimits {
-            header_bytes: 16_384,
-            body_bytes: 1_000,
-            header_ms: 3_000,
-            idle_ms: 15_000,
-        },
-        teams: vec![team("one", &["k1", "k1"]), team("two", &["k2"])],
-    }
-}
-
 #[test]
 fn a_valid_config_passes_the_check() {
     assert_eq!(config(1).check(), Ok(()));
@@ -146,25 +107,3 @@
         prop_assert!(delta.apply(&new).is_err());
     }
 }
-
-fn any_config(version: u64) -> impl Strategy<Value = RoutingConfig> {
-    let routes = proptest::collection::btree_map(0_u8..12, (1_u64..4, 0_u8..2), 0..10);
-    let teams = proptest::collection::btree_map(0_u8..8, 0_u8..4, 0..6);
-    (routes, teams, 1_usize..3, 1_u64..3).prop_map(move |(routes, teams, services, idle)| {
-        let names = ["s", "t"];
-        let routes = routes.into_iter().map(|(index, (timeout, service))| {
-            let mut route = route("a", &format!("/{index}/"), names[usize::from(service)]);
-            route.timeout_ms = timeout;
-            route
-        });
-        let teams = teams
-            .into_iter()
-            .map(|(index, key)| team(&format!("{index}"), &[&format!("{index}.{key}")]));
-        let mut config = config(version);
-        config.routes = routes.collect();
-        config.teams = teams.collect();
-        config.services.truncate(services);
-        config.limits.idle_ms = idle;
-        config
-    })
-}
--- a/soak/src/config.rs
+++ b/soak/src/config.rs
@@ -61,6 +61,7 @@
         health: "/health".into(),
         connections: 1_000,
         engine,
+        cold: None,
     };
     RoutingConfig {
         version,
@@ -85,6 +86,7 @@
             name: TEAM.into(),
             keys: vec![Digest::of(KEY.as_bytes())],
             priority: None,
+            regions: smallvec![],
         }],
     }
 }
@@ -104,6 +106,7 @@
         open: false,
         prompt_affinity: false,
         resumable: false,
+        regions: smallvec![],
     }
 }
 
