--- a/crates/route/src/check.rs
+++ b/crates/route/src/check.rs
@@ -1,7 +1,7 @@
 //! Validation of routing configurations.
 
 use {
-    crate::config::{Route, RoutingConfig},
+    crate::config::{Regions, Route, RoutingConfig},
     derive_more::{Debug, Display, Error},
     model::Name,
     std::collections::HashSet,
@@ -54,6 +54,18 @@
         /// The later team.
         team: Name,
     },
+    /// A route or a team lists a region without a name.
+    #[display("{entry} lists a region without a name")]
+    EmptyRegion {
+        /// The route or the team.
+        entry: Name,
+    },
+    /// A value of a service's cold start is negative or not finite.
+    #[display("the cold start of service {service} is negative or not finite")]
+    InvalidColdStart {
+        /// The service.
+        service: Name,
+    },
 }
 
 impl RoutingConfig {
@@ -68,6 +80,10 @@
             if !services.insert(&service.name) {
                 return Err(ConfigError::DuplicateService { service: service.name.clone() });
             }
+            let mut cold = service.cold.iter().flat_map(|it| [it.start_ms, it.rate]);
+            if cold.any(|it| !it.is_finite() || it < 0.0) {
+                return Err(ConfigError::InvalidColdStart { service: service.name.clone() });
+            }
         }
         let mut prefixes = HashSet::new();
         for route in &self.routes {
@@ -88,6 +104,7 @@
             if key_taken || !names.insert(&team.name) {
                 return Err(ConfigError::DuplicateTeam { team: team.name.clone() });
             }
+            check_regions("team", &team.name, &team.regions)?;
         }
         Ok(())
     }
@@ -107,5 +124,12 @@
     if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
         return Err(ConfigError::InvalidPrefix { route: name() });
     }
+    check_regions("route", &route.name, &route.regions)
+}
+
+fn check_regions(kind: &str, name: &Name, regions: &Regions) -> Result<(), ConfigError> {
+    if regions.iter().any(|it| it.is_empty()) {
+        return Err(ConfigError::EmptyRegion { entry: format!("{kind} {name}").into() });
+    }
     Ok(())
 }
--- a/crates/route/tests/config.rs
+++ b/crates/route/tests/config.rs
@@ -7,8 +7,8 @@
     model::Digest,
     proptest::prelude::*,
     route::{
-        ConfigError, PublishOutcome, PublishedConfig, RouteDelta, RouteTable, RoutingConfig,
-        WeightedService,
+        ColdStart, ConfigError, PublishOutcome, PublishedConfig, RouteDelta, RouteTable,
+        RoutingConfig, WeightedService,
     },
     rstest::rstest,
     smallvec::smallvec,
@@ -28,6 +28,12 @@
 #[case::invalid_prefix(|it: &mut RoutingConfig| it.routes[0].prefix = "/z".into())]
 #[case::duplicate_service(|it: &mut RoutingConfig| it.services[1].name = "s".into())]
 #[case::shared_key(|it: &mut RoutingConfig| it.teams[1].keys.push(Digest::of(b"k1")))]
+#[case::empty_region_of_route(|it: &mut RoutingConfig| it.routes[0].regions.push("".into()))]
+#[case::empty_region_of_team(|it: &mut RoutingConfig| it.teams[0].regions.push("".into()))]
+#[case::negative_cold_start(|it: &mut RoutingConfig| it.services[0].cold = cold(-1.0, 8.0))]
+#[case::unknown_cold_start(|it: &mut RoutingConfig| it.services[0].cold = cold(f64::NAN, 8.0))]
+#[case::negative_cold_rate(|it: &mut RoutingConfig| it.services[0].cold = cold(1.0, -8.0))]
+#[case::endless_cold_rate(|it: &mut RoutingConfig| it.services[0].cold = cold(1.0, f64::INFINITY))]
 #[case::duplicate_team(|it: &mut RoutingConfig| it.teams[1].name = "one".into())]
 fn an_invalid_config_is_rejected(#[case] invalidate: fn(&mut RoutingConfig)) {
     let mut config = config(1);
@@ -35,6 +41,25 @@
     assert!(config.check().is_err());
 }
 
+fn cold(start_ms: f64, rate: f64) -> Option<ColdStart> {
+    Some(ColdStart { start_ms, rate })
+}
+
+/// Guards against documents from before the fields existed that are refused.
+#[test]
+fn the_fields_of_later_builds_are_optional_in_json() {
+    let mut document = serde_json::to_value(config(1)).expect("not serialized");
+    let mut remove = |list: &str, field: &str| {
+        for entry in document[list].as_array_mut().expect("no list") {
+            entry.as_object_mut().expect("no object").remove(field).expect("field is missing");
+        }
+    };
+    remove("routes", "regions");
+    remove("teams", "regions");
+    remove("services", "cold");
+    assert_eq!(serde_json::from_value::<RoutingConfig>(document).ok(), Some(config(1)));
+}
+
 #[test]
 fn the_error_names_route_and_service() {
     let mut config = config(1);
