Name the region of each failure domain and the limits of cold endpoints in a gateway's settings

Change: [gateway.regions] (domain = region) and [gateway.cold] over and slack (1.0 and 0), with validation and documentation.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -24,11 +24,12 @@
         CallerLimits, Engine, Route, RouteKind, RoutingConfig, Service, Team, WeightedService,
     },
     settings::{
-        ControlSettings, GatewaySettings, ListingSettings, LogLevel, LogSettings, RetrySettings,
-        WeightStoreLimits,
+        ColdSettings, ControlSettings, GatewaySettings, ListingSettings, LogLevel, LogSettings,
+        RetrySettings, WeightStoreLimits,
     },
     smallvec::smallvec,
     std::{
+        collections::BTreeMap,
         net::SocketAddr,
         sync::{
             Arc, Mutex, OnceLock,
@@ -359,6 +360,8 @@
         memory_mb: 260.0,
         listing: ListingSettings { interval_ms: 50, rate: 1_000.0 },
         retries: RETRIES,
+        regions: BTreeMap::new(),
+        cold: ColdSettings::default(),
         log: LogSettings { level: LogLevel::Error, ..LogSettings::default() },
     }
 }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -8,9 +8,9 @@
         tls::TlsFiles,
     },
     derive_more::Debug,
-    model::{Domain, HostName},
+    model::{Domain, HostName, Name},
     serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
+    std::{collections::BTreeMap, net::SocketAddr},
 };
 
 /// Limits on retries.
@@ -29,6 +29,22 @@
     }
 }
 
+/// How many requests cold endpoints get, relative to the rate that their service names.
+#[derive(Clone, Copy, PartialEq, Serialize, Deserialize, Debug)]
+#[serde(rename_all = "kebab-case", default, deny_unknown_fields)]
+pub struct ColdSettings {
+    /// Requests in any second, as a multiple of the rate that the service names; default 1.
+    pub over: f64,
+    /// Additional requests in any second; default 0.
+    pub slack: f64,
+}
+
+impl Default for ColdSettings {
+    fn default() -> ColdSettings {
+        ColdSettings { over: 1.0, slack: 0.0 }
+    }
+}
+
 /// The settings of a gateway.
 #[derive(Clone, PartialEq, Serialize, Deserialize, Debug)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -66,6 +82,12 @@
     /// Limits on retries.
     #[serde(default)]
     pub retries: RetrySettings,
+    /// The region of each failure domain. A domain that is missing here is in no region.
+    #[serde(default)]
+    pub regions: BTreeMap<Domain, Name>,
+    /// Limits on the requests to cold endpoints.
+    #[serde(default)]
+    pub cold: ColdSettings,
     /// Logging of this process.
     #[serde(default)]
     pub log: LogSettings,
@@ -93,6 +115,11 @@
         require("grace-ms", self.grace_ms >= 1_000, "expected at least 1000")?;
         self.listing.validate()?;
         require("retries.ratio", self.retries.ratio >= 0.0, "expected at least 0")?;
-        require("retries.slack", self.retries.slack >= 0.0, "expected at least 0")
+        require("retries.slack", self.retries.slack >= 0.0, "expected at least 0")?;
+        let is_named = |it: (&Domain, &Name)| !it.0.0.is_empty() && !it.1.is_empty();
+        require("regions", self.regions.iter().all(is_named), "expected non-empty names")?;
+        let ColdSettings { over, slack } = self.cold;
+        require("cold.over", over.is_finite() && over > 0.0, "expected more than 0")?;
+        require("cold.slack", slack.is_finite() && slack >= 0.0, "expected at least 0")
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -19,7 +19,7 @@
     control::{ControlPeer, ControlSettings, WeightStoreLimits},
     error::SettingsError,
     file::{Validate, load, parse, require},
-    gateway::{GatewaySettings, RetrySettings},
+    gateway::{ColdSettings, GatewaySettings, RetrySettings},
     listing::ListingSettings,
     load_tool::{LoadEngine, LoadPlainEndpoint, LoadRouter, LoadSettings, LoadTeam},
     log::{LogFormat, LogLevel, LogSettings},
--- a/soak/src/config.rs
+++ b/soak/src/config.rs
@@ -8,11 +8,12 @@
         CallerLimits, Engine, Route, RouteKind, RoutingConfig, Service, Team, WeightedService,
     },
     settings::{
-        ControlSettings, GatewaySettings, ListingSettings, LogFormat, LogSettings, RetrySettings,
-        WeightStoreLimits,
+        ColdSettings, ControlSettings, GatewaySettings, ListingSettings, LogFormat, LogSettings,
+        RetrySettings, WeightStoreLimits,
     },
     smallvec::smallvec,
     std::{
+        collections::BTreeMap,
         io::ErrorKind,
         net::{Ipv4Addr, SocketAddr, TcpListener},
         path::Path,
@@ -131,6 +132,8 @@
         memory_mb: 256.0,
         listing: listing(),
         retries: RetrySettings { ratio: RETRY_RATIO, slack: RETRY_SLACK },
+        regions: BTreeMap::new(),
+        cold: ColdSettings::default(),
         log: log(),
     })
 }
