Send nothing to endpoints of evacuated domains

Dispatcher::set_evacuated did nothing. An endpoint of an evacuated domain now takes no request by any way, is not found for detours and probes, and nothing is fetched from it.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,6 +4,7 @@
     crate::{
         change::EndpointChange,
         cold::ColdRate,
+        domain_rules::{DomainRules, EVACUATED_RETRY_MS},
         endpoint::{Endpoint, Notice},
         health::{AttemptOutcome, Health},
         limit::{Fleet, LimitChange, LimitReport},
@@ -60,6 +61,9 @@
 /// Returns the retry delay that a caller is told, in milliseconds. If no endpoint takes requests
 /// now, it is the time until one does.
 fn retry_ms(now: Time, service: &Service, build: Option<BuildId>, estimated_wait_ms: u64) -> u64 {
+    if service.is_evacuated(build) {
+        return EVACUATED_RETRY_MS;
+    }
     let opens_at = service.opens_at(build);
     if opens_at > now && opens_at != Time::NEVER {
         return opens_at.since(now).div_ceil(MILLISECOND);
@@ -74,6 +78,7 @@
     /// The notices of endpoints that are not listed at the moment.
     unlisted_notices: UnlistedNotices,
     fleet: Fleet,
+    domain_rules: DomainRules,
     /// The random number of the next choice.
     random: u64,
     services: HashMap<Name, Service>,
@@ -96,6 +101,7 @@
             domain,
             unlisted_notices: UnlistedNotices::default(),
             fleet: Fleet::default(),
+            domain_rules: DomainRules::default(),
             random: mix(seed),
             services: HashMap::new(),
             service_names: HashMap::new(),
@@ -125,7 +131,27 @@
 
     /// Replaces the evacuated domains. Their endpoints get no further requests.
     pub fn set_evacuated(&mut self, now: Time, domains: &[Domain]) {
-        let _ = (now, domains);
+        self.domain_rules.set_evacuated(domains);
+        self.apply_domain_rules();
+        self.expire_evacuated(now);
+    }
+
+    fn apply_domain_rules(&mut self) {
+        for endpoint in self.services.values_mut().flat_map(|it| &mut it.endpoints) {
+            self.domain_rules.apply(endpoint);
+        }
+    }
+
+    /// Makes waiting requests expire that could run on evacuated endpoints only.
+    fn expire_evacuated(&mut self, now: Time) {
+        if !self.domain_rules.has_evacuated() {
+            return;
+        }
+        for service in self.services.values_mut() {
+            let mut queue = std::mem::take(&mut service.queue);
+            queue.expire_early(now, |it| !service.is_evacuated(it.build));
+            service.queue = queue;
+        }
     }
 
     /// Replaces the regions of the failure domains.
@@ -154,10 +180,12 @@
         endpoints.map(|(name, it)| (name.clone(), it.incarnation())).collect()
     }
 
-    /// Returns the service of an endpoint and how to send a request there.
+    /// Returns the service of an endpoint and how to send a request there, unless its domain is
+    /// evacuated.
     pub fn find(&self, now: Time, incarnation: u64) -> Option<(Name, Assignment)> {
         self.services.iter().find_map(|(name, service)| {
-            let found = service.endpoints.iter().find(|it| it.incarnation() == incarnation)?;
+            let mut endpoints = service.endpoints.iter().filter(|it| !it.evacuated);
+            let found = endpoints.find(|it| it.incarnation() == incarnation)?;
             Some((name.clone(), found.assignment(now, 0)))
         })
     }
@@ -223,6 +251,7 @@
         }
         let starts_draining = listed.draining && !endpoint.listed.draining;
         endpoint.listed = listed.clone();
+        self.domain_rules.apply(endpoint);
         starts_draining.then(|| EndpointChange::Draining(listed.id.clone()))
     }
 
@@ -233,6 +262,7 @@
         self.service_names.insert(handle, name.clone());
         let mut endpoint = Endpoint::new(handle, listed);
         endpoint.notice = self.unlisted_notices.take(endpoint.incarnation());
+        self.domain_rules.apply(&mut endpoint);
         self.services.entry(name).or_default().endpoints.push(endpoint);
     }
 
@@ -556,14 +586,18 @@
     /// Removes the waiting requests that have expired. Returns each with a retry delay in
     /// milliseconds.
     pub fn expire(&mut self, now: Time) -> Vec<(WaiterId, u64)> {
+        self.expire_evacuated(now);
         let mut expired = Vec::new();
         let names: Vec<_> = self.services.keys().cloned().collect();
         for name in names {
             let estimated_wait_ms = self.estimated_wait_ms(now, &name, None, u8::MAX);
             let Some(service) = self.services.get_mut(&name) else { continue };
-            let retry_ms = retry_ms(now, service, None, estimated_wait_ms);
-            let expired_waiters = service.queue.expire(now);
-            expired.extend(expired_waiters.into_iter().map(|it| (it.id, retry_ms)));
+            let wait_ms = retry_ms(now, service, None, estimated_wait_ms);
+            for waiter in service.queue.expire(now) {
+                let is_evacuated = service.is_evacuated(waiter.request.build);
+                let retry_ms = if is_evacuated { EVACUATED_RETRY_MS } else { wait_ms };
+                expired.push((waiter.id, retry_ms));
+            }
         }
         expired
     }
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -40,6 +40,8 @@
     pub(crate) load: Load,
     pub(crate) health: Health,
     pub(crate) notice: Notice,
+    /// Whether the endpoint's domain is evacuated.
+    pub(crate) evacuated: bool,
     /// The prompt parts that routers sent to the endpoint, and when they were last sent.
     parts: HashMap<u64, Time>,
 }
@@ -54,13 +56,14 @@
             load: Load::default(),
             health: Health::default(),
             notice: Notice::default(),
+            evacuated: false,
             parts: HashMap::new(),
         }
     }
 
     /// Returns whether the endpoint takes new requests, now or later.
     pub(crate) fn is_staying(&self) -> bool {
-        !self.listed.draining && !self.notice.leaving
+        !self.listed.draining && !self.notice.leaving && !self.evacuated
     }
 
     /// Returns whether the endpoint has not asked this router to send nothing. Its limit is shared by
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod change;
 mod cold;
 mod dispatcher;
+mod domain_rules;
 mod endpoint;
 mod exchange;
 mod health;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -209,7 +209,8 @@
             return None;
         }
         // A draining endpoint can still be fetched from.
-        let others = self.endpoints.iter().enumerate().filter(|it| it.0 != chosen);
+        let others =
+            self.endpoints.iter().enumerate().filter(|it| it.0 != chosen && !it.1.evacuated);
         let healthy = others.filter(|it| !it.1.health.is_avoided(self.now));
         let is_local = |it: &Endpoint| it.listed.domain == target.listed.domain;
         let holders =
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -56,6 +56,16 @@
         expired
     }
 
+    /// Makes the requests expire now that can't start any more.
+    pub(crate) fn expire_early<F>(&mut self, now: Time, can_start: F)
+    where
+        F: Fn(&DispatchRequest) -> bool,
+    {
+        for waiter in self.waiters.iter_mut().filter(|it| !can_start(&it.request)) {
+            waiter.expires = waiter.expires.min(now);
+        }
+    }
+
     /// Returns the waiting requests in order.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Waiter> {
         self.waiters.iter()
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -41,6 +41,12 @@
         self.staying(build).next().is_some()
     }
 
+    /// Returns whether no endpoint takes requests because those that would are evacuated.
+    pub(crate) fn is_evacuated(&self, build: Option<BuildId>) -> bool {
+        let mut evacuated = self.endpoints.iter().filter(|it| it.evacuated && it.has_build(build));
+        evacuated.next().is_some() && !self.has_endpoints(build)
+    }
+
     /// Returns when the first endpoint takes new requests.
     pub(crate) fn opens_at(&self, build: Option<BuildId>) -> Time {
         let staying = self.staying(build);
