Run requests only at endpoints in their regions

DispatchRequest::regions and Dispatcher::set_regions did nothing. Which endpoints may run a request is now one value, Eligibility (software version and regions), that placement, waits, estimates and has_endpoints_in share. Prompts are fetched from endpoints in these regions only, and a request without an endpoint there is refused at once.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -10,7 +10,7 @@
         limit::{Fleet, LimitChange, LimitReport},
         load::{Load, LoadChunk, LoadReport, Reporter},
         queue::{Waiter, WaiterId},
-        request::{Assignment, DispatchRequest, EndpointHandle},
+        request::{Assignment, DispatchRequest, Eligibility, EndpointHandle},
         service::Service,
         unlisted_notices::UnlistedNotices,
     },
@@ -60,11 +60,16 @@
 
 /// Returns the retry delay that a caller is told, in milliseconds. If no endpoint takes requests
 /// now, it is the time until one does.
-fn retry_ms(now: Time, service: &Service, build: Option<BuildId>, estimated_wait_ms: u64) -> u64 {
-    if service.is_evacuated(build) {
+fn retry_ms(
+    now: Time,
+    service: &Service,
+    eligibility: Eligibility<'_>,
+    estimated_wait_ms: u64,
+) -> u64 {
+    if service.is_evacuated(eligibility) {
         return EVACUATED_RETRY_MS;
     }
-    let opens_at = service.opens_at(build);
+    let opens_at = service.opens_at(eligibility);
     if opens_at > now && opens_at != Time::NEVER {
         return opens_at.since(now).div_ceil(MILLISECOND);
     }
@@ -149,21 +154,32 @@
         }
         for service in self.services.values_mut() {
             let mut queue = std::mem::take(&mut service.queue);
-            queue.expire_early(now, |it| !service.is_evacuated(it.build));
+            queue.expire_early(now, |it| !service.is_evacuated(it.eligibility()));
             service.queue = queue;
         }
     }
 
     /// Replaces the regions of the failure domains.
     pub fn set_regions(&mut self, regions: HashMap<Domain, Name>) {
-        let _ = regions;
+        self.domain_rules.set_regions(regions);
+        self.apply_domain_rules();
     }
 
     /// Returns whether a service has an endpoint that accepts new requests, now or later.
     /// With `build`, it must have that software version.
     pub fn has_endpoints(&self, service: &Name, build: Option<BuildId>) -> bool {
-        let service = self.services.get(service);
-        service.is_some_and(|it| it.has_endpoints(build))
+        self.has_endpoints_in(service, build, None)
+    }
+
+    /// Like [`Dispatcher::has_endpoints`], for an endpoint in one of `regions`. `None` allows all.
+    pub fn has_endpoints_in(
+        &self,
+        service: &Name,
+        build: Option<BuildId>,
+        regions: Option<&[Name]>,
+    ) -> bool {
+        let eligibility = Eligibility { build, regions };
+        self.services.get(service).is_some_and(|it| it.has_endpoints(eligibility))
     }
 
     /// Returns the list of endpoints.
@@ -287,14 +303,14 @@
             return SubmitResult::Started(assignment);
         }
         let name = request.service.clone();
-        let build = request.build;
-        let estimated_wait_ms = self.estimated_wait_ms(now, &name, build, request.priority);
+        let eligibility = request.eligibility();
+        let estimated_wait_ms = self.estimated_wait_ms(now, &name, eligibility, request.priority);
         let Some(service) = self.services.get_mut(&name) else {
             return SubmitResult::Refused { retry_ms: MIN_RETRY_MS };
         };
         let too_late = now + estimated_wait_ms.saturating_mul(MILLISECOND) > request.wait_until;
-        if too_late || !service.has_endpoints(build) || service.queue.len() >= MAX_WAITING {
-            let retry_ms = retry_ms(now, service, build, estimated_wait_ms);
+        if too_late || !service.has_endpoints(eligibility) || service.queue.len() >= MAX_WAITING {
+            let retry_ms = retry_ms(now, service, eligibility, estimated_wait_ms);
             return SubmitResult::Refused { retry_ms };
         }
         self.last_waiter += 1;
@@ -339,19 +355,20 @@
         &self,
         now: Time,
         name: &Name,
-        build: Option<BuildId>,
+        eligibility: Eligibility<'_>,
         priority: u8,
     ) -> u64 {
         let Some(service) = self.services.get(name) else { return MAX_RETRY_MS };
-        let opens_at = service.opens_at(build);
+        let opens_at = service.opens_at(eligibility);
         if opens_at == Time::NEVER {
             return MAX_RETRY_MS;
         }
         if opens_at > now {
             let opens_ms = opens_at.since(now).div_ceil(MILLISECOND);
-            return opens_ms + service.limit_wait_ms(build, service.queue.ahead(priority));
+            return opens_ms + service.limit_wait_ms(eligibility, service.queue.ahead(priority));
         }
-        let ready = service.endpoints.iter().filter(|it| it.is_open(now) && it.has_build(build));
+        let ready =
+            service.endpoints.iter().filter(|it| it.is_open(now) && it.is_eligible(eligibility));
         let running: u32 = ready.map(|it| it.load.requests(now)).sum();
         let mean_ms = self.service_times_ms.get(name).copied().unwrap_or(INITIAL_SERVICE_MS);
         let ahead = service.queue.ahead(priority) as f64 + 1.0;
@@ -590,11 +607,12 @@
         let mut expired = Vec::new();
         let names: Vec<_> = self.services.keys().cloned().collect();
         for name in names {
-            let estimated_wait_ms = self.estimated_wait_ms(now, &name, None, u8::MAX);
+            let estimated_wait_ms =
+                self.estimated_wait_ms(now, &name, Eligibility::default(), u8::MAX);
             let Some(service) = self.services.get_mut(&name) else { continue };
-            let wait_ms = retry_ms(now, service, None, estimated_wait_ms);
+            let wait_ms = retry_ms(now, service, Eligibility::default(), estimated_wait_ms);
             for waiter in service.queue.expire(now) {
-                let is_evacuated = service.is_evacuated(waiter.request.build);
+                let is_evacuated = service.is_evacuated(waiter.request.eligibility());
                 let retry_ms = if is_evacuated { EVACUATED_RETRY_MS } else { wait_ms };
                 expired.push((waiter.id, retry_ms));
             }
--- a/crates/dispatch/src/domain_rules.rs
+++ b/crates/dispatch/src/domain_rules.rs
@@ -3,8 +3,8 @@
 use {
     crate::endpoint::Endpoint,
     derive_more::Debug,
-    model::{Domain, MILLISECOND, SECOND},
-    std::collections::HashSet,
+    model::{Domain, MILLISECOND, Name, SECOND},
+    std::collections::{HashMap, HashSet},
 };
 
 /// The retry delay that a caller is told while all endpoints of a service are evacuated, in
@@ -15,6 +15,7 @@
 #[derive(Default, Debug)]
 pub(crate) struct DomainRules {
     evacuated: HashSet<Domain>,
+    regions: HashMap<Domain, Name>,
 }
 
 impl DomainRules {
@@ -24,6 +25,10 @@
         old.into_iter().filter(|it| !self.evacuated.contains(it)).collect()
     }
 
+    pub(crate) fn set_regions(&mut self, regions: HashMap<Domain, Name>) {
+        self.regions = regions;
+    }
+
     pub(crate) fn has_evacuated(&self) -> bool {
         !self.evacuated.is_empty()
     }
@@ -31,5 +36,6 @@
     /// Applies the rules to an endpoint that is new, or whose domain or rules have changed.
     pub(crate) fn apply(&self, endpoint: &mut Endpoint) {
         endpoint.evacuated = self.evacuated.contains(&endpoint.listed.domain);
+        endpoint.region = self.regions.get(&endpoint.listed.domain).cloned();
     }
 }
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -6,11 +6,11 @@
         health::Health,
         limit::{Fleet, Limit, LimitChange},
         load::Load,
-        request::{Assignment, EndpointHandle, PromptPart},
+        request::{Assignment, Eligibility, EndpointHandle, PromptPart},
     },
     derive_more::Debug,
-    directory::{BuildId, ListedEndpoint},
-    model::{Time, hash64, mix2},
+    directory::ListedEndpoint,
+    model::{Name, Time, hash64, mix2},
     std::{collections::HashMap, net::SocketAddr},
 };
 
@@ -42,6 +42,8 @@
     pub(crate) notice: Notice,
     /// Whether the endpoint's domain is evacuated.
     pub(crate) evacuated: bool,
+    /// The region of the endpoint's domain, if it has one.
+    pub(crate) region: Option<Name>,
     /// The prompt parts that routers sent to the endpoint, and when they were last sent.
     parts: HashMap<u64, Time>,
 }
@@ -57,6 +59,7 @@
             health: Health::default(),
             notice: Notice::default(),
             evacuated: false,
+            region: None,
             parts: HashMap::new(),
         }
     }
@@ -91,9 +94,15 @@
         self.notice.closed_until.max(self.notice.limit.opens_at())
     }
 
-    /// Returns whether the endpoint has this software version, if one is required.
-    pub(crate) fn has_build(&self, build: Option<BuildId>) -> bool {
-        build.is_none_or(|it| self.listed.build_id() == it)
+    /// Returns whether the endpoint may run a request, whatever its state is.
+    pub(crate) fn is_eligible(&self, eligibility: Eligibility<'_>) -> bool {
+        let Eligibility { build, regions } = eligibility;
+        build.is_none_or(|it| self.listed.build_id() == it) && self.is_in(regions)
+    }
+
+    /// Returns whether the endpoint is in one of `regions`. `None` allows all endpoints.
+    pub(crate) fn is_in(&self, regions: Option<&[Name]>) -> bool {
+        regions.is_none_or(|it| self.region.as_ref().is_some_and(|region| it.contains(region)))
     }
 
     /// Determines this router's share of the endpoint's limit, which has changed.
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -74,7 +74,7 @@
         let usable = |it: &Endpoint| {
             it.is_open(now)
                 && it.bears_another(now, routers)
-                && it.has_build(request.build)
+                && it.is_eligible(request.eligibility())
                 && !request.excluded.contains(&it.handle)
         };
         let ready: Vec<_> = self.endpoints.iter().enumerate().filter(|it| usable(it.1)).collect();
@@ -82,7 +82,7 @@
         // If no endpoint is healthy, an unhealthy one may still answer.
         let candidates = if healthy.is_empty() { ready } else { healthy };
         match request.prompt.as_ref().filter(|it| !it.parts.is_empty()) {
-            Some(prompt) => self.choose_by_prompt(prompt, &candidates),
+            Some(prompt) => self.choose_by_prompt(request, prompt, &candidates),
             None => self.choose_by_load(request, &candidates, random),
         }
     }
@@ -156,6 +156,7 @@
 
     fn choose_by_prompt(
         &self,
+        request: &DispatchRequest,
         prompt: &Prompt,
         candidates: &[(usize, &Endpoint)],
     ) -> Option<Assignment> {
@@ -188,7 +189,7 @@
                 .min_by(|a, b| load(a).total_cmp(&load(b)))
         };
         let chosen = *within_bound.or_else(least_loaded)?;
-        let fetch_from = self.fetch_source(prompt, chosen);
+        let fetch_from = self.fetch_source(request, prompt, chosen);
         let assignment = self.endpoints[chosen].assignment(now, prompt.tokens);
         Some(Assignment { fetch_from, ..assignment })
     }
@@ -201,7 +202,12 @@
     /// Returns the endpoint that is expected to have most of a prompt in memory, if it has enough
     /// more than the chosen one. If none is known to have more, it is the first other one in the
     /// prompt's order. It is the home of the prompt, or was before a new endpoint joined.
-    fn fetch_source(&self, prompt: &Prompt, chosen: usize) -> Option<SocketAddr> {
+    fn fetch_source(
+        &self,
+        request: &DispatchRequest,
+        prompt: &Prompt,
+        chosen: usize,
+    ) -> Option<SocketAddr> {
         let shared = prompt.shared();
         let target = &self.endpoints[chosen];
         let min_tokens = target.cached_tokens(shared) + MIN_FETCH_TOKENS;
@@ -209,8 +215,9 @@
             return None;
         }
         // A draining endpoint can still be fetched from.
-        let others =
-            self.endpoints.iter().enumerate().filter(|it| it.0 != chosen && !it.1.evacuated);
+        let regions = request.regions.as_deref();
+        let allowed = |it: &Endpoint| !it.evacuated && it.is_in(regions);
+        let others = self.endpoints.iter().enumerate().filter(|it| it.0 != chosen && allowed(it.1));
         let healthy = others.filter(|it| !it.1.health.is_avoided(self.now));
         let is_local = |it: &Endpoint| it.listed.domain == target.listed.domain;
         let holders =
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -57,6 +57,22 @@
     pub regions: Option<SmallVec<[Name; 2]>>,
 }
 
+impl DispatchRequest {
+    /// Returns which endpoints may run the request.
+    pub(crate) fn eligibility(&self) -> Eligibility<'_> {
+        Eligibility { build: self.build, regions: self.regions.as_deref() }
+    }
+}
+
+/// Which endpoints may run a request, whatever their state is.
+#[derive(Clone, Copy, Default, Debug)]
+pub(crate) struct Eligibility<'a> {
+    /// The only software version, if one is required.
+    pub(crate) build: Option<BuildId>,
+    /// The regions, or `None` if all are allowed.
+    pub(crate) regions: Option<&'a [Name]>,
+}
+
 /// The endpoint that a request is assigned to.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Assignment {
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -2,11 +2,13 @@
 
 use {
     crate::{
-        endpoint::Endpoint, limit::Limit, placement::Placement, queue::WaitQueue,
-        request::EndpointHandle,
+        endpoint::Endpoint,
+        limit::Limit,
+        placement::Placement,
+        queue::WaitQueue,
+        request::{Eligibility, EndpointHandle},
     },
     derive_more::Debug,
-    directory::BuildId,
     model::{Domain, Time},
 };
 
@@ -30,33 +32,34 @@
         self.endpoints.iter_mut().find(|it| it.handle == handle)
     }
 
-    /// Returns the endpoints that take new requests, now or later. With `build`, they are those of
-    /// that software version.
-    fn staying(&self, build: Option<BuildId>) -> impl Iterator<Item = &Endpoint> {
-        self.endpoints.iter().filter(move |it| it.is_staying() && it.has_build(build))
+    /// Returns the endpoints that take new requests, now or later. They may run a request
+    /// with this eligibility.
+    fn staying<'a>(&'a self, eligibility: Eligibility<'a>) -> impl Iterator<Item = &'a Endpoint> {
+        self.endpoints.iter().filter(move |it| it.is_staying() && it.is_eligible(eligibility))
     }
 
     /// Returns whether an endpoint takes new requests, now or later.
-    pub(crate) fn has_endpoints(&self, build: Option<BuildId>) -> bool {
-        self.staying(build).next().is_some()
+    pub(crate) fn has_endpoints(&self, eligibility: Eligibility<'_>) -> bool {
+        self.staying(eligibility).next().is_some()
     }
 
     /// Returns whether no endpoint takes requests because those that would are evacuated.
-    pub(crate) fn is_evacuated(&self, build: Option<BuildId>) -> bool {
-        let mut evacuated = self.endpoints.iter().filter(|it| it.evacuated && it.has_build(build));
-        evacuated.next().is_some() && !self.has_endpoints(build)
+    pub(crate) fn is_evacuated(&self, eligibility: Eligibility<'_>) -> bool {
+        let mut evacuated =
+            self.endpoints.iter().filter(|it| it.evacuated && it.is_eligible(eligibility));
+        evacuated.next().is_some() && !self.has_endpoints(eligibility)
     }
 
     /// Returns when the first endpoint takes new requests.
-    pub(crate) fn opens_at(&self, build: Option<BuildId>) -> Time {
-        let staying = self.staying(build);
+    pub(crate) fn opens_at(&self, eligibility: Eligibility<'_>) -> Time {
+        let staying = self.staying(eligibility);
         staying.map(Endpoint::opens_at).min().unwrap_or(Time::NEVER)
     }
 
     /// Returns how long requests wait at least behind `ahead` others because of the limits of
     /// endpoints, in milliseconds.
-    pub(crate) fn limit_wait_ms(&self, build: Option<BuildId>, ahead: usize) -> u64 {
-        let limits = || self.staying(build).map(|it| &it.notice.limit);
+    pub(crate) fn limit_wait_ms(&self, eligibility: Eligibility<'_>, ahead: usize) -> u64 {
+        let limits = || self.staying(eligibility).map(|it| &it.notice.limit);
         if limits().any(|it| it.rate().is_none()) {
             return 0;
         }
