Handle requests in the regions that their route and team allow

Change: a request whose route and team have no region in common, or whose service has no endpoint in an allowed region, is refused at once with 503 and the reason in the body (no-common-region, no-region). Others carry their regions to dispatch for every send, and are checked again before they are sent, as the settings may be reloaded. path chooses only gateways in these regions or in the own one for detours. The regions are set at start and at reload; the cold rate of each service when a configuration is installed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,7 +8,7 @@
             ForwardHeaders, ResponseProof, is_event_stream, is_framed, request_headers,
             response_headers, verify_response,
         },
-        notices, paths,
+        notices,
         response_memory::{BufferedBody, Reservation},
         shared::{RunningRequest, Shared},
         sse::EventBuffer,
@@ -19,7 +19,7 @@
     dispatch::{Assignment, AttemptOutcome},
     http::{Request, Response, Uri, response},
     http_body_util::Full,
-    model::{MILLISECOND, Name, Time},
+    model::{MILLISECOND, Time},
     std::sync::Arc,
     tokio::time::{sleep_until, timeout_at},
 };
@@ -131,9 +131,9 @@
         &self.running.pick
     }
 
-    /// Connects to the endpoint, which belongs to `service`. The slot is released if that fails.
-    pub(crate) async fn connect(mut self, service: &Name) -> Option<Attempt> {
-        match paths::connect(&self.running.shared, service, &self.running.pick).await {
+    /// Connects to the endpoint for a request. The slot is released if that fails.
+    pub(crate) async fn connect(mut self, call: &Call) -> Option<Attempt> {
+        match call.connect(&self.running.pick).await {
             Ok(connection) => {
                 self.connection = Some(Box::new(connection));
                 Some(self)
@@ -165,8 +165,12 @@
         let exchange = async {
             let connection = match connection {
                 Some(it) => *it,
-                None => paths::connect(&shared, &call.found.service.name, &pick).await?,
+                None => call.connect(&pick).await?,
             };
+            if !call.may_run_in(&pick.domain) {
+                let reason = "endpoint is not in an allowed region any more".to_owned();
+                return Err(SendError::Withheld { reason });
+            }
             if call.is_unwanted(&pick) {
                 let reason = "endpoint asked for no requests after it was chosen".to_owned();
                 return Err(SendError::Withheld { reason });
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,11 +9,12 @@
         attempt::{Attempt, Failure, UpstreamResponse, max_silence_ms},
         detour,
         headers::RequestHead,
-        quarantine,
+        paths, quarantine,
         rejection::Rejection,
         replacement,
         shared::{PlacementResult, Rejected, Shared},
         sse::EventBuffer,
+        upstream::{IdleConnection, SendError},
     },
     ::quarantine::{Admission, Subject},
     bytes::Bytes,
@@ -22,9 +23,9 @@
     edge::{Body, discard, read_all},
     http::{Request, Response, header, request},
     hyper::body::Incoming,
-    model::{MILLISECOND, Name, Reason, Time, hash64, mix2},
+    model::{Domain, MILLISECOND, Name, Reason, Time, hash64, mix2},
     parking_lot::Mutex,
-    route::{RouteMatch, RouteTable},
+    route::{Regions, RouteMatch, RouteTable, Team, allowed_regions},
     smallvec::SmallVec,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -93,6 +94,8 @@
     found: RouteMatch,
     team: Option<Name>,
     priority: u8,
+    /// The regions in which the request may be handled, or `None` if it may in all.
+    regions: Option<Regions>,
     body_limit: usize,
     version: u64,
 }
@@ -119,10 +122,16 @@
     if shared.would_outlive_shutdown(found.route.timeout_ms) {
         return Err(Rejection::Stopping);
     }
-    let priority = team.as_ref().and_then(|it| it.1).unwrap_or(found.route.priority);
+    let priority = team.and_then(|it| it.priority).unwrap_or(found.route.priority);
+    let team_regions = team.map(|it| it.regions.as_slice()).unwrap_or_default();
+    let regions = allowed_regions(&found.route.regions, team_regions);
+    if regions.as_ref().is_some_and(|it| it.is_empty()) {
+        return Err(Rejection::NoCommonRegion);
+    }
     let body_limit = table.config().limits.body_bytes as usize;
-    let team = team.map(|it| it.0);
-    Ok(Admitted { found, team, priority, body_limit, version: table.config().version })
+    let team = team.map(|it| it.name.clone());
+    let version = table.config().version;
+    Ok(Admitted { found, team, priority, regions, body_limit, version })
 }
 
 /// Asks the client to retry when a process that has just started should have its configuration.
@@ -132,17 +141,17 @@
     Rejection::NoConfiguration { retry_ms: left_ms.max(MIN_RETRY_MS) }
 }
 
-fn authenticate(
-    table: &RouteTable,
+fn authenticate<'a>(
+    table: &'a RouteTable,
     found: &RouteMatch,
     head: &RequestHead,
-) -> Result<Option<(Name, Option<u8>)>, Rejection> {
+) -> Result<Option<&'a Team>, Rejection> {
     if !table.requires_keys() {
         return Ok(None);
     }
     let team = head.key.as_ref().and_then(|it| table.team_by_key(it.as_bytes()));
     match team {
-        Some(team) => Ok(Some((team.name.clone(), team.priority))),
+        Some(team) => Ok(Some(team)),
         None if found.route.open => Ok(None),
         None => Err(Rejection::UnknownKey),
     }
@@ -165,6 +174,8 @@
     pub(crate) found: RouteMatch,
     pub(crate) team: Option<Name>,
     pub(crate) priority: u8,
+    /// The regions in which the request may be handled, or `None` if it may in all.
+    regions: Option<Regions>,
     pub(crate) parts: request::Parts,
     pub(crate) head: RequestHead,
     pub(crate) body: Bytes,
@@ -203,7 +214,7 @@
 
 impl Call {
     fn new(shared: Arc<Shared>, admitted: Admitted, request: ClientRequest) -> Call {
-        let Admitted { found, team, priority, version, .. } = admitted;
+        let Admitted { found, team, priority, regions, version, .. } = admitted;
         let ClientRequest { parts, head, body, arrived, deadline } = request;
         let path = parts.uri.path_and_query().map_or("", |it| it.as_str());
         let team_name = team.as_deref().unwrap_or_default();
@@ -221,6 +232,7 @@
             found,
             team,
             priority,
+            regions,
             parts,
             head,
             body,
@@ -329,9 +341,13 @@
     pub(crate) async fn next_attempt(&mut self) -> Result<Attempt, Rejection> {
         let now = self.shared.now();
         let service = &self.found.service.name;
-        let has_endpoints = |build| self.shared.dispatcher.lock().has_endpoints(service, build);
-        let no_endpoint = !has_endpoints(None);
-        let no_version = !has_endpoints(self.build);
+        let has_endpoints = |build, regions| {
+            self.shared.dispatcher.lock().has_endpoints_in(service, build, regions)
+        };
+        let regions = self.regions.as_deref();
+        let no_endpoint = !has_endpoints(None, None);
+        let no_region = !has_endpoints(None, regions);
+        let no_version = !has_endpoints(self.build, regions);
         match self.place(now).await {
             Ok(pick) => {
                 self.waited_ms += self.shared.now().since(now) / MILLISECOND;
@@ -342,6 +358,7 @@
                 Err(self.quarantine_rejection().unwrap_or(Rejection::BadGateway))
             }
             Err(Rejected { .. }) if no_endpoint => Err(Rejection::NoEndpoint),
+            Err(Rejected { .. }) if no_region => Err(Rejection::NoRegion),
             Err(Rejected { .. }) if no_version => Err(Rejection::NoVersion),
             Err(Rejected { retry_ms }) => Err(Rejection::NoCapacity { retry_ms }),
         }
@@ -372,7 +389,7 @@
             wait_until,
             excluded: self.tried.clone(),
             build: self.build,
-            regions: None,
+            regions: self.regions.clone(),
         }
     }
 
@@ -392,6 +409,19 @@
         self.deadline.since(self.shared.now()) / MILLISECOND
     }
 
+    /// Connects to an endpoint, directly or by way of a gateway that may receive this request.
+    pub(crate) async fn connect(&self, pick: &Assignment) -> Result<IdleConnection, SendError> {
+        let service = &self.found.service.name;
+        paths::connect(&self.shared, service, pick, self.regions.as_deref()).await
+    }
+
+    /// Returns whether endpoints of a failure domain may run the request. The settings may have
+    /// changed since one of them was chosen.
+    pub(crate) fn may_run_in(&self, domain: &Domain) -> bool {
+        let Some(allowed) = &self.regions else { return true };
+        self.shared.regions.load().get(domain).is_some_and(|it| allowed.contains(it))
+    }
+
     /// Returns whether the endpoint of an attempt has asked for no requests since it was chosen.
     pub(crate) fn is_unwanted(&self, pick: &Assignment) -> bool {
         let service = &self.found.service.name;
--- a/crates/gateway/src/call/outcome.rs
+++ b/crates/gateway/src/call/outcome.rs
@@ -100,6 +100,7 @@
             reason,
             sends = self.sends,
             runs = self.runs,
+            regions = ?self.regions,
             version = self.version,
             endpoint = self.endpoint_id(),
             peer = ?*self.peer.lock(),
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -12,7 +12,7 @@
         shared::Shared,
         upstream::{ResponseBody, SendError},
     },
-    ::path::{Member, PeerFailure},
+    ::path::{Destination, Member, PeerFailure},
     bytes::Bytes,
     derive_more::{Debug, Display, Error},
     dispatch::Assignment,
@@ -91,10 +91,16 @@
     pub(crate) is_path_broken: bool,
 }
 
-/// Connects to the endpoint of an assignment by way of another gateway.
-pub(crate) async fn open(shared: &Arc<Shared>, pick: &Assignment) -> Result<Detour, OpenError> {
+/// Connects to the endpoint of an assignment by way of another gateway, for a request that may be
+/// handled in `regions`, or in all of them.
+pub(crate) async fn open(
+    shared: &Arc<Shared>,
+    pick: &Assignment,
+    regions: Option<&[Name]>,
+) -> Result<Detour, OpenError> {
     for failed in 0..MAX_PEERS {
-        let Some((peer, domain)) = choose_peer(shared, &pick.domain, failed) else { break };
+        let destination = Destination { domain: &pick.domain, regions, failed };
+        let Some((peer, domain)) = choose_peer(shared, destination) else { break };
         match ask(shared, peer, pick.incarnation).await {
             Ok((send, recv)) => {
                 let member = Member { addr: peer, domain: &domain };
@@ -104,6 +110,8 @@
                         event = "detour",
                         endpoint = %pick.id,
                         %peer,
+                        domain = %domain,
+                        ?regions,
                         "gateway: connected to endpoint by way of another gateway"
                     );
                 }
@@ -126,7 +134,8 @@
 /// Returns whether an endpoint refuses the connections of another gateway, or `None` if no other
 /// gateway has a path to it.
 pub(crate) async fn is_refused(shared: &Arc<Shared>, pick: &Assignment) -> Option<bool> {
-    match open(shared, pick).await {
+    // No request is sent.
+    match open(shared, pick, None).await {
         Ok(_) => Some(false),
         Err(OpenError::Failed { is_refused, .. }) => Some(is_refused),
         Err(OpenError::NoPeer) => None,
@@ -153,12 +162,12 @@
     }
 }
 
-fn choose_peer(shared: &Shared, domain: &Domain, failed: usize) -> Option<(SocketAddr, Domain)> {
+fn choose_peer(shared: &Shared, destination: Destination<'_>) -> Option<(SocketAddr, Domain)> {
     let membership = shared.membership.lock();
     let others = membership.routers.iter().filter(|it| it.0 != shared.settings.inner);
     let members = others.clone().map(|it| Member { addr: it.0, domain: &it.1 });
     let mut paths = shared.paths.lock();
-    let addr = paths.choose_peer(shared.now(), members, domain, failed, rand::random())?;
+    let addr = paths.choose_peer(shared.now(), members, destination, rand::random())?;
     others.into_iter().find(|it| it.0 == addr).cloned()
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,18 +14,18 @@
     },
     ::origin::Origins,
     ::quarantine::Quarantine,
-    arc_swap::ArcSwapOption,
+    arc_swap::{ArcSwap, ArcSwapOption},
     directory::Directory,
     dispatch::Dispatcher,
     edge::{Body, Server, ServerLimits, full},
     eyre::{Result, WrapErr, eyre},
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
-    model::{MILLISECOND, Time},
+    model::{Domain, MILLISECOND, Name, Time},
     parking_lot::Mutex,
     settings::GatewaySettings,
     std::{
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         convert::Infallible,
         net::SocketAddr,
         sync::{
@@ -109,6 +109,7 @@
             instance_id: rand::random(),
             table: ArcSwapOption::empty(),
             layout_history: Mutex::default(),
+            regions: ArcSwap::default(),
             field_requests: Mutex::default(),
             waiters: Mutex::new(HashMap::new()),
             budgets: Mutex::new(HashMap::new()),
@@ -140,6 +141,7 @@
             metrics: Metrics::default(),
             sampler: Sampler::default(),
         });
+        shared.set_regions(shared.settings.regions.clone());
         let (addr, server) = server::bind(shared.clone(), listen).await?;
         let admin = serve_admin(shared.clone(), admin, metrics).await?;
         let tasks = vec![
@@ -197,6 +199,18 @@
         });
     }
 
+    /// Replaces the regions of the failure domains.
+    pub fn set_regions(&self, regions: BTreeMap<Domain, Name>) {
+        if **self.shared.regions.load() != regions {
+            tracing::info!(
+                event = "reloaded",
+                ?regions,
+                "gateway: regions of failure domains changed"
+            );
+            self.shared.set_regions(regions);
+        }
+    }
+
     /// Shuts the gateway down gracefully.
     ///
     /// It stops being ready at once and serves its connections until its load balancer has noticed,
--- a/crates/gateway/src/layout.rs
+++ b/crates/gateway/src/layout.rs
@@ -2,9 +2,11 @@
 
 use {
     crate::shared::{Announcement, Shared},
-    dispatch::Dispatcher,
+    dispatch::ColdRate,
     fanout::ConfigHistory,
-    route::{Decoded, EncodingError, FIELD_LEVEL, RouteDelta, RouteTable, RoutingConfig},
+    route::{
+        ColdStart, Decoded, EncodingError, FIELD_LEVEL, RouteDelta, RouteTable, RoutingConfig,
+    },
     std::{
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
@@ -111,7 +113,7 @@
         requested_ms = request.map(|it| it.first_sent_at.elapsed().as_millis() as u64),
         "gateway: configuration applied"
     );
-    set_kv_capacities(&mut shared.dispatcher.lock(), layout);
+    set_service_limits(shared, layout);
     shared.table.store(Some(Arc::new(RouteTable::new(layout.clone()))));
     if installed.is_none() {
         let shared = shared.clone();
@@ -122,8 +124,18 @@
     }
 }
 
-fn set_kv_capacities(dispatcher: &mut Dispatcher, layout: &RoutingConfig) {
+fn set_service_limits(shared: &Shared, layout: &RoutingConfig) {
+    let (now, cold) = (shared.now(), shared.settings.cold);
+    let mut dispatcher = shared.dispatcher.lock();
     for service in &layout.services {
-        dispatcher.set_kv_capacity(&service.name, service.engine.as_ref().map(|it| it.kv_tokens));
+        let kv_tokens = service.engine.as_ref().map(|it| it.kv_tokens);
+        dispatcher.set_kv_capacity(&service.name, kv_tokens);
+        let rate = service.cold.filter(|it| it.start_ms > 0.0 && it.rate > 0.0);
+        let rate = rate.map(|ColdStart { start_ms, rate }| ColdRate {
+            start_ms: start_ms.ceil() as u64,
+            rate,
+            max_per_second: rate * cold.over + cold.slack,
+        });
+        dispatcher.set_cold_rate(now, &service.name, rate);
     }
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -68,10 +68,13 @@
     })
 }
 
-/// Applies new control addresses; all other settings require a restart.
+/// Applies new control addresses and regions; all other settings require a restart.
 fn reload(gateway: &Gateway, file: &Path) {
     match settings::load::<GatewaySettings>(file) {
-        Ok(settings) => gateway.set_control_addrs(settings.control),
+        Ok(settings) => {
+            gateway.set_control_addrs(settings.control);
+            gateway.set_regions(settings.regions);
+        }
         Err(err) => {
             tracing::warn!(
                 event = "reload-failed",
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -23,11 +23,13 @@
 /// How often a gateway that has lost its path to endpoints tries one of them.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Connects to the endpoint of an assignment.
+/// Connects to the endpoint of an assignment, for a request that may be handled in `regions`, or in
+/// all of them.
 pub(crate) async fn connect(
     shared: &Arc<Shared>,
     service: &Name,
     pick: &Assignment,
+    regions: Option<&[Name]>,
 ) -> Result<IdleConnection, SendError> {
     let failed = tokio::select! {
         biased;
@@ -42,7 +44,7 @@
     {
         return Err(SendError::NotSent { reason: err.to_string() });
     }
-    match detour::open(shared, pick).await {
+    match detour::open(shared, pick, regions).await {
         Ok(it) => return Ok(IdleConnection::Detour(it)),
         Err(err @ OpenError::Failed { .. }) => {
             return Err(SendError::NotSent { reason: err.to_string() });
--- a/crates/gateway/src/rejection.rs
+++ b/crates/gateway/src/rejection.rs
@@ -23,6 +23,10 @@
     Stopping,
     #[display("no endpoint is known for the service")]
     NoEndpoint,
+    #[display("the route and the team allow no region in common")]
+    NoCommonRegion,
+    #[display("no endpoint of the service is in an allowed region")]
+    NoRegion,
     #[display("no endpoint of the version that began the stream")]
     NoVersion,
     #[display("the version that began the stream is not known")]
@@ -56,6 +60,8 @@
             Rejection::TooLarge => "too-large",
             Rejection::BadBody => "bad-body",
             Rejection::NoEndpoint => "no-endpoint",
+            Rejection::NoCommonRegion => "no-common-region",
+            Rejection::NoRegion => "no-region",
             Rejection::NoVersion => "no-version",
             Rejection::UnknownOrigin { .. } => "unknown-origin",
             Rejection::NoCapacity { .. } => "no-room",
@@ -74,6 +80,8 @@
             Rejection::NoConfiguration { .. }
             | Rejection::Stopping
             | Rejection::NoEndpoint
+            | Rejection::NoCommonRegion
+            | Rejection::NoRegion
             | Rejection::NoVersion
             | Rejection::UnknownOrigin { .. }
             | Rejection::NoCapacity { .. }
@@ -90,7 +98,9 @@
             | Rejection::UnknownOrigin { retry_ms }
             | Rejection::Quarantined { retry_ms } => Some(retry_ms),
             Rejection::Stopping => Some(STOPPING_RETRY_MS),
-            Rejection::NoEndpoint | Rejection::NoVersion => Some(NO_ENDPOINT_RETRY_MS),
+            Rejection::NoEndpoint | Rejection::NoRegion | Rejection::NoVersion => {
+                Some(NO_ENDPOINT_RETRY_MS)
+            }
             _ => None,
         }
     }
--- a/crates/gateway/src/replacement.rs
+++ b/crates/gateway/src/replacement.rs
@@ -87,7 +87,7 @@
     let wait_until = shared.now() + RETRY_MS * MILLISECOND;
     let slot = shared.acquire_slot(call.dispatch_request(wait_until)).await;
     let attempt = Attempt::new(shared, slot.map_err(|_| Obstacle::NoCapacity)?);
-    let attempt = attempt.connect(service).await.ok_or(Obstacle::Unreachable)?;
+    let attempt = attempt.connect(call).await.ok_or(Obstacle::Unreachable)?;
     if !shared.try_spend_retry(service) {
         return Err(Obstacle::NoBudget);
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,7 +7,7 @@
         field_requests::FieldRequests, header_names::HeaderNames, metrics::Metrics,
         response_memory::ResponseMemory, sampler::Sampler,
     },
-    arc_swap::ArcSwapOption,
+    arc_swap::{ArcSwap, ArcSwapOption},
     derive_more::Debug,
     dispatch::{
         Assignment, AttemptOutcome, DispatchRequest, Dispatcher, RetryBudget, RetryBudgetLimits,
@@ -22,7 +22,7 @@
     route::RouteTable,
     settings::GatewaySettings,
     std::{
-        collections::{HashMap, HashSet},
+        collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
         sync::{
             Arc,
@@ -113,6 +113,8 @@
     pub(crate) table: ArcSwapOption<RouteTable>,
     /// The messages that update other gateways to the installed configuration.
     pub(crate) layout_history: Mutex<Option<Arc<ConfigHistory>>>,
+    /// The region of each failure domain, from the settings.
+    pub(crate) regions: ArcSwap<BTreeMap<Domain, Name>>,
     /// The requests for fields that the installed configuration lacks.
     pub(crate) field_requests: Mutex<FieldRequests>,
     pub(crate) dispatcher: Mutex<Dispatcher>,
@@ -171,6 +173,15 @@
         self.clock.now()
     }
 
+    /// Replaces the regions of the failure domains.
+    pub(crate) fn set_regions(&self, regions: BTreeMap<Domain, Name>) {
+        let by_domain: HashMap<_, _> = regions.clone().into_iter().collect();
+        // First where requests are checked last, so that none is sent by the earlier regions.
+        self.regions.store(Arc::new(regions));
+        self.paths.lock().set_regions(&self.settings.domain, by_domain.clone());
+        self.dispatcher.lock().set_regions(by_domain);
+    }
+
     /// Returns when shutdown was requested.
     pub(crate) fn shutdown_at(&self) -> Option<Time> {
         let at = self.shutdown_at.load(Ordering::Relaxed);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -19,7 +19,7 @@
     control::{Control, RoutingConfigStore},
     directory::{Directory, DirectoryError, ListedEndpoint, Listing},
     gateway::{Gateway, HeaderNames},
-    model::{Digest, Domain, HostName},
+    model::{Digest, Domain, HostName, Name},
     route::{
         CallerLimits, Engine, Route, RouteKind, RoutingConfig, Service, Team, WeightedService,
     },
@@ -137,6 +137,17 @@
         Fixture::start_with(endpoints, 1_000.0, RETRIES).await
     }
 
+    /// Starts a gateway with `layout` and these endpoints, whose settings name these regions, and waits
+    /// until it is ready.
+    pub(crate) async fn start_in_regions(
+        layout: &RoutingConfig,
+        endpoints: &[ListedEndpoint],
+    ) -> Fixture {
+        let fixture = Fixture::start(layout, endpoints).await;
+        fixture.gateway.set_regions(regions());
+        fixture
+    }
+
     /// Starts a gateway without a configuration, whose control replica has a link of `link_mbps`
     /// Mbit/s.
     pub(crate) async fn start_on_link(link_mbps: f64) -> Fixture {
@@ -198,7 +209,11 @@
         let mut admin = None;
         for (domain, endpoints) in lists {
             let domain = Domain((*domain).into());
-            let settings = GatewaySettings { domain, ..gateway_settings(control.internal_addr()) };
+            let settings = GatewaySettings {
+                domain,
+                regions: regions(),
+                ..gateway_settings(control.internal_addr())
+            };
             admin.get_or_insert(settings.admin);
             let list = StaticList(Arc::new(Mutex::new(endpoints.clone())));
             gateways.push(start_gateway(settings, list).await);
@@ -300,6 +315,12 @@
     gateway.expect("failed to start the gateway")
 }
 
+/// Returns the regions of the domains that tests use.
+pub(crate) fn regions() -> BTreeMap<Domain, Name> {
+    let regions = [("d0", "north"), ("d1", "north"), ("d2", "south"), ("d3", "south")];
+    regions.map(|(domain, region)| (Domain(domain.into()), region.into())).into()
+}
+
 /// Waits until a gateway reports on its admin address that it is ready.
 pub(crate) async fn wait_until_admin_ready(admin: SocketAddr) {
     let client = edge::Client::new(1_000);
--- a/crates/gateway/tests/field_levels.rs
+++ b/crates/gateway/tests/field_levels.rs
@@ -3,8 +3,13 @@
 mod common;
 
 use {
-    common::{StaticList, free_port, gateway_settings, layout, start_gateway, wait_until},
+    common::{
+        Client, Endpoint, StaticList, free_port, gateway_settings, layout, regions, start_gateway,
+        wait_until,
+    },
+    directory::ListedEndpoint,
     gateway::Gateway,
+    model::Domain,
     route::{ColdStart, Decoded, FIELD_LEVEL, RouteDelta, RoutingConfig},
     settings::GatewaySettings,
     smallvec::smallvec,
@@ -95,10 +100,18 @@
 }
 
 async fn start(control: &[SocketAddr]) -> (Gateway, SocketAddr) {
+    start_with(control, StaticList::default()).await
+}
+
+async fn start_with(control: &[SocketAddr], list: StaticList) -> (Gateway, SocketAddr) {
     let inner = free_port();
-    let settings =
-        GatewaySettings { inner, control: control.to_vec(), ..gateway_settings(control[0]) };
-    (start_gateway(settings, StaticList::default()).await, inner)
+    let settings = GatewaySettings {
+        inner,
+        control: control.to_vec(),
+        regions: regions(),
+        ..gateway_settings(control[0])
+    };
+    (start_gateway(settings, list).await, inner)
 }
 
 /// Returns the configuration that a gateway sends to another one.
@@ -164,8 +177,13 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_delta_without_the_fields_keeps_those_in_force() {
     let new = Replica::start(&restricted(1), None, FIELD_LEVEL).await;
-    let (gateway, inner) = start(&[new.addr]).await;
-    wait_until(|| gateway.layout_version() == Some(1)).await;
+    let endpoint = Endpoint::start([]).await;
+    let entry = endpoint.listing_entry("plain", "e");
+    let list = StaticList::default();
+    // Not in the region of the route.
+    list.replace(&[ListedEndpoint { domain: Domain("d2".into()), ..entry }]);
+    let (gateway, inner) = start_with(&[new.addr], list).await;
+    wait_until(|| gateway.is_ready() && gateway.layout_version() == Some(1)).await;
     let mut next = layout(2);
     next.routes[0].timeout_ms += 1;
     let delta = RouteDelta::between(&layout(1), &next);
@@ -173,6 +191,8 @@
     gateway.set_control_addrs(vec![old.addr]);
     wait_until(|| gateway.layout_version() == Some(2)).await;
     assert_eq!(relayed(inner).await.level, 0);
+    assert_eq!(Client::new(gateway.addr()).call("/read/").await.status, 503);
+    assert_eq!(endpoint.received().len(), 0, "the restriction ended");
     let mut expected = restricted(2);
     expected.routes[0].timeout_ms += 1;
     let newer = Replica::start(&expected, None, FIELD_LEVEL).await;
--- a/crates/gateway/tests/partition.rs
+++ b/crates/gateway/tests/partition.rs
@@ -8,7 +8,9 @@
         wait_until,
     },
     directory::ListedEndpoint,
+    route::RoutingConfig,
     rstest::rstest,
+    smallvec::smallvec,
     std::{collections::HashMap, ops::Range, time::Duration},
     tokio::time::{Instant, sleep},
 };
@@ -45,6 +47,10 @@
 
 impl Fleet {
     async fn start(domains: &[&str]) -> Fleet {
+        Fleet::start_with(domains, &layout(1)).await
+    }
+
+    async fn start_with(domains: &[&str], layout: &RoutingConfig) -> Fleet {
         let mut endpoints = Vec::new();
         for _ in 0..2 * ENDPOINTS {
             endpoints.push(Endpoint::start([]).await);
@@ -55,7 +61,7 @@
             lists.push((*domain, list));
             links.push(paths);
         }
-        let fixture = Fixture::start_with_lists(&layout(1), &lists).await;
+        let fixture = Fixture::start_with_lists(layout, &lists).await;
         Fleet { fixture, endpoints, links, requests: 0 }
     }
 
@@ -128,6 +134,34 @@
     }
 }
 
+/// Guards against the body of a request that passes through a region in which it is not allowed.
+/// The endpoints and the first gateway are in `north`.
+#[rstest]
+#[case::forbidden(&["d0", "d2", "d3"], "north", 0)]
+#[case::own_region(&["d0", "d2", "d1"], "north", 20)]
+#[case::no_restriction(&["d0", "d2", "d3"], "", 20)]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_pass_through_gateways_in_allowed_regions_only(
+    #[case] domains: &[&str],
+    #[case] region: &str,
+    #[case] served: usize,
+) {
+    let mut layout = layout(1);
+    if !region.is_empty() {
+        layout.routes.iter_mut().for_each(|it| it.regions = smallvec![region.into()]);
+    }
+    let mut fleet = Fleet::start_with(domains, &layout).await;
+    assert_eq!(fleet.served(0, "/write/", 10).await, 10, "before the cut");
+    fleet.cut(0, Cut::Refuse).await;
+    fleet.notice(0).await;
+    assert_eq!(fleet.served(0, "/write/", 20).await, served);
+    assert_eq!(fleet.max_runs(), 1);
+    let received: usize = fleet.endpoints.iter().map(|it| it.received().len()).sum();
+    if served == 0 {
+        assert_eq!(received, 10, "requests were carried through another region");
+    }
+}
+
 /// Returns the events of a stream as the client receives them.
 fn events(numbers: Range<u64>) -> String {
     numbers.map(event).collect()
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -8,9 +8,10 @@
 
 mod paths;
 mod peers;
+mod regions;
 mod scope;
 
 pub use crate::{
-    paths::{Endpoint, PathChange, Paths},
+    paths::{Destination, Endpoint, PathChange, Paths},
     peers::{Member, PeerFailure},
 };
--- a/crates/path/src/paths.rs
+++ b/crates/path/src/paths.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         peers::{Member, PeerFailure, Peers},
+        regions::DomainRegions,
         scope::Scope,
     },
     derive_more::Debug,
@@ -19,6 +20,17 @@
     pub incarnation: u64,
 }
 
+/// The endpoint of a request that another router is to carry.
+#[derive(Clone, Copy, Debug)]
+pub struct Destination<'a> {
+    /// The failure domain of the endpoint.
+    pub domain: &'a Domain,
+    /// The regions in which the request may be handled, or `None` if it may in all.
+    pub regions: Option<&'a [Name]>,
+    /// How many routers have failed for this endpoint.
+    pub failed: usize,
+}
+
 /// A change of what a router believes about its paths.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum PathChange {
@@ -45,9 +57,15 @@
     all: Scope,
     services: HashMap<Name, Scope>,
     peers: Peers,
+    regions: DomainRegions,
 }
 
 impl Paths {
+    /// Replaces the regions of the failure domains; `own` is the domain of this router.
+    pub fn set_regions(&mut self, own: &Domain, regions: HashMap<Domain, Name>) {
+        self.regions = DomainRegions::new(own, regions);
+    }
+
     /// Replaces the list of endpoints.
     pub fn set_endpoints<I>(&mut self, endpoints: I)
     where
@@ -119,20 +137,23 @@
         probes.collect()
     }
 
-    /// Returns the router among `members` to ask for a path to an endpoint in `domain`, or `None` if
-    /// all have failed lately. The endpoint's own domain goes first, where its bytes pass anyway. Once
-    /// `failed` others have failed for this endpoint, those go first that reached one lately.
+    /// Returns the router among `members` to ask for a path to an endpoint, or `None` if all have
+    /// failed lately or must not receive the request. The endpoint's own domain goes first, where its
+    /// bytes pass anyway. Once others have failed for this endpoint, those go first that reached one
+    /// lately.
     pub fn choose_peer<'a, I>(
         &mut self,
         now: Time,
         members: I,
-        domain: &Domain,
-        failed: usize,
+        destination: Destination<'_>,
         random: u64,
     ) -> Option<SocketAddr>
     where
         I: IntoIterator<Item = Member<'a>>,
     {
+        let Destination { domain, regions, failed } = destination;
+        let is_allowed = |it: &Member<'_>| self.regions.may_carry(it.domain, regions);
+        let members = members.into_iter().filter(is_allowed);
         self.peers.choose(now, members, domain, failed, random)
     }
 
--- a/crates/path/tests/paths.rs
+++ b/crates/path/tests/paths.rs
@@ -2,7 +2,7 @@
 
 use {
     model::{Domain, MILLISECOND, Name, SECOND, Time},
-    path::{Endpoint, Member, PathChange, Paths, PeerFailure},
+    path::{Destination, Endpoint, Member, PathChange, Paths, PeerFailure},
     rand::{Rng, RngCore, SeedableRng},
     rand_chacha::ChaCha8Rng,
     rstest::rstest,
@@ -168,7 +168,8 @@
             let members: Vec<_> = members.enumerate().filter(|it| it.0 != from).collect();
             let others = members.iter().map(|(_, it)| Member { addr: it.0, domain: &it.1 });
             let paths = &mut self.routers[from].2;
-            let peer = paths.choose_peer(now, others, &domain, asked, random.next_u64())?;
+            let destination = Destination { domain: &domain, regions: None, failed: asked };
+            let peer = paths.choose_peer(now, others, destination, random.next_u64())?;
             let (at, (addr, domain)) = members.iter().find(|it| it.1.0 == peer)?;
             let member = Member { addr: *addr, domain };
             if !self.is_cut[*at] {
@@ -228,3 +229,49 @@
         "the busiest of {usable} routers carries {most}, the mean is {mean}"
     );
 }
+
+/// Returns the domains of the routers that are chosen for a request that is allowed in `regions`, by a
+/// router in `own`.
+fn carriers(own: &str, regions: Option<&[&str]>) -> Vec<String> {
+    let domain = |it: &str| Domain(it.into());
+    let domains = ["n1", "n2", "s1", "e1", "none"].map(domain);
+    let routers: Vec<(SocketAddr, &Domain)> =
+        (1..=10).map(|it| ([10, 0, 0, it], 1).into()).zip(domains.iter().cycle()).collect();
+    let in_regions = [("n1", "north"), ("n2", "north"), ("s1", "south"), ("e1", "east")];
+    let in_regions = in_regions.map(|(it, region)| (domain(it), region.into()));
+    let mut paths = paths(3);
+    paths.set_regions(&domain(own), in_regions.into());
+    let regions: Option<Vec<Name>> = regions.map(|it| it.iter().map(|it| (*it).into()).collect());
+    let mut chosen = Vec::new();
+    for random in 0..400 {
+        let failed = random as usize % 3;
+        // The endpoint's own domain is preferred only if it is allowed.
+        let target = &domains[random as usize / 3 % domains.len()];
+        let destination = Destination { domain: target, regions: regions.as_deref(), failed };
+        let members = routers.iter().map(|it| Member { addr: it.0, domain: it.1 });
+        let Some(addr) = paths.choose_peer(ms(1), members, destination, random) else { continue };
+        let (addr, domain) = *routers.iter().find(|it| it.0 == addr).expect("unknown router");
+        chosen.push(domain.0.to_string());
+        if random % 7 == 0 {
+            paths.record_carried(ms(1), Member { addr, domain });
+        }
+    }
+    chosen.sort_unstable();
+    chosen.dedup();
+    chosen
+}
+
+/// Guards against the body of a request that passes through a region in which it is not allowed.
+#[rstest]
+#[case::no_restriction("n1", None, &["e1", "n1", "n2", "none", "s1"])]
+#[case::own_region("n1", Some(&["north"][..]), &["n1", "n2"])]
+#[case::other_region_and_the_own_one("n1", Some(&["south"][..]), &["n1", "n2", "s1"])]
+#[case::router_without_region("none", Some(&["south"][..]), &["s1"])]
+#[case::unknown_region("none", Some(&["west"][..]), &[])]
+fn requests_pass_through_allowed_regions_only(
+    #[case] own: &str,
+    #[case] regions: Option<&[&str]>,
+    #[case] expected: &[&str],
+) {
+    assert_eq!(carriers(own, regions), expected);
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,7 @@
 mod encoding;
 mod frozen;
 mod published;
+mod regions;
 mod table;
 
 pub use crate::{
@@ -21,5 +22,6 @@
     delta::{RouteDelta, VersionMismatch},
     encoding::{Decoded, EncodingError, FIELD_LEVEL},
     published::{PublishOutcome, PublishedConfig},
+    regions::allowed_regions,
     table::{RouteMatch, RouteTable},
 };
--- a/crates/route/tests/config.rs
+++ b/crates/route/tests/config.rs
@@ -7,8 +7,8 @@
     model::Digest,
     proptest::prelude::*,
     route::{
-        ColdStart, ConfigError, PublishOutcome, PublishedConfig, RouteDelta, RouteTable,
-        RoutingConfig, WeightedService,
+        ColdStart, ConfigError, PublishOutcome, PublishedConfig, Regions, RouteDelta, RouteTable,
+        RoutingConfig, WeightedService, allowed_regions,
     },
     rstest::rstest,
     smallvec::smallvec,
@@ -41,6 +41,21 @@
     assert!(config.check().is_err());
 }
 
+#[rstest]
+#[case::none(&[], &[], None)]
+#[case::of_the_route(&["a", "b"], &[], Some(&["a", "b"][..]))]
+#[case::of_the_team(&[], &["a"], Some(&["a"][..]))]
+#[case::of_both(&["a", "b"], &["b", "c"], Some(&["b"][..]))]
+#[case::nothing_in_common(&["a"], &["b"], Some(&[][..]))]
+fn regions_of_route_and_team_both_apply(
+    #[case] route: &[&str],
+    #[case] team: &[&str],
+    #[case] expected: Option<&[&str]>,
+) {
+    let names = |it: &[&str]| it.iter().map(|it| (*it).into()).collect::<Regions>();
+    assert_eq!(allowed_regions(&names(route), &names(team)), expected.map(names));
+}
+
 fn cold(start_ms: f64, rate: f64) -> Option<ColdStart> {
     Some(ColdStart { start_ms, rate })
 }
