--- a/crates/gateway/tests/regions.rs
+++ b/crates/gateway/tests/regions.rs
@@ -22,7 +22,7 @@
 /// Long enough for a gateway to learn of a list of endpoints.
 const LISTING_TIME: Duration = Duration::from_millis(500);
 
-/// What restricts requests to the region of `d0` and `d1`.
+/// What restricts requests to the region of `d2` and `d3`. The gateway is in `d0`, whose endpoints it would prefer.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Restriction {
     Route,
@@ -34,10 +34,10 @@
     let mut layout = layout(1);
     // Both together leave one region.
     let (routes, teams) = match restriction {
-        Restriction::Route => (smallvec!["north".into()], smallvec![]),
-        Restriction::Team => (smallvec![], smallvec!["north".into()]),
+        Restriction::Route => (smallvec!["south".into()], smallvec![]),
+        Restriction::Team => (smallvec![], smallvec!["south".into()]),
         Restriction::Both => {
-            (smallvec!["west".into(), "north".into()], smallvec!["north".into(), "south".into()])
+            (smallvec!["west".into(), "south".into()], smallvec!["south".into(), "north".into()])
         }
     };
     for route in &mut layout.routes {
@@ -51,7 +51,7 @@
     ListedEndpoint { domain: Domain(domain.into()), ..endpoint.listing_entry(service, id) }
 }
 
-/// Two endpoints in the allowed region, one in another region and one in none.
+/// Two endpoints in the allowed region, one in the region of the gateway and one in none.
 struct Endpoints {
     allowed: [Endpoint; 2],
     forbidden: [Endpoint; 2],
@@ -68,9 +68,9 @@
 
     fn listing(&self, service: &str) -> Vec<ListedEndpoint> {
         vec![
-            entry(&self.allowed[0], service, "a0", "d0"),
-            entry(&self.allowed[1], service, "a1", "d1"),
-            entry(&self.forbidden[0], service, "f0", "d2"),
+            entry(&self.allowed[0], service, "a0", "d2"),
+            entry(&self.allowed[1], service, "a1", "d3"),
+            entry(&self.forbidden[0], service, "f0", "d0"),
             entry(&self.forbidden[1], service, "f1", "unknown"),
         ]
     }
@@ -159,7 +159,7 @@
 async fn request_is_refused_at_once_if_route_and_team_have_no_region_in_common() {
     let endpoints = Endpoints::start(&Behavior::Respond).await;
     let mut layout = restricted(Restriction::Route);
-    layout.teams[0].regions = smallvec!["south".into()];
+    layout.teams[0].regions = smallvec!["north".into()];
     let fixture = Fixture::start_in_regions(&layout, &endpoints.listing("plain")).await;
     let response = fixture.client().body("x").call("/write/").await;
     assert_eq!(response.status, 503);
