--- a/crates/jf/src/check.rs
+++ b/crates/jf/src/check.rs
@@ -1,12 +1,12 @@
 //! Checks settings, intent and routing configuration files without starting a process.
 
 use {
-    crate::{failure::BadInput, flags},
+    crate::{api::Api, block_on, failure::BadInput, flags, operate},
     derive_more::Display,
-    eyre::Result,
+    eyre::{Result, WrapErr},
     intent::{Action, Answer, Document, IntentState, Operation, WeightStore},
     model::OperationId,
-    route::RoutingConfig,
+    route::{RoutingConfig, Severity},
     serde::Deserialize,
     settings::{
         ControlSettings, GatewaySettings, LoadSettings, OperatorSettings, RouterSettings, Validate,
@@ -51,12 +51,16 @@
     }
 }
 
-pub(crate) fn run(flags: &flags::Check) -> Result<()> {
+/// Checks a file. A routing configuration is compared with the one in force if settings are given.
+pub(crate) fn run(flags: &flags::Check, settings: Option<&Path>) -> Result<()> {
     let file = &flags.file;
     let kind = match flags.kind.as_deref() {
         Some(name) => parse_kind(name)?,
         None => guess_kind(file),
     };
+    if flags.against.is_some() && kind != Kind::Layout {
+        return Err(BadInput::new(format!("--against: {kind} has no other version")).into());
+    }
     match kind {
         Kind::Router => drop(settings::load::<RouterSettings>(file)?),
         Kind::Control => drop(settings::load::<ControlSettings>(file)?),
@@ -64,7 +68,7 @@
         Kind::Load => drop(settings::load::<LoadSettings>(file)?),
         Kind::Intent => check_intent(file)?,
         Kind::Gateway => drop(settings::load::<GatewaySettings>(file)?),
-        Kind::Layout => drop(check_layout(file)?),
+        Kind::Layout => review_layout(file, in_force(flags, settings)?.as_ref())?,
     }
     println!("{}: valid {kind}", file.display());
     Ok(())
@@ -94,19 +98,52 @@
     }
 }
 
-/// Checks a routing configuration with the rules that control applies, and returns the file's
-/// content.
+/// Prints the findings about a routing configuration, one a line.
+fn review_layout(file: &Path, in_force: Option<&RoutingConfig>) -> Result<()> {
+    let (layout, _) = read_layout(file)?;
+    let findings = layout.review(in_force);
+    for finding in &findings {
+        println!("{}: {}: {finding}", file.display(), finding.severity());
+    }
+    match findings.iter().filter(|it| it.severity() == Severity::Error).count() {
+        0 => Ok(()),
+        errors => Err(BadInput::new(format!("{}: errors: {errors}", file.display())).into()),
+    }
+}
+
+/// Returns the routing configuration to compare with, if there is one.
+fn in_force(flags: &flags::Check, settings: Option<&Path>) -> Result<Option<RoutingConfig>> {
+    if let Some(file) = &flags.against {
+        return Ok(Some(read_layout(file)?.0));
+    }
+    let Some(settings) = settings else { return Ok(None) };
+    let api = Api::open(Some(settings))?;
+    let document = block_on(operate::layout_in_force(&api))?;
+    if document.is_null() {
+        return Ok(None);
+    }
+    let layout = serde_json::from_value(document);
+    layout.map(Some).wrap_err("cannot decode the routing configuration in force")
+}
+
+/// Returns the content of a routing configuration file that control would accept.
 ///
 /// # Errors
 ///
 /// Returns an error if the file cannot be read or the configuration is invalid.
-pub(crate) fn check_layout(file: &Path) -> Result<Vec<u8>> {
+pub(crate) fn read_valid_layout(file: &Path) -> Result<Vec<u8>> {
+    let (layout, bytes) = read_layout(file)?;
+    let checked = layout.check();
+    checked.map_err(|it| BadInput::new(format!("{}: {it}", file.display())))?;
+    Ok(bytes)
+}
+
+/// Reads a routing configuration, and returns the file's content too.
+fn read_layout(file: &Path) -> Result<(RoutingConfig, Vec<u8>)> {
     let bad_input = |reason: String| BadInput::new(format!("{}: {reason}", file.display()));
     let bytes = fs::read(file).map_err(|it| bad_input(it.to_string()))?;
-    let layout: RoutingConfig =
-        serde_json::from_slice(&bytes).map_err(|it| bad_input(it.to_string()))?;
-    layout.check().map_err(|it| bad_input(it.to_string()))?;
-    Ok(bytes)
+    let layout = serde_json::from_slice(&bytes).map_err(|it| bad_input(it.to_string()))?;
+    Ok((layout, bytes))
 }
 
 fn parse_kind(name: &str) -> Result<Kind> {
--- a/crates/jf/src/flags.rs
+++ b/crates/jf/src/flags.rs
@@ -73,6 +73,8 @@
             required file: PathBuf
             /// The kind: router, gateway, control, operator, load, layout or intent. Default: guessed from the keys.
             optional --kind kind: String
+            /// For a routing configuration, the one to compare it with. Default: the one in force, if --settings is given.
+            optional --against against: PathBuf
         }
         /// Creates a development certificate authority, and certificates for internal and client connections.
         cmd keys {
--- a/crates/jf/src/main.rs
+++ b/crates/jf/src/main.rs
@@ -45,7 +45,7 @@
 
 fn run(flags: &Jf) -> Result<()> {
     match &flags.subcommand {
-        JfCmd::Check(it) => return check::run(it),
+        JfCmd::Check(it) => return check::run(it, flags.settings.as_deref()),
         JfCmd::Explain(it) => return explain::run(it),
         JfCmd::Keys(it) => return keys::run(&it.dir),
         JfCmd::Version(_) => {
@@ -55,10 +55,15 @@
         _ => {}
     }
     let api = Api::open(flags.settings.as_deref())?;
+    block_on(run_api_command(&api, &flags.subcommand))
+}
+
+fn block_on<F, T>(future: F) -> Result<T>
+where
+    F: Future<Output = Result<T>>,
+{
     let runtime = Builder::new_current_thread().enable_all().build();
-    runtime
-        .wrap_err("failed to start the runtime")?
-        .block_on(run_api_command(&api, &flags.subcommand))
+    runtime.wrap_err("failed to start the runtime")?.block_on(future)
 }
 
 async fn run_api_command(api: &Api, command: &JfCmd) -> Result<()> {
--- a/crates/jf/src/operate.rs
+++ b/crates/jf/src/operate.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         api::{Api, Call},
-        check::{check_intent, check_layout},
+        check::{check_intent, read_valid_layout},
         failure::BadInput,
         flags,
     },
@@ -54,7 +54,7 @@
 }
 
 pub(crate) async fn publish(api: &Api, flags: &flags::Publish) -> Result<()> {
-    let body = Bytes::from(check_layout(&flags.file)?);
+    let body = Bytes::from(read_valid_layout(&flags.file)?);
     let path = "/v1/layout".to_owned();
     let published = api.call(&Call { method: Method::PUT, path, operation: None, body }).await?;
     match published["overtaken"].as_u64() {
@@ -65,10 +65,15 @@
 }
 
 pub(crate) async fn layout(api: &Api) -> Result<()> {
+    println!("{}", layout_in_force(api).await?);
+    Ok(())
+}
+
+/// Returns the routing configuration in force, or null before the first.
+pub(crate) async fn layout_in_force(api: &Api) -> Result<Value> {
     let path = "/v1/layout".to_owned();
     let call = Call { method: Method::GET, path, operation: None, body: Bytes::new() };
-    println!("{}", api.call(&call).await?);
-    Ok(())
+    api.call(&call).await
 }
 
 async fn send_operation(
--- a/crates/jf/tests/command.rs
+++ b/crates/jf/tests/command.rs
@@ -143,3 +143,64 @@
         assert_eq!(output.status.code(), Some(0), "{}", String::from_utf8_lossy(&output.stderr));
     }
 }
+
+const LAYOUT: &str = r#"{
+    "version": 3,
+    "routes": [{"name": "r", "host": "h", "prefix": "/", "kind": "Idempotent", "timeout_ms": 1000, "target_ms": 100,
+        "gap_ms": 0, "priority": 0, "split": [{"service": "s", "weight": 1}], "attempts": 1, "open": false,
+        "affine": false, "resumable": false}],
+    "services": [{"name": "s", "health": "/", "connections": 1, "engine": null}],
+    "limits": {"header_bytes": 1, "body_bytes": 1, "header_ms": 1, "idle_ms": 1},
+    "teams": []
+}"#;
+
+/// Returns the exit code and the lines about this file.
+fn check_layout(name: &str, layout: &str, against: Option<&str>) -> (Option<i32>, Vec<String>) {
+    let temp_dir = TempDir::new(name);
+    let file = temp_dir.write("layout.json", layout);
+    let against = against.map(|it| temp_dir.write("in-force.json", it));
+    let mut args = vec!["check", path_str(&file)];
+    args.extend(against.iter().flat_map(|it| ["--against", path_str(it)]));
+    let output = jf(&args);
+    let stdout = String::from_utf8_lossy(&output.stdout).into_owned();
+    let prefix = format!("{}: ", path_str(&file));
+    let lines = stdout.lines().filter_map(|it| it.strip_prefix(&prefix));
+    (output.status.code(), lines.map(str::to_owned).collect())
+}
+
+#[test]
+fn a_sound_layout_is_valid() {
+    let expected = vec!["valid routing configuration".to_owned()];
+    assert_eq!(check_layout("sound", LAYOUT, None), (Some(0), expected));
+}
+
+/// Guards against doubts that stop a script which publishes a valid file.
+#[test]
+fn findings_about_a_layout_are_printed_one_a_line() {
+    let layout = LAYOUT.replace(r#""target_ms": 100"#, r#""target_ms": 2000"#);
+    let in_force = LAYOUT.replace(r#""version": 3"#, r#""version": 2"#);
+    let (code, lines) = check_layout("findings", &layout, Some(&in_force));
+    let expected = [
+        "warning: route r: the target time is longer than the timeout",
+        "note: route r: target_ms changes from 100 to 2000",
+        "valid routing configuration",
+    ];
+    assert_eq!(code, Some(0));
+    assert_eq!(lines, expected);
+}
+
+#[rstest]
+#[case::two_errors(r#"1000, "#, r#"0, "regions": [""], "#, None, 2)]
+#[case::not_newer("x", "x", Some(LAYOUT), 1)]
+fn an_error_in_a_layout_exits_with_2(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] against: Option<&str>,
+    #[case] errors: usize,
+) {
+    let name = format!("errors-{errors}");
+    let (code, lines) = check_layout(&name, &LAYOUT.replace(from, to), against);
+    assert_eq!(code, Some(2), "{lines:?}");
+    assert_eq!(lines.iter().filter(|it| it.starts_with("error: ")).count(), errors, "{lines:?}");
+    assert!(lines.iter().all(|it| !it.starts_with("valid")), "{lines:?}");
+}
--- a/crates/route/src/check.rs
+++ b/crates/route/src/check.rs
@@ -75,61 +75,70 @@
     ///
     /// Returns the first problem found.
     pub fn check(&self) -> Result<(), ConfigError> {
+        self.errors().into_iter().next().map_or(Ok(()), Err)
+    }
+
+    /// Returns all reasons why the configuration is invalid.
+    pub fn errors(&self) -> Vec<ConfigError> {
+        let mut errors = Vec::new();
         let mut services = HashSet::new();
         for service in &self.services {
             if !services.insert(&service.name) {
-                return Err(ConfigError::DuplicateService { service: service.name.clone() });
+                errors.push(ConfigError::DuplicateService { service: service.name.clone() });
             }
             let mut cold = service.cold.iter().flat_map(|it| [it.start_ms, it.rate]);
             if cold.any(|it| !it.is_finite() || it < 0.0) {
-                return Err(ConfigError::InvalidColdStart { service: service.name.clone() });
+                errors.push(ConfigError::InvalidColdStart { service: service.name.clone() });
             }
         }
         let mut prefixes = HashSet::new();
         for route in &self.routes {
-            check_route(route, &services)?;
+            errors.extend(route_errors(route, &services));
             if !prefixes.insert((&route.host, &route.prefix)) {
-                return Err(ConfigError::DuplicatePrefix { route: route.name.clone() });
+                errors.push(ConfigError::DuplicatePrefix { route: route.name.clone() });
             }
         }
-        self.check_teams()
+        errors.extend(self.team_errors());
+        errors
     }
 
-    fn check_teams(&self) -> Result<(), ConfigError> {
+    fn team_errors(&self) -> Vec<ConfigError> {
         let (mut names, mut keys) = (HashSet::new(), HashSet::new());
+        let mut errors = Vec::new();
         for team in &self.teams {
             // A team may list the same key twice.
             let distinct: HashSet<_> = team.keys.iter().collect();
-            let key_taken = distinct.into_iter().any(|it| !keys.insert(it));
-            if key_taken || !names.insert(&team.name) {
-                return Err(ConfigError::DuplicateTeam { team: team.name.clone() });
+            let taken_keys = distinct.into_iter().filter(|it| !keys.insert(*it)).count();
+            let is_new = names.insert(&team.name);
+            if taken_keys > 0 || !is_new {
+                errors.push(ConfigError::DuplicateTeam { team: team.name.clone() });
             }
-            check_regions("team", &team.name, &team.regions)?;
+            errors.extend(region_error("team", &team.name, &team.regions));
         }
-        Ok(())
+        errors
     }
 }
 
-fn check_route(route: &Route, services: &HashSet<&Name>) -> Result<(), ConfigError> {
+fn route_errors(route: &Route, services: &HashSet<&Name>) -> Vec<ConfigError> {
     let name = || route.name.clone();
-    if let Some(share) = route.split.iter().find(|it| !services.contains(&it.service)) {
-        return Err(ConfigError::UnknownService { route: name(), service: share.service.clone() });
-    }
+    let unknown = route.split.iter().filter(|it| !services.contains(&it.service));
+    let unknown = unknown
+        .map(|it| ConfigError::UnknownService { route: name(), service: it.service.clone() });
+    let mut errors: Vec<_> = unknown.collect();
     if route.split.iter().all(|it| it.weight == 0) {
-        return Err(ConfigError::ZeroWeight { route: name() });
+        errors.push(ConfigError::ZeroWeight { route: name() });
     }
     if route.timeout_ms == 0 {
-        return Err(ConfigError::ZeroTimeout { route: name() });
+        errors.push(ConfigError::ZeroTimeout { route: name() });
     }
     if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
-        return Err(ConfigError::InvalidPrefix { route: name() });
+        errors.push(ConfigError::InvalidPrefix { route: name() });
     }
-    check_regions("route", &route.name, &route.regions)
+    errors.extend(region_error("route", &route.name, &route.regions));
+    errors
 }
 
-fn check_regions(kind: &str, name: &Name, regions: &Regions) -> Result<(), ConfigError> {
-    if regions.iter().any(|it| it.is_empty()) {
-        return Err(ConfigError::EmptyRegion { entry: format!("{kind} {name}").into() });
-    }
-    Ok(())
+fn region_error(kind: &str, name: &Name, regions: &Regions) -> Option<ConfigError> {
+    let is_empty = regions.iter().any(|it| it.is_empty());
+    is_empty.then(|| ConfigError::EmptyRegion { entry: format!("{kind} {name}").into() })
 }
