--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -7,11 +7,11 @@
         limit::{Fleet, Limit, LimitChange},
         load::Load,
         outage::{Outage, OutageReport, PeerReports},
-        request::{Assignment, EndpointHandle, PromptPart},
+        request::{Assignment, Eligibility, EndpointHandle, PromptPart},
     },
     derive_more::Debug,
-    directory::{BuildId, ListedEndpoint},
-    model::{MILLISECOND, Time, hash64, mix2},
+    directory::ListedEndpoint,
+    model::{MILLISECOND, Name, Time, hash64, mix2},
     std::{collections::HashMap, net::SocketAddr},
 };
 
@@ -47,6 +47,10 @@
     /// When the endpoint last responded to this router.
     responded_at: Option<Time>,
     pub(crate) notice: Notice,
+    /// Whether the endpoint's domain is evacuated.
+    pub(crate) evacuated: bool,
+    /// The region of the endpoint's domain, if it has one.
+    pub(crate) region: Option<Name>,
     /// The prompt parts that routers sent to the endpoint, and when they were last sent.
     parts: HashMap<u64, Time>,
 }
@@ -63,13 +67,15 @@
             peer_reports: PeerReports::default(),
             responded_at: None,
             notice: Notice::default(),
+            evacuated: false,
+            region: None,
             parts: HashMap::new(),
         }
     }
 
     /// Returns whether the endpoint takes new requests, now or later.
     pub(crate) fn is_staying(&self) -> bool {
-        !self.listed.draining && !self.notice.leaving
+        !self.listed.draining && !self.notice.leaving && !self.evacuated
     }
 
     /// Returns whether the endpoint has not asked this router to send nothing. Its limit is shared by
@@ -97,9 +103,15 @@
         self.notice.closed_until.max(self.notice.limit.opens_at())
     }
 
-    /// Returns whether the endpoint has this software version, if one is required.
-    pub(crate) fn has_build(&self, build: Option<BuildId>) -> bool {
-        build.is_none_or(|it| self.listed.build_id() == it)
+    /// Returns whether the endpoint may run a request, whatever its state is.
+    pub(crate) fn is_eligible(&self, eligibility: Eligibility<'_>) -> bool {
+        let Eligibility { build, regions } = eligibility;
+        build.is_none_or(|it| self.listed.build_id() == it) && self.is_in(regions)
+    }
+
+    /// Returns whether the endpoint is in one of `regions`. `None` allows all endpoints.
+    pub(crate) fn is_in(&self, regions: Option<&[Name]>) -> bool {
+        regions.is_none_or(|it| self.region.as_ref().is_some_and(|region| it.contains(region)))
     }
 
     /// Records how an attempt ended. Returns what other routers should know, unless they said so.
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -78,7 +78,7 @@
         let usable = |it: &Endpoint| {
             it.is_open(now)
                 && it.bears_another(now, routers)
-                && it.has_build(request.build)
+                && it.is_eligible(request.eligibility())
                 && !request.excluded.contains(&it.handle)
         };
         let ready: Vec<_> = self.endpoints.iter().enumerate().filter(|it| usable(it.1)).collect();
@@ -194,7 +194,7 @@
                 .min_by(|a, b| load(a).total_cmp(&load(b)))
         };
         let chosen = *within_bound.or_else(least_loaded)?;
-        let fetch_from = self.fetch_source(prompt, chosen);
+        let fetch_from = self.fetch_source(request, prompt, chosen);
         let endpoint = &self.endpoints[chosen];
         let unread = prompt.prompt_tokens() - endpoint.cached_tokens(prompt.shared());
         let assignment = endpoint.assignment(now, prompt.tokens);
@@ -215,7 +215,12 @@
     /// Returns the endpoint that is expected to have most of a prompt in memory, if it has enough
     /// more than the chosen one. If none is known to have more, it is the first other one in the
     /// prompt's order. It is the home of the prompt, or was before a new endpoint joined.
-    fn fetch_source(&self, prompt: &Prompt, chosen: usize) -> Option<SocketAddr> {
+    fn fetch_source(
+        &self,
+        request: &DispatchRequest,
+        prompt: &Prompt,
+        chosen: usize,
+    ) -> Option<SocketAddr> {
         let shared = prompt.shared();
         let target = &self.endpoints[chosen];
         let min_tokens = target.cached_tokens(shared) + MIN_FETCH_TOKENS;
@@ -223,7 +228,9 @@
             return None;
         }
         // A draining endpoint can still be fetched from.
-        let others = self.endpoints.iter().enumerate().filter(|it| it.0 != chosen);
+        let regions = request.regions.as_deref();
+        let allowed = |it: &Endpoint| !it.evacuated && it.is_in(regions);
+        let others = self.endpoints.iter().enumerate().filter(|it| it.0 != chosen && allowed(it.1));
         let healthy = others.filter(|it| !it.1.is_avoided(self.now));
         let is_local = |it: &Endpoint| it.listed.domain == target.listed.domain;
         let holders =
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -19,16 +19,17 @@
     control::{Control, RoutingConfigStore},
     directory::{Directory, DirectoryError, ListedEndpoint, Listing},
     gateway::{Gateway, HeaderNames},
-    model::{Digest, Domain, HostName},
+    model::{Digest, Domain, HostName, Name},
     route::{
         CallerLimits, Engine, Route, RouteKind, RoutingConfig, Service, Team, WeightedService,
     },
     settings::{
-        ControlSettings, GatewaySettings, ListingSettings, LogLevel, LogSettings, RetrySettings,
-        WeightStoreLimits,
+        ColdSettings, ControlSettings, GatewaySettings, ListingSettings, LogLevel, LogSettings,
+        RetrySettings, WeightStoreLimits,
     },
     smallvec::smallvec,
     std::{
+        collections::BTreeMap,
         net::SocketAddr,
         sync::{
             Arc, Mutex, OnceLock,
@@ -112,7 +113,7 @@
 }
 
 /// Returns a port below the ephemeral range, so that no other socket takes it before it is bound.
-fn free_port() -> SocketAddr {
+pub(crate) fn free_port() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(20_000);
     loop {
         let addr = SocketAddr::from(([127, 0, 0, 1], NEXT.fetch_add(1, Ordering::Relaxed)));
@@ -136,6 +137,17 @@
         Fixture::start_with(endpoints, 1_000.0, RETRIES).await
     }
 
+    /// Starts a gateway with `layout` and these endpoints, whose settings name these regions, and waits
+    /// until it is ready.
+    pub(crate) async fn start_in_regions(
+        layout: &RoutingConfig,
+        endpoints: &[ListedEndpoint],
+    ) -> Fixture {
+        let fixture = Fixture::start(layout, endpoints).await;
+        fixture.gateway.set_regions(regions());
+        fixture
+    }
+
     /// Starts a gateway without a configuration, whose control replica has a link of `link_mbps`
     /// Mbit/s.
     pub(crate) async fn start_on_link(link_mbps: f64) -> Fixture {
@@ -197,7 +209,11 @@
         let mut admin = None;
         for (domain, endpoints) in lists {
             let domain = Domain((*domain).into());
-            let settings = GatewaySettings { domain, ..gateway_settings(control.internal_addr()) };
+            let settings = GatewaySettings {
+                domain,
+                regions: regions(),
+                ..gateway_settings(control.internal_addr())
+            };
             admin.get_or_insert(settings.admin);
             let list = StaticList(Arc::new(Mutex::new(endpoints.clone())));
             gateways.push(start_gateway(settings, list).await);
@@ -332,7 +348,7 @@
     }
 }
 
-async fn start_gateway(settings: GatewaySettings, list: StaticList) -> Gateway {
+pub(crate) async fn start_gateway(settings: GatewaySettings, list: StaticList) -> Gateway {
     // Telemetry can be initialized only once per process.
     let open = || telemetry::init(&settings.log).expect("failed to initialize telemetry");
     let metrics = METRICS.get_or_init(open).clone();
@@ -340,6 +356,12 @@
     gateway.expect("failed to start the gateway")
 }
 
+/// Returns the regions of the domains that tests use.
+pub(crate) fn regions() -> BTreeMap<Domain, Name> {
+    let regions = [("d0", "north"), ("d1", "north"), ("d2", "south"), ("d3", "south")];
+    regions.map(|(domain, region)| (Domain(domain.into()), region.into())).into()
+}
+
 /// Waits until a gateway reports on its admin address that it is ready.
 pub(crate) async fn wait_until_admin_ready(admin: SocketAddr) {
     let client = edge::Client::new(1_000);
@@ -385,7 +407,7 @@
     }
 }
 
-fn gateway_settings(control: SocketAddr) -> GatewaySettings {
+pub(crate) fn gateway_settings(control: SocketAddr) -> GatewaySettings {
     GatewaySettings {
         host: HostName("g1".into()),
         domain: Domain("d0".into()),
@@ -400,6 +422,8 @@
         memory_mb: 260.0,
         listing: ListingSettings { interval_ms: 50, rate: 1_000.0 },
         retries: RETRIES,
+        regions: BTreeMap::new(),
+        cold: ColdSettings::default(),
         log: LogSettings { level: LogLevel::Error, ..LogSettings::default() },
     }
 }
@@ -420,6 +444,7 @@
         open: false,
         prompt_affinity: false,
         resumable: false,
+        regions: smallvec![],
     }
 }
 
@@ -432,6 +457,7 @@
         health: "/health".into(),
         connections: 100,
         engine,
+        cold: None,
     };
     let resume = Route { resumable: true, ..route("resume", RouteKind::Stream, "model") };
     RoutingConfig {
@@ -453,6 +479,7 @@
             name: "one".into(),
             keys: vec![Digest::of(TEAM_KEY.as_bytes())],
             priority: None,
+            regions: smallvec![],
         }],
     }
 }
--- a/crates/route/tests/config.rs
+++ b/crates/route/tests/config.rs
@@ -1,58 +1,19 @@
 //! Tests validation, lookups, publication and deltas of routing configurations.
 
+mod common;
+
 use {
+    crate::common::{any_config, config},
     model::Digest,
     proptest::prelude::*,
     route::{
-        CallerLimits, ConfigError, PublishOutcome, PublishedConfig, Route, RouteDelta, RouteKind,
-        RouteTable, RoutingConfig, Service, Team, WeightedService,
+        ColdStart, ConfigError, PublishOutcome, PublishedConfig, Regions, RouteDelta, RouteTable,
+        RoutingConfig, WeightedService, allowed_regions,
     },
     rstest::rstest,
     smallvec::smallvec,
 };
 
-fn route(host: &str, prefix: &str, service: &str) -> Route {
-    Route {
-        name: format!("{host}{prefix}").into(),
-        host: host.into(),
-        prefix: prefix.into(),
-        kind: RouteKind::Idempotent,
-        timeout_ms: 1_000,
-        target_ms: 100,
-        gap_ms: 0,
-        priority: 0,
-        split: smallvec![WeightedService { service: service.into(), weight: 1 }],
-        attempts: 2,
-        open: false,
-        prompt_affinity: false,
-        resumable: false,
-    }
-}
-
-fn service(name: &str) -> Service {
-    Service { name: name.into(), health: "/".into(), connections: 10, engine: None }
-}
-
-fn team(name: &str, keys: &[&str]) -> Team {
-    let keys = keys.iter().map(|it| Digest::of(it.as_bytes())).collect();
-    Team { name: name.into(), keys, priority: None }
-}
-
-fn config(version: u64) -> RoutingConfig {
-    RoutingConfig {
-        version,
-        routes: vec![route("a", "/", "s"), route("a", "/x/", "t"), route("a", "/x/y/", "s")],
-        services: vec![service("s"), service("t")],
-        limits: CallerLimits {
-            header_bytes: 16_384,
-            body_bytes: 1_000,
-            header_ms: 3_000,
-            idle_ms: 15_000,
-        },
-        teams: vec![team("one", &["k1", "k1"]), team("two", &["k2"])],
-    }
-}
-
 #[test]
 fn a_valid_config_passes_the_check() {
     assert_eq!(config(1).check(), Ok(()));
@@ -67,6 +28,12 @@
 #[case::invalid_prefix(|it: &mut RoutingConfig| it.routes[0].prefix = "/z".into())]
 #[case::duplicate_service(|it: &mut RoutingConfig| it.services[1].name = "s".into())]
 #[case::shared_key(|it: &mut RoutingConfig| it.teams[1].keys.push(Digest::of(b"k1")))]
+#[case::empty_region_of_route(|it: &mut RoutingConfig| it.routes[0].regions.push("".into()))]
+#[case::empty_region_of_team(|it: &mut RoutingConfig| it.teams[0].regions.push("".into()))]
+#[case::negative_cold_start(|it: &mut RoutingConfig| it.services[0].cold = cold(-1.0, 8.0))]
+#[case::unknown_cold_start(|it: &mut RoutingConfig| it.services[0].cold = cold(f64::NAN, 8.0))]
+#[case::negative_cold_rate(|it: &mut RoutingConfig| it.services[0].cold = cold(1.0, -8.0))]
+#[case::endless_cold_rate(|it: &mut RoutingConfig| it.services[0].cold = cold(1.0, f64::INFINITY))]
 #[case::duplicate_team(|it: &mut RoutingConfig| it.teams[1].name = "one".into())]
 fn an_invalid_config_is_rejected(#[case] invalidate: fn(&mut RoutingConfig)) {
     let mut config = config(1);
@@ -74,6 +41,40 @@
     assert!(config.check().is_err());
 }
 
+#[rstest]
+#[case::none(&[], &[], None)]
+#[case::of_the_route(&["a", "b"], &[], Some(&["a", "b"][..]))]
+#[case::of_the_team(&[], &["a"], Some(&["a"][..]))]
+#[case::of_both(&["a", "b"], &["b", "c"], Some(&["b"][..]))]
+#[case::nothing_in_common(&["a"], &["b"], Some(&[][..]))]
+fn regions_of_route_and_team_both_apply(
+    #[case] route: &[&str],
+    #[case] team: &[&str],
+    #[case] expected: Option<&[&str]>,
+) {
+    let names = |it: &[&str]| it.iter().map(|it| (*it).into()).collect::<Regions>();
+    assert_eq!(allowed_regions(&names(route), &names(team)), expected.map(names));
+}
+
+fn cold(start_ms: f64, rate: f64) -> Option<ColdStart> {
+    Some(ColdStart { start_ms, rate })
+}
+
+/// Guards against documents from before the fields existed that are refused.
+#[test]
+fn the_fields_of_later_builds_are_optional_in_json() {
+    let mut document = serde_json::to_value(config(1)).expect("not serialized");
+    let mut remove = |list: &str, field: &str| {
+        for entry in document[list].as_array_mut().expect("no list") {
+            entry.as_object_mut().expect("no object").remove(field).expect("field is missing");
+        }
+    };
+    remove("routes", "regions");
+    remove("teams", "regions");
+    remove("services", "cold");
+    assert_eq!(serde_json::from_value::<RoutingConfig>(document).ok(), Some(config(1)));
+}
+
 #[test]
 fn the_error_names_route_and_service() {
     let mut config = config(1);
@@ -146,25 +147,3 @@
         prop_assert!(delta.apply(&new).is_err());
     }
 }
-
-fn any_config(version: u64) -> impl Strategy<Value = RoutingConfig> {
-    let routes = proptest::collection::btree_map(0_u8..12, (1_u64..4, 0_u8..2), 0..10);
-    let teams = proptest::collection::btree_map(0_u8..8, 0_u8..4, 0..6);
-    (routes, teams, 1_usize..3, 1_u64..3).prop_map(move |(routes, teams, services, idle)| {
-        let names = ["s", "t"];
-        let routes = routes.into_iter().map(|(index, (timeout, service))| {
-            let mut route = route("a", &format!("/{index}/"), names[usize::from(service)]);
-            route.timeout_ms = timeout;
-            route
-        });
-        let teams = teams
-            .into_iter()
-            .map(|(index, key)| team(&format!("{index}"), &[&format!("{index}.{key}")]));
-        let mut config = config(version);
-        config.routes = routes.collect();
-        config.teams = teams.collect();
-        config.services.truncate(services);
-        config.limits.idle_ms = idle;
-        config
-    })
-}
--- a/soak/src/config.rs
+++ b/soak/src/config.rs
@@ -8,11 +8,12 @@
         CallerLimits, Engine, Route, RouteKind, RoutingConfig, Service, Team, WeightedService,
     },
     settings::{
-        ControlSettings, GatewaySettings, ListingSettings, LogFormat, LogSettings, RetrySettings,
-        WeightStoreLimits,
+        ColdSettings, ControlSettings, GatewaySettings, ListingSettings, LogFormat, LogSettings,
+        RetrySettings, WeightStoreLimits,
     },
     smallvec::smallvec,
     std::{
+        collections::BTreeMap,
         io::ErrorKind,
         net::{Ipv4Addr, SocketAddr, TcpListener},
         path::Path,
@@ -61,6 +62,7 @@
         health: "/health".into(),
         connections: 1_000,
         engine,
+        cold: None,
     };
     RoutingConfig {
         version,
@@ -85,6 +87,7 @@
             name: TEAM.into(),
             keys: vec![Digest::of(KEY.as_bytes())],
             priority: None,
+            regions: smallvec![],
         }],
     }
 }
@@ -104,6 +107,7 @@
         open: false,
         prompt_affinity: false,
         resumable: false,
+        regions: smallvec![],
     }
 }
 
@@ -128,6 +132,8 @@
         memory_mb: 256.0,
         listing: listing(),
         retries: RetrySettings { ratio: RETRY_RATIO, slack: RETRY_SLACK },
+        regions: BTreeMap::new(),
+        cold: ColdSettings::default(),
         log: log(),
     })
 }
