Keep all routers together to what a cold endpoint bears

Dispatcher::set_cold and set_cold_rate did nothing: endpoints that have just started got as many requests as others. Cold endpoints now have a share by hash without agreement, in a bucket that limit.rs uses too: three quarters of the bound are used, by as many routers, each at least 1.1 s apart (or half of that, if there are fewer routers). A bucket is empty when a belief begins. An endpoint is believed cold if the list, its own answer or another router says so, if it is new in the list or restarted, if its domain's evacuation was withdrawn, or if it was unreachable. Prompts whose home is cold, and short ones, prefer a cold endpoint that this router may use now; the mean load counts warm ones only, and nothing is fetched from cold ones.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         change::EndpointChange,
-        cold::ColdRate,
+        cold::{ColdChange, ColdRate, ColdReport, ColdSource},
         domain_rules::{DomainRules, EVACUATED_RETRY_MS},
         endpoint::{Endpoint, Notice},
         health::{AttemptOutcome, Health},
@@ -45,6 +45,9 @@
 /// cannot start, the rest is ignored.
 const MAX_COMPARED: usize = 16;
 
+/// The maximum number of runs of endpoints that are remembered.
+const MAX_KNOWN_RUNS: usize = 16_384;
+
 /// The shortest retry delay that a caller is told, in milliseconds.
 const MIN_RETRY_MS: u64 = 150;
 
@@ -84,6 +87,12 @@
     unlisted_notices: UnlistedNotices,
     fleet: Fleet,
     domain_rules: DomainRules,
+    /// Until when the listed cold endpoints are cold.
+    listed_cold: HashMap<Name, Time>,
+    /// Endpoints that may be cold as they are new in the list, which have not been handled yet.
+    new_endpoints: Vec<(EndpointHandle, ColdSource)>,
+    /// The runs of endpoints that have been listed. `None` before the first list.
+    known_runs: Option<HashSet<u64>>,
     /// The random number of the next choice.
     random: u64,
     services: HashMap<Name, Service>,
@@ -107,6 +116,9 @@
             unlisted_notices: UnlistedNotices::default(),
             fleet: Fleet::default(),
             domain_rules: DomainRules::default(),
+            listed_cold: HashMap::new(),
+            new_endpoints: Vec::new(),
+            known_runs: None,
             random: mix(seed),
             services: HashMap::new(),
             service_names: HashMap::new(),
@@ -126,18 +138,115 @@
     /// Sets how many requests the cold endpoints of a service take, or `None` if its endpoints are
     /// never cold.
     pub fn set_cold_rate(&mut self, now: Time, service: &Name, rate: Option<ColdRate>) {
-        let _ = (now, service, rate);
+        let service = self.services.entry(service.clone()).or_default();
+        if std::mem::replace(&mut service.cold_rate, rate) == rate {
+            return;
+        }
+        for endpoint in &mut service.endpoints {
+            endpoint.set_cold_share(now, rate, &self.fleet);
+            if let Some(until) =
+                self.listed_cold.get(&endpoint.listed.id).filter(|_| rate.is_some())
+            {
+                let phase = self.fleet.phase(endpoint.hash);
+                endpoint.notice.cold.begin(now, ColdSource::Listed, *until, phase);
+            }
+        }
     }
 
     /// Replaces the listed cold endpoints, each with the time that it stays cold, in milliseconds.
+    /// Zero says that the endpoint is not cold. Must be called after
+    /// [`Dispatcher::update_endpoints`] if both changed.
     pub fn set_cold(&mut self, now: Time, endpoints: &[(Name, u32)]) {
-        let _ = (now, endpoints);
+        self.apply_new_endpoints(now);
+        let listed: HashMap<_, _> = endpoints.iter().map(|it| (&it.0, it.1)).collect();
+        let until = |ms: u32| now + u64::from(ms) * MILLISECOND;
+        self.listed_cold =
+            endpoints.iter().filter(|it| it.1 > 0).map(|it| (it.0.clone(), until(it.1))).collect();
+        self.update_cold(|endpoint, _, phase| {
+            let remaining_ms = listed.get(&endpoint.listed.id).copied();
+            endpoint.notice.cold.record_listed(now, remaining_ms, phase);
+        });
+    }
+
+    /// Updates the endpoints that may be cold. The arguments are the endpoint, the rate of its
+    /// service, and the phase of this router.
+    fn update_cold<F>(&mut self, mut update: F)
+    where
+        F: FnMut(&mut Endpoint, ColdRate, f64),
+    {
+        for service in self.services.values_mut() {
+            let Some(rate) = service.cold_rate else { continue };
+            for endpoint in &mut service.endpoints {
+                let phase = self.fleet.phase(endpoint.hash);
+                update(endpoint, rate, phase);
+            }
+        }
+    }
+
+    /// Believes endpoints that are new in the list to be cold.
+    fn apply_new_endpoints(&mut self, now: Time) {
+        if self.new_endpoints.is_empty() {
+            return;
+        }
+        let new: HashMap<_, _> = std::mem::take(&mut self.new_endpoints).into_iter().collect();
+        let listed = std::mem::take(&mut self.listed_cold);
+        self.update_cold(|endpoint, rate, phase| {
+            let Some(source) = new.get(&endpoint.handle) else { return };
+            let until = now + rate.start_ms * MILLISECOND;
+            endpoint.notice.cold.begin(now, *source, until, phase);
+            if let Some(until) = listed.get(&endpoint.listed.id) {
+                endpoint.notice.cold.begin(now, ColdSource::Listed, *until, phase);
+            }
+        });
+        self.listed_cold = listed;
+    }
+
+    /// Records how much longer the endpoint of a request is cold, as it stated itself.
+    pub fn record_cold(&mut self, now: Time, sent: &Assignment, remaining_ms: u32) {
+        let Assignment { handle, incarnation, .. } = *sent;
+        self.update_cold(|endpoint, _, phase| {
+            if endpoint.handle == handle || endpoint.incarnation() == incarnation {
+                endpoint.notice.cold.record_reported(now, remaining_ms, phase);
+            }
+        });
+    }
+
+    /// Returns what other routers should know about cold endpoints.
+    pub fn cold_reports(&self, now: Time) -> Vec<ColdReport> {
+        let endpoints = self.services.values().flat_map(|it| &it.endpoints);
+        endpoints.filter_map(|it| it.notice.cold.report(now, it.incarnation())).collect()
+    }
+
+    /// Applies what other routers know about cold endpoints.
+    pub fn apply_cold_reports(&mut self, now: Time, reports: &[ColdReport]) {
+        self.apply_new_endpoints(now);
+        let reports: HashMap<_, _> = reports.iter().map(|it| (it.incarnation, it)).collect();
+        self.update_cold(|endpoint, _, phase| {
+            if let Some(report) = reports.get(&endpoint.incarnation()) {
+                endpoint.notice.cold.merge(now, report, phase);
+            }
+        });
+    }
+
+    /// Returns which endpoints have been believed to be cold, and which no longer are, since the last
+    /// call.
+    pub fn take_cold_changes(&mut self, now: Time) -> Vec<ColdChange> {
+        self.apply_new_endpoints(now);
+        let endpoints = self.services.values_mut().flat_map(|it| &mut it.endpoints);
+        let changes = endpoints.filter_map(|it| it.notice.cold.take_change(now, &it.listed.id));
+        changes.collect()
     }
 
     /// Replaces the evacuated domains. Their endpoints get no further requests.
     pub fn set_evacuated(&mut self, now: Time, domains: &[Domain]) {
-        self.domain_rules.set_evacuated(domains);
+        let returned = self.domain_rules.set_evacuated(domains);
         self.apply_domain_rules();
+        self.update_cold(|endpoint, rate, phase| {
+            if returned.contains(&endpoint.listed.domain) {
+                let until = now + rate.start_ms * MILLISECOND;
+                endpoint.notice.cold.begin(now, ColdSource::Evacuated, until, phase);
+            }
+        });
         self.expire_evacuated(now);
     }
 
@@ -219,6 +328,7 @@
             self.services.iter_mut().filter(|it| service.is_none_or(|name| it.0 == name));
         for endpoint in services.flat_map(|it| &mut it.1.endpoints) {
             endpoint.health = Health::default();
+            endpoint.notice.cold.forgive_failures();
         }
     }
 
@@ -238,13 +348,36 @@
             });
         }
         listed_endpoints.iter().for_each(|it| changes.extend(self.update_endpoint(it)));
+        self.record_runs();
         changes
     }
 
+    /// Remembers which runs of endpoints have been listed.
+    fn record_runs(&mut self) {
+        let runs: HashSet<_> = self.incarnations().into_iter().map(|it| it.1).collect();
+        let known = self.known_runs.get_or_insert_default();
+        if known.len() + runs.len() > MAX_KNOWN_RUNS {
+            known.clear();
+        }
+        known.extend(runs);
+    }
+
+    /// Returns why an endpoint that was added may be cold. The first list says nothing about it, and
+    /// an endpoint whose start time is known was not restarted while it was not listed.
+    fn new_source(&self, endpoint: &Endpoint, is_restart: bool) -> Option<ColdSource> {
+        let known = self.known_runs.as_ref()?;
+        if is_restart {
+            return Some(ColdSource::Restarted);
+        }
+        let has_start = endpoint.listed.started_at_ms.is_some();
+        let is_known = has_start && known.contains(&endpoint.incarnation());
+        (!is_known).then_some(ColdSource::Added)
+    }
+
     fn update_endpoint(&mut self, listed: &ListedEndpoint) -> Option<EndpointChange> {
         let found = self.find_by_id(&listed.id);
         let Some((service, handle)) = found else {
-            self.add_endpoint(listed.clone());
+            self.add_endpoint(listed.clone(), false);
             return Some(EndpointChange::Added(listed.clone()));
         };
         let endpoint = self.services.get_mut(&service)?.get_mut(handle)?;
@@ -262,7 +395,7 @@
         let replaced = restarted || updated;
         if endpoint.listed.addr != listed.addr || service != listed.service || replaced {
             self.remove(&service, handle);
-            self.add_endpoint(listed.clone());
+            self.add_endpoint(listed.clone(), true);
             return Some(EndpointChange::Restarted(listed.id.clone()));
         }
         let starts_draining = listed.draining && !endpoint.listed.draining;
@@ -271,7 +404,7 @@
         starts_draining.then(|| EndpointChange::Draining(listed.id.clone()))
     }
 
-    fn add_endpoint(&mut self, listed: ListedEndpoint) {
+    fn add_endpoint(&mut self, listed: ListedEndpoint, is_restart: bool) {
         self.last_handle += 1;
         let handle = EndpointHandle(self.last_handle);
         let name = listed.service.clone();
@@ -279,7 +412,11 @@
         let mut endpoint = Endpoint::new(handle, listed);
         endpoint.notice = self.unlisted_notices.take(endpoint.incarnation());
         self.domain_rules.apply(&mut endpoint);
-        self.services.entry(name).or_default().endpoints.push(endpoint);
+        let source = self.new_source(&endpoint, is_restart);
+        self.new_endpoints.extend(source.map(|it| (handle, it)));
+        let service = self.services.entry(name).or_default();
+        endpoint.set_cold_share(Time(0), service.cold_rate, &self.fleet);
+        service.endpoints.push(endpoint);
     }
 
     fn remove(&mut self, service: &Name, handle: EndpointHandle) {
@@ -299,6 +436,7 @@
 
     /// Submits a request, which starts, waits, or is refused.
     pub fn submit(&mut self, now: Time, request: DispatchRequest) -> SubmitResult {
+        self.apply_new_endpoints(now);
         if let Some(assignment) = self.start(now, &request) {
             return SubmitResult::Started(assignment);
         }
@@ -339,8 +477,7 @@
         self.random = mix(self.random);
         let Some(service) = self.services.get_mut(&request.service) else { return };
         let Some(endpoint) = service.get_mut(assignment.handle) else { return };
-        endpoint.load.add(assignment.tokens);
-        endpoint.notice.limit.take(now);
+        endpoint.take(now, assignment.tokens);
         if let Some(prompt) = &request.prompt {
             let new = prompt.shared().iter().filter(|it| endpoint.record_part(now, it.id));
             // The last part implies those before it.
@@ -365,7 +502,8 @@
         }
         if opens_at > now {
             let opens_ms = opens_at.since(now).div_ceil(MILLISECOND);
-            return opens_ms + service.limit_wait_ms(eligibility, service.queue.ahead(priority));
+            return opens_ms
+                + service.limit_wait_ms(now, eligibility, service.queue.ahead(priority));
         }
         let ready =
             service.endpoints.iter().filter(|it| it.is_open(now) && it.is_eligible(eligibility));
@@ -427,8 +565,11 @@
         I: IntoIterator<Item = SocketAddr>,
     {
         self.fleet = Fleet::new(own, routers);
-        for endpoint in self.services.values_mut().flat_map(|it| &mut it.endpoints) {
-            endpoint.notice.limit.set_share(now, &self.fleet, endpoint.hash);
+        for service in self.services.values_mut() {
+            for endpoint in &mut service.endpoints {
+                endpoint.notice.limit.set_share(now, &self.fleet, endpoint.hash);
+                endpoint.set_cold_share(now, service.cold_rate, &self.fleet);
+            }
         }
     }
 
@@ -542,6 +683,7 @@
                 endpoint.notice.closed_until = endpoint.notice.closed_until.max(until);
             }
         }
+        self.record_contact(now, assignment.handle, outcome);
         if matches!(outcome, AttemptOutcome::Served | AttemptOutcome::Failed) {
             let mean_ms = self.service_times_ms.entry(name.clone()).or_insert(INITIAL_SERVICE_MS);
             *mean_ms += (service_ms - *mean_ms) * SERVICE_MS_WEIGHT;
@@ -552,6 +694,27 @@
         self.start_queued(now, &name)
     }
 
+    /// Records whether an endpoint could be reached. One that could not be may be cold when it can be
+    /// again.
+    fn record_contact(&mut self, now: Time, handle: EndpointHandle, outcome: AttemptOutcome) {
+        let service = self.service_names.get(&handle).and_then(|it| self.services.get_mut(it));
+        let Some((service, rate)) = service.and_then(|it| it.cold_rate.map(|rate| (it, rate)))
+        else {
+            return;
+        };
+        let Some(endpoint) = service.get_mut(handle) else { return };
+        let phase = self.fleet.phase(endpoint.hash);
+        let cold = &mut endpoint.notice.cold;
+        match outcome {
+            AttemptOutcome::Unreachable => cold.record_unreachable(now, rate.start_ms, phase),
+            AttemptOutcome::Served
+            | AttemptOutcome::Failed
+            | AttemptOutcome::Full
+            | AttemptOutcome::Misdirected => cold.record_reachable(now, rate.start_ms, phase),
+            AttemptOutcome::Broken | AttemptOutcome::Abandoned => {}
+        }
+    }
+
     /// Records that an endpoint has stopped responding to a request that is still pending.
     pub fn record_stall(&mut self, now: Time, handle: EndpointHandle) {
         if let Some(endpoint) = self.endpoint(handle) {
@@ -569,6 +732,7 @@
 
     /// Starts the waiting requests of a service for which there is room.
     pub fn start_queued(&mut self, now: Time, name: &Name) -> Vec<(WaiterId, Assignment)> {
+        self.apply_new_endpoints(now);
         let mut started = Vec::new();
         while let Some(service) = self.services.get(name) {
             let Some((id, assignment)) = self.next_start(now, service) else { break };
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         brittle::Brittle,
+        cold::{Cold, ColdRate},
         health::Health,
         limit::{Fleet, Limit, LimitChange},
         load::Load,
@@ -28,6 +29,8 @@
     pub(crate) limit: Limit,
     /// How many rejections the endpoint bears.
     pub(crate) brittle: Brittle,
+    /// Whether the endpoint is cold.
+    pub(crate) cold: Cold,
 }
 
 /// An endpoint and its load, health and cached prompt parts.
@@ -91,7 +94,34 @@
 
     /// Returns when the endpoint takes the next request of this router, if it is staying.
     pub(crate) fn opens_at(&self) -> Time {
-        self.notice.closed_until.max(self.notice.limit.opens_at())
+        let Notice { closed_until, limit, cold, .. } = &self.notice;
+        limit.opens_at().max(cold.opens_at()).max(*closed_until)
+    }
+
+    pub(crate) fn is_cold(&self, now: Time) -> bool {
+        self.notice.cold.is_cold(now)
+    }
+
+    /// Returns how many requests per second this router may send here, or `None` if any number.
+    pub(crate) fn max_rate(&self, now: Time) -> Option<f64> {
+        let Notice { limit, cold, .. } = &self.notice;
+        let named = limit.rate().map(|_| limit.share());
+        [named, cold.share(now)].into_iter().flatten().min_by(f64::total_cmp)
+    }
+
+    /// Records the start of a request.
+    pub(crate) fn take(&mut self, now: Time, tokens: u32) {
+        self.load.add(tokens);
+        self.notice.limit.take(now);
+        self.notice.cold.take(now);
+    }
+
+    /// Determines this router's share of what the endpoint takes while it is cold.
+    pub(crate) fn set_cold_share(&mut self, now: Time, rate: Option<ColdRate>, fleet: &Fleet) {
+        match rate {
+            Some(rate) => self.notice.cold.set_share(now, rate, fleet, self.hash),
+            None => self.notice.cold.clear(),
+        }
     }
 
     /// Returns whether the endpoint may run a request, whatever its state is.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`RetryBudget`] limits retries, and [`Exchange`] says which routers get which reports.
 
 mod brittle;
+mod bucket;
 mod change;
 mod cold;
 mod dispatcher;
@@ -27,7 +28,7 @@
 
 pub use crate::{
     change::EndpointChange,
-    cold::ColdRate,
+    cold::{ColdChange, ColdRate, ColdReport, ColdSource},
     dispatcher::{Dispatcher, SubmitResult},
     exchange::Exchange,
     health::AttemptOutcome,
--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -1,6 +1,7 @@
 //! How many requests an endpoint takes from all routers together, and this router's share.
 
 use {
+    crate::bucket::Bucket,
     derive_more::Debug,
     model::{MILLISECOND, SECOND, Time, hash64, mix2},
     serde::{Deserialize, Serialize},
@@ -74,10 +75,15 @@
     }
 
     /// Returns how many routers go before this one in the order in which they use an endpoint.
-    fn rank(&self, endpoint: u64) -> usize {
+    pub(crate) fn rank(&self, endpoint: u64) -> usize {
         let own = Reverse(mix2(endpoint, self.own));
         self.others.iter().filter(|it| Reverse(mix2(endpoint, **it)) < own).count()
     }
+
+    /// Returns a number from 0 to 1 that differs between the routers.
+    pub(crate) fn phase(&self, endpoint: u64) -> f64 {
+        mix2(self.own, endpoint) as f64 / u64::MAX as f64
+    }
 }
 
 /// What an endpoint said about its limit, and this router's share of it.
@@ -92,12 +98,7 @@
     hops: u8,
     /// When the last limit ended.
     ended_at: Option<Time>,
-    /// This router's requests per second.
-    share: f64,
-    /// The requests that this router may send at one moment.
-    capacity: f64,
-    tokens: f64,
-    refilled_at: Time,
+    bucket: Bucket,
 }
 
 impl Limit {
@@ -106,7 +107,7 @@
     }
 
     pub(crate) fn share(&self) -> f64 {
-        self.share
+        self.bucket.share()
     }
 
     /// Records what the endpoint said. Returns whether the rate has changed much.
@@ -131,9 +132,8 @@
         };
         (self.said_at, self.hops) = (said_at, hops);
         if is_changed {
-            self.refill(now);
             if self.rate.is_none() {
-                self.tokens = 0.0;
+                self.bucket.set_tokens(now, 0.0);
             }
             self.ended_at = rate.is_none().then_some(said_at);
             self.rate = rate;
@@ -144,40 +144,23 @@
     /// Determines this router's share.
     pub(crate) fn set_share(&mut self, now: Time, fleet: &Fleet, endpoint: u64) {
         let Some(rate) = self.rate else { return };
-        self.refill(now);
         let rate = rate.max(MIN_RATE);
         let burst = rate * BURST_S + FIXED_BURST;
         let users = (burst as usize).clamp(1, fleet.others.len() + 1);
         let is_user = fleet.rank(endpoint) < users;
         let part = if is_user { 1.0 / users as f64 } else { 0.0 };
-        self.share = rate * part;
-        self.capacity = burst * part;
-        self.tokens = self.tokens.min(self.capacity);
-    }
-
-    fn refill(&mut self, now: Time) {
-        let seconds = now.since(self.refilled_at) as f64 / SECOND as f64;
-        self.tokens = (self.tokens + seconds * self.share).min(self.capacity);
-        self.refilled_at = now;
+        self.bucket.set_share(now, rate * part, burst * part);
     }
 
     /// Returns when this router may send the next request.
     pub(crate) fn opens_at(&self) -> Time {
-        if self.rate.is_none() || self.tokens >= 1.0 {
-            return Time(0);
-        }
-        if self.share <= 0.0 {
-            return Time::NEVER;
-        }
-        let seconds = (1.0 - self.tokens) / self.share;
-        self.refilled_at + (seconds * SECOND as f64).ceil() as u64
+        if self.rate.is_some() { self.bucket.opens_at() } else { Time(0) }
     }
 
     /// Takes the allowance for one request.
     pub(crate) fn take(&mut self, now: Time) {
         if self.rate.is_some() {
-            self.refill(now);
-            self.tokens = (self.tokens - 1.0).max(0.0);
+            self.bucket.take(now);
         }
     }
 
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -142,7 +142,15 @@
             it.listed.domain == *local_domain && it.load.requests(now) * 2 < it.listed.slots
         };
         let has_preferred = open.iter().any(|it| is_preferred(it.0));
-        let eligible = || open.iter().filter(|it| !has_preferred || is_preferred(it.0));
+        // Few routers use a cold endpoint, and each seldom may.
+        let is_cold =
+            |it: &Endpoint| it.is_cold(now) && it.load.requests(now) * 2 < it.listed.slots;
+        let has_cold = open.iter().any(|it| is_cold(it.0));
+        let eligible = || {
+            open.iter().filter(|it| {
+                if has_cold { is_cold(it.0) } else { !has_preferred || is_preferred(it.0) }
+            })
+        };
         let total: f64 = eligible().map(|it| it.1).sum();
         let mut at = random as f64 / u64::MAX as f64 * total;
         let chosen = eligible().find(|it| {
@@ -168,6 +176,7 @@
         let local_endpoints = ranked.iter().copied().filter(|it| local_first && is_local(it));
         let other_endpoints = ranked.iter().copied().filter(|it| !(local_first && is_local(it)));
         let search_order: Vec<_> = local_endpoints.chain(other_endpoints).collect();
+        let search_order = self.cold_first(request, prompt, search_order);
         let mean = self.mean_load(candidates);
         let shared_tokens: u32 = prompt.shared().iter().map(|it| it.tokens).sum();
         let bound = |it: &usize| {
@@ -195,8 +204,34 @@
     }
 
     fn mean_load(&self, candidates: &[(usize, &Endpoint)]) -> f64 {
-        let total: u32 = candidates.iter().map(|(_, it)| it.load.requests(self.now)).sum();
-        f64::from(total) / candidates.len().max(1) as f64
+        // Cold endpoints get less than their part and would lower the mean.
+        let warm = || candidates.iter().filter(|it| !it.1.is_cold(self.now));
+        let total: u32 = warm().map(|(_, it)| it.load.requests(self.now)).sum();
+        f64::from(total) / warm().count().max(1) as f64
+    }
+
+    /// Puts the cold endpoints that this router may use now before the others, for prompts whose home
+    /// is cold and for those that are processed quickly.
+    fn cold_first(
+        &self,
+        request: &DispatchRequest,
+        prompt: &Prompt,
+        search_order: Vec<usize>,
+    ) -> Vec<usize> {
+        let is_cold = |it: &usize| self.endpoints[*it].is_cold(self.now);
+        if !search_order.iter().any(is_cold) {
+            return search_order;
+        }
+        let (key, shared) = affinity(prompt);
+        let eligible = |it: &Endpoint| it.is_staying() && it.is_eligible(request.eligibility());
+        let homes = self.endpoints.iter().enumerate().filter(|it| eligible(it.1));
+        let is_home_cold = ranked(key, homes).first().is_some_and(is_cold);
+        if !is_home_cold && shared >= LOCAL_PREFIX_TOKENS {
+            return search_order;
+        }
+        let (mut order, warm): (Vec<_>, Vec<_>) = search_order.into_iter().partition(is_cold);
+        order.extend(warm);
+        order
     }
 
     /// Returns the endpoint that is expected to have most of a prompt in memory, if it has enough
@@ -216,7 +251,8 @@
         }
         // A draining endpoint can still be fetched from.
         let regions = request.regions.as_deref();
-        let allowed = |it: &Endpoint| !it.evacuated && it.is_in(regions);
+        // A cold endpoint has nothing in memory, and takes few requests.
+        let allowed = |it: &Endpoint| !it.evacuated && it.is_in(regions) && !it.is_cold(self.now);
         let others = self.endpoints.iter().enumerate().filter(|it| it.0 != chosen && allowed(it.1));
         let healthy = others.filter(|it| !it.1.health.is_avoided(self.now));
         let is_local = |it: &Endpoint| it.listed.domain == target.listed.domain;
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
+        cold::ColdRate,
         endpoint::Endpoint,
-        limit::Limit,
         placement::Placement,
         queue::WaitQueue,
         request::{Eligibility, EndpointHandle},
@@ -22,6 +22,8 @@
     /// The number of tokens that fit into each endpoint's memory, if the service runs a model.
     pub(crate) kv_capacity: Option<u64>,
     pub(crate) queue: WaitQueue,
+    /// How many requests cold endpoints take, if endpoints may be cold.
+    pub(crate) cold_rate: Option<ColdRate>,
     /// The mean time that an endpoint runs a request, without the time that it queues it, in
     /// milliseconds. `None` before any has ended.
     run_ms: Option<f64>,
@@ -58,12 +60,14 @@
 
     /// Returns how long requests wait at least behind `ahead` others because of the limits of
     /// endpoints, in milliseconds.
-    pub(crate) fn limit_wait_ms(&self, eligibility: Eligibility<'_>, ahead: usize) -> u64 {
-        let limits = || self.staying(eligibility).map(|it| &it.notice.limit);
-        if limits().any(|it| it.rate().is_none()) {
-            return 0;
-        }
-        let rate: f64 = limits().map(Limit::share).sum();
+    pub(crate) fn limit_wait_ms(
+        &self,
+        now: Time,
+        eligibility: Eligibility<'_>,
+        ahead: usize,
+    ) -> u64 {
+        let rates = self.staying(eligibility).map(|it| it.max_rate(now));
+        let Some(rate) = rates.sum::<Option<f64>>() else { return 0 };
         if rate > 0.0 { (ahead as f64 / rate * 1_000.0) as u64 } else { 0 }
     }
 
