Read and spread what endpoints say about being cold

The messages on limits keep their encoding, which a test holds. No health request exists yet, only connections.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        control, discovery, gossip,
+        cold, control, discovery, gossip,
         header_names::HeaderNames,
         layout, limits,
         metrics::Metrics,
@@ -113,6 +113,7 @@
             budgets: Mutex::new(HashMap::new()),
             quarantine: Mutex::new(Quarantine::new(settings.inner)),
             limit_news: Notify::new(),
+            cold_news: Notify::new(),
             paths: Mutex::default(),
             path_lost: watch::Sender::default(),
             peers: Mutex::default(),
@@ -152,6 +153,7 @@
             tokio::spawn(quarantine::send_news(shared.clone())),
             tokio::spawn(quarantine::compare(shared.clone())),
             tokio::spawn(limits::send_reports(shared.clone())),
+            tokio::spawn(cold::send_reports(shared.clone())),
             tokio::spawn(paths::probe(shared.clone())),
             tokio::spawn(process_queue(shared.clone())),
         ];
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -4,11 +4,11 @@
 //! relays exchange the sums of the domains ([`dispatch::Exchange`]); all get its new prompt parts.
 //! A lost datagram costs some accuracy until the next one arrives.
 //!
-//! The messages on origins of streams ([`crate::origins`]), on crashes ([`crate::quarantine`]) and on
-//! limits of endpoints ([`crate::limits`]) have the same socket and another first byte.
+//! The messages on origins of streams ([`crate::origins`]), on crashes ([`crate::quarantine`]), on
+//! limits of endpoints ([`crate::limits`]) and on cold ones ([`crate::cold`]) have the same socket and another first byte.
 
 use {
-    crate::{limits, origins, quarantine, shared::Shared},
+    crate::{cold, limits, origins, quarantine, shared::Shared},
     bincode::{
         config::standard,
         serde::{decode_from_slice, encode_to_vec},
@@ -232,6 +232,10 @@
             limits::receive(&shared, from, &buffer[1..len]);
             continue;
         }
+        if buffer[..len].first() == Some(&cold::FORMAT_VERSION) {
+            cold::receive(&shared, from, &buffer[1..len]);
+            continue;
+        }
         match decode_from_slice::<GossipMessage, _>(&buffer[..len], standard()) {
             Ok((message, _)) if message.version != FORMAT_VERSION => {
                 let version = message.version;
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -45,6 +45,9 @@
     /// In a response: how many requests a second all gateways together may make the endpoint reject
     /// before it fails, until a response comes without it.
     pub brittle: HeaderName,
+    /// In a response: how much longer the endpoint takes few requests because it has just started, in
+    /// milliseconds. Zero if it takes as many as usual.
+    pub cold: HeaderName,
     /// The id of the last event of a stream that the client received.
     pub last_event_id: HeaderName,
     /// The id of the client's attempt that brought the first event of a stream which the client
@@ -73,6 +76,7 @@
             leaving: name("endpoint-leaving"),
             limit: name("endpoint-limit"),
             brittle: name("endpoint-brittle"),
+            cold: name("endpoint-cold-ms"),
             last_event_id: name("last-event-id"),
             resumes: name("resumes"),
             reserved: Vec::new(),
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -218,6 +218,17 @@
     }
 }
 
+/// Returns how much longer an endpoint says that it is cold, in milliseconds. The error is a value that
+/// is not a whole number.
+pub(crate) fn cold_remaining(
+    names: &HeaderNames,
+    headers: &HeaderMap,
+) -> Result<Option<u32>, HeaderValue> {
+    let Some(value) = headers.get(&names.cold) else { return Ok(None) };
+    let millis = value.to_str().ok().and_then(|it| it.trim().parse::<u64>().ok());
+    millis.map_or(Err(value.clone()), |it| Ok(Some(u32::try_from(it).unwrap_or(u32::MAX))))
+}
+
 /// The longest retry delay that is believed, in seconds.
 const MAX_RETRY_AFTER_S: f64 = 86_400.0;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod call;
+mod cold;
 mod control;
 mod crash;
 mod detour;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,7 @@
     requests: Counter<u64>,
     sends: Counter<u64>,
     first_byte: Histogram<f64>,
+    cold: Counter<u64>,
 }
 
 impl Metrics {
@@ -27,6 +28,7 @@
             Instruments {
                 requests: meter.u64_counter("gateway_requests").build(),
                 sends: meter.u64_counter("gateway_sends").build(),
+                cold: meter.u64_counter("gateway_cold_endpoints").build(),
                 first_byte: meter.f64_histogram("gateway_first_byte_ms").build(),
             }
         })
@@ -42,6 +44,12 @@
         self.instruments().sends.add(1, &[KeyValue::new("ending", ending)]);
     }
 
+    /// Counts an endpoint that begins or ceases to be believed cold, by the source of the belief.
+    pub(crate) fn record_cold(&self, source: String, change: &'static str) {
+        let labels = [KeyValue::new("source", source), KeyValue::new("change", change)];
+        self.instruments().cold.add(1, &labels);
+    }
+
     /// Records the time to the first byte of a response, in milliseconds.
     pub(crate) fn record_first_byte(&self, millis: f64) {
         self.instruments().first_byte.record(millis, &[]);
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -2,8 +2,11 @@
 
 use {
     crate::{
+        cold,
         header_names::HeaderNames,
-        headers::{ResponseProof, is_leaving, reported_load, request_rate, retry_after},
+        headers::{
+            ResponseProof, cold_remaining, is_leaving, reported_load, request_rate, retry_after,
+        },
         limits,
         shared::Shared,
     },
@@ -80,6 +83,11 @@
         }
         Err(value) => ignore(shared, pick, "invalid-brittle", &value),
     }
+    match cold_remaining(&shared.names, &response.headers) {
+        Ok(Some(remaining_ms)) => cold::record(shared, pick, remaining_ms),
+        Ok(None) => {}
+        Err(value) => ignore(shared, pick, "invalid-cold", &value),
+    }
 }
 
 fn ignore(shared: &Shared, pick: &Assignment, event: &'static str, value: &HeaderValue) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -125,6 +125,8 @@
     pub(crate) peers: Mutex<HashMap<SocketAddr, Peer>>,
     /// Wakes the task that tells other gateways of the limits of endpoints.
     pub(crate) limit_news: Notify,
+    /// Wakes the task that logs which endpoints are believed to be cold and tells other gateways.
+    pub(crate) cold_news: Notify,
     /// Wakes the task that tells other gateways of crashes.
     pub(crate) crash_news: Notify,
     /// Notified when a verdict began.
