--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        control, discovery, gossip,
+        cold, control, discovery, gossip,
         header_names::HeaderNames,
         layout, limits,
         metrics::Metrics,
@@ -118,6 +118,7 @@
             budgets: Mutex::new(HashMap::new()),
             quarantine: Mutex::new(Quarantine::new(settings.inner)),
             limit_news: Notify::new(),
+            cold_news: Notify::new(),
             paths: Mutex::default(),
             path_lost: watch::Sender::default(),
             peers: Mutex::default(),
@@ -163,6 +164,7 @@
             tokio::spawn(limits::send_reports(shared.clone())),
             tokio::spawn(outages::send_news(shared.clone())),
             tokio::spawn(origins::tell_due(shared.clone())),
+            tokio::spawn(cold::send_reports(shared.clone())),
             tokio::spawn(paths::probe(shared.clone())),
             tokio::spawn(process_queue(shared.clone())),
         ];
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -5,10 +5,11 @@
 //! A lost datagram costs some accuracy until the next one arrives.
 //!
 //! The messages on origins of streams ([`crate::origins`]), on crashes ([`crate::quarantine`]), on
-//! limits of endpoints ([`crate::limits`]) and on outages ([`crate::outages`]) have the same socket and another first byte.
+//! limits of endpoints ([`crate::limits`]), on cold ones ([`crate::cold`]) and on outages
+//! ([`crate::outages`]) have the same socket and another first byte.
 
 use {
-    crate::{limits, origins, outages, quarantine, shared::Shared},
+    crate::{cold, limits, origins, outages, quarantine, shared::Shared},
     bincode::{
         config::standard,
         serde::{decode_from_slice, encode_to_vec},
@@ -236,6 +237,10 @@
             outages::receive(&shared, from, &buffer[1..len]);
             continue;
         }
+        if buffer[..len].first() == Some(&cold::FORMAT_VERSION) {
+            cold::receive(&shared, from, &buffer[1..len]);
+            continue;
+        }
         match decode_from_slice::<GossipMessage, _>(&buffer[..len], standard()) {
             Ok((message, _)) if message.version != FORMAT_VERSION => {
                 let version = message.version;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -131,6 +131,8 @@
     pub(crate) limit_news: Notify,
     /// Wakes the task that tells other gateways of endpoints that cannot be used.
     pub(crate) outage_news: Notify,
+    /// Wakes the task that logs which endpoints are believed to be cold and tells other gateways.
+    pub(crate) cold_news: Notify,
     /// Wakes the task that tells other gateways of crashes.
     pub(crate) crash_news: Notify,
     /// Notified when a verdict began.
