Exchange the number of the protocol when a stream is opened

Builds of different age cannot tell what the other one decodes, and a variant that a peer does not know ends its stream. The opener and the acceptor of a stream now send the header jf-protocol with 1; a peer without it counts as 0.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,8 @@
 //! that both ends detect a connection whose state a middlebox has dropped. A [`Listener`] accepts
 //! connections and returns their streams. A [`Stream`] carries typed frames in both directions,
 //! each of at most [`MAX_FRAME_BYTES`]; a malformed or oversized frame ends only its own stream.
+//! Both ends of a stream say which protocol they speak ([`PROTOCOL`]), so that builds of different
+//! age can run side by side.
 //! Bytes are counted by [`TrafficClass`], so that the control traffic of a process can be measured.
 
 #![allow(
@@ -19,6 +21,7 @@
 mod frame;
 pub mod msg;
 mod peer;
+mod protocol;
 mod server;
 mod stream;
 mod tls;
@@ -31,6 +34,7 @@
     error::{Step, WireError},
     frame::{Encoded, MAX_FRAME_BYTES},
     peer::{Dialer, Peer},
+    protocol::PROTOCOL,
     server::{Incoming, Listener},
     stream::{RecvHalf, SendHalf, Stream},
     tls::Identity,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -4,6 +4,7 @@
     crate::{
         dial::dial,
         error::{Step, WireError},
+        protocol::{self, PROTOCOL},
         stream::{RecvHalf, SendHalf, Stream},
         tls::Identity,
         traffic::{Traffic, TrafficClass},
@@ -57,6 +58,7 @@
 pub struct Peer {
     addr: SocketAddr,
     dialer: Dialer,
+    protocol: u32,
     current: Arc<Mutex<Option<ActiveConnection>>>,
 }
 
@@ -69,7 +71,14 @@
 impl Peer {
     /// Returns a handle without connecting.
     pub fn new(addr: SocketAddr, dialer: Dialer) -> Peer {
-        Peer { addr, dialer, current: Arc::default() }
+        Peer { addr, dialer, protocol: PROTOCOL, current: Arc::default() }
+    }
+
+    /// Returns a handle that opens streams as a process which speaks another protocol. With 0 the other process is not
+    /// told a number, as by a build that has none.
+    #[must_use]
+    pub fn with_protocol(self, protocol: u32) -> Peer {
+        Peer { protocol, ..self }
     }
 
     /// Returns the address of the other process.
@@ -112,18 +121,20 @@
         let open_error = |it: h2::Error| WireError::new(Step::Open, self.addr, it);
         let mut ready = requests.ready().await.map_err(open_error)?;
         let uri = format!("http://{}{path}", self.addr);
-        let request =
+        let mut request =
             Request::post(uri).body(()).map_err(|it| WireError::new(Step::Open, self.addr, it))?;
+        protocol::write(request.headers_mut(), self.protocol);
         let (response, send) = ready.send_request(request, false).map_err(open_error)?;
         let send = SendHalf { inner: send, peer: self.addr, finished: false };
         let response = response.await.map_err(open_error)?;
+        let protocol = protocol::read(response.headers());
         let recv = RecvHalf {
             inner: response.into_body(),
             peer: self.addr,
             buf: BytesMut::new(),
             received: 0,
         };
-        Ok(Stream { send, recv })
+        Ok(Stream { send, recv, protocol })
     }
 
     async fn get_or_connect(&self) -> Result<SendRequest<Bytes>, WireError> {
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -4,6 +4,7 @@
     crate::{
         error::{Step, WireError},
         peer::{CountingIo, HANDSHAKE_LIMIT, WINDOW_BYTES},
+        protocol::{self, PROTOCOL},
         stream::{RecvHalf, SendHalf, Stream},
         tls::Identity,
         traffic::{Traffic, TrafficClass},
@@ -156,8 +157,11 @@
     peer: SocketAddr,
 ) -> Option<Incoming> {
     let path = request.uri().path().to_owned();
-    let send = respond.send_response(Response::new(()), false).ok()?;
+    let protocol = protocol::read(request.headers());
+    let mut response = Response::new(());
+    protocol::write(response.headers_mut(), PROTOCOL);
+    let send = respond.send_response(response, false).ok()?;
     let send = SendHalf { inner: send, peer, finished: false };
     let recv = RecvHalf { inner: request.into_body(), peer, buf: BytesMut::new(), received: 0 };
-    Some(Incoming { path, peer, stream: Stream { send, recv } })
+    Some(Incoming { path, peer, stream: Stream { send, recv, protocol } })
 }
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -17,6 +17,8 @@
     pub send: SendHalf,
     /// The receiving half.
     pub recv: RecvHalf,
+    /// The number of the protocol that the other process speaks; 0 if it does not say.
+    pub protocol: u32,
 }
 
 impl Stream {
