Evacuate failure domains: replicated orders, sets for gateways, cold endpoints

Control commits an order and an empty entry after it, and keeps the set in a section after the frozen encoding of the state. Its revision is the index of the log entry, so it increases also after a rollback that dropped the section. Orders are proposed only while all members of the group speak protocol 1, as they said when streams were opened; the leader records that in the log, so that a member that is down does not prevent orders later.

Watch streams of protocol 1 get the set and the cold endpoints, those of protocol 0 get evacuated endpoints as draining. Gateways keep the set with the highest revision, pass it on over relay streams, and do not connect to evacuated endpoints for requests, for other gateways or for probes. The decisions of the dispatcher follow.

--- a/crates/control/examples/state_size.rs
+++ b/crates/control/examples/state_size.rs
@@ -142,7 +142,7 @@
     };
     state.apply(0, &operation("plan".into(), Action::Plan(document(0, 0, 0))));
     state.apply(0, &operation("confirm".into(), Action::Confirm { plan: PlanId(1) }));
-    state.execute(Command::Roster(Roster { epoch: Epoch(1), routers: [entry].into() }));
+    state.execute(1, Command::Roster(Roster { epoch: Epoch(1), routers: [entry].into() }));
     let before = resident_bytes();
     let start = Instant::now();
     for number in 0..CLAIMS {
@@ -150,10 +150,10 @@
         let call =
             |step| LedgerCall { key, router: RouterId(1), id: RequestId(number.into()), step };
         let ledger = |step| Command::Ledger { at_ms: 0, call: call(step) };
-        let claimed = state.execute(ledger(ClaimStep::Claim { request: Digest::default() }));
+        let claimed = state.execute(1, ledger(ClaimStep::Claim { request: Digest::default() }));
         assert!(matches!(claimed, Output::Ledger(LedgerReply::Granted)), "{claimed:?}");
         let answer = RecordedAnswer::new(200, [], vec![7; BODY_BYTES].into());
-        state.execute(ledger(ClaimStep::Done { answer: Arc::new(answer) }));
+        state.execute(1, ledger(ClaimStep::Done { answer: Arc::new(answer) }));
     }
     let elapsed = start.elapsed();
     let growth = resident_bytes().saturating_sub(before) as u64;
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -1,6 +1,7 @@
 //! Commands of the replicated log and their outputs.
 
 use {
+    crate::evacuation_state::{EvacuationOrder, EvacuationOutcome},
     derive_more::Debug,
     intent::{Answer, Operation},
     ledger::{LedgerCall, LedgerReply},
@@ -10,7 +11,8 @@
     std::net::SocketAddr,
 };
 
-/// One entry of the replicated log.
+/// One entry of the replicated log. New variants follow the last one, and are proposed only while all members of the
+/// group are known to decode them.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
 pub enum Command {
     /// An operator's request.
@@ -52,6 +54,13 @@
     },
     /// Does nothing. A replica that has this entry on disk also knows that all earlier entries are committed.
     Barrier,
+    /// An operator's order to evacuate a failure domain or to withdraw its evacuation. Since protocol 1.
+    Evacuate(EvacuationOrder),
+    /// Records a number that all members of the group have at least as their protocol. Since protocol 1.
+    RecordProtocol {
+        /// The number.
+        number: u32,
+    },
 }
 
 /// The result of applying a command.
@@ -73,4 +82,6 @@
     Nothing,
     /// The command could not be decoded; the state is unchanged.
     Malformed,
+    /// What became of an order of an evacuation.
+    Evacuated(EvacuationOutcome),
 }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -5,6 +5,7 @@
         admin,
         bulk_limiter::BulkLimiter,
         discovery::{self, Discovery},
+        evacuations::{self, EvacuationSet, EvacuationStore},
         feed, host_list, leader_calls, ledger_calls,
         membership::{self, Membership},
         metrics::Metrics,
@@ -45,6 +46,7 @@
     pub(crate) config_format: Arc<dyn RoutingConfigFormat>,
     pub(crate) routing_config: watch::Sender<Option<Arc<ConfigHistory>>>,
     pub(crate) discovery: Discovery,
+    pub(crate) evacuations: watch::Sender<Option<Arc<EvacuationSet>>>,
     pub(crate) watchers: Watchers,
     pub(crate) bulk_limiter: BulkLimiter,
     pub(crate) dialer: Dialer,
@@ -154,6 +156,7 @@
             config_format,
             routing_config: watch::Sender::default(),
             discovery: Discovery::default(),
+            evacuations: watch::Sender::default(),
             watchers: Watchers::default(),
             bulk_limiter,
             dialer,
@@ -170,6 +173,8 @@
             tokio::spawn(state_versions::run(shared.clone())),
             tokio::spawn(routing_configs::run(shared.clone())),
             tokio::spawn(watch_service::run(shared.clone())),
+            tokio::spawn(evacuations::run(shared.clone())),
+            tokio::spawn(evacuations::record_protocol(shared.clone())),
         ];
         let hosts = shared.settings.host_list;
         tasks.extend(hosts.map(|it| tokio::spawn(host_list::run(shared.clone(), it))));
@@ -204,6 +209,11 @@
         RoutingConfigStore::new(self.shared.clone())
     }
 
+    /// Returns a handle for evacuating failure domains.
+    pub fn evacuations(&self) -> EvacuationStore {
+        EvacuationStore::new(self.shared.clone())
+    }
+
     /// Returns whether this replica is the leader.
     pub fn is_leader(&self) -> bool {
         self.shared.log.is_leader()
--- a/crates/control/src/leader_calls.rs
+++ b/crates/control/src/leader_calls.rs
@@ -5,7 +5,13 @@
 //! version and returns the document itself, so that the leader's link does not carry every document that is read.
 
 use {
-    crate::{control::Shared, replicated_log::CommitError, routing_configs},
+    crate::{
+        control::Shared,
+        evacuation_state::EvacuationOrder,
+        evacuations::{self, EvacuationResult},
+        replicated_log::CommitError,
+        routing_configs,
+    },
     derive_more::Debug,
     route::PublishOutcome,
     serde::{Deserialize, Serialize},
@@ -22,26 +28,39 @@
 
 /// A call to the leader.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
-pub(crate) enum LeaderCall {
+pub enum LeaderCall {
     /// Publishes a routing configuration that was already validated.
     Publish {
+        /// The version that the publisher chose.
         version: u64,
+        /// The document, compressed.
         #[debug("{} bytes", document.len())]
         document: Vec<u8>,
     },
     /// Asks for the version of the newest acknowledged routing configuration.
     NewestVersion,
+    /// Evacuates a failure domain, or withdraws its evacuation. Since protocol 1.
+    Evacuate {
+        /// The order. The leader sets its time.
+        order: EvacuationOrder,
+        /// Whether the caller knows the domain.
+        is_known: bool,
+    },
 }
 
 /// The leader's reply.
 #[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
-pub(crate) enum LeaderReply {
+pub enum LeaderReply {
+    /// The configuration is committed, or a newer one was.
     Published(PublishOutcome),
+    /// The version of the newest acknowledged routing configuration.
     NewestVersion(Option<u64>),
     /// This replica is not the leader. The call had no effect.
     NotLeader,
     /// The outcome is unknown.
     Unknown,
+    /// What became of an order of an evacuation.
+    Evacuation(EvacuationResult),
 }
 
 impl From<CommitError> for LeaderReply {
@@ -53,6 +72,16 @@
     }
 }
 
+impl LeaderCall {
+    /// Returns the protocol that introduced the call.
+    fn min_protocol(&self) -> u32 {
+        match self {
+            LeaderCall::Publish { .. } | LeaderCall::NewestVersion => 0,
+            LeaderCall::Evacuate { .. } => evacuations::MIN_PROTOCOL,
+        }
+    }
+}
+
 /// Calls the leader. Returns [`LeaderReply::NotLeader`] if the call did not reach it.
 pub(crate) async fn call(shared: &Shared, call: &LeaderCall) -> LeaderReply {
     let Some(leader) = shared.log.leader_internal_addr() else { return LeaderReply::NotLeader };
@@ -64,6 +93,9 @@
         }
     };
     let Ok(mut stream) = peer.open(LEADER_PATH).await else { return LeaderReply::NotLeader };
+    if stream.protocol < call.min_protocol() {
+        return LeaderReply::Evacuation(EvacuationResult::OldMember);
+    }
     let exchanged = timeout(CALL_TIMEOUT, async {
         stream.send.send(call).await?;
         stream.send.finish();
@@ -93,6 +125,9 @@
         LeaderCall::NewestVersion => {
             routing_configs::newest_version(&shared).await.map(LeaderReply::NewestVersion)
         }
+        LeaderCall::Evacuate { order, is_known } => {
+            evacuations::commit(&shared, order, is_known).await.map(LeaderReply::Evacuation)
+        }
     };
     stream.send.send(&reply.unwrap_or_else(LeaderReply::from)).await?;
     stream.send.finish();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,9 +13,12 @@
 
 mod admin;
 mod bulk_limiter;
+mod cold_list;
 mod command;
 mod control;
 mod discovery;
+mod evacuation_state;
+mod evacuations;
 mod feed;
 mod host_list;
 mod leader_calls;
@@ -31,6 +34,7 @@
 mod router_registry;
 mod router_reports;
 mod routing_configs;
+mod section;
 mod state;
 mod state_versions;
 mod status;
@@ -39,8 +43,14 @@
 
 pub use crate::{
     bulk_limiter::{BulkGrant, BulkLimiter, BulkPermit},
+    cold_list::ColdList,
     command::{Command, Output},
     control::{Control, Sockets},
+    evacuation_state::{
+        Evacuation, EvacuationOrder, EvacuationOutcome, EvacuationRecord, EvacuationState,
+    },
+    evacuations::{EvacuationError, EvacuationResult, EvacuationStore, OrderRequest, all_speak},
+    leader_calls::{LeaderCall, LeaderReply},
     routing_configs::{JsonFormat, PublishError, RoutingConfigFormat, RoutingConfigStore},
     state::State,
 };
--- a/crates/control/src/replicated_log.rs
+++ b/crates/control/src/replicated_log.rs
@@ -216,6 +216,12 @@
         self.replica.member_addrs()
     }
 
+    /// Returns the numbers of the protocols that the other members of the group speak, `None` for each that is not
+    /// known.
+    pub(crate) fn member_protocols(&self) -> Vec<Option<u32>> {
+        self.replica.member_protocols()
+    }
+
     /// Returns whether this replica counts towards the quorum, according to the configuration that it knows.
     pub(crate) fn is_voter(&self) -> bool {
         self.replica.is_voter(self.replica.id())
--- a/crates/control/src/routing_configs.rs
+++ b/crates/control/src/routing_configs.rs
@@ -100,7 +100,7 @@
             result = match leader_calls::call(&self.shared, &call).await {
                 LeaderReply::Published(outcome) => Ok(outcome),
                 LeaderReply::NotLeader => Err(CommitError::NotLeader),
-                LeaderReply::Unknown | LeaderReply::NewestVersion(_) => Err(CommitError::Unknown),
+                _ => Err(CommitError::Unknown),
             };
         }
         match result {
@@ -136,7 +136,7 @@
             newest = match leader_calls::call(&self.shared, &LeaderCall::NewestVersion).await {
                 LeaderReply::NewestVersion(version) => Ok(version),
                 LeaderReply::NotLeader => Err(CommitError::NotLeader),
-                LeaderReply::Unknown | LeaderReply::Published(_) => Err(CommitError::Unknown),
+                _ => Err(CommitError::Unknown),
             };
         }
         let newest = newest.map_err(|it| self.publish_error(it))?;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -3,9 +3,11 @@
 use {
     crate::{
         command::{Command, Output},
+        evacuation_state::EvacuationState,
         quarantine::Quarantine,
         roster_history::RosterHistory,
         router_registry::{RouterInfo, RouterRegistry},
+        section::Section,
     },
     bincode::{
         config::standard,
@@ -22,6 +24,8 @@
 };
 
 /// The replicated state. It is a pure function of the applied commands in their order.
+///
+/// The encoding of the fields is that of 0d4d3b9. What was added since then is in the section after it.
 #[derive(Clone, PartialEq, Eq, Default, Serialize, Deserialize, Debug)]
 pub struct State {
     pub(crate) intents: IntentState,
@@ -30,11 +34,13 @@
     pub(crate) ledger: Ledger,
     pub(crate) quarantine: Quarantine,
     pub(crate) published: PublishedConfig,
+    #[serde(skip)]
+    pub(crate) section: Section,
 }
 
 impl State {
-    /// Applies a committed command.
-    pub fn execute(&mut self, command: Command) -> Output {
+    /// Applies a committed command, whose log entry has the index `index`.
+    pub fn execute(&mut self, index: u64, command: Command) -> Output {
         match command {
             Command::Operation(it) => Output::Answer(self.intents.apply(&it)),
             Command::Register { host, process, addr, domain } => {
@@ -50,9 +56,19 @@
                 Output::Published(self.published.publish(version, document))
             }
             Command::Barrier => Output::Nothing,
+            Command::Evacuate(it) => Output::Evacuated(self.section.evacuations.apply(index, it)),
+            Command::RecordProtocol { number } => {
+                self.section.protocol = self.section.protocol.max(number);
+                Output::Nothing
+            }
         }
     }
 
+    /// Returns the evacuated failure domains.
+    pub fn evacuations(&self) -> &EvacuationState {
+        &self.section.evacuations
+    }
+
     /// Replaces the roster with the next one and marks the claims of routers that are no longer present as unknown.
     fn advance_roster(&mut self, next: Roster) -> bool {
         let is_lost = |it: &&model::RouterEntry| !is_present(&next, it.id);
@@ -74,22 +90,26 @@
 }
 
 impl StateMachine for State {
-    fn apply(&mut self, _: u64, command: &[u8]) -> Vec<u8> {
+    fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
         let decoded = decode_from_slice(command, standard());
         let output = match decoded {
-            Ok((command, _)) => self.execute(command),
+            Ok((command, _)) => self.execute(index, command),
             Err(_) => Output::Malformed,
         };
         encode_to_vec(output, standard()).unwrap_or_default()
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        encode_to_vec(self, standard()).unwrap_or_default()
+        let mut bytes = encode_to_vec(self, standard()).unwrap_or_default();
+        bytes.extend(self.section.encode().unwrap_or_default());
+        bytes
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
         let restore_error = |it: DecodeError| RestoreError { reason: it.to_string() };
-        *self = decode_from_slice(snapshot, standard()).map_err(restore_error)?.0;
+        let (state, consumed) = decode_from_slice(snapshot, standard()).map_err(restore_error)?;
+        *self = state;
+        self.section = Section::decode(&snapshot[consumed..]).map_err(restore_error)?;
         Ok(())
     }
 }
--- a/crates/control/src/watch_service.rs
+++ b/crates/control/src/watch_service.rs
@@ -11,9 +11,12 @@
     crate::{
         bulk_limiter::{BulkGrant, BulkLimiter, BulkPermit},
         control::Shared,
+        discovery,
+        evacuations::{self, EvacuationSet},
         topic::Topic,
     },
     derive_more::Debug,
+    directory::Catalog,
     fanout::Router,
     model::Domain,
     parking_lot::Mutex,
@@ -120,6 +123,7 @@
 
 /// Serves one watch stream until either side closes it.
 pub(crate) async fn serve(shared: Arc<Shared>, stream: Stream) -> Result<(), WireError> {
+    let protocol = stream.protocol;
     let (mut send, mut recv) = stream.split();
     let Ok(hello) = timeout(HELLO_TIMEOUT, recv.recv::<WatchHello>()).await else { return Ok(()) };
     let Some(hello) = hello? else { return Ok(()) };
@@ -128,6 +132,7 @@
         event = "router-watches",
         router = %addr,
         version,
+        protocol,
         "control: router opened a watch stream"
     );
     shared.watchers.add(addr, domain.clone());
@@ -135,7 +140,7 @@
     if let Some(version) = version {
         shared.bulk_limiter.confirm(&router, version);
     }
-    let result = stream_updates(&shared, router, &mut send, &mut recv).await;
+    let result = stream_updates(&shared, router, protocol, &mut send, &mut recv).await;
     shared.watchers.remove(addr);
     shared.bulk_limiter.remove(addr);
     tracing::info!(
@@ -155,13 +160,21 @@
     /// Set once the router requested the catalog; the inner value is the version it was last sent.
     catalog_version: Option<Option<u64>>,
     members_version: Option<u64>,
+    evacuations_revision: Option<u64>,
+    /// The version of the cold endpoints that the router was last sent.
+    cold_version: u64,
+    /// Whether the router knows evacuations. One that does not gets the endpoints of evacuated domains as draining.
+    knows_evacuations: bool,
 }
 
 impl WatchState {
     fn on_request(&mut self, request: WatchRequest) {
         match request {
             WatchRequest::Layout { installed_version } => self.installed = Some(installed_version),
-            WatchRequest::Catalog => self.catalog_version = Some(None),
+            WatchRequest::Catalog => {
+                self.catalog_version = Some(None);
+                self.cold_version = 0;
+            }
         }
     }
 
@@ -174,7 +187,7 @@
             config.messages.extend(topic.messages_since(since).into_iter().cloned());
             config.answers_request = true;
         }
-        let topic = shared.discovery.catalog.borrow();
+        let topic = catalog_sender(shared, self.knows_evacuations).borrow();
         if let (Some(last_sent), Some(topic)) = (self.catalog_version, topic.as_ref()) {
             catalog.messages.extend(topic.message_since(last_sent).cloned());
             catalog.catalog_version = Some(topic.version());
@@ -183,6 +196,17 @@
     }
 }
 
+/// Returns the catalog that a router gets.
+fn catalog_sender(
+    shared: &Shared,
+    knows_evacuations: bool,
+) -> &watch::Sender<Option<Arc<Topic<Catalog>>>> {
+    match knows_evacuations {
+        true => &shared.discovery.catalog,
+        false => &shared.discovery.legacy_catalog,
+    }
+}
+
 /// Messages to send to a router.
 #[derive(Default, Debug)]
 struct PendingMessages {
@@ -215,16 +239,25 @@
 async fn stream_updates(
     shared: &Shared,
     router: Router,
+    protocol: u32,
     send: &mut SendHalf,
     recv: &mut RecvHalf,
 ) -> Result<(), WireError> {
+    let knows_evacuations = protocol >= evacuations::MIN_PROTOCOL;
+    if !knows_evacuations {
+        discovery::provide_legacy_catalog(shared);
+    }
+    let mut evacuations = shared.evacuations.subscribe();
+    let mut cold = shared.discovery.cold.subscribe();
     let mut configs = shared.routing_config.subscribe();
-    let mut catalogs = shared.discovery.catalog.subscribe();
+    let mut catalogs = catalog_sender(shared, knows_evacuations).subscribe();
     let mut members = shared.watchers.members.subscribe();
-    let mut state = WatchState::default();
+    let mut state = WatchState { knows_evacuations, ..WatchState::default() };
     let mut pending: Option<PendingGrant> = None;
     let mut next_heartbeat = Instant::now();
     loop {
+        let set = evacuations.borrow_and_update().clone();
+        send_evacuations(set.as_deref(), &mut state, send).await?;
         let version = configs.borrow_and_update().as_ref().map(|it| it.version());
         if let Some(version) = version.filter(|_| version != state.announced_version) {
             state.announced_version = Some(version);
@@ -241,6 +274,8 @@
                 false => batch.send(&mut state, send).await?,
             }
         }
+        cold.mark_unchanged();
+        send_cold(shared, &mut state, send).await?;
         let [config_is_large, catalog_is_large] = large;
         let wanted = match (config_is_large, catalog_is_large) {
             (true, _) => Some(BulkMessage::Config),
@@ -258,6 +293,8 @@
             changed = configs.changed() => changed.is_err(),
             changed = catalogs.changed() => changed.is_err(),
             changed = members.changed() => changed.is_err(),
+            changed = evacuations.changed() => changed.is_err(),
+            changed = cold.changed() => changed.is_err(),
             request = recv.recv::<WatchRequest>() => match request? {
                 Some(request) => {
                     state.on_request(request);
@@ -387,6 +424,40 @@
     }
 }
 
+async fn send_evacuations(
+    set: Option<&EvacuationSet>,
+    state: &mut WatchState,
+    send: &mut SendHalf,
+) -> Result<(), WireError> {
+    let Some(set) = set.filter(|it| state.evacuations_revision != Some(it.revision)) else {
+        return Ok(());
+    };
+    if let Some(message) = set.message.as_ref().filter(|_| state.knows_evacuations) {
+        send.send_encoded(message).await?;
+    }
+    state.evacuations_revision = Some(set.revision);
+    Ok(())
+}
+
+/// Sends the cold endpoints to a router that has the catalog from this stream.
+async fn send_cold(
+    shared: &Shared,
+    state: &mut WatchState,
+    send: &mut SendHalf,
+) -> Result<(), WireError> {
+    let has_catalog = matches!(state.catalog_version, Some(Some(_)));
+    let (version, endpoints) = {
+        let cold = shared.discovery.cold.borrow();
+        if !has_catalog || !state.knows_evacuations || cold.version() == state.cold_version {
+            return Ok(());
+        }
+        (cold.version(), cold.remaining(shared.clock.now()))
+    };
+    send.send(&WatchUpdate::Cold { endpoints }).await?;
+    state.cold_version = version;
+    Ok(())
+}
+
 async fn send_topic<T>(
     topic: Option<&Topic<T>>,
     last_sent: &mut Option<u64>,
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -58,6 +58,18 @@
         TestReplica::start_in(tempfile::tempdir().unwrap()).await
     }
 
+    /// Starts a replica on a copy of a data folder.
+    pub(crate) async fn start_on(folder: &Path) -> TestReplica {
+        let dir = tempfile::tempdir().unwrap();
+        let data = dir.path().join("data");
+        fs::create_dir(&data).unwrap();
+        for file in fs::read_dir(folder).unwrap() {
+            let file = file.unwrap();
+            fs::copy(file.path(), data.join(file.file_name())).unwrap();
+        }
+        TestReplica::start_in(dir).await
+    }
+
     /// Shuts the replica down and starts it again on the same files.
     pub(crate) async fn restart(self) -> TestReplica {
         self.control.shutdown().await;
--- a/crates/control/tests/state.rs
+++ b/crates/control/tests/state.rs
@@ -144,19 +144,19 @@
 #[test]
 fn claims_of_a_missing_router_become_unknown() {
     let mut state = State::default();
-    state.execute(operation(1, 0, Action::Plan(document(0))));
-    state.execute(operation(2, 0, Action::Confirm { plan: PlanId(1) }));
+    state.execute(1, operation(1, 0, Action::Plan(document(0))));
+    state.execute(1, operation(2, 0, Action::Confirm { plan: PlanId(1) }));
     let claim = || ClaimStep::Claim { request: Digest::of(b"approve") };
     let ledger = |state: &mut State, router, id| {
-        state.execute(Command::Ledger { at_ms: 0, call: call(router, id, 1, claim()) })
+        state.execute(1, Command::Ledger { at_ms: 0, call: call(router, id, 1, claim()) })
     };
     let both_live = [RouterState::Live; 2];
-    assert_eq!(state.execute(Command::Roster(roster(1, &both_live))), Output::Roster(true));
-    assert_eq!(state.execute(Command::Roster(roster(1, &[]))), Output::Roster(false));
+    assert_eq!(state.execute(1, Command::Roster(roster(1, &both_live))), Output::Roster(true));
+    assert_eq!(state.execute(1, Command::Roster(roster(1, &[]))), Output::Roster(false));
     assert_eq!(ledger(&mut state, 1, 1), Output::Ledger(LedgerReply::Granted));
     assert_eq!(ledger(&mut state, 2, 2), Output::Ledger(LedgerReply::InProgress));
     let first_missing = [RouterState::Missing, RouterState::Live];
-    assert_eq!(state.execute(Command::Roster(roster(2, &first_missing))), Output::Roster(true));
+    assert_eq!(state.execute(1, Command::Roster(roster(2, &first_missing))), Output::Roster(true));
     assert_eq!(ledger(&mut state, 2, 3), Output::Ledger(LedgerReply::Unknown));
     assert_eq!(ledger(&mut state, 1, 4), Output::Ledger(LedgerReply::NotLive));
 }
--- a/crates/control/tests/three.rs
+++ b/crates/control/tests/three.rs
@@ -1,6 +1,8 @@
 //! Tests of a group of three replicas over sockets and files: acknowledged operations survive the loss of the leader.
 
 mod common;
+#[path = "three/evacuations.rs"]
+mod evacuations;
 
 use {
     common::{AdminRequest, TOKEN, settings},
@@ -47,6 +49,7 @@
     replicas: Vec<Option<Control>>,
     addrs: Vec<SocketAddr>,
     client: Client,
+    settings: Vec<ControlSettings>,
     _dirs: Vec<TempDir>,
 }
 
@@ -82,13 +85,16 @@
         }
         let peer = |it: &Sockets| ControlPeer { inner: it.internal_addr(), admin: it.admin_addr() };
         let peers: Vec<_> = bound.iter().map(|it| peer(&it.1)).collect();
-        let mut replicas = Vec::new();
+        let (mut replicas, mut all_settings) = (Vec::new(), Vec::new());
         for (at, (mut settings, sockets)) in bound.into_iter().enumerate() {
             configure(&mut settings, &peers, at);
+            let inner = sockets.internal_addr();
+            all_settings.push(ControlSettings { inner, ..settings.clone() });
             replicas.push(Some(Control::start(settings, sockets).await.unwrap()));
         }
         let addrs = peers.iter().map(|it| it.admin).collect();
-        Group { replicas, addrs, client: Client::new(5_000), _dirs: dirs }
+        let client = Client::new(5_000);
+        Group { replicas, addrs, client, settings: all_settings, _dirs: dirs }
     }
 
     /// Sends a request to each replica until the leader answers, as `jf` does. Returns the index of the leader, the
@@ -165,8 +171,15 @@
         let seeds = self.replicas.iter().flatten().map(Control::internal_addr).collect();
         self.stop(at).await;
         let dir = tempfile::tempdir().unwrap();
-        let settings =
+        self.settings[at] =
             ControlSettings { link_mbps, seeds, inner: internal, ..settings(dir.path()) };
+        self._dirs.push(dir);
+        self.restart(at).await;
+    }
+
+    /// Starts a stopped replica with its settings.
+    async fn restart(&mut self, at: usize) {
+        let settings = self.settings[at].clone();
         let replaced = timeout(TIMEOUT, async {
             loop {
                 match Sockets::bind(&settings).await {
@@ -178,7 +191,6 @@
         let sockets = replaced.await.expect("the address is still in use");
         self.addrs[at] = sockets.admin_addr();
         self.replicas[at] = Some(Control::start(settings, sockets).await.unwrap());
-        self._dirs.push(dir);
     }
 
     async fn stop(&mut self, at: usize) {
--- a/crates/directory/src/listing.rs
+++ b/crates/directory/src/listing.rs
@@ -22,6 +22,9 @@
 pub struct Listing {
     /// The endpoints.
     pub endpoints: Vec<ListedEndpoint>,
+    /// The ids of the endpoints of which the directory says whether they are cold, and for how many milliseconds they
+    /// remain so; 0 if they are not.
+    pub cold: Vec<(Name, u32)>,
     /// The number of calls that reading the list took.
     pub calls: u32,
 }
@@ -34,7 +37,7 @@
     pub reason: String,
 }
 
-/// An endpoint as listed by a directory.
+/// An endpoint as listed by a directory. Its encoding never changes.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
 pub struct ListedEndpoint {
     /// The endpoint's id. It may be the same after a restart.
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -35,6 +35,6 @@
         }
         let endpoints: Vec<ListedEndpoint> = serde_json::from_slice(&body)
             .map_err(|it| DirectoryError { reason: it.to_string() })?;
-        Ok(Listing { endpoints, calls: 1 })
+        Ok(Listing { endpoints, cold: Vec::new(), calls: 1 })
     }
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         attempt::{Attempt, Failure, UpstreamResponse, max_silence_ms},
-        detour,
+        detour, evacuations,
         headers::RequestHead,
         quarantine,
         rejection::Rejection,
@@ -395,7 +395,8 @@
     /// Returns whether the endpoint of an attempt has asked for no requests since it was chosen.
     pub(crate) fn is_unwanted(&self, pick: &Assignment) -> bool {
         let service = &self.found.service.name;
-        !self.shared.dispatcher.lock().accepts(self.shared.now(), service, pick.handle)
+        evacuations::is_evacuated(&self.shared, &pick.domain)
+            || !self.shared.dispatcher.lock().accepts(self.shared.now(), service, pick.handle)
     }
 
     /// Returns whether the request must not be sent because it may crash endpoints.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -15,7 +15,7 @@
     },
     derive_more::Debug,
     directory::Catalog,
-    model::{Domain, MILLISECOND, Time, hash64, mix2},
+    model::{Domain, MILLISECOND, Name, Time, hash64, mix2},
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
@@ -57,6 +57,8 @@
     routers: Vec<(SocketAddr, Domain)>,
     replicas: Vec<SocketAddr>,
     catalog: Option<Catalog>,
+    /// The cold endpoints by that list, and until when; `None` if the replica has not said.
+    cold: Option<Vec<(Name, Time)>>,
 }
 
 /// Watches replicas for as long as the process runs. `seeds` are the configured addresses.
@@ -161,6 +163,7 @@
             routers: Vec::new(),
             replicas: Vec::new(),
             catalog: None,
+            cold: None,
         }
     }
 
@@ -178,13 +181,19 @@
                     self.apply_catalog(replica);
                 }
             }
+            Update::Cold(endpoints) => {
+                watched.cold = Some(discovery::cold_until(self.shared.now(), &endpoints));
+                if self.catalog_source == Some(replica) {
+                    self.apply_cold(replica);
+                }
+            }
             Update::Heartbeat { has_leader, listing_is_recent } => {
                 (watched.has_leader, watched.listing_is_recent) = (has_leader, listing_is_recent);
                 self.update_catalog_source();
             }
             Update::Disconnected => {
                 (watched.has_leader, watched.listing_is_recent) = (false, false);
-                watched.catalog = None;
+                (watched.catalog, watched.cold) = (None, None);
                 self.update_catalog_source();
             }
         }
@@ -216,6 +225,7 @@
             if let Some(replica) = best.filter(|it| self.catalog_source != Some(*it)) {
                 self.catalog_source = Some(replica);
                 self.apply_catalog(replica);
+                self.apply_cold(replica);
             }
         }
         for (replica, watched) in &self.watched {
@@ -236,4 +246,11 @@
             discovery::apply(&self.shared, &catalog.endpoints());
         }
     }
+
+    fn apply_cold(&self, replica: SocketAddr) {
+        let cold = self.watched.get(&replica).and_then(|it| it.cold.clone());
+        if let Some(cold) = cold {
+            discovery::apply_cold(&self.shared, cold);
+        }
+    }
 }
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -1,7 +1,7 @@
 //! Detects whether an endpoint crashed before it began to answer a request.
 
 use {
-    crate::{call::Call, detour, shared::Shared},
+    crate::{call::Call, detour, evacuations, shared::Shared},
     dispatch::{Assignment, Prompt},
     model::Name,
     std::{fmt::Write, io, sync::Arc, time::Duration},
@@ -53,6 +53,10 @@
 }
 
 async fn refuses_connections(shared: &Arc<Shared>, service: &Name, pick: &Assignment) -> bool {
+    // An evacuated endpoint is not probed, and may end for the reason that it is evacuated for.
+    if evacuations::is_evacuated(shared, &pick.domain) {
+        return false;
+    }
     let is_lost = shared.paths.lock().is_lost(service);
     if is_lost {
         return detour::is_refused(shared, pick).await.unwrap_or(false);
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        evacuations,
         headers::verify_response,
         notices,
         paths::{self, Connection},
@@ -314,6 +315,10 @@
     let Some(DetourRequest::Send { method, path, headers, body }) = recv.recv().await? else {
         return Ok(());
     };
+    if evacuations::is_evacuated(shared, &pick.domain) {
+        let reason = "failure domain is evacuated".to_owned();
+        return finish(&mut send, &DetourReply::NotSent { is_refused: false, reason }).await;
+    }
     let request = decode_request(&method, &path, headers, body);
     tokio::select! {
         done = pass_on(shared, &pick, connection, request, &mut send) => done,
@@ -338,6 +343,10 @@
         return Err(DetourRefusal::Closed);
     }
     drop(dispatcher);
+    // The asking gateway may not have heard of the evacuation.
+    if evacuations::is_evacuated(shared, &pick.domain) {
+        return Err(DetourRefusal::Closed);
+    }
     if shared.paths.lock().is_lost(&service) {
         return Err(DetourRefusal::Unreachable);
     }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -5,7 +5,7 @@
     crate::shared::Shared,
     directory::{Directory, ListedEndpoint, PollInterval},
     dispatch::EndpointChange,
-    model::{MILLISECOND, Time},
+    model::{MILLISECOND, Name, Time},
     path::Endpoint,
     std::{
         sync::{Arc, atomic::Ordering},
@@ -50,6 +50,7 @@
                 // The control plane may have sent a newer list in the meantime.
                 if is_control_silent(&shared) {
                     apply(&shared, &listing.endpoints);
+                    apply_cold(&shared, cold_until(shared.now(), &listing.cold));
                 }
             }
             Err(err) => {
@@ -88,6 +89,40 @@
     changes.iter().for_each(log);
 }
 
+/// Returns until when endpoints are cold.
+pub(crate) fn cold_until(now: Time, endpoints: &[(Name, u32)]) -> Vec<(Name, Time)> {
+    let until = |(id, remaining_ms): &(Name, u32)| {
+        (id.clone(), now + u64::from(*remaining_ms) * MILLISECOND)
+    };
+    endpoints.iter().map(until).collect()
+}
+
+/// Returns for how many milliseconds the listed endpoints remain cold; 0 for those that are not.
+pub(crate) fn cold_remaining(shared: &Shared) -> Vec<(Name, u32)> {
+    let (now, cold) = (shared.now(), shared.cold.lock());
+    let remaining = |(id, until): &(Name, Time)| {
+        (id.clone(), (until.since(now) / MILLISECOND).try_into().unwrap_or(u32::MAX))
+    };
+    cold.iter().map(remaining).collect()
+}
+
+/// Applies what the list of endpoints says about which of them are cold.
+pub(crate) fn apply_cold(shared: &Shared, cold: Vec<(Name, Time)>) {
+    *shared.cold.lock() = cold;
+    let endpoints = cold_remaining(shared);
+    let now = shared.now();
+    let mut dispatcher = shared.dispatcher.lock();
+    dispatcher.set_cold(now, &endpoints);
+    let next = dispatcher.start_all_queued(now);
+    shared.notify_waiters(&mut dispatcher, next);
+    drop(dispatcher);
+    tracing::debug!(
+        event = "cold-endpoints",
+        endpoints = endpoints.len(),
+        "gateway: cold endpoints of the list applied"
+    );
+}
+
 fn log(change: &EndpointChange) {
     match change {
         EndpointChange::Added(it) => tracing::debug!(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -131,6 +131,8 @@
             layout_changed: watch::Sender::default(),
             catalog_updated_at: AtomicU64::new(clock.now().0),
             endpoints_loaded: AtomicBool::new(false),
+            evacuations: Mutex::default(),
+            cold: Mutex::default(),
             layout_settled: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
             response_memory: Arc::new(ResponseMemory::new(response_bytes as usize)),
@@ -241,6 +243,8 @@
     tracing::info!(event, open, busy, "{message}");
 }
 
+/// A gateway is ready a second after its first configuration at the earliest. It has a set of evacuated domains by then,
+/// unless no control replica and no other gateway sends one.
 fn is_ready(shared: &Shared) -> bool {
     shared.shutdown_at().is_none()
         && shared.layout_settled.load(Ordering::Relaxed)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod crash;
 mod detour;
 mod discovery;
+mod evacuations;
 mod gateway;
 mod gossip;
 mod header_names;
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         detour::{self, OpenError},
+        evacuations,
         shared::Shared,
         upstream::{self, ConnectError, DirectConnection, IdleConnection, ResponseBody, SendError},
     },
@@ -29,6 +30,9 @@
     service: &Name,
     pick: &Assignment,
 ) -> Result<IdleConnection, SendError> {
+    if evacuations::is_evacuated(shared, &pick.domain) {
+        return Err(SendError::Withheld { reason: "failure domain is evacuated".to_owned() });
+    }
     let failed = tokio::select! {
         biased;
         () = lost(shared, service) => None,
@@ -134,6 +138,7 @@
         let probes = shared.paths.lock().probes(rand::random());
         for Endpoint { service, incarnation } in probes {
             let found = shared.dispatcher.lock().find(shared.now(), incarnation);
+            let found = found.filter(|it| !evacuations::is_evacuated(&shared, &it.1.domain));
             if let Some((_, pick)) = found {
                 let shared = shared.clone();
                 tokio::spawn(async move {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,6 +7,7 @@
 use {
     crate::{
         detour, discovery,
+        evacuations::{self, EvacuationSet},
         layout::{self, installed_version},
         shared::Shared,
     },
@@ -79,15 +80,20 @@
 /// Sends the messages that lead to the installed configuration, and the list of endpoints if it is
 /// wanted; returns their size.
 async fn send_state(shared: &Shared, stream: Stream) -> Result<usize, WireError> {
+    let knows_evacuations = stream.protocol >= evacuations::MIN_PROTOCOL;
     let (mut send, mut recv) = stream.split();
     let Some(RelayRequest { installed_version, wants_catalog }) = recv.recv().await? else {
         return Ok(0);
     };
     let history = shared.layout_history.lock().clone();
     let layout = history.iter().flat_map(|it| it.messages_since(installed_version));
-    let catalog = wants_catalog.then(|| encode_catalog(shared)).flatten();
+    let catalog = wants_catalog.then(|| encode_catalog(shared, knows_evacuations)).flatten();
+    let evacuations = evacuations::encode(shared).filter(|_| knows_evacuations);
+    let cold = catalog.is_some() && knows_evacuations;
+    let cold = cold.then(|| WatchUpdate::Cold { endpoints: discovery::cold_remaining(shared) });
+    let cold = cold.and_then(|it| Encoded::new(&it));
     let mut bytes = 0;
-    for message in layout.chain(&catalog) {
+    for message in evacuations.iter().chain(layout).chain(&catalog).chain(&cold) {
         bytes += message.size();
         send.send_encoded(message).await?;
     }
@@ -95,23 +101,32 @@
     Ok(bytes)
 }
 
-/// Encodes the list of endpoints, unless there is none or it may be out of date.
-fn encode_catalog(shared: &Shared) -> Option<Encoded> {
+/// Encodes the list of endpoints, unless there is none or it may be out of date. A gateway that knows no evacuations
+/// gets the endpoints of evacuated domains as draining.
+fn encode_catalog(shared: &Shared, knows_evacuations: bool) -> Option<Encoded> {
     if !shared.endpoints_loaded.load(Ordering::Relaxed) || discovery::is_control_silent(shared) {
         return None;
     }
-    let catalog = Catalog::from_endpoints(&shared.dispatcher.lock().endpoints());
+    let mut endpoints = shared.dispatcher.lock().endpoints();
+    if !knows_evacuations {
+        for endpoint in &mut endpoints {
+            endpoint.draining |= evacuations::is_evacuated(shared, &endpoint.domain);
+        }
+    }
+    let catalog = Catalog::from_endpoints(&endpoints);
     Encoded::new(&WatchUpdate::Catalog(Compressed::encode(&catalog).ok()?))
 }
 
-/// Asks other gateways, one after the other, until this one has a configuration and a list of
-/// endpoints.
+/// Asks other gateways, one after the other, until this one has a configuration, a list of endpoints
+/// and a set of evacuated domains, for which it does not wait longer than until it is ready.
 pub(crate) async fn bootstrap(shared: Arc<Shared>) {
     loop {
         sleep(BOOTSTRAP_INTERVAL).await;
+        let has_evacuations =
+            evacuations::is_known(&shared) || shared.layout_settled.load(Ordering::Relaxed);
         let is_complete =
             installed_version(&shared).is_some() && shared.endpoints_loaded.load(Ordering::Relaxed);
-        if is_complete {
+        if is_complete && has_evacuations {
             return;
         }
         let Some(provider) = choose_provider(&shared) else { continue };
@@ -166,11 +181,21 @@
     let wants_catalog = !shared.endpoints_loaded.load(Ordering::Relaxed);
     let request = RelayRequest { installed_version: installed_version(shared), wants_catalog };
     send.send(&request).await?;
+    let mut uses_catalog = false;
     loop {
         let received = recv.received();
         match timeout(STALL_TIMEOUT, recv.recv::<WatchUpdate>()).await {
             Ok(update) => match update? {
-                Some(WatchUpdate::Catalog(catalog)) => apply_catalog(shared, provider, &catalog)?,
+                Some(WatchUpdate::Catalog(catalog)) => {
+                    uses_catalog = apply_catalog(shared, provider, &catalog)?;
+                }
+                Some(WatchUpdate::Evacuations { revision, domains }) => {
+                    evacuations::apply(shared, provider, EvacuationSet { revision, domains });
+                }
+                Some(WatchUpdate::Cold { endpoints }) if uses_catalog => {
+                    let cold = discovery::cold_until(shared.now(), &endpoints);
+                    discovery::apply_cold(shared, cold);
+                }
                 Some(update) => layout::apply(shared, provider, &update)?,
                 None => break,
             },
@@ -182,16 +207,17 @@
     Ok(())
 }
 
-/// Applies another gateway's list of endpoints if this one has none.
+/// Applies another gateway's list of endpoints if this one has none. Returns whether it did.
 fn apply_catalog(
     shared: &Shared,
     provider: SocketAddr,
     catalog: &Compressed,
-) -> Result<(), WireError> {
+) -> Result<bool, WireError> {
     let catalog = catalog.decode::<Catalog>();
     let catalog = catalog.map_err(|it| WireError::new(Step::Receive, provider, it))?;
     let endpoints = catalog.endpoints();
-    if !endpoints.is_empty() && !shared.endpoints_loaded.load(Ordering::Relaxed) {
+    let is_wanted = !endpoints.is_empty() && !shared.endpoints_loaded.load(Ordering::Relaxed);
+    if is_wanted {
         tracing::info!(
             event = "endpoints-received",
             %provider,
@@ -200,5 +226,5 @@
         );
         discovery::apply(shared, &endpoints);
     }
-    Ok(())
+    Ok(is_wanted)
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,11 +1,11 @@
 //! State shared by all tasks of a gateway.
 //!
-//! Lock order: `layout_history`, `dispatcher`, `waiters`; `membership`, `origins`, `lookups`; `membership`, `quarantine`; `membership`, `paths`. All other locks are leaves. No lock is held across an await.
+//! Lock order: `layout_history`, `dispatcher`, `waiters`; `evacuations`, `dispatcher`; `membership`, `origins`, `lookups`; `membership`, `quarantine`; `membership`, `paths`. All other locks are leaves. No lock is held across an await.
 
 use {
     crate::{
-        header_names::HeaderNames, metrics::Metrics, response_memory::ResponseMemory,
-        sampler::Sampler,
+        evacuations::EvacuationSet, header_names::HeaderNames, metrics::Metrics,
+        response_memory::ResponseMemory, sampler::Sampler,
     },
     arc_swap::ArcSwapOption,
     derive_more::Debug,
@@ -151,7 +151,12 @@
     pub(crate) catalog_updated_at: AtomicU64,
     /// Whether an endpoint list has been applied.
     pub(crate) endpoints_loaded: AtomicBool,
-    /// Whether other replicas had time to report a newer configuration than the first one.
+    /// The evacuated domains; `None` until a set has been received.
+    pub(crate) evacuations: Mutex<Option<EvacuationSet>>,
+    /// The cold endpoints by the last list, and until when.
+    pub(crate) cold: Mutex<Vec<(Name, Time)>>,
+    /// Whether other replicas had time to report a newer configuration than the first one, and a set of evacuated
+    /// domains.
     pub(crate) layout_settled: AtomicBool,
     /// The number of open client connections.
     pub(crate) connections: AtomicUsize,
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -2,12 +2,13 @@
 
 use {
     crate::{
+        evacuations::{self, EvacuationSet},
         layout::{self, installed_version},
         relay,
         shared::{LayoutRequest, Shared},
     },
     directory::Catalog,
-    model::Domain,
+    model::{Domain, Name},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         sync::{mpsc, watch},
@@ -48,9 +49,17 @@
 
 /// The content of an update.
 pub(crate) enum Update {
-    Membership { routers: Vec<(SocketAddr, Domain)>, replicas: Vec<SocketAddr> },
+    Membership {
+        routers: Vec<(SocketAddr, Domain)>,
+        replicas: Vec<SocketAddr>,
+    },
     Catalog(Catalog),
-    Heartbeat { has_leader: bool, listing_is_recent: bool },
+    /// The cold endpoints of that list, and for how many milliseconds they remain cold.
+    Cold(Vec<(Name, u32)>),
+    Heartbeat {
+        has_leader: bool,
+        listing_is_recent: bool,
+    },
     Disconnected,
 }
 
@@ -237,6 +246,10 @@
                 self.routers.extend(added);
                 return Ok(Some(Update::Membership { routers: self.routers.clone(), replicas }));
             }
+            WatchUpdate::Evacuations { revision, domains } => {
+                evacuations::apply(shared, replica, EvacuationSet { revision, domains });
+            }
+            WatchUpdate::Cold { endpoints } => return Ok(Some(Update::Cold(endpoints))),
             WatchUpdate::Heartbeat { has_leader, listing_is_recent } => {
                 return Ok(Some(Update::Heartbeat { has_leader, listing_is_recent }));
             }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -16,7 +16,7 @@
 };
 
 use {
-    control::{Control, RoutingConfigStore},
+    control::{Control, EvacuationStore, RoutingConfigStore},
     directory::{Directory, DirectoryError, ListedEndpoint, Listing},
     gateway::{Gateway, HeaderNames},
     model::{Digest, Domain, HostName},
@@ -68,7 +68,7 @@
 impl Directory for StaticList {
     async fn list(&self) -> Result<Listing, DirectoryError> {
         let endpoints = self.0.lock().map_err(|it| DirectoryError { reason: it.to_string() })?;
-        Ok(Listing { endpoints: endpoints.clone(), calls: 1 })
+        Ok(Listing { endpoints: endpoints.clone(), cold: Vec::new(), calls: 1 })
     }
 }
 
@@ -269,6 +269,10 @@
         self.control.internal_addr()
     }
 
+    pub(crate) fn evacuations(&self) -> EvacuationStore {
+        self.control.evacuations()
+    }
+
     pub(crate) fn gateways(&self) -> Vec<&Gateway> {
         std::iter::once(&self.gateway).chain(&self.others).collect()
     }
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -126,7 +126,8 @@
         self.links.retain(|it, _| wanted.contains(it));
         let ack_timeout = Duration::from_millis(self.config.election_ms / 2);
         for addr in wanted {
-            let spawn = || Link::spawn(addr, self.dialer.clone(), ack_timeout);
+            let protocols = self.shared.protocols.clone();
+            let spawn = || Link::spawn(addr, self.dialer.clone(), ack_timeout, protocols);
             self.links.entry(addr).or_insert_with(spawn);
         }
     }
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -150,6 +150,14 @@
         view.members.get(id).is_some_and(|it| it.role == MemberRole::Voter)
     }
 
+    /// The numbers of the protocols that the other replicas of the group said to speak when a stream to or from them was
+    /// last opened, in this process; `None` for each that had none.
+    pub fn member_protocols(&self) -> Vec<Option<u32>> {
+        let view = self.shared.view.lock();
+        let others = view.members.0.iter().filter(|it| it.id != self.shared.id);
+        others.map(|it| self.shared.protocols.get(it.addr)).collect()
+    }
+
     /// Commits a command and returns the state machine's reply.
     ///
     /// # Errors
@@ -210,7 +218,8 @@
     ///
     /// Panics if called outside of a `tokio` runtime.
     pub fn handle_stream(&self, stream: Stream) {
-        task::spawn(serve::receive(stream, self.allowed_senders.clone(), self.inputs.clone()));
+        let (allowed, inputs) = (self.allowed_senders.clone(), self.inputs.clone());
+        task::spawn(serve::receive(stream, allowed, inputs, self.shared.protocols.clone()));
     }
 
     /// Stops the replica, syncs all writes and releases the data folder.
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -22,6 +22,7 @@
 mod journal;
 mod link;
 mod machine;
+mod protocols;
 mod serve;
 mod shared;
 
--- a/crates/replica/src/link.rs
+++ b/crates/replica/src/link.rs
@@ -1,6 +1,7 @@
 //! Sends frames to another replica.
 
 use {
+    crate::protocols::Protocols,
     derive_more::Debug,
     quorum::Envelope,
     serde::{Deserialize, Serialize},
@@ -60,14 +61,20 @@
     peer: Peer,
     /// How long a frame may go unacknowledged before its connection is replaced.
     ack_timeout: Duration,
+    protocols: Protocols,
 }
 
 impl Link {
     /// Starts a task that sends to `addr`. A connection on which frames go unacknowledged for `ack_timeout` is
     /// replaced, because a middlebox may have dropped its state for the connection, in one direction or in both.
-    pub(crate) fn spawn(addr: SocketAddr, dialer: Dialer, ack_timeout: Duration) -> Link {
+    pub(crate) fn spawn(
+        addr: SocketAddr,
+        dialer: Dialer,
+        ack_timeout: Duration,
+        protocols: Protocols,
+    ) -> Link {
         let (frames, queue) = mpsc::channel(MAX_QUEUED_FRAMES);
-        task::spawn(Sender { peer: Peer::new(addr, dialer), ack_timeout }.run(queue));
+        task::spawn(Sender { peer: Peer::new(addr, dialer), ack_timeout, protocols }.run(queue));
         Link { frames }
     }
 
@@ -96,7 +103,9 @@
         first: Frame,
         queue: &mut mpsc::Receiver<Frame>,
     ) -> Result<(), WireError> {
-        let (mut send, mut recv) = self.peer.open(REPLICA_PATH).await?.split();
+        let stream = self.peer.open(REPLICA_PATH).await?;
+        self.protocols.record(self.peer.addr(), stream.protocol);
+        let (mut send, mut recv) = stream.split();
         self.send(&mut send, &first).await?;
         let mut ack_deadline = Some(Instant::now() + self.ack_timeout);
         loop {
--- a/crates/replica/src/serve.rs
+++ b/crates/replica/src/serve.rs
@@ -4,6 +4,7 @@
     crate::{
         driver::Input,
         link::{Frame, FrameAck},
+        protocols::Protocols,
     },
     std::{net::SocketAddr, sync::Arc},
     tokio::sync::mpsc,
@@ -16,9 +17,11 @@
     stream: Stream,
     allowed_senders: Option<Arc<[SocketAddr]>>,
     inputs: mpsc::Sender<Input>,
+    protocols: Protocols,
 ) {
     let is_allowed =
         |it: &SocketAddr| allowed_senders.as_ref().is_none_or(|allowed| allowed.contains(it));
+    let mut unrecorded = Some(stream.protocol);
     let (mut send, mut recv) = stream.split();
     loop {
         let frame = tokio::select! {
@@ -27,6 +30,9 @@
         };
         match frame {
             Ok(Some(frame)) if is_allowed(&frame.from) => {
+                if let Some(protocol) = unrecorded.take() {
+                    protocols.record(frame.from, protocol);
+                }
                 let taken = inputs.send(Input::Frame(frame)).await.is_ok();
                 if !taken || send.send(&FrameAck).await.is_err() {
                     return;
--- a/crates/replica/src/shared.rs
+++ b/crates/replica/src/shared.rs
@@ -1,7 +1,7 @@
 //! The state that the handles of a replica share with its driver task.
 
 use {
-    crate::machine::StateMachine,
+    crate::{machine::StateMachine, protocols::Protocols},
     derive_more::Debug,
     model::{ReplicaId, Term, Time},
     parking_lot::{Mutex, RwLock},
@@ -40,6 +40,7 @@
     pub(crate) state: RwLock<AppliedState<M>>,
     pub(crate) view: Mutex<ConsensusView>,
     pub(crate) status: watch::Sender<ReplicaStatus>,
+    pub(crate) protocols: Protocols,
 }
 
 /// The state machine and the index of the last entry applied to it.
@@ -66,6 +67,7 @@
             state: RwLock::new(AppliedState { machine, applied_index: 0 }),
             view: Mutex::default(),
             status: watch::Sender::default(),
+            protocols: Protocols::default(),
         }
     }
 
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -1,7 +1,8 @@
 //! The messages between routers, and between a router and the control replicas.
 //!
 //! The messages are encoded with `bincode`, so the order of fields and variants is part of the
-//! protocol.
+//! protocol. Types never change; a new variant follows the last one of its enum, and is sent only to
+//! a process that speaks the protocol which introduced it ([`crate::PROTOCOL`]).
 
 use {
     crate::compressed::Compressed,
@@ -357,6 +358,19 @@
         /// The internal address of the other router.
         router: SocketAddr,
     },
+    /// The evacuated failure domains, at the start of the stream and at each change. A set with a lower revision than
+    /// the receiver has is out of date. Since protocol 1.
+    Evacuations {
+        /// The revision of the set.
+        revision: u64,
+        /// The domains.
+        domains: Vec<Domain>,
+    },
+    /// All endpoints that the list says are cold, and new ones that it says are not. Since protocol 1.
+    Cold {
+        /// The ids of the endpoints, and for how many milliseconds they remain cold; 0 if they are not.
+        endpoints: Vec<(Name, u32)>,
+    },
 }
 
 /// The path of the streams over which a router that does not reach an endpoint asks another one to
