--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -4,6 +4,7 @@
     crate::{
         command::{Command, Output},
         control::Shared,
+        evacuations::{EvacuationError, EvacuationStore, OrderRequest},
         replicated_log::CommitError,
         response::{self, RequestError},
         routing_configs::{PublishError, RoutingConfigStore},
@@ -13,7 +14,7 @@
     http::{Method, Request, Response, StatusCode, header},
     hyper::body::Incoming,
     intent::{Action, Document, Operation, PlanId},
-    model::{Digest, Name, OperationId},
+    model::{Digest, Domain, Name, OperationId},
     route::PublishOutcome,
     serde_json::json,
     std::{convert::Infallible, sync::Arc, time::Duration},
@@ -28,6 +29,9 @@
 /// Maximum length of an operation id, in bytes.
 const MAX_OPERATION_ID_BYTES: usize = 128;
 
+/// Maximum length of the name of a failure domain, in bytes.
+const MAX_DOMAIN_BYTES: usize = 128;
+
 /// The header that carries the operation id.
 const OPERATION_ID_HEADER: &str = "operation-id";
 
@@ -96,10 +100,55 @@
             let endpoint = Name::from(*endpoint);
             propose_operation(shared, id, operator, Action::Drain { endpoint }).await
         }
+        (&Method::GET, ["v1", "domains", domain, "evacuation"]) => {
+            read_barrier(shared).await?;
+            let domain = domain_name(domain)?;
+            Ok(response::json(StatusCode::OK, &status::evacuation_effect(shared, &domain)))
+        }
+        (&Method::POST, ["v1", "domains", domain, "evacuation"]) => {
+            let id = operation_id(&request)?;
+            let request = evacuation_request(domain, operator, id, request).await?;
+            evacuation_response(shared, EvacuationStore::new(shared.clone()).order(request).await)
+        }
+        (&Method::DELETE, ["v1", "domains", domain, "evacuation"]) => {
+            let id = operation_id(&request)?;
+            let request = evacuation_request(domain, operator, id, request).await?;
+            let withdrawn = EvacuationStore::new(shared.clone()).withdraw(request).await;
+            evacuation_response(shared, withdrawn)
+        }
         _ => Err(RequestError::NotFound),
     }
 }
 
+/// Returns the domain of a path. Its name is not encoded, as those in settings have no special characters.
+fn domain_name(segment: &str) -> Result<Domain, RequestError> {
+    let is_valid = (1..=MAX_DOMAIN_BYTES).contains(&segment.len()) && !segment.contains('%');
+    is_valid.then(|| Domain(segment.into())).ok_or(RequestError::InvalidDomain)
+}
+
+async fn evacuation_request(
+    domain: &str,
+    by: Name,
+    operation: OperationId,
+    request: Request<Incoming>,
+) -> Result<OrderRequest, RequestError> {
+    let domain = domain_name(domain)?;
+    let body = read_all(request.into_body(), 0, BODY_STALL_TIMEOUT).await;
+    body.map_err(RequestError::Body)?;
+    Ok(OrderRequest { domain, by, operation: Some(operation) })
+}
+
+fn evacuation_response(shared: &Shared, result: Result<(), EvacuationError>) -> AdminResult {
+    match result {
+        Ok(()) => Ok(response::json(StatusCode::OK, &json!({}))),
+        Err(EvacuationError::UnknownDomain) => Err(RequestError::UnknownDomain),
+        Err(EvacuationError::ReusedOperation) => Err(RequestError::ReusedOperation),
+        Err(EvacuationError::OldMember) => Err(RequestError::OldMember),
+        Err(EvacuationError::NotLeader { .. }) => Err(not_leader_error(shared)),
+        Err(EvacuationError::Unknown) => Err(RequestError::NoQuorum),
+    }
+}
+
 async fn get_routing_config(shared: &Arc<Shared>) -> AdminResult {
     let document = RoutingConfigStore::new(shared.clone()).read().await;
     let document = document.map_err(|it| publish_request_error(shared, &it))?;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -28,12 +28,14 @@
     }
 }
 
-fn state_values(shared: &Shared) -> [(&'static str, u64); 9] {
+fn state_values(shared: &Shared) -> [(&'static str, u64); 11] {
     let progress = *shared.order_progress.lock();
-    let (revision, epoch, routers, claims) = shared.log.with_state(|it| {
+    let (revision, epoch, routers, claims, evacuations, protocol) = shared.log.with_state(|it| {
         let roster = it.rosters.current();
         let revision = it.intents.config().revision.0;
-        (revision, roster.epoch.0, roster.routers.len() as u64, it.ledger.len() as u64)
+        let evacuations = it.evacuations().active().len() as u64;
+        let (routers, claims) = (roster.routers.len() as u64, it.ledger.len() as u64);
+        (revision, roster.epoch.0, routers, claims, evacuations, u64::from(it.section.protocol))
     });
     [
         ("leads", shared.log.is_leader().into()),
@@ -42,6 +44,8 @@
         ("epoch", epoch),
         ("routers", routers),
         ("claims", claims),
+        ("evacuations", evacuations),
+        ("protocol", protocol),
         ("orders_due", progress.pending as u64),
         ("control_bytes_sent", shared.traffic.sent(TrafficClass::Control)),
         ("control_bytes_received", shared.traffic.received(TrafficClass::Control)),
--- a/crates/control/src/response.rs
+++ b/crates/control/src/response.rs
@@ -44,6 +44,18 @@
     /// The operation was not committed in time but may still be. Sending it again with the same id returns its result.
     #[display("no quorum; retry the operation with the same id")]
     NoQuorum,
+    /// The name of a failure domain is malformed.
+    #[display("expected the name of a failure domain of 1 to 128 bytes")]
+    InvalidDomain,
+    /// No endpoint is known in the domain.
+    #[display("unknown failure domain")]
+    UnknownDomain,
+    /// The operation id was used for another order.
+    #[display("the operation id was used for another order")]
+    ReusedOperation,
+    /// A member of the group runs a build without evacuations, or is not known to run one with them.
+    #[display("not all control replicas are known to support evacuations; retry")]
+    OldMember,
     /// This replica does not count towards the quorum yet.
     #[display("this replica is not a voter yet")]
     NotVoter,
@@ -62,6 +74,10 @@
         RequestError::Body(_) => (StatusCode::BAD_REQUEST, "body"),
         RequestError::NotLeader(_) => (StatusCode::MISDIRECTED_REQUEST, "leader"),
         RequestError::NoQuorum => (StatusCode::SERVICE_UNAVAILABLE, "no-quorum"),
+        RequestError::InvalidDomain => (StatusCode::BAD_REQUEST, "domain"),
+        RequestError::UnknownDomain => (StatusCode::NOT_FOUND, "domain"),
+        RequestError::ReusedOperation => (StatusCode::CONFLICT, "operation-id"),
+        RequestError::OldMember => (StatusCode::SERVICE_UNAVAILABLE, "protocol"),
         RequestError::NotVoter => (StatusCode::SERVICE_UNAVAILABLE, "no-vote"),
     };
     json(status, &error_body("request", rule, &error.to_string()))
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -1,10 +1,15 @@
 //! Status and audit responses for operators.
 
 use {
-    crate::{control::Shared, router_reports::RouterReports, state::State},
-    model::{MILLISECOND, Time},
+    crate::{
+        control::Shared,
+        evacuation_state::{Evacuation, EvacuationRecord},
+        router_reports::RouterReports,
+        state::State,
+    },
+    model::{Domain, MILLISECOND, Time},
     serde::Serialize,
-    std::net::SocketAddr,
+    std::{collections::BTreeMap, net::SocketAddr},
     wire::TrafficClass,
 };
 
@@ -19,6 +24,7 @@
     routers: Vec<RouterStatus>,
     services: Vec<ServiceStatus>,
     endpoints: Vec<EndpointStatus>,
+    evacuations: Vec<EvacuationStatus>,
     claims: usize,
     orders_settled: usize,
     orders_due: usize,
@@ -26,6 +32,31 @@
     control_bytes_received: u64,
 }
 
+#[derive(Serialize)]
+struct EvacuationStatus {
+    domain: String,
+    at_ms: u64,
+    operator: String,
+    revision: u64,
+}
+
+/// The response to `GET /v1/domains/DOMAIN/evacuation`: what the evacuation of the domain takes from each service.
+#[derive(Serialize)]
+pub(crate) struct EvacuationEffect {
+    domain: String,
+    evacuated: bool,
+    services: Vec<ServiceLoss>,
+}
+
+#[derive(Serialize)]
+struct ServiceLoss {
+    name: String,
+    endpoints: usize,
+    in_domain: usize,
+    /// How many endpoints remain that are neither in this domain nor in an evacuated one.
+    remaining: usize,
+}
+
 #[derive(Serialize)]
 struct RouterStatus {
     id: String,
@@ -64,6 +95,17 @@
 #[derive(Serialize)]
 pub(crate) struct AuditTrail {
     records: Vec<AuditRecordStatus>,
+    /// The orders of evacuations, which change no configuration and are not part of the chain.
+    evacuations: Vec<EvacuationRecordStatus>,
+}
+
+#[derive(Serialize)]
+struct EvacuationRecordStatus {
+    revision: u64,
+    at_ms: u64,
+    operator: String,
+    operation: Option<String>,
+    event: String,
 }
 
 #[derive(Serialize)]
@@ -95,6 +137,7 @@
             routers,
             services: services(state, &reports, now),
             endpoints: endpoints(state),
+            evacuations: evacuations(state),
             claims: state.ledger.len(),
             orders_settled: progress.converged,
             orders_due: progress.pending,
@@ -116,7 +159,64 @@
         after: it.after.to_string(),
         chain: it.chain.to_string(),
     };
-    AuditTrail { records: shared.log.with_state(|it| it.intents.audit().map(record).collect()) }
+    let evacuation = |it: &EvacuationRecord| EvacuationRecordStatus {
+        revision: it.revision,
+        at_ms: it.order.at_ms,
+        operator: it.order.by.to_string(),
+        operation: it.order.operation.as_ref().map(ToString::to_string),
+        event: evacuation_event(it),
+    };
+    shared.log.with_state(|state| AuditTrail {
+        records: state.intents.audit().map(record).collect(),
+        evacuations: state.evacuations().records().map(evacuation).collect(),
+    })
+}
+
+fn evacuation_event(record: &EvacuationRecord) -> String {
+    let domain = &record.order.domain;
+    match (record.order.active, record.is_change) {
+        (true, true) => format!("evacuated {domain}"),
+        (true, false) => format!("evacuated {domain}, which was evacuated"),
+        (false, true) => format!("withdrew the evacuation of {domain}"),
+        (false, false) => format!("withdrew the evacuation of {domain}, which was not evacuated"),
+    }
+}
+
+fn evacuations(state: &State) -> Vec<EvacuationStatus> {
+    let evacuation = |(domain, it): (&Domain, &Evacuation)| EvacuationStatus {
+        domain: domain.to_string(),
+        at_ms: it.at_ms,
+        operator: it.by.to_string(),
+        revision: it.revision,
+    };
+    state.evacuations().active().iter().map(evacuation).collect()
+}
+
+/// Returns what the evacuation of a domain takes from each service, by the list of endpoints.
+pub(crate) fn evacuation_effect(shared: &Shared, domain: &Domain) -> EvacuationEffect {
+    let catalog = shared.discovery.catalog.borrow().clone();
+    let endpoints = catalog.map(|it| it.value().endpoints()).unwrap_or_default();
+    let evacuated: Vec<Domain> =
+        shared.log.with_state(|it| it.evacuations().active().keys().cloned().collect());
+    let mut services: BTreeMap<String, ServiceLoss> = BTreeMap::new();
+    for endpoint in endpoints {
+        let name = endpoint.service.to_string();
+        let loss = services.entry(name.clone()).or_insert(ServiceLoss {
+            name,
+            endpoints: 0,
+            in_domain: 0,
+            remaining: 0,
+        });
+        let is_in_domain = endpoint.domain == *domain;
+        loss.endpoints += 1;
+        loss.in_domain += usize::from(is_in_domain);
+        loss.remaining += usize::from(!is_in_domain && !evacuated.contains(&endpoint.domain));
+    }
+    EvacuationEffect {
+        domain: domain.to_string(),
+        evacuated: evacuated.contains(domain),
+        services: services.into_values().filter(|it| it.in_domain > 0).collect(),
+    }
 }
 
 fn routers(state: &State, reports: &RouterReports, now: Time) -> Vec<RouterStatus> {
--- a/crates/jf/src/audit.rs
+++ b/crates/jf/src/audit.rs
@@ -12,6 +12,7 @@
     serde_json::Value,
 };
 
+const EVACUATION_FIELDS: &[&str] = &["revision", "at_ms", "operator", "operation", "event"];
 const FIELDS: &[&str] = &["number", "at_ms", "operator", "operation", "event", "after"];
 
 pub(crate) async fn run(api: &Api, flags: &flags::Audit) -> Result<()> {
@@ -21,10 +22,15 @@
     let records = audit["records"].as_array().map_or(&[][..], |it| it);
     let matching: Vec<Value> =
         records.iter().filter(|it| matches_filters(it, flags)).cloned().collect();
+    let orders = audit["evacuations"].as_array().map_or(&[][..], |it| it);
+    // Orders of evacuations have no number, so that a first number does not exclude them.
+    let orders: Vec<Value> =
+        orders.iter().filter(|it| matches_author(it, flags)).cloned().collect();
     if flags.json {
-        println!("{}", Value::Array(matching));
+        println!("{}", Value::Array(matching.into_iter().chain(orders).collect()));
     } else {
         table::print("records", FIELDS, &matching);
+        table::print("evacuations", EVACUATION_FIELDS, &orders);
     }
     let digests_verified = verify_chain(records)?;
     let verified =
@@ -34,11 +40,15 @@
 }
 
 fn matches_filters(record: &Value, flags: &flags::Audit) -> bool {
+    let from = flags.from.is_none_or(|it| record["number"].as_u64() >= Some(it));
+    from && matches_author(record, flags)
+}
+
+fn matches_author(record: &Value, flags: &flags::Audit) -> bool {
     let text = |key: &str| record[key].as_str().unwrap_or("");
     let operator = flags.operator.as_ref().is_none_or(|it| text("operator") == it);
     let event = flags.event.as_ref().is_none_or(|it| text("event").contains(it.as_str()));
-    let from = flags.from.is_none_or(|it| record["number"].as_u64() >= Some(it));
-    operator && event && from
+    operator && event
 }
 
 /// Verifies that each record follows the previous one, and returns whether the digests were
--- a/crates/jf/src/flags.rs
+++ b/crates/jf/src/flags.rs
@@ -37,7 +37,20 @@
             /// Prints JSON.
             optional --json
         }
-        /// Prints the status of routers, services and endpoints.
+        /// Evacuates a failure domain: its endpoints finish their current requests and get no new ones.
+        cmd evacuate {
+            /// The domain's name.
+            required domain: String
+            /// Withdraws the evacuation.
+            optional --withdraw
+            /// Only prints how many endpoints each service would lose.
+            optional --plan
+            /// The operation id of an earlier attempt, to retry it safely.
+            optional --operation operation: String
+            /// Prints JSON.
+            optional --json
+        }
+        /// Prints the status of routers, services, endpoints and evacuated domains.
         cmd status {
             /// Prints JSON.
             optional --json
--- a/crates/jf/src/main.rs
+++ b/crates/jf/src/main.rs
@@ -1,4 +1,4 @@
-//! The `jf` operator command line: plan, confirm, status, drain, audit, publish,
+//! The `jf` operator command line: plan, confirm, status, drain, evacuate, audit, publish,
 //! layout, explain, check and keys.
 //!
 //! The exit code is 0 on success, 1 if the system refused the request or could not be reached, and
@@ -66,6 +66,7 @@
         JfCmd::Plan(it) => operate::plan(api, it).await,
         JfCmd::Confirm(it) => operate::confirm(api, it).await,
         JfCmd::Drain(it) => operate::drain(api, it).await,
+        JfCmd::Evacuate(it) => operate::evacuate(api, it).await,
         JfCmd::Status(it) => status::run(api, it).await,
         JfCmd::Audit(it) => audit::run(api, it).await,
         JfCmd::Publish(it) => operate::publish(api, it).await,
--- a/crates/jf/src/operate.rs
+++ b/crates/jf/src/operate.rs
@@ -1,11 +1,12 @@
-//! The commands that change or print the configuration: plan, confirm, drain, publish and layout.
+//! The commands that change or print the configuration: plan, confirm, drain, evacuate,
+//! publish and layout.
 
 use {
     crate::{
         api::{Api, Call},
         check::{check_intent, check_layout},
         failure::BadInput,
-        flags,
+        flags, table,
     },
     bytes::Bytes,
     eyre::{Result, WrapErr},
@@ -14,6 +15,8 @@
     std::{fs, time::UNIX_EPOCH},
 };
 
+const SERVICE_LOSS_FIELDS: &[&str] = &["name", "endpoints", "in_domain", "remaining"];
+
 pub(crate) async fn plan(api: &Api, flags: &flags::Plan) -> Result<()> {
     let file = flags.file.display();
     check_intent(&flags.file)?;
@@ -53,6 +56,33 @@
     Ok(())
 }
 
+pub(crate) async fn evacuate(api: &Api, flags: &flags::Evacuate) -> Result<()> {
+    let domain = path_segment("DOMAIN", &flags.domain)?;
+    let path = format!("/v1/domains/{domain}/evacuation");
+    if flags.plan {
+        let call = Call { method: Method::GET, path, operation: None, body: Bytes::new() };
+        let effect = api.call(&call).await?;
+        if flags.json {
+            println!("{effect}");
+        } else {
+            let services = effect["services"].as_array().map_or(&[][..], |it| it);
+            table::print("services", SERVICE_LOSS_FIELDS, services);
+        }
+        return Ok(());
+    }
+    let method = if flags.withdraw { Method::DELETE } else { Method::POST };
+    let new_id = new_operation_id()?;
+    let operation = flags.operation.as_deref().unwrap_or(&new_id);
+    let call = Call { method, path, operation: Some(operation), body: Bytes::new() };
+    let answer = api.call(&call).await.wrap_err_with(|| format!("operation {operation}"))?;
+    match (flags.json, flags.withdraw) {
+        (true, _) => println!("{answer}"),
+        (false, false) => println!("{domain} is evacuated"),
+        (false, true) => println!("the evacuation of {domain} is withdrawn"),
+    }
+    Ok(())
+}
+
 pub(crate) async fn publish(api: &Api, flags: &flags::Publish) -> Result<()> {
     let body = Bytes::from(check_layout(&flags.file)?);
     let path = "/v1/layout".to_owned();
--- a/crates/jf/src/status.rs
+++ b/crates/jf/src/status.rs
@@ -17,6 +17,8 @@
 const ENDPOINT_FIELDS: &[&str] =
     &["id", "name", "service", "addr", "domain", "state", "fencing", "images"];
 
+const EVACUATION_FIELDS: &[&str] = &["domain", "at_ms", "operator", "revision"];
+
 pub(crate) async fn run(api: &Api, flags: &flags::Status) -> Result<()> {
     let path = "/v1/status".to_owned();
     let call = Call { method: Method::GET, path, operation: None, body: Bytes::new() };
@@ -28,9 +30,12 @@
     let summary = ["leader", "revision", "epoch", "behind", "claims"];
     let line: Vec<String> = summary.iter().map(|it| format!("{it} {}", status[*it])).collect();
     println!("{}", line.join(", "));
-    for (key, fields) in
-        [("routers", ROUTER_FIELDS), ("services", SERVICE_FIELDS), ("endpoints", ENDPOINT_FIELDS)]
-    {
+    for (key, fields) in [
+        ("routers", ROUTER_FIELDS),
+        ("services", SERVICE_FIELDS),
+        ("endpoints", ENDPOINT_FIELDS),
+        ("evacuations", EVACUATION_FIELDS),
+    ] {
         table::print(key, fields, status[key].as_array().map_or(&[], |it: &Vec<Value>| it));
     }
     Ok(())
