--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -5,6 +5,7 @@
         admin,
         bulk_limiter::BulkLimiter,
         discovery::{self, Discovery},
+        evacuations::{self, EvacuationSet, EvacuationStore},
         feed, host_list, leader_calls, ledger_calls,
         membership::{self, Membership},
         metrics::Metrics,
@@ -46,6 +47,7 @@
     pub(crate) routing_config: watch::Sender<Option<Arc<ConfigHistory>>>,
     pub(crate) discovery: Discovery,
     pub(crate) origins: origins::KeptOrigins,
+    pub(crate) evacuations: watch::Sender<Option<Arc<EvacuationSet>>>,
     pub(crate) watchers: Watchers,
     pub(crate) bulk_limiter: BulkLimiter,
     pub(crate) dialer: Dialer,
@@ -157,6 +159,7 @@
             routing_config: watch::Sender::default(),
             discovery: Discovery::default(),
             origins: origins::KeptOrigins::new(own_addrs.internal),
+            evacuations: watch::Sender::default(),
             watchers: Watchers::default(),
             bulk_limiter,
             dialer,
@@ -174,6 +177,8 @@
             tokio::spawn(routing_configs::run(shared.clone())),
             tokio::spawn(watch_service::run(shared.clone())),
             tokio::spawn(origins::run(shared.clone(), bound_addr)),
+            tokio::spawn(evacuations::run(shared.clone())),
+            tokio::spawn(evacuations::record_protocol(shared.clone())),
         ];
         let hosts = shared.settings.host_list;
         tasks.extend(hosts.map(|it| tokio::spawn(host_list::run(shared.clone(), it))));
@@ -208,6 +213,11 @@
         RoutingConfigStore::new(self.shared.clone())
     }
 
+    /// Returns a handle for evacuating failure domains.
+    pub fn evacuations(&self) -> EvacuationStore {
+        EvacuationStore::new(self.shared.clone())
+    }
+
     /// Returns whether this replica is the leader.
     pub fn is_leader(&self) -> bool {
         self.shared.log.is_leader()
--- a/crates/control/tests/origins.rs
+++ b/crates/control/tests/origins.rs
@@ -37,7 +37,7 @@
             started_at_ms: None,
             build: Some("v1".into()),
         };
-        Ok(Listing { endpoints: vec![endpoint], calls: 1 })
+        Ok(Listing { endpoints: vec![endpoint], calls: 1, cold: Vec::new() })
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod crash;
 mod detour;
 mod discovery;
+mod evacuations;
 mod field_requests;
 mod gateway;
 mod gossip;
