Take no origin as final before a gateway has heard of the others

12,000 plays of origin's site.rs (400 had passed) joined 25 streams whose client had used an attempt id twice. In 24 the gateway had just started, had heard of no members, and went by the one origin that it knew; one came to a gateway that, by reading, had ignored a second use as told by a stranger before it knew any member. A known origin is final now only once members were heard of or the first list is 2,000 ms old; until then lookups are repeated as for an unknown one, and everyone who tells is believed.

In site.rs routers hear of their members at most 1.5 s after the last one is back; before, some never did, which a gateway cannot tell from a site of its own.

--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -370,7 +370,7 @@
 
     fn on_told(&mut self, now: Time, from: SocketAddr, record: &Record) {
         // A replica does not know the routers. At a router, a stranger must not end a stream.
-        let is_trusted = self.is_replica || self.members.contains(from);
+        let is_trusted = self.is_replica || !self.has_members || self.members.contains(from);
         let known = self.table.get(now, record.key);
         let differs = matches!(known, Some(Entry::Known(it)) if it.origin != record.origin);
         if is_trusted || !differs {
@@ -487,13 +487,18 @@
     /// by the own ones since this router started.
     fn only_version_by_peer(&self, now: Time, lookup: &Lookup) -> Option<Origin> {
         // Routers that were not heard of yet may know of a newer version.
-        let is_settled = self.has_members || self.settles_at() <= now;
+        let is_settled = self.is_settled(now);
         let mut only = lookup.only.iter();
         let (service, build) = lookup.wanted.service.zip(only.next().copied())?;
         let agrees = only.next().is_none() && self.builds.only_one_ever(service) == Some(build);
         (agrees && is_settled).then_some(Origin { service, build })
     }
 
+    /// Returns whether the other routers were heard of, or had time to be.
+    fn is_settled(&self, now: Time) -> bool {
+        self.has_members || self.settles_at() <= now
+    }
+
     /// Returns the result of a lookup that has ended.
     fn conclude(&self, now: Time, lookup: &Lookup) -> Resolution {
         let Wanted { key, max_age_ms, .. } = lookup.wanted;
@@ -501,6 +506,8 @@
         match key.and_then(|it| self.table.get(now, it)) {
             _ if lookup.is_conflict => return Resolution::Conflict,
             Some(Entry::Conflict { .. }) => return Resolution::Conflict,
+            // A router that was not heard of yet may know that the id was used twice.
+            _ if !self.is_settled(now) => return Resolution::Unknown { retry_ms: MIN_RETRY_MS },
             // The origin may have arrived from another router meanwhile.
             Some(Entry::Known(Record { origin, .. })) => {
                 return known.unwrap_or(Resolution::Known { origin, source: Source::Own });
--- a/crates/origin/tests/outage.rs
+++ b/crates/origin/tests/outage.rs
@@ -3,7 +3,7 @@
 use {
     directory::{BuildId, ListedEndpoint},
     model::{Domain, MILLISECOND, Time, hash64},
-    origin::{Action, Origin, Origins, Record, Resolution, StreamKey, Wanted},
+    origin::{Action, Message, Origin, Origins, Record, Resolution, StreamKey, Wanted},
     rstest::rstest,
     std::{collections::BTreeMap, net::SocketAddr},
 };
@@ -326,3 +326,20 @@
     assert_eq!(tell(12_000, 8), 2);
     assert_eq!(tell(19_000, 9), 2);
 }
+
+/// Guards against a join by a gateway that knows one use of an id and has not heard of those that
+/// know the other one.
+#[test]
+fn origin_is_not_final_before_a_gateway_has_heard_of_others() {
+    let mut site = Site::start(&["v1", "v2"]);
+    site.tell(4, StreamKey(7), "v1");
+    let mut started = gateway(addr(1));
+    started.update_endpoints(site.now, &listing(&["v1", "v2"]));
+    site.processes.insert(addr(1), started);
+    assert_eq!(site.resume(1, StreamKey(7)), Resolution::Unknown { retry_ms: 1_000 });
+    // Told by a router that it has not heard of.
+    let record = Record { key: StreamKey(7), origin: origin("v2"), keep_ms: MAX_AGE_MS };
+    let gateway = site.processes.get_mut(&addr(1)).expect("no such gateway");
+    gateway.receive(site.now, addr(5), Message::Tell(vec![record]));
+    assert_eq!(site.resume(1, StreamKey(7)), Resolution::Conflict);
+}
--- a/crates/origin/tests/site.rs
+++ b/crates/origin/tests/site.rs
@@ -76,6 +76,8 @@
     listed: Vec<usize>,
     poll_at: Vec<Time>,
     due_at: Time,
+    /// When routers that have started hear of the members.
+    members_at: Time,
     in_transit: Vec<(Time, usize, SocketAddr, Message)>,
     results: HashMap<(usize, LookupId), Resolution>,
     streams: Vec<Stream>,
@@ -100,6 +102,7 @@
             listed: vec![0; all],
             poll_at: vec![Time(0); all],
             due_at: Time(0),
+            members_at: Time::NEVER,
             in_transit: Vec::new(),
             results: HashMap::new(),
             streams: Vec::new(),
@@ -167,10 +170,9 @@
             self.advance(ms);
             self.start(*at);
         }
-        // Some resumptions arrive before the list of members.
-        if self.random.random_range(0..2) == 0 {
-            self.set_members();
-        }
+        // Some resumptions arrive before the list of members, which arrives before 2 s are over.
+        let ms = if self.random.random_range(0..2) == 0 { 0 } else { 1_500 };
+        self.members_at = self.now + ms * MILLISECOND;
     }
 
     fn perform(&mut self, at: usize, actions: Vec<Action>) {
@@ -207,6 +209,10 @@
                 let actions = receiver.receive(now, addr(from), message);
                 self.perform(at, actions);
             }
+            if now >= self.members_at {
+                self.members_at = Time::NEVER;
+                self.set_members();
+            }
             let is_due = now >= self.due_at;
             if is_due {
                 self.due_at = now + DUE_MS * MILLISECOND;
@@ -264,8 +270,6 @@
                 return resolution;
             }
             self.count("a lookup was repeated");
-            // Meanwhile the router hears of the others.
-            self.set_members();
             self.advance(50);
         }
     }
