Answer requests late rather than refuse them, where a deployment calls for it

With the setting overload = "answer-late" such requests wait behind all that can be on time, in the order of their latest start within a priority, and are refused once their expected run no longer fits. A full queue refuses what would start last. Retry-After is spread over a third of the time left.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -17,7 +17,7 @@
     },
     derive_more::Debug,
     directory::{BuildId, ListedEndpoint},
-    model::{Domain, MILLISECOND, Name, Time, mix},
+    model::{Domain, MILLISECOND, Name, Time, mix, mix2},
     std::{
         collections::{HashMap, HashSet},
         net::SocketAddr,
@@ -56,6 +56,12 @@
 /// longer.
 const MAX_RETRY_MS: u64 = 2_000;
 
+/// Callers give up if a retry delay is over this part of the time that they have left.
+const RETRY_LEFT_PARTS: u64 = 3;
+
+/// The number of priorities whose retries come one after the other.
+const RETRY_PRIORITIES: f64 = 3.0;
+
 /// The assumed time that a request occupies an endpoint before any has ended, in milliseconds.
 const INITIAL_SERVICE_MS: f64 = 200.0;
 
@@ -66,13 +72,16 @@
 const MAX_NEW_OUTAGES: usize = 256;
 
 /// Returns the retry delay that a caller is told, in milliseconds. If no endpoint takes requests
-/// now, it is the time until one does.
+/// now, it is the time until one does. Callers that take late responses are spread over the time in
+/// which they would come back, the more urgent ones first.
 fn retry_ms(
     now: Time,
     service: &Service,
-    eligibility: Eligibility<'_>,
+    request: &DispatchRequest,
     estimated_wait_ms: u64,
+    random: u64,
 ) -> u64 {
+    let eligibility = request.eligibility();
     if service.is_evacuated(eligibility) {
         return EVACUATED_RETRY_MS;
     }
@@ -80,7 +89,14 @@
     if opens_at > now && opens_at != Time::NEVER {
         return opens_at.since(now).div_ceil(MILLISECOND);
     }
-    estimated_wait_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS)
+    let Some(finish_by) = request.finish_by else {
+        return estimated_wait_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS);
+    };
+    let max_ms = finish_by.since(now) / MILLISECOND / RETRY_LEFT_PARTS;
+    let first_ms = estimated_wait_ms.max(MIN_RETRY_MS).min(max_ms / 2);
+    let priority = f64::from(request.priority).min(RETRY_PRIORITIES - 1.0);
+    let part = (priority + random as f64 / u64::MAX as f64) / RETRY_PRIORITIES;
+    first_ms + ((max_ms - first_ms) as f64 * part) as u64
 }
 
 /// Assigns the requests of one router to endpoints.
@@ -111,6 +127,8 @@
     new_parts: Vec<(u64, u64)>,
     /// The outages that other routers have not been told yet.
     new_outages: Vec<OutageReport>,
+    /// Requests that others displaced from a full queue, each with a retry delay in milliseconds.
+    displaced: Vec<(WaiterId, u64)>,
 }
 
 impl Dispatcher {
@@ -133,6 +151,7 @@
             service_times_ms: HashMap::new(),
             new_parts: Vec::new(),
             new_outages: Vec::new(),
+            displaced: Vec::new(),
         }
     }
 
@@ -448,28 +467,50 @@
             return SubmitResult::Started(assignment);
         }
         let name = request.service.clone();
-        let eligibility = request.eligibility();
-        let estimated_wait_ms = self.estimated_wait_ms(now, &name, eligibility, request.priority);
+        let mut waiter = self.waiter(request);
+        let mut wait_ms = self.estimated_wait_ms(now, &name, Some(&waiter));
+        let starts_by = |wait_ms: u64, by: Time| now + wait_ms.saturating_mul(MILLISECOND) <= by;
+        let mut is_in_time = starts_by(wait_ms, waiter.expires);
+        if !is_in_time && waiter.make_late(now) {
+            wait_ms = self.estimated_wait_ms(now, &name, Some(&waiter));
+            is_in_time = starts_by(wait_ms, waiter.expires);
+        }
         let Some(service) = self.services.get_mut(&name) else {
             return SubmitResult::Refused { retry_ms: MIN_RETRY_MS };
         };
-        let too_late = now + estimated_wait_ms.saturating_mul(MILLISECOND) > request.wait_until;
-        if too_late || !service.has_endpoints(eligibility) || service.queue.len() >= MAX_WAITING {
-            let retry_ms = retry_ms(now, service, eligibility, estimated_wait_ms);
+        let may_wait = is_in_time && service.has_endpoints(waiter.request.eligibility());
+        let is_full = service.queue.len() >= MAX_WAITING;
+        let displaced = if may_wait && is_full { service.queue.displace(&waiter) } else { None };
+        if !may_wait || service.queue.len() >= MAX_WAITING {
+            let random = mix2(self.random, waiter.id.0);
+            let retry_ms = retry_ms(now, service, &waiter.request, wait_ms, random);
             return SubmitResult::Refused { retry_ms };
         }
-        self.last_waiter += 1;
-        let id = WaiterId(self.last_waiter);
-        let expires = request.wait_until;
-        service.queue.push(Waiter { id, request, expires });
+        if let Some(displaced) = displaced {
+            let random = mix2(self.random, displaced.id.0);
+            let retry_ms = retry_ms(now, service, &displaced.request, wait_ms, random);
+            self.displaced.push((displaced.id, retry_ms));
+        }
+        let id = waiter.id;
+        service.queue.push(waiter);
         SubmitResult::Queued(id)
     }
 
-    /// Starts a request if there is room and no waiting request of equal or higher priority could
-    /// use it.
+    /// Returns a request with what its position among waiting requests depends on.
+    fn waiter(&mut self, request: DispatchRequest) -> Waiter {
+        self.last_waiter += 1;
+        let mean_ms = self.service_times_ms.get(&request.service).copied();
+        let service = self.services.get(&request.service);
+        let part = service.map_or(1.0, |it| it.work_part(&request));
+        let run_ms = mean_ms.unwrap_or(INITIAL_SERVICE_MS) * part;
+        Waiter::new(WaiterId(self.last_waiter), request, run_ms)
+    }
+
+    /// Starts a request if there is room and no waiting request that goes before it could use it.
     fn start(&mut self, now: Time, request: &DispatchRequest) -> Option<Assignment> {
         let service = self.services.get(&request.service)?;
-        let ahead = service.queue.ahead(request.priority).min(MAX_COMPARED);
+        let newcomer = Waiter::new(WaiterId(u64::MAX), request.clone(), 0.0);
+        let ahead = service.queue.ahead(&newcomer).min(MAX_COMPARED);
         let placement = service.placement(now, &self.domain, self.fleet.len());
         let choose = |it| placement.choose(it, self.random);
         if service.queue.iter().take(ahead).any(|it| choose(&it.request).is_some()) {
@@ -483,6 +524,7 @@
     fn record_start(&mut self, now: Time, request: &DispatchRequest, assignment: &Assignment) {
         self.random = mix(self.random);
         let Some(service) = self.services.get_mut(&request.service) else { return };
+        service.record_work(request);
         let Some(endpoint) = service.get_mut(assignment.handle) else { return };
         endpoint.take(now, assignment.tokens);
         if let Some(prompt) = &request.prompt {
@@ -494,29 +536,25 @@
         }
     }
 
-    /// Returns the estimated time until a request of this priority starts, in milliseconds.
-    fn estimated_wait_ms(
-        &self,
-        now: Time,
-        name: &Name,
-        eligibility: Eligibility<'_>,
-        priority: u8,
-    ) -> u64 {
+    /// Returns the estimated time until a request starts, in milliseconds; without one, until one
+    /// that goes behind all waiting requests starts.
+    fn estimated_wait_ms(&self, now: Time, name: &Name, waiter: Option<&Waiter>) -> u64 {
         let Some(service) = self.services.get(name) else { return MAX_RETRY_MS };
+        let eligibility = waiter.map(|it| it.request.eligibility()).unwrap_or_default();
+        let ahead = waiter.map_or(service.queue.len(), |it| service.queue.ahead(it));
         let opens_at = service.opens_at(eligibility);
         if opens_at == Time::NEVER {
             return MAX_RETRY_MS;
         }
         if opens_at > now {
             let opens_ms = opens_at.since(now).div_ceil(MILLISECOND);
-            return opens_ms
-                + service.limit_wait_ms(now, eligibility, service.queue.ahead(priority));
+            return opens_ms + service.limit_wait_ms(now, eligibility, ahead);
         }
         let ready =
             service.endpoints.iter().filter(|it| it.is_open(now) && it.is_eligible(eligibility));
         let running: u32 = ready.map(|it| it.load.requests(now)).sum();
         let mean_ms = self.service_times_ms.get(name).copied().unwrap_or(INITIAL_SERVICE_MS);
-        let ahead = service.queue.ahead(priority) as f64 + 1.0;
+        let ahead = ahead as f64 + 1.0;
         (mean_ms * ahead / f64::from(running.max(1))).ceil() as u64
     }
 
@@ -807,16 +845,14 @@
     /// milliseconds.
     pub fn expire(&mut self, now: Time) -> Vec<(WaiterId, u64)> {
         self.expire_evacuated(now);
-        let mut expired = Vec::new();
+        let mut expired = std::mem::take(&mut self.displaced);
         let names: Vec<_> = self.services.keys().cloned().collect();
         for name in names {
-            let estimated_wait_ms =
-                self.estimated_wait_ms(now, &name, Eligibility::default(), u8::MAX);
+            let wait_ms = self.estimated_wait_ms(now, &name, None);
             let Some(service) = self.services.get_mut(&name) else { continue };
-            let wait_ms = retry_ms(now, service, Eligibility::default(), estimated_wait_ms);
             for waiter in service.queue.expire(now) {
-                let is_evacuated = service.is_evacuated(waiter.request.eligibility());
-                let retry_ms = if is_evacuated { EVACUATED_RETRY_MS } else { wait_ms };
+                let random = mix2(self.random, waiter.id.0);
+                let retry_ms = retry_ms(now, service, &waiter.request, wait_ms, random);
                 expired.push((waiter.id, retry_ms));
             }
         }
@@ -825,6 +861,9 @@
 
     /// Returns when [`Dispatcher::expire`] must be called next.
     pub fn next_deadline(&self) -> Time {
+        if !self.displaced.is_empty() {
+            return Time(0);
+        }
         self.services.values().map(|it| it.queue.deadline()).min().unwrap_or(Time::NEVER)
     }
 
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -52,8 +52,11 @@
     pub prompt: Option<Prompt>,
     /// The priority of the request. Zero is the highest.
     pub priority: u8,
-    /// Until when the request may wait for room.
+    /// Until when the request may wait for room to be on time.
     pub wait_until: Time,
+    /// When the response must be complete, if a late one is of use. The request may then wait for
+    /// room beyond `wait_until`.
+    pub finish_by: Option<Time>,
     /// Endpoints that the request should not be sent to again.
     pub excluded: SmallVec<[EndpointHandle; 2]>,
     /// The only software version that may run the request, if it continues a stream.
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -6,7 +6,7 @@
         endpoint::Endpoint,
         placement::Placement,
         queue::WaitQueue,
-        request::{Eligibility, EndpointHandle},
+        request::{DispatchRequest, Eligibility, EndpointHandle},
     },
     derive_more::Debug,
     model::{Domain, Time},
@@ -15,6 +15,14 @@
 /// The weight of one request in the moving average of the time that requests run.
 const RUN_MS_WEIGHT: f64 = 0.05;
 
+/// The least expected work of a request, relative to that of the mean request. What is short
+/// occupies its slot for some time all the same.
+const MIN_WORK_PART: f64 = 0.25;
+
+/// The most expected work of a request, relative to that of the mean request. Most of a long prompt
+/// is in the memory of its endpoint.
+const MAX_WORK_PART: f64 = 4.0;
+
 /// A service's endpoints and waiting requests.
 #[derive(Default, Debug)]
 pub(crate) struct Service {
@@ -27,6 +35,8 @@
     /// The mean time that an endpoint runs a request, without the time that it queues it, in
     /// milliseconds. `None` before any has ended.
     run_ms: Option<f64>,
+    /// The mean tokens of the requests that were started. `None` before any was.
+    mean_tokens: Option<f64>,
 }
 
 impl Service {
@@ -71,6 +81,21 @@
         if rate > 0.0 { (ahead as f64 / rate * 1_000.0) as u64 } else { 0 }
     }
 
+    /// Records the work of a request that starts.
+    pub(crate) fn record_work(&mut self, request: &DispatchRequest) {
+        let Some(prompt) = &request.prompt else { return };
+        let tokens = f64::from(prompt.tokens);
+        let mean = self.mean_tokens.unwrap_or(tokens);
+        self.mean_tokens = Some(mean + (tokens - mean) * RUN_MS_WEIGHT);
+    }
+
+    /// Returns the expected work of a request relative to that of the mean request.
+    pub(crate) fn work_part(&self, request: &DispatchRequest) -> f64 {
+        let tokens = request.prompt.as_ref().map(|it| f64::from(it.tokens));
+        let part = tokens.zip(self.mean_tokens).map(|it| it.0 / it.1.max(1.0));
+        part.map_or(1.0, |it| it.clamp(MIN_WORK_PART, MAX_WORK_PART))
+    }
+
     /// Records that an endpoint answered a request `service_ms` milliseconds after it was sent.
     pub(crate) fn record_service_time(
         &mut self,
--- a/crates/dispatch/tests/cold_fleet.rs
+++ b/crates/dispatch/tests/cold_fleet.rs
@@ -291,6 +291,7 @@
             prompt: Some(prompt).filter(|_| !self.plan.plain),
             priority: 0,
             wait_until: self.now,
+            finish_by: None,
             excluded: SmallVec::new(),
             build: None,
             regions: None,
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -49,6 +49,7 @@
         prompt: None,
         priority: 1,
         wait_until: now + 100 * MILLISECOND,
+        finish_by: None,
         excluded: SmallVec::new(),
         build: None,
         regions: None,
--- a/crates/dispatch/tests/common/simulation.rs
+++ b/crates/dispatch/tests/common/simulation.rs
@@ -306,6 +306,7 @@
             prompt: None,
             priority: 2,
             wait_until: by_target.min(by_deadline),
+            finish_by: None,
             excluded: request.excluded.clone(),
             build: None,
             regions: None,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -27,6 +27,7 @@
     model::{Domain, MILLISECOND, Name, Reason, Time, hash64, mix2},
     parking_lot::Mutex,
     route::{Regions, RouteMatch, RouteTable, Team, allowed_regions},
+    settings::Overload,
     smallvec::SmallVec,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -407,7 +408,9 @@
 
     async fn place(&self, now: Time) -> PlacementResult {
         quarantine::decided(&self.shared, &self.subjects).await;
-        let mut ask = self.dispatch_request(self.queue_deadline(now));
+        let finish_by = self.takes_late_answer().then_some(self.deadline);
+        let wait_until = self.queue_deadline(now);
+        let mut ask = DispatchRequest { finish_by, ..self.dispatch_request(wait_until) };
         let placement = tokio::select! {
             it = self.shared.acquire_slot(ask.clone()) => it,
             () = quarantine::blocked(&self.shared, &self.subjects) => {
@@ -421,6 +424,13 @@
         self.shared.acquire_slot(ask).await
     }
 
+    /// Returns whether the request waits for capacity beyond its target. One that was sent before has
+    /// another answer to give, and one without a target is never late.
+    fn takes_late_answer(&self) -> bool {
+        let is_first = self.tried.is_empty() && self.found.route.target_ms > 0;
+        is_first && self.shared.settings.overload == Overload::AnswerLate
+    }
+
     /// Returns a request for a slot at an endpoint that has not been tried.
     pub(crate) fn dispatch_request(&self, wait_until: Time) -> DispatchRequest {
         DispatchRequest {
@@ -428,6 +438,7 @@
             prompt: self.head.prompt.clone(),
             priority: self.priority,
             wait_until,
+            finish_by: None,
             excluded: self.tried.clone(),
             build: self.build,
             regions: self.regions.clone(),
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -25,7 +25,7 @@
     },
     settings::{
         ColdSettings, ControlSettings, GatewaySettings, ListingSettings, LogLevel, LogSettings,
-        RetrySettings, WeightStoreLimits,
+        Overload, RetrySettings, WeightStoreLimits,
     },
     smallvec::smallvec,
     std::{
@@ -428,6 +428,7 @@
         retries: RETRIES,
         regions: BTreeMap::new(),
         cold: ColdSettings::default(),
+        overload: Overload::default(),
         log: LogSettings { level: LogLevel::Error, ..LogSettings::default() },
     }
 }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -45,6 +45,17 @@
     }
 }
 
+/// What happens to a request for which there is too little capacity to be on time.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize, Debug)]
+#[serde(rename_all = "kebab-case")]
+pub enum Overload {
+    /// It is refused.
+    #[default]
+    Refuse,
+    /// It waits behind those that can be on time while it can still be answered by its deadline.
+    AnswerLate,
+}
+
 /// The settings of a gateway.
 #[derive(Clone, PartialEq, Serialize, Deserialize, Debug)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -88,6 +99,9 @@
     /// Limits on the requests to cold endpoints.
     #[serde(default)]
     pub cold: ColdSettings,
+    /// What happens to requests that cannot be on time; default `refuse`.
+    #[serde(default)]
+    pub overload: Overload,
     /// Logging of this process.
     #[serde(default)]
     pub log: LogSettings,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -19,7 +19,7 @@
     control::{ControlPeer, ControlSettings, WeightStoreLimits},
     error::SettingsError,
     file::{Validate, load, parse, require},
-    gateway::{ColdSettings, GatewaySettings, RetrySettings},
+    gateway::{ColdSettings, GatewaySettings, Overload, RetrySettings},
     listing::ListingSettings,
     load_tool::{LoadEngine, LoadPlainEndpoint, LoadRouter, LoadSettings, LoadTeam},
     log::{LogFormat, LogLevel, LogSettings},
--- a/soak/src/config.rs
+++ b/soak/src/config.rs
@@ -9,7 +9,7 @@
     },
     settings::{
         ColdSettings, ControlSettings, GatewaySettings, ListingSettings, LogFormat, LogSettings,
-        RetrySettings, WeightStoreLimits,
+        Overload, RetrySettings, WeightStoreLimits,
     },
     smallvec::smallvec,
     std::{
@@ -134,6 +134,7 @@
         retries: RetrySettings { ratio: RETRY_RATIO, slack: RETRY_SLACK },
         regions: BTreeMap::new(),
         cold: ColdSettings::default(),
+        overload: Overload::default(),
         log: log(),
     })
 }
