--- a/crates/gateway/src/field_requests.rs
+++ b/crates/gateway/src/field_requests.rs
@@ -8,6 +8,9 @@
     std::net::SocketAddr,
 };
 
+/// The protocol of the first build that sends fields beyond the frozen encoding.
+pub(crate) const MIN_PROTOCOL: u32 = 1;
+
 /// How long a process may take to send the configuration before the next one is asked.
 const ANSWER_MS: u64 = 700;
 
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         evacuations::{self, EvacuationSet},
-        field_requests::FieldRequest,
+        field_requests::{self, FieldRequest},
         layout::{self, installed_version},
         relay,
         shared::{LayoutRequest, Shared},
@@ -95,12 +95,14 @@
 ) -> Result<(), WireError> {
     let replica = peer.addr();
     let Ok(stream) = timeout(OPEN_TIMEOUT, peer.open(WATCH_PATH)).await else { return Ok(()) };
-    let (mut send, mut recv) = stream?.split();
+    let stream = stream?;
+    let protocol = stream.protocol;
+    let (mut send, mut recv) = stream.split();
     let version = installed_version(shared);
     let (addr, domain) = (shared.settings.inner, shared.settings.domain.clone());
     send.send(&WatchHello { addr, domain, version }).await?;
     tracing::info!(event = "control-found", %replica, version, "gateway: watching control replica");
-    let mut subscription = Subscription::default();
+    let mut subscription = Subscription { protocol, ..Subscription::default() };
     let mut times_out_at = Instant::now() + SILENCE_TIMEOUT;
     let mut received = recv.received();
     let mut layout_changes = shared.layout_changed.subscribe();
@@ -153,6 +155,8 @@
 /// The state of a subscription to a replica.
 #[derive(Default, Debug)]
 struct Subscription {
+    /// The protocol that the replica speaks.
+    protocol: u32,
     /// The highest version that the replica announced.
     announced: Option<u64>,
     /// When to request the announced version, if it is not applied by then.
@@ -175,7 +179,10 @@
         let installed = installed_version(shared);
         if self.announced <= installed {
             self.request_at = None;
-            match shared.field_requests.lock().next(shared.now(), replica, self.announced) {
+            // A replica that speaks an older protocol does not know the fields either.
+            let announced =
+                self.announced.filter(|_| self.protocol >= field_requests::MIN_PROTOCOL);
+            match shared.field_requests.lock().next(shared.now(), replica, announced) {
                 FieldRequest::None => {}
                 FieldRequest::At(at) => self.request_at = Some(shared.clock.deadline(at)),
                 FieldRequest::Now => {
