--- a/crates/edge/tests/endpoint.rs
+++ b/crates/edge/tests/endpoint.rs
@@ -240,6 +240,47 @@
     assert_eq!(lines.len(), 2, "{lines:?}");
 }
 
+/// Guards against a second copy of a response that arrives when the connection is in use again, and
+/// would be taken for the response to the next request.
+#[rstest]
+#[case::idempotent(true)]
+#[case::non_idempotent(false)]
+#[tokio::test]
+async fn a_late_second_copy_of_a_response_is_not_taken_for_the_next_one(#[case] idempotent: bool) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        for connection in 0.. {
+            let Ok((mut socket, _)) = listener.accept().await else { return };
+            tokio::spawn(async move {
+                let mut last = String::new();
+                for number in 0.. {
+                    if read_request(&mut socket).await.is_none() {
+                        return;
+                    }
+                    let body = format!("response {number} on connection {connection}");
+                    let next =
+                        format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+                    let _ = socket.write_all((last + &next).as_bytes()).await;
+                    last = next;
+                }
+            });
+        }
+    });
+    let client = EndpointClient::new(
+        addr,
+        ServiceKind::Model,
+        EndpointLimits { head_ms: HEAD_MS, ..EndpointLimits::default() },
+    );
+    let mut bodies = Vec::new();
+    for _ in 0..4 {
+        let (body, err) = run(&client, request(idempotent)).await;
+        assert!(err.is_none(), "{err:?}");
+        assert!(!bodies.contains(&body), "{:?} again", String::from_utf8_lossy(&body));
+        bodies.push(body);
+    }
+}
+
 #[rstest]
 #[case::idempotent(true)]
 #[case::non_idempotent(false)]
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -11,7 +11,7 @@
 pub(crate) use {
     client::{Client, Connection, Response, read_response},
     crashing::{CrashingEndpoints, EVENTS, Framing},
-    endpoint::{Behavior, Endpoint, ReceivedRequest, SIGNED, chunk, event},
+    endpoint::{Behavior, Endpoint, ReceivedRequest, SIGNED, chunk, event, read_request},
     link::{Cut, Link, SWITCH_TIME},
 };
 
--- /dev/null
+++ b/crates/gateway/tests/reported_faults.rs
@@ -0,0 +1,224 @@
+//! Faults that operators of other systems reported (docs/PROOFS.md, "Six faults reported by other operators").
+
+mod common;
+
+use {
+    common::{Behavior, Endpoint, Fixture, SIGNED, TEAM_KEY, chunk, event, layout, read_request},
+    futures_util::future::join_all,
+    rstest::rstest,
+    std::{net::SocketAddr, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        time::{Instant, sleep, timeout},
+    },
+};
+
+const KIND: &str = "content-type: text/event-stream\r\n";
+
+/// How an endpoint marks the end of its response.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Framing {
+    Length,
+    Chunks,
+    Connection,
+}
+
+/// Returns the response to the attempt `a1`, a stream of three events or a short body.
+fn response(framing: Framing, is_stream: bool) -> Vec<u8> {
+    let body: String =
+        if is_stream { (0..3).map(event).collect() } else { "a whole response".to_owned() };
+    let kind = if is_stream { KIND } else { "" };
+    let framing_line = match framing {
+        Framing::Length => format!("content-length: {}\r\n", body.len()),
+        Framing::Chunks => "transfer-encoding: chunked\r\n".to_owned(),
+        Framing::Connection => "connection: close\r\n".to_owned(),
+    };
+    let mut bytes = format!("HTTP/1.1 200 X\r\nattempt-id: a1\r\n{SIGNED}{kind}{framing_line}\r\n")
+        .into_bytes();
+    match framing {
+        Framing::Chunks => {
+            let (first, rest) = body.split_at(7);
+            bytes.extend([chunk(first), chunk(rest), b"0\r\n\r\n".to_vec()].concat());
+        }
+        Framing::Length | Framing::Connection => bytes.extend(body.into_bytes()),
+    }
+    bytes
+}
+
+/// Starts an endpoint whose response is cut after as many bytes as the body of the request says.
+async fn start_cutting(response: Vec<u8>, is_reset: bool) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("failed to bind");
+    let addr = listener.local_addr().expect("no local address");
+    tokio::spawn(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            let response = response.clone();
+            tokio::spawn(async move {
+                let Some(request) = read_request(&mut socket).await else { return };
+                let cut = String::from_utf8_lossy(&request.body).parse().unwrap_or(0);
+                let _ = socket.write_all(&response[..cut]).await;
+                sleep(Duration::from_millis(20)).await;
+                if is_reset {
+                    let _ = socket.set_zero_linger();
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Guards against a response that broke off and reaches the caller as complete.
+///
+/// A response that ends with its connection can be told from a whole one only if the connection is
+/// reset, or if a stream ends inside an event.
+#[rstest]
+#[case::length(Framing::Length, false)]
+#[case::length_reset(Framing::Length, true)]
+#[case::chunks(Framing::Chunks, false)]
+#[case::chunks_reset(Framing::Chunks, true)]
+#[case::connection_reset(Framing::Connection, true)]
+#[tokio::test]
+async fn response_that_is_cut_at_any_byte_is_not_complete(
+    #[case] framing: Framing,
+    #[case] is_reset: bool,
+    #[values(false, true)] is_stream: bool,
+) {
+    let whole = response(framing, is_stream);
+    let addr = start_cutting(whole.clone(), is_reset).await;
+    let (path, service) = if is_stream { ("/stream/", "model") } else { ("/write/", "plain") };
+    let endpoint = Endpoint::start([]).await;
+    // Many copies, so that endpoints that failed do not keep the others from being tried.
+    let listing: Vec<_> = (0..20)
+        .map(|at| {
+            let mut entry = endpoint.listing_entry(service, &format!("e{at}"));
+            (entry.addr, entry.slots) = (addr, 500);
+            entry
+        })
+        .collect();
+    let fixture = Fixture::start(&layout(1), &listing).await;
+    let calls = (0..whole.len()).map(|cut| {
+        let client = fixture.client().body(&format!("{cut:04}"));
+        async move { (cut, client.call(path).await) }
+    });
+    let mut reached = 0;
+    for (cut, response) in join_all(calls).await {
+        let is_success = response.status == 200 && response.complete;
+        assert!(!is_success, "complete after {cut} of {} bytes: {response:?}", whole.len());
+        reached += usize::from(matches!(response.status, 200 | 502));
+    }
+    assert!(reached > whole.len() / 2, "{reached} of {} were sent to the endpoint", whole.len());
+}
+
+/// Guards against a stream that broke off and looks complete to a caller of HTTP/1.0, for whom a
+/// response without a length ends with its connection. Such a caller can see a reset only.
+#[rstest]
+#[case::broken(Behavior::Reset(0..3), true)]
+#[case::whole(Behavior::Events(0..3), false)]
+#[tokio::test]
+async fn broken_stream_is_reset_for_a_caller_without_chunks(
+    #[case] behavior: Behavior,
+    #[case] is_reset: bool,
+) {
+    let endpoint = Endpoint::start([behavior]).await;
+    let fixture = Fixture::start(&layout(1), &[endpoint.listing_entry("model", "e0")]).await;
+    let mut socket = TcpStream::connect(fixture.addr).await.expect("failed to connect");
+    let request = format!(
+        "POST /stream/ HTTP/1.0\r\nhost: h\r\nattempt-id: a1\r\ndeadline-ms: 4000\r\n\
+         team-key: {TEAM_KEY}\r\ncontent-length: 1\r\n\r\nx"
+    );
+    socket.write_all(request.as_bytes()).await.expect("failed to send");
+    let mut bytes = Vec::new();
+    let read = timeout(Duration::from_secs(6), socket.read_to_end(&mut bytes)).await;
+    let read = read.expect("the response did not end");
+    let text = String::from_utf8_lossy(&bytes).to_lowercase();
+    assert!(!text.contains("content-length"), "{text}");
+    assert_eq!(read.is_err(), is_reset, "{read:?} after {text}");
+    if !is_reset {
+        let events: String = (0..3).map(event).collect();
+        assert!(text.ends_with(&events), "{text}");
+    }
+}
+
+/// Guards against a late second copy of a response that reaches the next caller.
+#[tokio::test]
+async fn late_second_copy_of_a_response_reaches_no_other_caller() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("failed to bind");
+    let addr = listener.local_addr().expect("no local address");
+    tokio::spawn(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut last = Vec::new();
+                // The copy comes when the next request on the connection has arrived, or soon.
+                loop {
+                    let request = timeout(Duration::from_millis(50), read_request(&mut socket));
+                    let Ok(Some(request)) = request.await else { break };
+                    let _ = socket.write_all(&last).await;
+                    let body = String::from_utf8_lossy(&request.body).into_owned();
+                    let head = format!("HTTP/1.1 200 X\r\nattempt-id: a1\r\n{SIGNED}");
+                    last =
+                        format!("{head}content-length: {}\r\n\r\n{body}", body.len()).into_bytes();
+                    let _ = socket.write_all(&last).await;
+                }
+                let _ = socket.write_all(&last).await;
+            });
+        }
+    });
+    let mut entry = Endpoint::start([]).await.listing_entry("plain", "e0");
+    entry.addr = addr;
+    let fixture = Fixture::start(&layout(1), &[entry]).await;
+    for number in 0..40 {
+        let body = format!("request-{number}");
+        let response = fixture.client().body(&body).call("/write/").await;
+        assert_eq!((response.status, response.body), (200, body));
+        sleep(Duration::from_millis(number * 3 % 60)).await;
+    }
+}
+
+/// Guards against slow sound streams that are cut, and stalled ones that are kept alive by a byte
+/// now and then.
+#[tokio::test]
+async fn slow_stream_is_completed_beside_one_that_trickles_until_its_deadline() {
+    let text = response(Framing::Chunks, true);
+    let head_bytes = text.windows(4).position(|it| it == b"\r\n\r\n").expect("no head") + 4;
+    let head = text[..head_bytes].to_vec();
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("failed to bind");
+    let addr = listener.local_addr().expect("no local address");
+    tokio::spawn(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            let head = head.clone();
+            tokio::spawn(async move {
+                let Some(request) = read_request(&mut socket).await else { return };
+                let _ = socket.write_all(&head).await;
+                let is_sound = request.body == b"sound";
+                let (pause_ms, parts) = if is_sound {
+                    (1_500, (0..3).map(|it| chunk(&event(it))).collect::<Vec<_>>())
+                } else {
+                    (300, [vec![chunk(&event(0)), chunk("data: ")], vec![chunk("y"); 60]].concat())
+                };
+                for part in parts {
+                    if socket.write_all(&part).await.is_err() {
+                        return;
+                    }
+                    sleep(Duration::from_millis(pause_ms)).await;
+                }
+                let _ = socket.write_all(b"0\r\n\r\n").await;
+            });
+        }
+    });
+    let mut entry = Endpoint::start([]).await.listing_entry("model", "e0");
+    entry.addr = addr;
+    let mut layout = layout(1);
+    layout.routes.iter_mut().for_each(|it| it.timeout_ms = 8_000);
+    let fixture = Fixture::start(&layout, &[entry]).await;
+    let client = fixture.client().deadline(6_000);
+    let started = Instant::now();
+    for path in ["/stream/", "/resume/"] {
+        let (sound, trickle) = (client.clone().body("sound"), client.clone().body("trickle"));
+        let (sound, trickle) = tokio::join!(sound.call(path), trickle.call(path));
+        let events: String = (0..3).map(event).collect();
+        assert_eq!((sound.complete, sound.body), (true, events), "{path}");
+        assert_eq!((trickle.complete, trickle.body), (false, event(0)), "{path}");
+        assert!(trickle.elapsed < Duration::from_millis(6_500), "{path}: {:?}", trickle.elapsed);
+    }
+    assert!(started.elapsed() < Duration::from_secs(14));
+}
