--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -8,7 +8,7 @@
     },
     edge::Body,
     eyre::{Result, WrapErr},
-    http::{HeaderValue, Request, Response, header},
+    http::{HeaderValue, Request, Response, Version, header},
     http_body_util::BodyExt,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
@@ -17,6 +17,7 @@
         convert::Infallible,
         io,
         net::SocketAddr,
+        pin::Pin,
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
@@ -126,6 +127,9 @@
 struct ConnectionState {
     /// Whether a request was received.
     used: bool,
+    /// Whether the last request was of HTTP/1.0, so that the end of a response without a length is
+    /// the end of the connection.
+    ends_with_connection: bool,
     /// The request in progress, if it has an id.
     request: Option<HeaderValue>,
 }
@@ -151,7 +155,9 @@
         let shared = &connection.shared;
         shared.busy_connections.fetch_add(1, Ordering::Relaxed);
         let id = request.headers().get(&shared.names.attempt_id).cloned();
-        *connection.state.lock() = ConnectionState { used: true, request: id };
+        let ends_with_connection = request.version() == Version::HTTP_10;
+        *connection.state.lock() =
+            ConnectionState { used: true, ends_with_connection, request: id };
         RequestGuard(connection.clone())
     }
 }
@@ -177,12 +183,11 @@
         let client = client.clone();
         async move { Ok::<_, Infallible>(respond(&client, request).await) }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_ms))
         .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES) + EXTRA_BUFFER_BYTES)
         .serve_connection(TokioIo::new(socket), service);
-    tokio::pin!(connection);
     let mut phase = shared.shutdown_phase.subscribe();
     let closing = async {
         reached(&mut phase, ShutdownPhase::Closing).await;
@@ -190,20 +195,20 @@
     };
     tokio::select! {
         biased;
-        served = connection.as_mut() => return served,
+        served = &mut connection => return end(&client, served, connection.into_parts().io),
         () = closing => {}
     }
     if !client.state.lock().used {
         return Ok(());
     }
-    connection.as_mut().graceful_shutdown();
+    Pin::new(&mut connection).graceful_shutdown();
     let expired = async {
         reached(&mut phase, ShutdownPhase::Expired).await;
         sleep(LAST_WRITE_TIMEOUT).await;
     };
     tokio::select! {
         biased;
-        served = connection.as_mut() => return served,
+        served = &mut connection => return end(&client, served, connection.into_parts().io),
         () = expired => {}
     }
     let request = client.state.lock().request.take();
@@ -213,9 +218,32 @@
         reason = "the grace period is over",
         "gateway: connection closed during a request"
     );
+    reset(&client, &connection.into_parts().io);
     Ok(())
 }
 
+/// Ends a connection. If it failed, its last response may be incomplete.
+fn end(
+    client: &ClientConnection,
+    served: hyper::Result<()>,
+    io: TokioIo<TcpStream>,
+) -> hyper::Result<()> {
+    if served.is_err() {
+        reset(client, &io);
+    }
+    served
+}
+
+/// Lets the connection end with a reset if a normal end would make an incomplete response look
+/// complete.
+fn reset(client: &ClientConnection, io: &TokioIo<TcpStream>) {
+    if client.state.lock().ends_with_connection
+        && let Err(err) = io.inner().set_zero_linger()
+    {
+        tracing::debug!("gateway: failed to reset a connection: {err}");
+    }
+}
+
 /// Serves a request. While the gateway shuts down, its response closes the connection.
 async fn respond(client: &Arc<ClientConnection>, request: Request<Incoming>) -> Response<Body> {
     let shared = &client.shared;
