Use a connection to an endpoint for one request

Responses of endpoints do not name their request. A second copy that arrived late on a connection from the pool was taken for the response to the next request, which could be another caller's. The default of EndpointLimits::max_idle is now 0. The tests of the pool state the former value, 64.

--- a/crates/edge/src/endpoint/request.rs
+++ b/crates/edge/src/endpoint/request.rs
@@ -33,7 +33,9 @@
     pub cancel_ms: u64,
     /// The time for which an idle connection can be reused, in milliseconds.
     pub idle_ms: u64,
-    /// The maximum number of idle connections.
+    /// The maximum number of idle connections. By default there are none: responses of endpoints do
+    /// not name their request, so a late second copy of one on a connection that is in use again
+    /// would be taken for the response to the next request.
     pub max_idle: usize,
     /// The maximum number of times that a stream is resumed over a new connection.
     pub max_resumes: u32,
@@ -47,7 +49,7 @@
             progress_ms: 5_000,
             cancel_ms: 1_000,
             idle_ms: 20_000,
-            max_idle: 64,
+            max_idle: 0,
             max_resumes: 2,
         }
     }
--- a/crates/edge/tests/endpoint.rs
+++ b/crates/edge/tests/endpoint.rs
@@ -152,7 +152,7 @@
 }
 
 fn limits() -> EndpointLimits {
-    EndpointLimits { head_ms: HEAD_MS, progress_ms: 200, ..EndpointLimits::default() }
+    EndpointLimits { head_ms: HEAD_MS, progress_ms: 200, max_idle: 64, ..EndpointLimits::default() }
 }
 
 /// Runs one attempt and returns the received body and the error, if any.
