Add tests of malformed messages, which fail by aborting the process

bincode without a limit allocates the length that a string or a byte string claims to have. A claim of 2^60 bytes aborts the process.

--- a/crates/control/tests/state.rs
+++ b/crates/control/tests/state.rs
@@ -112,6 +112,65 @@
     ]
 }
 
+/// The encoding of the length 2^60, as `bincode` has it.
+const HUGE_LENGTH: [u8; 9] = [253, 0, 0, 0, 0, 0, 0, 0, 16];
+
+/// Guards against an allocation of the length that a command claims to have, which aborts every replica that applies it.
+#[test]
+fn a_command_with_a_huge_length_is_malformed() {
+    let malformed = encode_to_vec(Output::Malformed, standard()).unwrap();
+    for variant in 0..8 {
+        let command = [&[variant], &HUGE_LENGTH[..]].concat();
+        assert_eq!(State::default().apply(1, &command), malformed, "variant {variant}");
+    }
+}
+
+/// Guards against an allocation of the length that a damaged snapshot claims to have, which aborts the replica.
+#[test]
+fn a_snapshot_with_a_huge_length_is_refused_or_read() {
+    let mut state = State::default();
+    let registration = Command::Register {
+        host: HostName("h".into()),
+        process: 1,
+        addr: "127.0.0.1:9".parse().unwrap(),
+        domain: Domain("muscat-a".into()),
+    };
+    state.apply(1, &encode_to_vec(registration, standard()).unwrap());
+    let bytes = state.snapshot();
+    for at in 0..bytes.len() {
+        let damaged = [&bytes[..at], &HUGE_LENGTH, &bytes[at..]].concat();
+        let _ = State::default().restore(&damaged);
+    }
+    // The part of the section with the evacuations.
+    for start in [&[][..], &[1], &[0, 1], &[1, 1]] {
+        let content = [start, &HUGE_LENGTH].concat();
+        let part = [&[2, content.len() as u8], &content[..]].concat();
+        let _ = State::default().restore(&[&bytes[..], &part].concat());
+    }
+    assert!(State::default().restore(&bytes).is_ok());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against panics and aborts on random bytes with a huge length in their middle.
+    #[test]
+    fn arbitrary_commands_and_snapshots_never_abort(
+        start in vec(0..8_u8, 0..12),
+        rest in vec(any::<u8>(), 0..40),
+        has_length in any::<bool>(),
+    ) {
+        let length = if has_length { &HUGE_LENGTH[..] } else { &[] };
+        let bytes = [&start[..], length, &rest].concat();
+        let _ = State::default().apply(1, &bytes);
+        let _ = State::default().restore(&bytes);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/crates/control/tests/three.rs
+++ b/crates/control/tests/three.rs
@@ -399,7 +399,12 @@
 /// Returns a configuration whose compressed form has some ten kilobytes.
 fn large_config(version: u64) -> RoutingConfig {
     let name = |it: u64| format!("{:016x}", mix2(version, it));
-    let team = |it| Team { name: name(it).into(), keys: Vec::new(), priority: None, regions: Default::default() };
+    let team = |it| Team {
+        name: name(it).into(),
+        keys: Vec::new(),
+        priority: None,
+        regions: Default::default(),
+    };
     RoutingConfig { teams: (0..1_000).map(team).collect(), ..routing_config(version) }
 }
 
--- a/crates/replica/tests/journal.rs
+++ b/crates/replica/tests/journal.rs
@@ -157,3 +157,17 @@
     let entry = Entry { index: 2, term: Term(2), payload: Payload::Membership(members) };
     assert_eq!(durable.entries, [entry]);
 }
+
+/// Guards against an allocation of the length that a damaged record claims to have, which aborts the process.
+#[test]
+fn a_record_with_a_huge_length_is_an_error() {
+    let disk = Disk::default();
+    let (mut store, _) = Store::open(disk.clone(), Path::new("/data")).unwrap();
+    store.set_meta(&encode(&(ID, HardState::default()))).unwrap();
+    // An entry with index 1, term 2 and a command of 2^60 bytes.
+    store.append(1, &[1, 2, 1, 253, 0, 0, 0, 0, 0, 0, 0, 16]).unwrap();
+    store.sync().unwrap();
+    drop(store);
+    let error = Journal::open(disk, Path::new("/data"), ID).err().unwrap();
+    assert!(error.to_string().contains("record cannot be decoded"), "{error}");
+}
