--- a/crates/control/src/origins.rs
+++ b/crates/control/src/origins.rs
@@ -26,6 +26,10 @@
 /// The maximum size of a datagram, in bytes. The rest of a larger one is cut off.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
+/// The limit on what the decoder of a datagram counts, in bytes. `bincode` counts a number with its size in memory, up
+/// to 8 bytes for an encoded one.
+const MAX_COUNTED_BYTES: usize = 8 * MAX_DATAGRAM_BYTES;
+
 /// How often datagrams are received while some arrive. The socket isn't registered with the runtime,
 /// which would wake for each datagram: 6,000 a second took 0.08 of a core then, and 0.02 so. The
 /// system's buffer holds about 270 meanwhile.
@@ -86,7 +90,10 @@
     /// Handles a datagram, and returns the answers to its sender.
     fn receive(&self, now: Time, from: SocketAddr, datagram: &[u8]) -> Vec<Action> {
         let message = match datagram {
-            [FORMAT_VERSION, bytes @ ..] => decode_from_slice::<Message, _>(bytes, standard()).ok(),
+            [FORMAT_VERSION, bytes @ ..] => {
+                let config = standard().with_limit::<MAX_COUNTED_BYTES>();
+                decode_from_slice::<Message, _>(bytes, config).ok()
+            }
             _ => None,
         };
         let mut counts = self.counts.lock();
--- a/crates/control/src/replicated_log.rs
+++ b/crates/control/src/replicated_log.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         command::{Command, Output},
+        section::limited,
         state::State,
     },
     bincode::{
@@ -153,7 +154,7 @@
             Ok(Err(ProposeError::NotLeader { .. })) => return Err(CommitError::NotLeader),
             Ok(Err(ProposeError::Unknown)) | Err(_) => return Err(CommitError::Unknown),
         };
-        let decoded = decode_from_slice(&reply, standard());
+        let decoded = decode_from_slice(&reply, limited());
         decoded.map(|(output, _)| output).map_err(|_| CommitError::Unknown)
     }
 
--- a/crates/control/src/section.rs
+++ b/crates/control/src/section.rs
@@ -6,7 +6,7 @@
 use {
     crate::evacuation_state::EvacuationState,
     bincode::{
-        config::standard,
+        config::{Configuration, Limit, LittleEndian, Varint, standard},
         error::{DecodeError, EncodeError},
         serde::{decode_from_slice, encode_to_vec},
     },
@@ -14,6 +14,17 @@
     serde::{Deserialize, Serialize},
 };
 
+/// The limit on what a decoder of commands, their output and snapshots counts, in bytes. Without one, `bincode` allocates
+/// whatever length a string claims to have, which aborts the process. It counts a number with its size in memory, up to 8
+/// bytes for an encoded one. An operator's document has at most
+/// 16 MiB, and the state contains few of them.
+const MAX_COUNTED_BYTES: usize = 1 << 30;
+
+/// The configuration for decoding commands, their output and snapshots.
+pub(crate) fn limited() -> Configuration<LittleEndian, Varint, Limit<MAX_COUNTED_BYTES>> {
+    standard().with_limit::<MAX_COUNTED_BYTES>()
+}
+
 /// What later builds than 0d4d3b9 added to the replicated state.
 #[derive(Clone, PartialEq, Eq, Default, Debug)]
 pub(crate) struct Section {
@@ -49,12 +60,12 @@
     pub(crate) fn decode(mut bytes: &[u8]) -> Result<Section, DecodeError> {
         let mut section = Section::default();
         while !bytes.is_empty() {
-            let (part, consumed): (Part, _) = decode_from_slice(bytes, standard())?;
+            let (part, consumed): (Part, _) = decode_from_slice(bytes, limited())?;
             bytes = &bytes[consumed..];
             match part.number {
-                PROTOCOL_PART => section.protocol = decode_from_slice(&part.content, standard())?.0,
+                PROTOCOL_PART => section.protocol = decode_from_slice(&part.content, limited())?.0,
                 EVACUATIONS_PART => {
-                    section.evacuations = decode_from_slice(&part.content, standard())?.0;
+                    section.evacuations = decode_from_slice(&part.content, limited())?.0;
                 }
                 _ => {}
             }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -7,7 +7,7 @@
         quarantine::Quarantine,
         roster_history::RosterHistory,
         router_registry::{RouterInfo, RouterRegistry},
-        section::Section,
+        section::{Section, limited},
     },
     bincode::{
         config::standard,
@@ -91,7 +91,7 @@
 
 impl StateMachine for State {
     fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
-        let decoded = decode_from_slice(command, standard());
+        let decoded = decode_from_slice(command, limited());
         let output = match decoded {
             Ok((command, _)) => self.execute(index, command),
             Err(_) => Output::Malformed,
@@ -107,7 +107,7 @@
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
         let restore_error = |it: DecodeError| RestoreError { reason: it.to_string() };
-        let (state, consumed) = decode_from_slice(snapshot, standard()).map_err(restore_error)?;
+        let (state, consumed) = decode_from_slice(snapshot, limited()).map_err(restore_error)?;
         *self = state;
         self.section = Section::decode(&snapshot[consumed..]).map_err(restore_error)?;
         Ok(())
--- a/crates/control/tests/origins.rs
+++ b/crates/control/tests/origins.rs
@@ -206,3 +206,22 @@
         assert_eq!(decode_from_slice(bytes, standard()).unwrap(), (message, bytes.len()));
     }
 }
+
+/// Guards against the end of the process or of its receiving task by a datagram that claims a length of 2^60.
+#[tokio::test]
+async fn replica_answers_after_malformed_datagrams() {
+    let replica = TestReplica::start().await;
+    let gateway = Gateway::start(&replica).await;
+    for variant in 0..6 {
+        for count in 0..8 {
+            let numbers = vec![1; count];
+            let start = [&[FORMAT_VERSION, variant], &numbers[..]].concat();
+            gateway.send_bytes(&[&start[..], &[253, 0, 0, 0, 0, 0, 0, 0, 16]].concat()).await;
+            gateway.send_bytes(&start).await;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    let other = Gateway::start(&replica).await;
+    assert!(other.ask(wanted(7, 1_000)).await.is_some());
+    replica.control.shutdown().await;
+}
--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -1,7 +1,7 @@
 //! Which endpoints are believed to be cold: logged, and told to other gateways over UDP.
 
 use {
-    crate::{quarantine::peers, shared::Shared},
+    crate::{gossip::limited, quarantine::peers, shared::Shared},
     bincode::{
         config::standard,
         serde::{decode_from_slice, encode_into_std_write},
@@ -76,7 +76,7 @@
 
 /// Handles a message, given without the version of its format.
 pub(crate) fn receive(shared: &Shared, from: SocketAddr, bytes: &[u8]) {
-    match decode_from_slice::<Vec<ColdReport>, _>(bytes, standard()) {
+    match decode_from_slice::<Vec<ColdReport>, _>(bytes, limited()) {
         Ok((reports, _)) => {
             shared.dispatcher.lock().apply_cold_reports(shared.now(), &reports);
             shared.cold_news.notify_one();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,7 +11,7 @@
 use {
     crate::{cold, limits, origins, outages, quarantine, shared::Shared},
     bincode::{
-        config::standard,
+        config::{Configuration, Limit, LittleEndian, Varint, standard},
         serde::{decode_from_slice, encode_to_vec},
     },
     derive_more::Debug,
@@ -60,6 +60,16 @@
 /// The maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
+/// The limit on what a decoder of datagrams counts, in bytes. Without one, `bincode` allocates whatever length a string
+/// claims to have, which aborts the process. It counts a number with its size in memory, up to 8 bytes for an encoded
+/// one.
+const MAX_COUNTED_BYTES: usize = 8 * MAX_DATAGRAM_BYTES;
+
+/// The configuration for decoding datagrams.
+pub(crate) fn limited() -> Configuration<LittleEndian, Varint, Limit<MAX_COUNTED_BYTES>> {
+    standard().with_limit::<MAX_COUNTED_BYTES>()
+}
+
 /// Whose loads a message contains.
 #[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
 enum Scope {
@@ -241,7 +251,7 @@
             cold::receive(&shared, from, &buffer[1..len]);
             continue;
         }
-        match decode_from_slice::<GossipMessage, _>(&buffer[..len], standard()) {
+        match decode_from_slice::<GossipMessage, _>(&buffer[..len], limited()) {
             Ok((message, _)) if message.version != FORMAT_VERSION => {
                 let version = message.version;
                 tracing::debug!("gateway: refused gossip of version {version} from {from}");
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -1,7 +1,7 @@
 //! What endpoints say about how many requests they take, told to other gateways over UDP.
 
 use {
-    crate::{quarantine::peers, shared::Shared},
+    crate::{gossip::limited, quarantine::peers, shared::Shared},
     bincode::{
         config::standard,
         serde::{decode_from_slice, encode_into_std_write},
@@ -72,7 +72,7 @@
 
 /// Handles a message, given without the version of its format.
 pub(crate) fn receive(shared: &Shared, from: SocketAddr, bytes: &[u8]) {
-    match decode_from_slice::<Vec<LimitReport>, _>(bytes, standard()) {
+    match decode_from_slice::<Vec<LimitReport>, _>(bytes, limited()) {
         Ok((reports, _)) => {
             let changes = shared.dispatcher.lock().apply_limit_reports(shared.now(), &reports);
             changes.iter().for_each(|it| log_change(it, "gateway"));
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -2,7 +2,7 @@
 //! over UDP.
 
 use {
-    crate::shared::Shared,
+    crate::{gossip::limited, shared::Shared},
     bincode::{
         config::standard,
         serde::{decode_from_slice, encode_into_std_write},
@@ -123,7 +123,7 @@
 
 /// Handles a message, given without the version of its format.
 pub(crate) async fn receive(shared: &Shared, from: SocketAddr, bytes: &[u8]) {
-    match decode_from_slice::<Message, _>(bytes, standard()) {
+    match decode_from_slice::<Message, _>(bytes, limited()) {
         Ok((message, _)) => {
             let actions = shared.origins.lock().receive(shared.now(), from, message);
             perform(shared, actions).await;
--- a/crates/gateway/src/outages.rs
+++ b/crates/gateway/src/outages.rs
@@ -1,7 +1,7 @@
 //! Tells other gateways which endpoints cannot be used, over UDP.
 
 use {
-    crate::{quarantine::peers, shared::Shared},
+    crate::{gossip::limited, quarantine::peers, shared::Shared},
     bincode::{
         config::standard,
         serde::{decode_from_slice, encode_into_std_write},
@@ -60,7 +60,7 @@
 
 /// Handles a message, given without the version of its format.
 pub(crate) fn receive(shared: &Shared, from: SocketAddr, bytes: &[u8]) {
-    match decode_from_slice::<OutageMessage, _>(bytes, standard()) {
+    match decode_from_slice::<OutageMessage, _>(bytes, limited()) {
         Ok((message, _)) => {
             let OutageMessage { domain, reports } = message;
             let avoided = shared.dispatcher.lock().apply_outages(shared.now(), domain, &reports);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,7 +1,7 @@
 //! Tells other gateways which requests crash endpoints, and compares notes with them, over UDP.
 
 use {
-    crate::shared::Shared,
+    crate::{gossip::limited, shared::Shared},
     bincode::{
         config::standard,
         serde::{decode_from_slice, encode_into_std_write},
@@ -140,7 +140,7 @@
 
 /// Handles a message, given without the version of its format.
 pub(crate) async fn receive(shared: &Shared, from: SocketAddr, bytes: &[u8]) {
-    let message = match decode_from_slice::<Message, _>(bytes, standard()) {
+    let message = match decode_from_slice::<Message, _>(bytes, limited()) {
         Ok((message, _)) => message,
         Err(err) => {
             tracing::debug!("gateway: failed to decode a message on crashes from {from}: {err}");
--- a/crates/replica/src/journal.rs
+++ b/crates/replica/src/journal.rs
@@ -10,6 +10,10 @@
     store::{Contents, FileSystem, Store, StoreError},
 };
 
+/// The limit on the bytes of an entry or a snapshot. Without one, `bincode` allocates whatever length a damaged record
+/// claims to have, which aborts the process. The state machine of control reads snapshots up to the same limit.
+const MAX_RECORD_BYTES: usize = 1 << 30;
+
 /// The content of the metadata file.
 #[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
 struct Meta {
@@ -142,7 +146,8 @@
 where
     T: DeserializeOwned,
 {
-    match bincode::serde::decode_from_slice(bytes, standard()) {
+    let config = standard().with_limit::<MAX_RECORD_BYTES>();
+    match bincode::serde::decode_from_slice(bytes, config) {
         Ok((value, used)) if used == bytes.len() => Ok(value),
         Ok(_) | Err(_) => Err(corrupt(folder, "record cannot be decoded")),
     }
--- a/crates/wire/src/compressed.rs
+++ b/crates/wire/src/compressed.rs
@@ -16,6 +16,10 @@
 /// The limit on the length of a decompressed value, in bytes.
 const MAX_DECOMPRESSED_BYTES: u64 = 64 << 20;
 
+/// The limit on what a decoder counts, in bytes. Without one, `bincode` allocates whatever length a string claims to
+/// have, which aborts the process. It counts a number with its size in memory, up to 8 bytes for an encoded one.
+const MAX_COUNTED_BYTES: usize = 8 * MAX_DECOMPRESSED_BYTES as usize;
+
 /// The compressed form of a byte string or of an encoded value.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
 #[debug("Compressed({} bytes)", _0.len())]
@@ -100,6 +104,7 @@
         T: DeserializeOwned,
     {
         let bytes = self.decompress()?;
-        decode_from_slice(&bytes, standard()).map(|it| it.0).map_err(error)
+        let config = standard().with_limit::<MAX_COUNTED_BYTES>();
+        decode_from_slice(&bytes, config).map(|it| it.0).map_err(error)
     }
 }
