--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -32,7 +32,7 @@
         collections::BTreeMap,
         net::SocketAddr,
         sync::{
-            Arc, Mutex, OnceLock,
+            Arc, LazyLock, Mutex, OnceLock,
             atomic::{AtomicU16, Ordering},
         },
         time::Duration,
@@ -112,9 +112,20 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// The first port for listeners that a test binds again.
+const FIRST_PORT: u16 = 20_000;
+
+/// The ports that one test process uses, and the number of such ranges below the ephemeral ports.
+const PORTS_PER_PROCESS: u16 = 600;
+const PORT_RANGES: u32 = 20;
+
 /// Returns a port below the ephemeral range, so that no other socket takes it before it is bound.
 pub(crate) fn free_port() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(20_000);
+    static NEXT: LazyLock<AtomicU16> = LazyLock::new(|| {
+        // Test processes that run at the same time must not take each other's ports.
+        let process = (std::process::id() % PORT_RANGES) as u16;
+        AtomicU16::new(FIRST_PORT + process * PORTS_PER_PROCESS)
+    });
     loop {
         let addr = SocketAddr::from(([127, 0, 0, 1], NEXT.fetch_add(1, Ordering::Relaxed)));
         if std::net::TcpListener::bind(addr).is_ok() {
