--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,27 +1,25 @@
 //! Tracks the endpoints of all services and the requests that run or wait.
 
+mod conditions;
+mod list;
+mod peers;
+
 use {
     crate::{
-        change::EndpointChange,
-        cold::{ColdChange, ColdRate, ColdReport, ColdSource},
+        cold::ColdSource,
         domain_rules::{DomainRules, EVACUATED_RETRY_MS},
         endpoint::{Endpoint, Notice},
         health::{AttemptOutcome, Health},
-        limit::{Fleet, LimitChange, LimitReport},
-        load::{Load, LoadChunk, LoadReport, Reporter},
-        outage::{Outage, OutageReport},
+        limit::Fleet,
+        outage::OutageReport,
         queue::{Waiter, WaiterId},
-        request::{Assignment, DispatchRequest, Eligibility, EndpointHandle},
+        request::{Assignment, DispatchRequest, EndpointHandle},
         service::Service,
         unlisted_notices::UnlistedNotices,
     },
     derive_more::Debug,
-    directory::{BuildId, ListedEndpoint},
     model::{Domain, MILLISECOND, Name, Time, mix, mix2},
-    std::{
-        collections::{HashMap, HashSet},
-        net::SocketAddr,
-    },
+    std::collections::{HashMap, HashSet},
 };
 
 /// The result of submitting a request.
@@ -46,9 +44,6 @@
 /// cannot start, the rest is ignored.
 const MAX_COMPARED: usize = 16;
 
-/// The maximum number of runs of endpoints that are remembered.
-const MAX_KNOWN_RUNS: usize = 16_384;
-
 /// The shortest retry delay that a caller is told, in milliseconds.
 const MIN_RETRY_MS: u64 = 150;
 
@@ -161,186 +156,6 @@
         self.services.entry(service.clone()).or_default().kv_capacity = tokens;
     }
 
-    /// Sets how many requests the cold endpoints of a service take, or `None` if its endpoints are
-    /// never cold.
-    pub fn set_cold_rate(&mut self, now: Time, service: &Name, rate: Option<ColdRate>) {
-        let service = self.services.entry(service.clone()).or_default();
-        if std::mem::replace(&mut service.cold_rate, rate) == rate {
-            return;
-        }
-        for endpoint in &mut service.endpoints {
-            endpoint.set_cold_share(now, rate, &self.fleet);
-            if let Some(until) =
-                self.listed_cold.get(&endpoint.listed.id).filter(|_| rate.is_some())
-            {
-                let phase = self.fleet.phase(endpoint.hash);
-                endpoint.notice.cold.begin(now, ColdSource::Listed, *until, phase);
-            }
-        }
-    }
-
-    /// Replaces the listed cold endpoints, each with the time that it stays cold, in milliseconds.
-    /// Zero says that the endpoint is not cold. Must be called after
-    /// [`Dispatcher::update_endpoints`] if both changed.
-    pub fn set_cold(&mut self, now: Time, endpoints: &[(Name, u32)]) {
-        self.apply_new_endpoints(now);
-        let listed: HashMap<_, _> = endpoints.iter().map(|it| (&it.0, it.1)).collect();
-        let until = |ms: u32| now + u64::from(ms) * MILLISECOND;
-        self.listed_cold =
-            endpoints.iter().filter(|it| it.1 > 0).map(|it| (it.0.clone(), until(it.1))).collect();
-        self.update_cold(|endpoint, _, phase| {
-            let remaining_ms = listed.get(&endpoint.listed.id).copied();
-            endpoint.notice.cold.record_listed(now, remaining_ms, phase);
-        });
-    }
-
-    /// Updates the endpoints that may be cold. The arguments are the endpoint, the rate of its
-    /// service, and the phase of this router.
-    fn update_cold<F>(&mut self, mut update: F)
-    where
-        F: FnMut(&mut Endpoint, ColdRate, f64),
-    {
-        for service in self.services.values_mut() {
-            let Some(rate) = service.cold_rate else { continue };
-            for endpoint in &mut service.endpoints {
-                let phase = self.fleet.phase(endpoint.hash);
-                update(endpoint, rate, phase);
-            }
-        }
-    }
-
-    /// Believes endpoints that are new in the list to be cold.
-    fn apply_new_endpoints(&mut self, now: Time) {
-        if self.new_endpoints.is_empty() {
-            return;
-        }
-        let new: HashMap<_, _> = std::mem::take(&mut self.new_endpoints).into_iter().collect();
-        let listed = std::mem::take(&mut self.listed_cold);
-        self.update_cold(|endpoint, rate, phase| {
-            let Some(source) = new.get(&endpoint.handle) else { return };
-            let until = now + rate.start_ms * MILLISECOND;
-            endpoint.notice.cold.begin(now, *source, until, phase);
-            if let Some(until) = listed.get(&endpoint.listed.id) {
-                endpoint.notice.cold.begin(now, ColdSource::Listed, *until, phase);
-            }
-        });
-        self.listed_cold = listed;
-    }
-
-    /// Records how much longer the endpoint of a request is cold, as it stated itself.
-    pub fn record_cold(&mut self, now: Time, sent: &Assignment, remaining_ms: u32) {
-        let Assignment { handle, incarnation, .. } = *sent;
-        self.update_cold(|endpoint, _, phase| {
-            if endpoint.handle == handle || endpoint.incarnation() == incarnation {
-                endpoint.notice.cold.record_reported(now, remaining_ms, phase);
-            }
-        });
-    }
-
-    /// Returns what other routers should know about cold endpoints.
-    pub fn cold_reports(&self, now: Time) -> Vec<ColdReport> {
-        let endpoints = self.services.values().flat_map(|it| &it.endpoints);
-        endpoints.filter_map(|it| it.notice.cold.report(now, it.incarnation())).collect()
-    }
-
-    /// Applies what other routers know about cold endpoints.
-    pub fn apply_cold_reports(&mut self, now: Time, reports: &[ColdReport]) {
-        self.apply_new_endpoints(now);
-        let reports: HashMap<_, _> = reports.iter().map(|it| (it.incarnation, it)).collect();
-        self.update_cold(|endpoint, _, phase| {
-            if let Some(report) = reports.get(&endpoint.incarnation()) {
-                endpoint.notice.cold.merge(now, report, phase);
-            }
-        });
-    }
-
-    /// Returns which endpoints have been believed to be cold, and which no longer are, since the last
-    /// call.
-    pub fn take_cold_changes(&mut self, now: Time) -> Vec<ColdChange> {
-        self.apply_new_endpoints(now);
-        let endpoints = self.services.values_mut().flat_map(|it| &mut it.endpoints);
-        let changes = endpoints.filter_map(|it| it.notice.cold.take_change(now, &it.listed.id));
-        changes.collect()
-    }
-
-    /// Replaces the evacuated domains. Their endpoints get no further requests.
-    pub fn set_evacuated(&mut self, now: Time, domains: &[Domain]) {
-        let returned = self.domain_rules.set_evacuated(domains);
-        self.apply_domain_rules();
-        self.update_cold(|endpoint, rate, phase| {
-            if returned.contains(&endpoint.listed.domain) {
-                let until = now + rate.start_ms * MILLISECOND;
-                endpoint.notice.cold.begin(now, ColdSource::Evacuated, until, phase);
-            }
-        });
-        self.expire_evacuated(now);
-    }
-
-    fn apply_domain_rules(&mut self) {
-        for endpoint in self.services.values_mut().flat_map(|it| &mut it.endpoints) {
-            self.domain_rules.apply(endpoint);
-        }
-    }
-
-    /// Makes waiting requests expire that could run on evacuated endpoints only.
-    fn expire_evacuated(&mut self, now: Time) {
-        if !self.domain_rules.has_evacuated() {
-            return;
-        }
-        for service in self.services.values_mut() {
-            let mut queue = std::mem::take(&mut service.queue);
-            queue.expire_early(now, |it| !service.is_evacuated(it.eligibility()));
-            service.queue = queue;
-        }
-    }
-
-    /// Replaces the regions of the failure domains.
-    pub fn set_regions(&mut self, regions: HashMap<Domain, Name>) {
-        self.domain_rules.set_regions(regions);
-        self.apply_domain_rules();
-    }
-
-    /// Returns whether a service has an endpoint that accepts new requests, now or later.
-    /// With `build`, it must have that software version.
-    pub fn has_endpoints(&self, service: &Name, build: Option<BuildId>) -> bool {
-        self.has_endpoints_in(service, build, None)
-    }
-
-    /// Like [`Dispatcher::has_endpoints`], for an endpoint in one of `regions`. `None` allows all.
-    pub fn has_endpoints_in(
-        &self,
-        service: &Name,
-        build: Option<BuildId>,
-        regions: Option<&[Name]>,
-    ) -> bool {
-        let eligibility = Eligibility { build, regions };
-        self.services.get(service).is_some_and(|it| it.has_endpoints(eligibility))
-    }
-
-    /// Returns the list of endpoints.
-    pub fn endpoints(&self) -> Vec<ListedEndpoint> {
-        let endpoints = self.services.values().flat_map(|it| &it.endpoints);
-        endpoints.map(|it| it.listed.clone()).collect()
-    }
-
-    /// Returns the service and the incarnation of each endpoint.
-    pub fn incarnations(&self) -> Vec<(Name, u64)> {
-        let services = self.services.iter();
-        let endpoints =
-            services.flat_map(|(name, it)| it.endpoints.iter().map(move |it| (name, it)));
-        endpoints.map(|(name, it)| (name.clone(), it.incarnation())).collect()
-    }
-
-    /// Returns the service of an endpoint and how to send a request there, unless its domain is
-    /// evacuated.
-    pub fn find(&self, now: Time, incarnation: u64) -> Option<(Name, Assignment)> {
-        self.services.iter().find_map(|(name, service)| {
-            let mut endpoints = service.endpoints.iter().filter(|it| !it.evacuated);
-            let found = endpoints.find(|it| it.incarnation() == incarnation)?;
-            Some((name.clone(), found.assignment(now, 0)))
-        })
-    }
-
     /// Returns whether an endpoint has not asked this router to send nothing.
     pub fn accepts(&self, now: Time, service: &Name, handle: EndpointHandle) -> bool {
         let endpoints = self.services.get(service).into_iter().flat_map(|it| &it.endpoints);
@@ -358,108 +173,6 @@
         }
     }
 
-    /// Replaces the list of endpoints. Returns what changed.
-    pub fn update_endpoints(&mut self, listed_endpoints: &[ListedEndpoint]) -> Vec<EndpointChange> {
-        let mut changes = Vec::new();
-        let listed: HashSet<_> = listed_endpoints.iter().map(|it| &it.id).collect();
-        for service in self.services.values_mut() {
-            service.endpoints.retain(|it| {
-                let kept = listed.contains(&it.listed.id);
-                if !kept {
-                    changes.push(EndpointChange::Removed(it.listed.id.clone()));
-                    self.service_names.remove(&it.handle);
-                    self.unlisted_notices.record(it.incarnation(), it.notice);
-                }
-                kept
-            });
-        }
-        listed_endpoints.iter().for_each(|it| changes.extend(self.update_endpoint(it)));
-        self.record_runs();
-        changes
-    }
-
-    /// Remembers which runs of endpoints have been listed.
-    fn record_runs(&mut self) {
-        let runs: HashSet<_> = self.incarnations().into_iter().map(|it| it.1).collect();
-        let known = self.known_runs.get_or_insert_default();
-        if known.len() + runs.len() > MAX_KNOWN_RUNS {
-            known.clear();
-        }
-        known.extend(runs);
-    }
-
-    /// Returns why an endpoint that was added may be cold. The first list says nothing about it, and
-    /// an endpoint whose start time is known was not restarted while it was not listed.
-    fn new_source(&self, endpoint: &Endpoint, is_restart: bool) -> Option<ColdSource> {
-        let known = self.known_runs.as_ref()?;
-        if is_restart {
-            return Some(ColdSource::Restarted);
-        }
-        let has_start = endpoint.listed.started_at_ms.is_some();
-        let is_known = has_start && known.contains(&endpoint.incarnation());
-        (!is_known).then_some(ColdSource::Added)
-    }
-
-    fn update_endpoint(&mut self, listed: &ListedEndpoint) -> Option<EndpointChange> {
-        let found = self.find_by_id(&listed.id);
-        let Some((service, handle)) = found else {
-            self.add_endpoint(listed.clone(), false);
-            return Some(EndpointChange::Added(listed.clone()));
-        };
-        let endpoint = self.services.get_mut(&service)?.get_mut(handle)?;
-        let restarted = endpoint
-            .listed
-            .started_at_ms
-            .zip(listed.started_at_ms)
-            .is_some_and(|(old, new)| old != new);
-        let updated = endpoint
-            .listed
-            .build
-            .as_ref()
-            .zip(listed.build.as_ref())
-            .is_some_and(|it| it.0 != it.1);
-        let replaced = restarted || updated;
-        if endpoint.listed.addr != listed.addr || service != listed.service || replaced {
-            self.remove(&service, handle);
-            self.add_endpoint(listed.clone(), true);
-            return Some(EndpointChange::Restarted(listed.id.clone()));
-        }
-        let starts_draining = listed.draining && !endpoint.listed.draining;
-        endpoint.listed = listed.clone();
-        self.domain_rules.apply(endpoint);
-        starts_draining.then(|| EndpointChange::Draining(listed.id.clone()))
-    }
-
-    fn add_endpoint(&mut self, listed: ListedEndpoint, is_restart: bool) {
-        self.last_handle += 1;
-        let handle = EndpointHandle(self.last_handle);
-        let name = listed.service.clone();
-        self.service_names.insert(handle, name.clone());
-        let mut endpoint = Endpoint::new(handle, listed);
-        endpoint.notice = self.unlisted_notices.take(endpoint.incarnation());
-        self.domain_rules.apply(&mut endpoint);
-        let source = self.new_source(&endpoint, is_restart);
-        self.new_endpoints.extend(source.map(|it| (handle, it)));
-        let service = self.services.entry(name).or_default();
-        endpoint.set_cold_share(Time(0), service.cold_rate, &self.fleet);
-        service.endpoints.push(endpoint);
-    }
-
-    fn remove(&mut self, service: &Name, handle: EndpointHandle) {
-        self.service_names.remove(&handle);
-        if let Some(service) = self.services.get_mut(service) {
-            let removed = service.endpoints.extract_if(.., |it| it.handle == handle);
-            removed.for_each(|it| self.unlisted_notices.record(it.incarnation(), it.notice));
-        }
-    }
-
-    fn find_by_id(&self, id: &Name) -> Option<(Name, EndpointHandle)> {
-        self.services.iter().find_map(|(name, service)| {
-            let found = service.endpoints.iter().find(|it| it.listed.id == *id)?;
-            Some((name.clone(), found.handle))
-        })
-    }
-
     /// Submits a request, which starts, waits, or is refused.
     pub fn submit(&mut self, now: Time, request: DispatchRequest) -> SubmitResult {
         self.apply_new_endpoints(now);
@@ -604,140 +317,6 @@
         self.endpoint(handle).is_some_and(|it| it.notice.brittle.record(rate))
     }
 
-    /// Replaces the list of routers that send requests to the same endpoints.
-    pub fn set_routers<I>(&mut self, now: Time, own: SocketAddr, routers: I)
-    where
-        I: IntoIterator<Item = SocketAddr>,
-    {
-        self.fleet = Fleet::new(own, routers);
-        for service in self.services.values_mut() {
-            for endpoint in &mut service.endpoints {
-                endpoint.notice.limit.set_share(now, &self.fleet, endpoint.hash);
-                endpoint.set_cold_share(now, service.cold_rate, &self.fleet);
-            }
-        }
-    }
-
-    /// Records how many requests an endpoint takes per second from all routers together, or that it
-    /// takes any number. Returns the change, if there is one.
-    pub fn record_limit(
-        &mut self,
-        now: Time,
-        handle: EndpointHandle,
-        rate: Option<f64>,
-    ) -> Option<LimitChange> {
-        let name = self.service_names.get(&handle)?;
-        let endpoint = self.services.get_mut(name)?.get_mut(handle)?;
-        endpoint.notice.limit.record(now, rate).then(|| endpoint.set_share(now, &self.fleet))
-    }
-
-    /// Returns what other routers should know about limits.
-    pub fn limit_reports(&self, now: Time) -> Vec<LimitReport> {
-        let endpoints = self.services.values().flat_map(|it| &it.endpoints);
-        endpoints.filter_map(|it| it.notice.limit.report(now, it.incarnation())).collect()
-    }
-
-    /// Applies what other routers know about limits. Returns the changes.
-    pub fn apply_limit_reports(&mut self, now: Time, reports: &[LimitReport]) -> Vec<LimitChange> {
-        let endpoints = self.services.values_mut().flat_map(|it| &mut it.endpoints);
-        let mut endpoints: HashMap<_, _> = endpoints.map(|it| (it.incarnation(), it)).collect();
-        let mut changes = Vec::new();
-        for report in reports {
-            let Some(endpoint) = endpoints.get_mut(&report.incarnation) else { continue };
-            if endpoint.notice.limit.merge(now, report) {
-                changes.push(endpoint.set_share(now, &self.fleet));
-            }
-        }
-        changes
-    }
-
-    /// Applies a report of what other routers run. They run nothing on covered endpoints that are
-    /// not listed.
-    pub fn apply_peer_report(&mut self, now: Time, reporter: Reporter, chunk: &LoadChunk) {
-        let reports: HashMap<_, _> = chunk.loads.iter().copied().collect();
-        let endpoints = self.services.values_mut().flat_map(|it| &mut it.endpoints);
-        for endpoint in endpoints.filter(|it| (chunk.from..=chunk.to).contains(&it.hash)) {
-            let report = reports.get(&endpoint.hash).copied().unwrap_or_default();
-            endpoint.load.apply_peer_report(now, reporter, report);
-        }
-    }
-
-    /// Returns up to `max` last shared parts of prompts that endpoints began to process for this
-    /// router since the last call, each with the hash of the endpoint's id.
-    pub fn take_new_parts(&mut self, max: usize) -> Vec<(u64, u64)> {
-        let from = self.new_parts.len().saturating_sub(max);
-        self.new_parts.split_off(from)
-    }
-
-    /// Records prompt parts that endpoints processed for another router.
-    pub fn record_peer_parts(&mut self, now: Time, parts: &[(u64, u64)]) {
-        let endpoints = self.services.values_mut().flat_map(|it| &mut it.endpoints);
-        let mut endpoints: HashMap<_, _> = endpoints.map(|it| (it.hash, it)).collect();
-        for (hash, part) in parts {
-            if let Some(endpoint) = endpoints.get_mut(hash) {
-                endpoint.record_part(now, *part);
-            }
-        }
-    }
-
-    /// Returns whether [`Dispatcher::take_outages`] has something to return.
-    pub fn has_outages(&self) -> bool {
-        !self.new_outages.is_empty()
-    }
-
-    /// Returns the outages of endpoints that this router found since the last call and that it had
-    /// not heard of.
-    pub fn take_outages(&mut self) -> Vec<OutageReport> {
-        std::mem::take(&mut self.new_outages)
-    }
-
-    /// Applies the reports of a router in the failure domain with this hash. Returns the ids of the
-    /// endpoints that are avoided because of them, each with the reason.
-    pub fn apply_outages(
-        &mut self,
-        now: Time,
-        domain: u64,
-        reports: &[OutageReport],
-    ) -> Vec<(Name, Outage)> {
-        let endpoints = self.services.values_mut().flat_map(|it| &mut it.endpoints);
-        let mut endpoints: HashMap<_, _> = endpoints.map(|it| (it.incarnation(), it)).collect();
-        let mut avoided = Vec::new();
-        for report in reports {
-            let Some(endpoint) = endpoints.get_mut(&report.incarnation) else { continue };
-            if endpoint.apply_outage(now, domain, report.outage) {
-                avoided.push((endpoint.listed.id.clone(), report.outage));
-            }
-        }
-        avoided
-    }
-
-    /// Returns what this router runs, keyed by the hash of the endpoint's id. Idle endpoints are
-    /// omitted.
-    pub fn local_loads(&self) -> Vec<(u64, LoadReport)> {
-        self.busy_endpoints(|it| it.own)
-    }
-
-    /// Returns what the routers of this router's domain run, keyed by the hash of the endpoint's
-    /// id. Idle endpoints are omitted.
-    pub fn domain_loads(&self, now: Time) -> Vec<(u64, LoadReport)> {
-        self.busy_endpoints(|it| it.domain_load(now))
-    }
-
-    /// Returns what the routers of other domains run, as far as they report sums, keyed by the
-    /// hash of the endpoint's id. Idle endpoints are omitted.
-    pub fn other_domains_loads(&self, now: Time) -> Vec<(u64, LoadReport)> {
-        self.busy_endpoints(|it| it.other_domains_load(now))
-    }
-
-    fn busy_endpoints<F>(&self, load: F) -> Vec<(u64, LoadReport)>
-    where
-        F: Fn(&Load) -> LoadReport,
-    {
-        let endpoints = self.services.values().flat_map(|it| &it.endpoints);
-        let loads = endpoints.map(|it| (it.hash, load(&it.load)));
-        loads.filter(|it| it.1 != LoadReport::default()).collect()
-    }
-
     /// Records the end of a request that occupied its endpoint for `service_ms` milliseconds.
     /// Returns the waiting requests that start now.
     pub fn finish(
@@ -771,27 +350,6 @@
         self.start_queued(now, &name)
     }
 
-    /// Records whether an endpoint could be reached. One that could not be may be cold when it can be
-    /// again.
-    fn record_contact(&mut self, now: Time, handle: EndpointHandle, outcome: AttemptOutcome) {
-        let service = self.service_names.get(&handle).and_then(|it| self.services.get_mut(it));
-        let Some((service, rate)) = service.and_then(|it| it.cold_rate.map(|rate| (it, rate)))
-        else {
-            return;
-        };
-        let Some(endpoint) = service.get_mut(handle) else { return };
-        let phase = self.fleet.phase(endpoint.hash);
-        let cold = &mut endpoint.notice.cold;
-        match outcome {
-            AttemptOutcome::Unreachable => cold.record_unreachable(now, rate.start_ms, phase),
-            AttemptOutcome::Served
-            | AttemptOutcome::Failed
-            | AttemptOutcome::Full
-            | AttemptOutcome::Misdirected => cold.record_reachable(now, rate.start_ms, phase),
-            AttemptOutcome::Broken | AttemptOutcome::Abandoned => {}
-        }
-    }
-
     /// Records that an endpoint has stopped responding to a request that is still pending.
     pub fn record_stall(&mut self, now: Time, handle: EndpointHandle) {
         if let Some(endpoint) = self.endpoint(handle) {
