--- a/crates/dispatch/src/dispatcher/list.rs
+++ b/crates/dispatch/src/dispatcher/list.rs
@@ -48,12 +48,11 @@
         endpoints.map(|(name, it)| (name.clone(), it.incarnation())).collect()
     }
 
-    /// Returns the service of an endpoint and how to send a request there, unless its domain is
-    /// evacuated.
+    /// Returns the service of an endpoint and how to send a request there, also if its domain is
+    /// evacuated. [`Dispatcher::accepts`] says whether it may be sent one.
     pub fn find(&self, now: Time, incarnation: u64) -> Option<(Name, Assignment)> {
         self.services.iter().find_map(|(name, service)| {
-            let mut endpoints = service.endpoints.iter().filter(|it| !it.evacuated);
-            let found = endpoints.find(|it| it.incarnation() == incarnation)?;
+            let found = service.endpoints.iter().find(|it| it.incarnation() == incarnation)?;
             Some((name.clone(), found.assignment(now, 0)))
         })
     }
