Simulate requests for a model beyond its capacity

No simulation showed who is served when a model's endpoints are full: many_routers plays one plain kind.

--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses some of these")]
 
+pub(crate) mod overload;
 pub(crate) mod simulation;
 
 use {
