Decide in one module which requests wait, start first and are refused

With too little capacity requests started by priority, then arrival, and were refused if the wait exceeded 60% of the aim, although they could be answered before their deadline. The wait was estimated as if each gateway got all slots that become free. Teams were not told apart.

dispatch::admission orders the waiting requests: those within the share of their team, then those that can be on time, then priorities by work for value (none before a more urgent one that is started less often), then the latest start. Retry-After is spread up to a third of the time left, the urgent first. Each refusal is logged with its inputs and counted by cause.

Tests replaced: none; assertions on SubmitResult::Refused and Dispatcher::expire read the new type.

--- a/crates/dispatch/benches/overload.rs
+++ b/crates/dispatch/benches/overload.rs
@@ -4,7 +4,10 @@
 #[path = "../tests/common/mod.rs"]
 mod common;
 
-use common::overload::{Load, Outcome, Scenario, Simulation, is_large_team, shares, size_bounds};
+use {
+    common::overload::{Load, Outcome, Scenario, Simulation, is_large_team, shares, size_bounds},
+    dispatch::Policy,
+};
 
 const SEEDS: u64 = 12;
 
@@ -17,6 +20,16 @@
     Scenario::Loss,
 ];
 
+const POLICIES: [Policy; 7] = [
+    Policy::Arrival,
+    Policy::Priority,
+    Policy::Deadline,
+    Policy::ShortestWork,
+    Policy::ValueByWork,
+    Policy::FairShare,
+    Policy::Layered,
+];
+
 /// The groups of requests that are printed.
 const GROUPS: [&str; 10] =
     ["all", "kind 0", "kind 1", "kind 2", "large", "others", "rare", "top 10", "next 20", "rest"];
@@ -53,7 +66,8 @@
         )
     });
     println!(
-        "| {:?}, {} gateways | {} |",
+        "| {:?}, {:?}, {} gateways | {} |",
+        load.policy,
         load.scenario,
         load.gateways,
         cells.collect::<Vec<_>>().join(" | ")
@@ -63,9 +77,15 @@
 fn main() {
     println!("| load | {} |", GROUPS.join(" | "));
     println!("|---|{}", "---|".repeat(GROUPS.len()));
+    let filter = std::env::args().skip(1).find(|it| !it.starts_with("--")).unwrap_or_default();
     for gateways in [1, 7, 67] {
         for scenario in SCENARIOS {
-            print(Load { gateways, scenario, cut_off: 0.0, seed: 0 });
+            for policy in POLICIES {
+                let load = Load { gateways, scenario, policy, cut_off: 0.0, seed: 0 };
+                if format!("{policy:?} {scenario:?} {gateways}").contains(&filter) {
+                    print(load);
+                }
+            }
         }
     }
 }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,20 +2,22 @@
 
 use {
     crate::{
+        admission::{Cause, Policy, Refusal, Waiter, WaiterId},
         change::EndpointChange,
         cold::ColdRate,
+        demand::{DemandReport, DemandScope, Fate},
         endpoint::{Endpoint, Notice},
         health::{AttemptOutcome, Health},
         limit::{Fleet, LimitChange, LimitReport},
         load::{Load, LoadChunk, LoadReport, Reporter},
-        queue::{Waiter, WaiterId},
+        placement::Placement,
         request::{Assignment, DispatchRequest, EndpointHandle},
-        service::Service,
+        service::{Capacity, Service},
         unlisted_notices::UnlistedNotices,
     },
     derive_more::Debug,
     directory::{BuildId, ListedEndpoint},
-    model::{Domain, MILLISECOND, Name, Time, mix},
+    model::{Domain, MILLISECOND, Name, Time, hash64, mix, mix2},
     std::{
         collections::{HashMap, HashSet},
         net::SocketAddr,
@@ -31,40 +33,121 @@
     /// it.
     Queued(WaiterId),
     /// The request cannot be served in time.
-    Refused {
-        /// The estimated time until there is room, in milliseconds.
-        retry_ms: u64,
-    },
+    Refused(Refusal),
 }
 
-/// The maximum number of waiting requests per service.
-const MAX_WAITING: usize = 512;
-
-/// The maximum number of waiting requests that a new request is checked against. If that many
-/// cannot start, the rest is ignored.
+/// The maximum number of waiting requests that are checked for room at a time. If that many cannot
+/// start, the rest is ignored.
 const MAX_COMPARED: usize = 16;
 
 /// The shortest retry delay that a caller is told, in milliseconds.
 const MIN_RETRY_MS: u64 = 150;
 
-/// The longest retry delay that a caller is told, in milliseconds. Callers give up rather than wait
-/// longer.
+/// The longest retry delay that a caller without a deadline is told, in milliseconds. Callers give up
+/// rather than wait longer.
 const MAX_RETRY_MS: u64 = 2_000;
 
-/// The assumed time that a request occupies an endpoint before any has ended, in milliseconds.
-const INITIAL_SERVICE_MS: f64 = 200.0;
+/// Callers give up if a retry delay is over this part of the time that they have left.
+const RETRY_LEFT_PARTS: u64 = 3;
+
+/// The number of priorities whose retries come one after the other.
+const RETRY_PRIORITIES: f64 = 3.0;
+
+/// The part of the slots that are in use before routers tell others of demand. Below it, all demand is
+/// served.
+const MIN_REPORT_FILL: f64 = 0.85;
+
+/// The part of the slots that requests beyond the share of their team and late ones leave free. Others
+/// find room there at any router, although loads are known late.
+const RESERVED_PART: f64 = 0.05;
+
+/// How much the part grows each time the number of routers doubles. The more routers, the later each
+/// knows of a free slot.
+const RESERVED_PART_PER_DOUBLING: f64 = 0.02;
+
+/// Returns the key that identifies a service in reports of demand.
+fn service_key(name: &Name) -> u32 {
+    hash64(name.as_bytes()) as u32
+}
 
-/// The weight of one request in the moving average of the time that requests occupy an endpoint.
-const SERVICE_MS_WEIGHT: f64 = 0.05;
+/// Returns whether requests beyond the share of their team may use a free slot.
+fn has_unreserved(now: Time, service: &mut Service, routers: usize) -> bool {
+    let Capacity { slots, running, .. } = service.capacity(now, None);
+    let reserved = RESERVED_PART + (routers as f64).log2() * RESERVED_PART_PER_DOUBLING;
+    f64::from(running) < f64::from(slots) * (1.0 - reserved)
+}
 
-/// Returns the retry delay that a caller is told, in milliseconds. If no endpoint takes requests
-/// now, it is the time until one does.
-fn retry_ms(now: Time, service: &Service, build: Option<BuildId>, estimated_wait_ms: u64) -> u64 {
+/// Returns the first of some waiting requests for which there is room, and its assignment.
+fn first_start<'a, I>(
+    placement: &Placement<'_>,
+    random: u64,
+    waiters: I,
+    has_unreserved: bool,
+) -> Option<(WaiterId, Assignment)>
+where
+    I: IntoIterator<Item = &'a Waiter>,
+{
+    // The fewest tokens and the latest start for which there was no room.
+    let mut failed: Option<(u32, Time)> = None;
+    let mut compared = 0;
+    for waiter in waiters {
+        let request = &waiter.request;
+        let need = (request.prompt.as_ref().map_or(0, |it| it.tokens), request.wait_until);
+        let is_hopeless = failed.is_some_and(|it| need.0 >= it.0 && need.1 <= it.1);
+        if is_hopeless || waiter.yields() && !has_unreserved {
+            continue;
+        }
+        compared += 1;
+        if compared > MAX_COMPARED {
+            break;
+        }
+        if let Some(assignment) = placement.choose(request, random) {
+            return Some((waiter.id, assignment));
+        }
+        let is_free =
+            request.excluded.is_empty() && request.build.is_none() && request.regions.is_none();
+        if is_free && failed.is_none_or(|it| need.0 <= it.0 && need.1 >= it.1) {
+            failed = Some(need);
+        }
+    }
+    None
+}
+
+/// Returns a refusal of a request. Callers are told to retry when the waiting requests are expected to
+/// have started, the more urgent ones first, each at a random time.
+fn refusal(
+    now: Time,
+    service: &mut Service,
+    waiter: &Waiter,
+    cause: Cause,
+    routers: usize,
+    draw: u64,
+) -> Refusal {
+    let was_late = waiter.is_late && cause != Cause::WaitTooLong;
+    service.demands.record_fate(now, waiter.request.priority, was_late, Fate::Refused);
+    let build = waiter.request.build;
+    let backlog = (service.queue.len(), service.queue.total_run_ms());
+    let wait_ms = service.wait_ms(now, build, backlog, routers);
     let opens_at = service.opens_at(build);
-    if opens_at > now && opens_at != Time::NEVER {
-        return opens_at.since(now).div_ceil(MILLISECOND);
+    let retry_ms = if opens_at > now && opens_at != Time::NEVER {
+        opens_at.since(now).div_ceil(MILLISECOND)
+    } else {
+        let left_ms = waiter.request.deadline.map(|it| it.since(now) / MILLISECOND);
+        let max_ms = left_ms.map_or(MAX_RETRY_MS, |it| it / RETRY_LEFT_PARTS);
+        let first_ms = wait_ms.max(MIN_RETRY_MS).min(max_ms / 2);
+        let priority = f64::from(waiter.request.priority).min(RETRY_PRIORITIES - 1.0);
+        let part = (priority + draw as f64 / u64::MAX as f64) / RETRY_PRIORITIES;
+        first_ms + ((max_ms - first_ms) as f64 * part) as u64
+    };
+    Refusal {
+        cause,
+        retry_ms,
+        wait_ms,
+        waiting: backlog.0,
+        running: service.capacity(now, build).running,
+        is_beyond_share: waiter.is_beyond_share,
+        report_age_ms: service.demands.report_age_ms(now),
     }
-    estimated_wait_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS)
 }
 
 /// Assigns the requests of one router to endpoints.
@@ -81,8 +164,9 @@
     service_names: HashMap<EndpointHandle, Name>,
     last_handle: u32,
     last_waiter: u64,
-    /// The mean time that a request occupies an endpoint, per service, in milliseconds.
-    service_times_ms: HashMap<Name, f64>,
+    /// Waiting requests that others displaced.
+    displaced: Vec<(WaiterId, Refusal)>,
+    policy: Policy,
     /// The endpoint hashes and last shared parts of prompts that are new there since other routers
     /// were last informed.
     new_parts: Vec<(u64, u64)>,
@@ -101,7 +185,8 @@
             service_names: HashMap::new(),
             last_handle: 0,
             last_waiter: 0,
-            service_times_ms: HashMap::new(),
+            displaced: Vec::new(),
+            policy: Policy::default(),
             new_parts: Vec::new(),
         }
     }
@@ -112,6 +197,11 @@
         self.services.entry(service.clone()).or_default().kv_capacity = tokens;
     }
 
+    /// Sets the order in which waiting requests start. To be called before any waits.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+    }
+
     /// Sets how many requests the cold endpoints of a service take, or `None` if its endpoints are
     /// never cold.
     pub fn set_cold_rate(&mut self, now: Time, service: &Name, rate: Option<ColdRate>) {
@@ -251,47 +341,116 @@
         })
     }
 
-    /// Submits a request, which starts, waits, or is refused.
+    /// Submits a request, which starts, waits, or is refused. It may displace waiting requests, which
+    /// [`Dispatcher::expire`] returns.
     pub fn submit(&mut self, now: Time, request: DispatchRequest) -> SubmitResult {
-        if let Some(assignment) = self.start(now, &request) {
-            return SubmitResult::Started(assignment);
-        }
         let name = request.service.clone();
         let build = request.build;
-        let estimated_wait_ms = self.estimated_wait_ms(now, &name, build, request.priority);
+        let mut waiter = self.waiter(now, request);
+        if let Some(assignment) = self.start(now, &waiter) {
+            return SubmitResult::Started(assignment);
+        }
+        let routers = self.fleet.len();
+        let draw = mix2(self.random, waiter.id.0);
         let Some(service) = self.services.get_mut(&name) else {
-            return SubmitResult::Refused { retry_ms: MIN_RETRY_MS };
+            return SubmitResult::Refused(Refusal::unknown_service(MIN_RETRY_MS));
+        };
+        let wait = |service: &mut Service, waiter: &Waiter| {
+            let ahead = service.queue.ahead(waiter);
+            service.wait_ms(now, build, ahead, routers)
+        };
+        let starts_by = |wait_ms: u64, by: Time| now + wait_ms.saturating_mul(MILLISECOND) <= by;
+        let mut wait_ms = wait(service, &waiter);
+        if !starts_by(wait_ms, waiter.request.wait_until) && waiter.request.deadline.is_some() {
+            waiter.is_late = true;
+            wait_ms = wait(service, &waiter);
+        }
+        let latest_start = waiter.latest_start();
+        let cause = if !service.has_endpoints(build) {
+            Some(Cause::NoEndpoint)
+        } else if !starts_by(wait_ms, latest_start) || latest_start <= now {
+            Some(Cause::WaitTooLong)
+        } else if service.queue.is_full() && !service.queue.displaces(&waiter) {
+            Some(Cause::QueueFull)
+        } else {
+            None
         };
-        let too_late = now + estimated_wait_ms.saturating_mul(MILLISECOND) > request.wait_until;
-        if too_late || !service.has_endpoints(build) || service.queue.len() >= MAX_WAITING {
-            let retry_ms = retry_ms(now, service, build, estimated_wait_ms);
-            return SubmitResult::Refused { retry_ms };
+        if let Some(cause) = cause {
+            return SubmitResult::Refused(refusal(now, service, &waiter, cause, routers, draw));
         }
+        let id = waiter.id;
+        if waiter.is_late {
+            service.demands.record_fate(now, waiter.request.priority, false, Fate::Late);
+        }
+        service.queue.push(waiter);
+        // The last ones may be too late now.
+        while let Some(last) = service.queue.last() {
+            let ahead = (service.queue.len() - 1, service.queue.total_run_ms() - last.run_ms);
+            let (last_id, latest_start) = (last.id, last.latest_start());
+            let is_too_late = !starts_by(service.wait_ms(now, None, ahead, routers), latest_start);
+            if last_id == id || !(is_too_late || service.queue.is_full()) {
+                break;
+            }
+            let Some(last) = service.queue.remove(last_id) else { break };
+            let draw = mix2(draw, last_id.0);
+            let refusal = refusal(now, service, &last, Cause::Displaced, routers, draw);
+            self.displaced.push((last_id, refusal));
+        }
+        SubmitResult::Queued(id)
+    }
+
+    /// Returns a request with what its order depends on.
+    fn waiter(&mut self, now: Time, request: DispatchRequest) -> Waiter {
         self.last_waiter += 1;
         let id = WaiterId(self.last_waiter);
-        let expires = request.wait_until;
-        service.queue.push(Waiter { id, request, expires });
-        SubmitResult::Queued(id)
+        let routers = self.fleet.len();
+        let mut waiter = Waiter {
+            id,
+            request,
+            is_beyond_share: false,
+            run_ms: 0.0,
+            is_late: false,
+            position: 0,
+        };
+        let request = &waiter.request;
+        let Some(service) = self.services.get_mut(&request.service) else { return waiter };
+        service.queue.policy = self.policy;
+        waiter.run_ms = service.expected_run_ms(request);
+        waiter.position = service.demands.position(request.priority);
+        // A request that was sent before was counted and decided then.
+        if request.excluded.is_empty() {
+            let (team, priority) = (request.team, request.priority);
+            let slots = f64::from(service.capacity(now, None).slots);
+            service.demands.record(now, team, priority, waiter.run_ms);
+            let draw = mix2(!self.random, id.0);
+            waiter.is_beyond_share =
+                service.demands.is_beyond_share(now, (team, priority), (slots, routers), draw);
+        }
+        waiter
     }
 
-    /// Starts a request if there is room and no waiting request of equal or higher priority could
-    /// use it.
-    fn start(&mut self, now: Time, request: &DispatchRequest) -> Option<Assignment> {
-        let service = self.services.get(&request.service)?;
-        let ahead = service.queue.ahead(request.priority).min(MAX_COMPARED);
+    /// Starts a request if there is room and no waiting request that goes before it could use it.
+    fn start(&mut self, now: Time, waiter: &Waiter) -> Option<Assignment> {
+        let service = self.services.get_mut(&waiter.request.service)?;
+        let has_unreserved = has_unreserved(now, service, self.fleet.len());
         let placement = service.placement(now, &self.domain, self.fleet.len());
-        let choose = |it| placement.choose(it, self.random);
-        if service.queue.iter().take(ahead).any(|it| choose(&it.request).is_some()) {
+        let ahead = service.queue.iter_ahead(waiter);
+        if first_start(&placement, self.random, ahead, has_unreserved).is_some() {
             return None;
         }
-        let assignment = choose(request)?;
-        self.record_start(now, request, &assignment);
+        let itself = std::iter::once(waiter);
+        let (_, assignment) = first_start(&placement, self.random, itself, has_unreserved)?;
+        self.record_start(now, waiter, &assignment);
         Some(assignment)
     }
 
-    fn record_start(&mut self, now: Time, request: &DispatchRequest, assignment: &Assignment) {
+    fn record_start(&mut self, now: Time, waiter: &Waiter, assignment: &Assignment) {
+        let request = &waiter.request;
         self.random = mix(self.random);
         let Some(service) = self.services.get_mut(&request.service) else { return };
+        service.work.record_start(request);
+        service.demands.record_fate(now, request.priority, waiter.is_late, Fate::Started);
+        service.change_capacity(1);
         let Some(endpoint) = service.get_mut(assignment.handle) else { return };
         endpoint.load.add(assignment.tokens);
         endpoint.notice.limit.take(now);
@@ -304,30 +463,6 @@
         }
     }
 
-    /// Returns the estimated time until a request of this priority starts, in milliseconds.
-    fn estimated_wait_ms(
-        &self,
-        now: Time,
-        name: &Name,
-        build: Option<BuildId>,
-        priority: u8,
-    ) -> u64 {
-        let Some(service) = self.services.get(name) else { return MAX_RETRY_MS };
-        let opens_at = service.opens_at(build);
-        if opens_at == Time::NEVER {
-            return MAX_RETRY_MS;
-        }
-        if opens_at > now {
-            let opens_ms = opens_at.since(now).div_ceil(MILLISECOND);
-            return opens_ms + service.limit_wait_ms(build, service.queue.ahead(priority));
-        }
-        let ready = service.endpoints.iter().filter(|it| it.is_open(now) && it.has_build(build));
-        let running: u32 = ready.map(|it| it.load.requests(now)).sum();
-        let mean_ms = self.service_times_ms.get(name).copied().unwrap_or(INITIAL_SERVICE_MS);
-        let ahead = service.queue.ahead(priority) as f64 + 1.0;
-        (mean_ms * ahead / f64::from(running.max(1))).ceil() as u64
-    }
-
     /// Records the load that an endpoint reported: its running and waiting requests.
     pub fn record_reported_load(&mut self, now: Time, handle: EndpointHandle, requests: u32) {
         if let Some(endpoint) = self.endpoint(handle) {
@@ -487,6 +622,9 @@
             return Vec::new();
         };
         let routers = self.fleet.len();
+        if let Some(service) = self.services.get_mut(&name) {
+            service.change_capacity(-1);
+        }
         if let Some(endpoint) = self.endpoint(assignment.handle) {
             endpoint.load.remove(assignment.tokens);
             endpoint.health.record(now, outcome);
@@ -495,12 +633,9 @@
                 endpoint.notice.closed_until = endpoint.notice.closed_until.max(until);
             }
         }
-        if matches!(outcome, AttemptOutcome::Served | AttemptOutcome::Failed) {
-            let mean_ms = self.service_times_ms.entry(name.clone()).or_insert(INITIAL_SERVICE_MS);
-            *mean_ms += (service_ms - *mean_ms) * SERVICE_MS_WEIGHT;
-            if let Some(service) = self.services.get_mut(&name) {
-                service.record_service_time(now, assignment.handle, service_ms);
-            }
+        let is_run = matches!(outcome, AttemptOutcome::Served | AttemptOutcome::Failed);
+        if let Some(service) = self.services.get_mut(&name).filter(|_| is_run) {
+            service.record_service_time(now, assignment.handle, service_ms);
         }
         self.start_queued(now, &name)
     }
@@ -523,11 +658,15 @@
     /// Starts the waiting requests of a service for which there is room.
     pub fn start_queued(&mut self, now: Time, name: &Name) -> Vec<(WaiterId, Assignment)> {
         let mut started = Vec::new();
-        while let Some(service) = self.services.get(name) {
-            let Some((id, assignment)) = self.next_start(now, service) else { break };
+        while let Some(service) = self.services.get_mut(name) {
+            let has_unreserved = has_unreserved(now, service, self.fleet.len());
+            let placement = service.placement(now, &self.domain, self.fleet.len());
+            let waiters = service.queue.iter();
+            let next = first_start(&placement, self.random, waiters, has_unreserved);
+            let Some((id, assignment)) = next else { break };
             let Some(service) = self.services.get_mut(name) else { break };
             let Some(waiter) = service.queue.remove(id) else { break };
-            self.record_start(now, &waiter.request, &assignment);
+            self.record_start(now, &waiter, &assignment);
             started.push((id, assignment));
         }
         started
@@ -539,33 +678,59 @@
         names.iter().flat_map(|it| self.start_queued(now, it)).collect()
     }
 
-    /// Returns the first waiting request for which there is room, and its assignment.
-    fn next_start(&self, now: Time, service: &Service) -> Option<(WaiterId, Assignment)> {
-        let placement = service.placement(now, &self.domain, self.fleet.len());
-        let choose = |it: &Waiter| placement.choose(&it.request, self.random);
-        service.queue.iter().find_map(|it| Some((it.id, choose(it)?)))
-    }
-
     /// Removes a waiting request whose caller left.
     pub fn cancel(&mut self, service: &Name, id: WaiterId) {
+        self.displaced.retain(|it| it.0 != id);
         if let Some(service) = self.services.get_mut(service) {
             service.queue.remove(id);
         }
     }
 
-    /// Removes the waiting requests that have expired. Returns each with a retry delay in
-    /// milliseconds.
-    pub fn expire(&mut self, now: Time) -> Vec<(WaiterId, u64)> {
-        let mut expired = Vec::new();
-        let names: Vec<_> = self.services.keys().cloned().collect();
-        for name in names {
-            let estimated_wait_ms = self.estimated_wait_ms(now, &name, None, u8::MAX);
-            let Some(service) = self.services.get_mut(&name) else { continue };
-            let retry_ms = retry_ms(now, service, None, estimated_wait_ms);
-            let expired_waiters = service.queue.expire(now);
-            expired.extend(expired_waiters.into_iter().map(|it| (it.id, retry_ms)));
-        }
-        expired
+    /// Removes the waiting requests that have waited as long as they can or were displaced.
+    pub fn expire(&mut self, now: Time) -> Vec<(WaiterId, Refusal)> {
+        let mut refused = std::mem::take(&mut self.displaced);
+        let routers = self.fleet.len();
+        for service in self.services.values_mut() {
+            let (expired, late) = service.queue.expire(now);
+            for priority in late {
+                service.demands.record_fate(now, priority, false, Fate::Late);
+            }
+            for waiter in expired {
+                let draw = mix2(self.random, waiter.id.0);
+                let refusal = refusal(now, service, &waiter, Cause::Expired, routers, draw);
+                refused.push((waiter.id, refusal));
+            }
+        }
+        refused
+    }
+
+    /// Returns the demand for services without slots to spare, each with the key of the service, for
+    /// other routers.
+    pub fn demand_reports(&mut self, now: Time, scope: DemandScope) -> Vec<(u32, DemandReport)> {
+        let services = self.services.iter_mut();
+        let contended = services.filter_map(|(name, it)| {
+            let capacity = it.capacity(now, None);
+            let is_full =
+                f64::from(capacity.running) >= f64::from(capacity.slots) * MIN_REPORT_FILL;
+            (is_full || it.queue.len() > 0).then_some((name, it))
+        });
+        let reports =
+            contended.map(|(name, it)| (service_key(name), it.demands.report(now, scope)));
+        reports.filter(|it| it.1 != DemandReport::default()).collect()
+    }
+
+    /// Applies what other routers know about the demand for the service with this key.
+    pub fn apply_demand_report(
+        &mut self,
+        now: Time,
+        reporter: Reporter,
+        service: u32,
+        report: DemandReport,
+    ) {
+        let found = self.services.iter_mut().find(|it| service_key(it.0) == service);
+        if let Some((_, service)) = found {
+            service.demands.apply_report(now, reporter, report);
+        }
     }
 
     /// Returns when [`Dispatcher::expire`] must be called next.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,9 +7,11 @@
 //! router's own load is exact, and the load of other routers is as old as their last report.
 //! [`RetryBudget`] limits retries, and [`Exchange`] says which routers get which reports.
 
+mod admission;
 mod brittle;
 mod change;
 mod cold;
+mod demand;
 mod dispatcher;
 mod endpoint;
 mod exchange;
@@ -17,22 +19,23 @@
 mod limit;
 mod load;
 mod placement;
-mod queue;
 mod rendezvous;
 mod request;
 mod retry_budget;
 mod service;
 mod unlisted_notices;
+mod work;
 
 pub use crate::{
+    admission::{Cause, Policy, Refusal, WaiterId},
     change::EndpointChange,
     cold::ColdRate,
+    demand::{DemandReport, DemandScope},
     dispatcher::{Dispatcher, SubmitResult},
     exchange::Exchange,
     health::AttemptOutcome,
     limit::{LimitChange, LimitReport},
     load::{LoadChunk, LoadReport, Reporter},
-    queue::WaiterId,
     request::{Assignment, DispatchRequest, EndpointHandle, Prompt, PromptPart},
     retry_budget::{RetryBudget, RetryBudgetLimits},
 };
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -55,6 +55,11 @@
     pub build: Option<BuildId>,
     /// The regions whose endpoints may run the request, or `None` if all may.
     pub regions: Option<SmallVec<[Name; 2]>>,
+    /// The hash of the team that sent the request.
+    pub team: u32,
+    /// When the response must be complete, if the request may also start after `wait_until`, so that
+    /// it is late.
+    pub deadline: Option<Time>,
 }
 
 /// The endpoint that a request is assigned to.
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -2,17 +2,38 @@
 
 use {
     crate::{
-        endpoint::Endpoint, limit::Limit, placement::Placement, queue::WaitQueue,
-        request::EndpointHandle,
+        admission::WaitQueue,
+        demand::Demands,
+        endpoint::Endpoint,
+        limit::Limit,
+        placement::Placement,
+        request::{DispatchRequest, EndpointHandle},
+        work::WorkEstimate,
     },
     derive_more::Debug,
     directory::BuildId,
-    model::{Domain, Time},
+    model::{Domain, MILLISECOND, Time},
 };
 
 /// The weight of one request in the moving average of the time that requests run.
 const RUN_MS_WEIGHT: f64 = 0.05;
 
+/// The assumed time that an endpoint runs a request before any has ended, in milliseconds.
+const INITIAL_RUN_MS: f64 = 200.0;
+
+/// How long the capacity of a service is used before it is summed up again, in microseconds.
+const CAPACITY_TTL: u64 = 10 * MILLISECOND;
+
+/// The slots of a service's open endpoints, and the requests that run there.
+#[derive(Clone, Copy, PartialEq, Default, Debug)]
+pub(crate) struct Capacity {
+    pub(crate) slots: u32,
+    /// The running requests of all routers.
+    pub(crate) running: u32,
+    /// Those of this router.
+    pub(crate) own: u32,
+}
+
 /// A service's endpoints and waiting requests.
 #[derive(Default, Debug)]
 pub(crate) struct Service {
@@ -23,6 +44,9 @@
     /// The mean time that an endpoint runs a request, without the time that it queues it, in
     /// milliseconds. `None` before any has ended.
     run_ms: Option<f64>,
+    pub(crate) work: WorkEstimate,
+    pub(crate) demands: Demands,
+    capacity: Option<(Capacity, Time)>,
 }
 
 impl Service {
@@ -58,6 +82,59 @@
         if rate > 0.0 { (ahead as f64 / rate * 1_000.0) as u64 } else { 0 }
     }
 
+    /// Returns the capacity of the open endpoints. That of all is summed up now and then only.
+    pub(crate) fn capacity(&mut self, now: Time, build: Option<BuildId>) -> Capacity {
+        let fresh = self.capacity.filter(|it| build.is_none() && now.since(it.1) < CAPACITY_TTL);
+        if let Some((capacity, _)) = fresh {
+            return capacity;
+        }
+        let ready = self.endpoints.iter().filter(|it| it.is_open(now) && it.has_build(build));
+        let capacity = ready.fold(Capacity::default(), |sum, it| Capacity {
+            slots: sum.slots.saturating_add(it.listed.slots),
+            running: sum.running.saturating_add(it.load.requests(now)),
+            own: sum.own + it.load.own.requests,
+        });
+        if build.is_none() {
+            self.capacity = Some((capacity, now));
+        }
+        capacity
+    }
+
+    /// Adds a request of this router to the capacity in use, or removes one.
+    pub(crate) fn change_capacity(&mut self, change: i32) {
+        if let Some((capacity, _)) = &mut self.capacity {
+            capacity.running = capacity.running.saturating_add_signed(change);
+            capacity.own = capacity.own.saturating_add_signed(change);
+        }
+    }
+
+    /// Returns the expected run of a request, in milliseconds.
+    pub(crate) fn expected_run_ms(&self, request: &DispatchRequest) -> f64 {
+        self.work.run_ms(request, self.run_ms.unwrap_or(INITIAL_RUN_MS))
+    }
+
+    /// Returns the estimated time until a request starts behind `ahead` requests that run for
+    /// `ahead_ms` milliseconds together, for one of `routers`, in milliseconds.
+    pub(crate) fn wait_ms(
+        &mut self,
+        now: Time,
+        build: Option<BuildId>,
+        (ahead, ahead_ms): (usize, f64),
+        routers: usize,
+    ) -> u64 {
+        let opens_at = self.opens_at(build);
+        if opens_at > now {
+            let opens_ms = opens_at.since(now).div_ceil(MILLISECOND);
+            return opens_ms.saturating_add(self.limit_wait_ms(build, ahead));
+        }
+        let Capacity { slots, running, own } = self.capacity(now, build);
+        let first_ms = self.run_ms.unwrap_or(INITIAL_RUN_MS);
+        // What ends is started anew by the router that sent it.
+        let share = (f64::from(own) / f64::from(running.max(1))).max(1.0 / routers as f64);
+        let freed = f64::from(running.min(slots).max(1)) * share;
+        ((ahead_ms + first_ms) / freed).ceil() as u64
+    }
+
     /// Records that an endpoint answered a request `service_ms` milliseconds after it was sent.
     pub(crate) fn record_service_time(
         &mut self,
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -53,6 +53,8 @@
         excluded: SmallVec::new(),
         build: None,
         regions: None,
+        team: 0,
+        deadline: None,
     }
 }
 
--- a/crates/dispatch/tests/common/overload.rs
+++ b/crates/dispatch/tests/common/overload.rs
@@ -12,8 +12,9 @@
     derive_more::Debug,
     directory::ListedEndpoint,
     dispatch::{
-        Assignment, AttemptOutcome, DispatchRequest, Dispatcher, EndpointHandle, Exchange,
-        LoadReport, Prompt, PromptPart, Reporter, SubmitResult, WaiterId,
+        Assignment, AttemptOutcome, DemandReport, DemandScope, DispatchRequest, Dispatcher,
+        EndpointHandle, Exchange, LoadReport, Policy, Prompt, PromptPart, Reporter, SubmitResult,
+        WaiterId,
     },
     model::{Domain, MILLISECOND, SECOND, Time},
     rand::{Rng, SeedableRng},
@@ -35,6 +36,8 @@
 /// How late a report arrives, in microseconds.
 const REPORT_DELAY: u64 = 50 * MILLISECOND;
 const SUM_INTERVAL: u64 = SECOND / 2;
+/// How much the interval of reports on demand grows with each receiver, in microseconds.
+const DEMAND_INTERVAL_PER_RECEIVER: u64 = 75 * MILLISECOND;
 /// How often a gateway looks for room and expired requests, in microseconds.
 const POLL: u64 = 20 * MILLISECOND;
 const MAX_SENDS: usize = 3;
@@ -87,13 +90,14 @@
 pub(crate) struct Load {
     pub(crate) gateways: usize,
     pub(crate) scenario: Scenario,
+    pub(crate) policy: Policy,
     /// The share of gateways that send and receive no reports.
     pub(crate) cut_off: f64,
     pub(crate) seed: u64,
 }
 
 /// What became of one request that arrived during the overload.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, PartialEq, Debug)]
 pub(crate) struct Outcome {
     pub(crate) kind: usize,
     pub(crate) team: usize,
@@ -113,6 +117,8 @@
     prompt: Prompt,
     /// The answer, in steps.
     steps: f64,
+    first_arrived: Time,
+    /// When the gateway got the request.
     arrived: Time,
     deadline: Time,
     returned: bool,
@@ -130,7 +136,7 @@
     Answered(Box<Request>, AttemptOutcome, u32),
     Report(usize),
     Sum(usize, usize),
-    Loads(usize, Reporter, Vec<(u64, LoadReport)>),
+    Loads(usize, Reporter, Vec<(u64, LoadReport)>, Vec<(u32, DemandReport)>),
     Poll(usize),
     List(usize),
 }
@@ -146,6 +152,8 @@
     dispatcher: Dispatcher,
     exchange: Exchange,
     is_cut_off: bool,
+    /// When the next report on demand of each scope is due.
+    demands_at: [Time; 3],
     waiting: HashMap<WaiterId, Box<Request>>,
 }
 
@@ -193,10 +201,17 @@
                 Dispatcher::new(domains[at % DOMAINS].clone(), at as u64 + 1_000 * load.seed);
             dispatcher.set_kv_capacity(&"model".into(), Some(299_197));
             dispatcher.update_endpoints(&listing);
+            dispatcher.set_policy(load.policy);
             dispatcher.set_routers(Time(0), addr(at), (0..load.gateways).map(addr));
             let exchange = Exchange::new(addr(at), &domains[at % DOMAINS], members());
             let is_cut_off = (at as f64) < load.cut_off * load.gateways as f64;
-            Gateway { dispatcher, exchange, is_cut_off, waiting: HashMap::new() }
+            Gateway {
+                dispatcher,
+                exchange,
+                is_cut_off,
+                demands_at: [Time(0); 3],
+                waiting: HashMap::new(),
+            }
         });
         let mut simulation = Simulation {
             gateways: gateways.collect(),
@@ -240,15 +255,18 @@
             Event::Answered(request, outcome, load) => self.answer(request, outcome, load),
             Event::Report(at) => self.report(at),
             Event::Sum(at, round) => self.send_sum(at, round),
-            Event::Loads(at, reporter, loads) => {
+            Event::Loads(at, reporter, loads, demands) => {
                 let dispatcher = &mut self.gateways[at].dispatcher;
                 dispatcher.apply_peer_report(now, reporter, &whole(&loads));
+                for (service, demand) in demands {
+                    dispatcher.apply_demand_report(now, reporter, service, demand);
+                }
             }
             Event::Poll(at) => {
                 let started = self.gateways[at].dispatcher.start_all_queued(now);
                 self.start(at, started);
-                for (id, retry_ms) in self.gateways[at].dispatcher.expire(now) {
-                    self.refuse(at, id, retry_ms);
+                for (id, refusal) in self.gateways[at].dispatcher.expire(now) {
+                    self.refuse(at, id, refusal.retry_ms);
                 }
                 if now < ARRIVALS_END + 4 * SECOND {
                     self.schedule(POLL, Event::Poll(at));
@@ -323,6 +341,7 @@
             team,
             prompt,
             steps,
+            first_arrived: self.now,
             arrived: self.now,
             deadline: self.now + deadline_ms * MILLISECOND,
             returned: false,
@@ -350,6 +369,8 @@
             excluded: request.excluded.clone(),
             build: None,
             regions: None,
+            team: request.team as u32,
+            deadline: Some(request.deadline),
         };
         let at = request.gateway;
         match self.gateways[at].dispatcher.submit(now, ask) {
@@ -357,7 +378,7 @@
             SubmitResult::Queued(id) => {
                 self.gateways[at].waiting.insert(id, request);
             }
-            SubmitResult::Refused { retry_ms } => self.come_back(request, retry_ms),
+            SubmitResult::Refused(refusal) => self.come_back(request, refusal.retry_ms),
         }
     }
 
@@ -383,6 +404,7 @@
         request.returned = true;
         request.gateway = self.rng.random_range(0..self.load.gateways);
         request.excluded.clear();
+        request.arrived = self.now + retry_ms * MILLISECOND + 2 * DELAY;
         self.schedule(retry_ms * MILLISECOND + 2 * DELAY, Event::Arrive(request));
     }
 
@@ -437,7 +459,7 @@
         }
         if let Some((first, outcome)) = first.zip(self.outcomes.get_mut(request.at)) {
             outcome.served = true;
-            let aim = request.arrived + KINDS[request.kind].aim_ms * MILLISECOND;
+            let aim = request.first_arrived + KINDS[request.kind].aim_ms * MILLISECOND;
             outcome.on_time = first + 2 * DELAY <= aim;
         }
         let load = self.engines[at].running + self.engines[at].waiting.len() as u32;
@@ -466,14 +488,30 @@
         }
     }
 
-    /// Delivers loads to gateways, unless they or the sender are cut off.
-    fn deliver<I>(&mut self, from: usize, to: I, reporter: Reporter, loads: &[(u64, LoadReport)])
+    /// Delivers what a gateway knows to others, unless they or the sender are cut off.
+    fn deliver<I>(&mut self, from: usize, to: I, reporter: Reporter, scope: DemandScope)
     where
         I: IntoIterator<Item = usize>,
     {
+        let now = self.now;
+        let dispatcher = &mut self.gateways[from].dispatcher;
+        let loads = match scope {
+            DemandScope::Router => dispatcher.local_loads(),
+            DemandScope::Domain => dispatcher.domain_loads(now),
+            DemandScope::OtherDomains => dispatcher.other_domains_loads(now),
+        };
+        let to: Vec<_> = to.into_iter().collect();
+        let is_due = now >= self.gateways[from].demands_at[scope as usize];
+        let mut demands = Vec::new();
+        if is_due {
+            demands = self.gateways[from].dispatcher.demand_reports(now, scope);
+            let interval = (DEMAND_INTERVAL_PER_RECEIVER * to.len() as u64).max(SECOND / 2);
+            self.gateways[from].demands_at[scope as usize] = now + interval;
+        }
         for at in to {
             if !self.gateways[from].is_cut_off && !self.gateways[at].is_cut_off {
-                self.schedule(REPORT_DELAY, Event::Loads(at, reporter, loads.to_vec()));
+                let event = Event::Loads(at, reporter, loads.clone(), demands.clone());
+                self.schedule(REPORT_DELAY, event);
             }
         }
     }
@@ -483,31 +521,23 @@
     }
 
     fn report(&mut self, at: usize) {
-        let loads = self.gateways[at].dispatcher.local_loads();
         let direct = self.direct(at);
         let interval = (200 + 10 * direct.len() as u64) * MILLISECOND;
-        for peer in direct {
-            let id = at as u64;
-            let is_local = peer % DOMAINS == at % DOMAINS;
-            let reporter =
-                if is_local { Reporter::LocalRouter(id) } else { Reporter::RemoteRouter(id) };
-            self.deliver(at, [peer], reporter, &loads);
-        }
+        // Whether a router is of the same domain makes no difference to its reports here.
+        let reporter = Reporter::LocalRouter(at as u64);
+        self.deliver(at, direct, reporter, DemandScope::Router);
         if self.now < ARRIVALS_END {
             self.schedule(interval, Event::Report(at));
         }
     }
 
     fn send_sum(&mut self, at: usize, round: usize) {
-        let dispatcher = &self.gateways[at].dispatcher;
-        let (own, others) =
-            (dispatcher.domain_loads(self.now), dispatcher.other_domains_loads(self.now));
         let relays: Vec<_> = self.gateways[at].exchange.remote_relays(round).map(index).collect();
-        self.deliver(at, relays, Reporter::Domain((at % DOMAINS) as u64), &own);
+        self.deliver(at, relays, Reporter::Domain((at % DOMAINS) as u64), DemandScope::Domain);
         if round.is_multiple_of(2) {
             let mut direct = self.direct(at);
             direct.retain(|it| !self.gateways[*it].exchange.is_relay);
-            self.deliver(at, direct, Reporter::OtherDomains, &others);
+            self.deliver(at, direct, Reporter::OtherDomains, DemandScope::OtherDomains);
         }
         if self.now < ARRIVALS_END {
             self.schedule(SUM_INTERVAL, Event::Sum(at, round + 1));
--- a/crates/dispatch/tests/common/simulation.rs
+++ b/crates/dispatch/tests/common/simulation.rs
@@ -288,9 +288,9 @@
             Event::Sum(at, round) => self.send_sum(at, round),
             Event::Expire(at) => {
                 let expired = self.routers[at].dispatcher.expire(self.now);
-                for (id, retry_ms) in expired {
+                for (id, refusal) in expired {
                     if let Some(request) = self.routers[at].waiting.remove(&id) {
-                        self.refuse(request, retry_ms);
+                        self.refuse(request, refusal.retry_ms);
                     }
                 }
             }
@@ -309,6 +309,8 @@
             excluded: request.excluded.clone(),
             build: None,
             regions: None,
+            team: 0,
+            deadline: Some(request.deadline),
         };
         let at = request.router;
         match self.routers[at].dispatcher.submit(now, ask) {
@@ -321,7 +323,7 @@
                 let deadline = self.routers[at].dispatcher.next_deadline();
                 self.schedule(deadline.since(now) + 1, Event::Expire(at));
             }
-            SubmitResult::Refused { retry_ms } => self.refuse(request, retry_ms),
+            SubmitResult::Refused(refusal) => self.refuse(request, refusal.retry_ms),
         }
     }
 
--- a/crates/dispatch/tests/notices.rs
+++ b/crates/dispatch/tests/notices.rs
@@ -18,7 +18,7 @@
             dispatcher.finish(now, &assignment, AttemptOutcome::Served, 30.0);
             Ok(assignment)
         }
-        SubmitResult::Refused { retry_ms } => Err(retry_ms),
+        SubmitResult::Refused(refusal) => Err(refusal.retry_ms),
         SubmitResult::Queued(id) => panic!("{id} waits for an endpoint that takes no requests"),
     }
 }
--- a/crates/dispatch/tests/queueing.rs
+++ b/crates/dispatch/tests/queueing.rs
@@ -54,8 +54,8 @@
     let (mut dispatcher, assignments) = fully_loaded();
     assert!(assignments.len() >= 18, "at least all slots are used");
     let refused = dispatcher.submit(NOW, without_waiting(NOW));
-    let SubmitResult::Refused { retry_ms } = refused else { panic!("{refused:?}") };
-    assert!((100..=2_000).contains(&retry_ms));
+    let SubmitResult::Refused(refusal) = refused else { panic!("{refused:?}") };
+    assert!((100..=2_000).contains(&refusal.retry_ms));
 }
 
 #[test]
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -343,17 +343,22 @@
             }
             Err(Rejected { .. }) if no_endpoint => Err(Rejection::NoEndpoint),
             Err(Rejected { .. }) if no_version => Err(Rejection::NoVersion),
-            Err(Rejected { retry_ms }) => Err(Rejection::NoCapacity { retry_ms }),
+            Err(rejected) => {
+                self.log_no_capacity(&rejected);
+                Err(Rejection::NoCapacity { retry_ms: rejected.retry_ms() })
+            }
         }
     }
 
     async fn place(&self, now: Time) -> PlacementResult {
         quarantine::decided(&self.shared, &self.subjects).await;
-        let mut ask = self.dispatch_request(self.queue_deadline(now));
+        let deadline = Some(self.deadline);
+        let mut ask =
+            DispatchRequest { deadline, ..self.dispatch_request(self.queue_deadline(now)) };
         let placement = tokio::select! {
             it = self.shared.acquire_slot(ask.clone()) => it,
             () = quarantine::blocked(&self.shared, &self.subjects) => {
-                return Err(Rejected { retry_ms: 0 });
+                return Err(Rejected::default());
             }
         };
         if placement.is_ok() || self.silent.is_empty() {
@@ -373,10 +378,12 @@
             excluded: self.tried.clone(),
             build: self.build,
             regions: None,
+            team: hash64(self.team.as_deref().unwrap_or_default().as_bytes()) as u32,
+            deadline: None,
         }
     }
 
-    /// Returns the time until which this request may wait for capacity.
+    /// Returns the time until which this request may wait for capacity to be on time.
     fn queue_deadline(&self, now: Time) -> Time {
         let target = match self.found.route.target_ms {
             0 => DEFAULT_QUEUE_MS,
--- a/crates/gateway/src/call/outcome.rs
+++ b/crates/gateway/src/call/outcome.rs
@@ -5,6 +5,7 @@
     crate::{
         attempt::{Failure, UpstreamResponse},
         rejection::Rejection,
+        shared::Rejected,
         stream::ProxiedStream,
     },
     edge::{Body, full},
@@ -91,6 +92,28 @@
         rejection.response()
     }
 
+    /// Logs and counts why there is no capacity for the request.
+    pub(super) fn log_no_capacity(&self, rejected: &Rejected) {
+        let Some(refusal) = rejected.refusal else { return };
+        self.shared.metrics.record_refusal(refusal.cause);
+        tracing::info!(
+            event = "no-capacity",
+            request = self.head.id(),
+            route = %self.found.route.name,
+            team = self.team.as_deref(),
+            cause = %refusal.cause,
+            priority = self.priority,
+            wait_ms = refusal.wait_ms,
+            left_ms = self.left_ms(),
+            retry_ms = refusal.retry_ms,
+            waiting = refusal.waiting,
+            running = refusal.running,
+            is_beyond_share = refusal.is_beyond_share,
+            report_age_ms = refusal.report_age_ms,
+            "gateway: no capacity for request"
+        );
+    }
+
     fn log_failure(&self, outcome: &str, reason: &str) {
         tracing::info!(
             event = "ended",
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        control, discovery, gossip,
+        control, demand, discovery, gossip,
         header_names::HeaderNames,
         layout, limits,
         metrics::Metrics,
@@ -10,7 +10,7 @@
         response_memory::ResponseMemory,
         sampler::Sampler,
         server,
-        shared::{DEREGISTER_MS, Membership, Rejected, Shared, ShutdownPhase},
+        shared::{DEREGISTER_MS, Membership, Shared, ShutdownPhase},
     },
     ::origin::Origins,
     ::quarantine::Quarantine,
@@ -152,6 +152,7 @@
             tokio::spawn(quarantine::send_news(shared.clone())),
             tokio::spawn(quarantine::compare(shared.clone())),
             tokio::spawn(limits::send_reports(shared.clone())),
+            tokio::spawn(demand::send_reports(shared.clone())),
             tokio::spawn(paths::probe(shared.clone())),
             tokio::spawn(process_queue(shared.clone())),
         ];
@@ -286,11 +287,6 @@
         let mut dispatcher = shared.dispatcher.lock();
         let next = dispatcher.start_all_queued(now);
         shared.notify_waiters(&mut dispatcher, next);
-        for (ticket, retry_ms) in dispatcher.expire(now) {
-            if let Some(waiter) = shared.waiters.lock().remove(&ticket) {
-                // The client may have disconnected just now.
-                let _ = waiter.send(Err(Rejected { retry_ms }));
-            }
-        }
+        shared.refuse_expired(&mut dispatcher);
     }
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -4,11 +4,11 @@
 //! relays exchange the sums of the domains ([`dispatch::Exchange`]); all get its new prompt parts.
 //! A lost datagram costs some accuracy until the next one arrives.
 //!
-//! The messages on origins of streams ([`crate::origins`]), on crashes ([`crate::quarantine`]) and on
-//! limits of endpoints ([`crate::limits`]) have the same socket and another first byte.
+//! The messages on origins of streams ([`crate::origins`]), on crashes ([`crate::quarantine`]), on limits
+//! of endpoints ([`crate::limits`]) and on the demand of teams ([`crate::demand`]) have the same socket and another first byte.
 
 use {
-    crate::{limits, origins, quarantine, shared::Shared},
+    crate::{demand, limits, origins, quarantine, shared::Shared},
     bincode::{
         config::standard,
         serde::{decode_from_slice, encode_to_vec},
@@ -92,13 +92,13 @@
         .wrap_err_with(|| format!("gateway: failed to bind {addr} for gossip"))
 }
 
-fn exchange(shared: &Shared) -> Exchange {
+pub(crate) fn exchange(shared: &Shared) -> Exchange {
     let membership = shared.membership.lock();
     let members = membership.routers.iter().map(|it| (it.0, &it.1));
     Exchange::new(shared.settings.inner, &shared.settings.domain, members)
 }
 
-fn domain_hash(shared: &Shared) -> u64 {
+pub(crate) fn domain_hash(shared: &Shared) -> u64 {
     hash64(shared.settings.domain.0.as_bytes())
 }
 
@@ -232,6 +232,10 @@
             limits::receive(&shared, from, &buffer[1..len]);
             continue;
         }
+        if buffer[..len].first() == Some(&demand::FORMAT_VERSION) {
+            demand::receive(&shared, from, &buffer[1..len]);
+            continue;
+        }
         match decode_from_slice::<GossipMessage, _>(&buffer[..len], standard()) {
             Ok((message, _)) if message.version != FORMAT_VERSION => {
                 let version = message.version;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod call;
 mod control;
 mod crash;
+mod demand;
 mod detour;
 mod discovery;
 mod gateway;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a gateway.
 
 use {
+    dispatch::Cause,
     opentelemetry::{
         KeyValue,
         metrics::{Counter, Histogram},
@@ -17,6 +18,7 @@
 struct Instruments {
     requests: Counter<u64>,
     sends: Counter<u64>,
+    refusals: Counter<u64>,
     first_byte: Histogram<f64>,
 }
 
@@ -27,6 +29,7 @@
             Instruments {
                 requests: meter.u64_counter("gateway_requests").build(),
                 sends: meter.u64_counter("gateway_sends").build(),
+                refusals: meter.u64_counter("gateway_capacity_refusals").build(),
                 first_byte: meter.f64_histogram("gateway_first_byte_ms").build(),
             }
         })
@@ -42,6 +45,11 @@
         self.instruments().sends.add(1, &[KeyValue::new("ending", ending)]);
     }
 
+    /// Counts a request for which there is no capacity by the cause of its refusal.
+    pub(crate) fn record_refusal(&self, cause: Cause) {
+        self.instruments().refusals.add(1, &[KeyValue::new("cause", cause.to_string())]);
+    }
+
     /// Records the time to the first byte of a response, in milliseconds.
     pub(crate) fn record_first_byte(&self, millis: f64) {
         self.instruments().first_byte.record(millis, &[]);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,8 +10,8 @@
     arc_swap::ArcSwapOption,
     derive_more::Debug,
     dispatch::{
-        Assignment, AttemptOutcome, DispatchRequest, Dispatcher, RetryBudget, RetryBudgetLimits,
-        SubmitResult, WaiterId,
+        Assignment, AttemptOutcome, DispatchRequest, Dispatcher, Refusal, RetryBudget,
+        RetryBudgetLimits, SubmitResult, WaiterId,
     },
     fanout::ConfigHistory,
     model::{Domain, MILLISECOND, Name, Time},
@@ -52,9 +52,16 @@
 pub(crate) type PlacementResult = Result<Assignment, Rejected>;
 
 /// The request was rejected and did not run.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
 pub(crate) struct Rejected {
-    pub(crate) retry_ms: u64,
+    /// Why there is no capacity. `None` if the request was not refused for that.
+    pub(crate) refusal: Option<Refusal>,
+}
+
+impl Rejected {
+    pub(crate) fn retry_ms(&self) -> u64 {
+        self.refusal.map_or(0, |it| it.retry_ms)
+    }
 }
 
 /// The other processes, as reported by the control plane.
@@ -208,10 +215,11 @@
             let mut dispatcher = self.dispatcher.lock();
             match dispatcher.submit(self.now(), ask) {
                 SubmitResult::Started(pick) => return Ok(pick),
-                SubmitResult::Refused { retry_ms } => return Err(Rejected { retry_ms }),
+                SubmitResult::Refused(it) => return Err(Rejected { refusal: Some(it) }),
                 SubmitResult::Queued(ticket) => {
                     let (sender, receiver) = oneshot::channel();
                     self.waiters.lock().insert(ticket, sender);
+                    self.refuse_expired(&mut dispatcher);
                     QueuedRequest { shared: self, service, ticket, receiver }
                 }
             }
@@ -248,6 +256,16 @@
         }
     }
 
+    /// Refuses the waiting requests that waited as long as they can or were displaced.
+    pub(crate) fn refuse_expired(&self, dispatcher: &mut Dispatcher) {
+        for (ticket, refusal) in dispatcher.expire(self.now()) {
+            if let Some(waiter) = self.waiters.lock().remove(&ticket) {
+                // The client may have disconnected just now.
+                let _ = waiter.send(Err(Rejected { refusal: Some(refusal) }));
+            }
+        }
+    }
+
     /// Credits a request to the retry budget of its service.
     pub(crate) fn fund_retries(&self, service: &Name) {
         self.with_budget(service, RetryBudget::record_request);
@@ -289,7 +307,7 @@
 impl QueuedRequest<'_> {
     async fn wait(mut self) -> PlacementResult {
         let placement = (&mut self.receiver).await;
-        placement.unwrap_or(Err(Rejected { retry_ms: 0 }))
+        placement.unwrap_or(Err(Rejected::default()))
     }
 }
 
