--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -12,7 +12,7 @@
         load::{Load, LoadChunk, LoadReport, Reporter},
         placement::Placement,
         request::{Assignment, DispatchRequest, EndpointHandle},
-        service::{Capacity, Service},
+        service::{Capacity, NoRoom, Service},
         unlisted_notices::UnlistedNotices,
     },
     derive_more::Debug,
@@ -40,6 +40,9 @@
 /// start, the rest is ignored.
 const MAX_COMPARED: usize = 16;
 
+/// The maximum number of waiting requests that a new one is compared with.
+const MAX_SCANNED: usize = 64;
+
 /// The shortest retry delay that a caller is told, in milliseconds.
 const MIN_RETRY_MS: u64 = 150;
 
@@ -83,17 +86,18 @@
     random: u64,
     waiters: I,
     has_unreserved: bool,
+    no_room: &mut NoRoom,
 ) -> Option<(WaiterId, Assignment)>
 where
     I: IntoIterator<Item = &'a Waiter>,
 {
-    // The fewest tokens and the latest start for which there was no room.
-    let mut failed: Option<(u32, Time)> = None;
     let mut compared = 0;
     for waiter in waiters {
         let request = &waiter.request;
-        let need = (request.prompt.as_ref().map_or(0, |it| it.tokens), request.wait_until);
-        let is_hopeless = failed.is_some_and(|it| need.0 >= it.0 && need.1 <= it.1);
+        // A model's endpoints have the same room for all that may wait.
+        let by = if placement.kv_capacity.is_some() { Time(0) } else { request.wait_until };
+        let need = (request.prompt.as_ref().map_or(0, |it| it.tokens), by);
+        let is_hopeless = no_room.is_some_and(|it| need.0 >= it.0 && need.1 <= it.1);
         if is_hopeless || waiter.yields() && !has_unreserved {
             continue;
         }
@@ -106,8 +110,8 @@
         }
         let is_free =
             request.excluded.is_empty() && request.build.is_none() && request.regions.is_none();
-        if is_free && failed.is_none_or(|it| need.0 <= it.0 && need.1 >= it.1) {
-            failed = Some(need);
+        if is_free && no_room.is_none_or(|it| need.0 <= it.0 && need.1 >= it.1) {
+            *no_room = Some(need);
         }
     }
     None
@@ -128,7 +132,7 @@
     let build = waiter.request.build;
     let backlog = (service.queue.len(), service.queue.total_run_ms());
     let wait_ms = service.wait_ms(now, build, backlog, routers);
-    let opens_at = service.opens_at(build);
+    let opens_at = service.next_opening(now, build);
     let retry_ms = if opens_at > now && opens_at != Time::NEVER {
         opens_at.since(now).div_ceil(MILLISECOND)
     } else {
@@ -261,6 +265,7 @@
     /// Forgets the failures of the endpoints of a service, or of all endpoints, as they were those of
     /// the path to them.
     pub fn forgive_failures(&mut self, service: Option<&Name>) {
+        self.invalidate_capacities();
         let services =
             self.services.iter_mut().filter(|it| service.is_none_or(|name| it.0 == name));
         for endpoint in services.flat_map(|it| &mut it.1.endpoints) {
@@ -270,6 +275,7 @@
 
     /// Replaces the list of endpoints. Returns what changed.
     pub fn update_endpoints(&mut self, listed_endpoints: &[ListedEndpoint]) -> Vec<EndpointChange> {
+        self.invalidate_capacities();
         let mut changes = Vec::new();
         let listed: HashSet<_> = listed_endpoints.iter().map(|it| &it.id).collect();
         for service in self.services.values_mut() {
@@ -361,6 +367,10 @@
         };
         let starts_by = |wait_ms: u64, by: Time| now + wait_ms.saturating_mul(MILLISECOND) <= by;
         let mut wait_ms = wait(service, &waiter);
+        // If all endpoints asked for no requests, the caller is told when they take some.
+        if service.next_opening(now, build) > now {
+            waiter.request.deadline = None;
+        }
         if !starts_by(wait_ms, waiter.request.wait_until) && waiter.request.deadline.is_some() {
             waiter.is_late = true;
             wait_ms = wait(service, &waiter);
@@ -434,12 +444,15 @@
         let service = self.services.get_mut(&waiter.request.service)?;
         let has_unreserved = has_unreserved(now, service, self.fleet.len());
         let placement = service.placement(now, &self.domain, self.fleet.len());
-        let ahead = service.queue.iter_ahead(waiter);
-        if first_start(&placement, self.random, ahead, has_unreserved).is_some() {
+        let mut no_room = service.no_room(now);
+        let ahead = service.queue.iter_ahead(waiter).take(MAX_SCANNED);
+        if first_start(&placement, self.random, ahead, has_unreserved, &mut no_room).is_some() {
             return None;
         }
         let itself = std::iter::once(waiter);
-        let (_, assignment) = first_start(&placement, self.random, itself, has_unreserved)?;
+        let found = first_start(&placement, self.random, itself, has_unreserved, &mut no_room);
+        service.set_no_room(now, no_room);
+        let (_, assignment) = found?;
         self.record_start(now, waiter, &assignment);
         Some(assignment)
     }
@@ -465,6 +478,10 @@
 
     /// Records the load that an endpoint reported: its running and waiting requests.
     pub fn record_reported_load(&mut self, now: Time, handle: EndpointHandle, requests: u32) {
+        let name = self.service_names.get(&handle);
+        if let Some(service) = name.and_then(|it| self.services.get_mut(it)) {
+            service.forget_no_room();
+        }
         if let Some(endpoint) = self.endpoint(handle) {
             endpoint.load.record_self_report(now, requests);
         }
@@ -490,6 +507,7 @@
     where
         F: FnOnce(&mut Notice),
     {
+        self.invalidate_capacities();
         let Assignment { handle, incarnation, .. } = *sent;
         let is_same = |it: &&mut Endpoint| it.handle == handle || it.incarnation() == incarnation;
         let mut endpoints = self.services.values_mut().flat_map(|it| &mut it.endpoints);
@@ -506,6 +524,7 @@
     /// Records how many rejections per second an endpoint bears from all routers together, or that it
     /// bears any number. Returns whether this is new.
     pub fn record_brittle(&mut self, handle: EndpointHandle, rate: Option<f64>) -> bool {
+        self.invalidate_capacities();
         self.endpoint(handle).is_some_and(|it| it.notice.brittle.record(rate))
     }
 
@@ -514,6 +533,7 @@
     where
         I: IntoIterator<Item = SocketAddr>,
     {
+        self.invalidate_capacities();
         self.fleet = Fleet::new(own, routers);
         for endpoint in self.services.values_mut().flat_map(|it| &mut it.endpoints) {
             endpoint.notice.limit.set_share(now, &self.fleet, endpoint.hash);
@@ -528,6 +548,7 @@
         handle: EndpointHandle,
         rate: Option<f64>,
     ) -> Option<LimitChange> {
+        self.invalidate_capacities();
         let name = self.service_names.get(&handle)?;
         let endpoint = self.services.get_mut(name)?.get_mut(handle)?;
         endpoint.notice.limit.record(now, rate).then(|| endpoint.set_share(now, &self.fleet))
@@ -541,6 +562,7 @@
 
     /// Applies what other routers know about limits. Returns the changes.
     pub fn apply_limit_reports(&mut self, now: Time, reports: &[LimitReport]) -> Vec<LimitChange> {
+        self.invalidate_capacities();
         let endpoints = self.services.values_mut().flat_map(|it| &mut it.endpoints);
         let mut endpoints: HashMap<_, _> = endpoints.map(|it| (it.incarnation(), it)).collect();
         let mut changes = Vec::new();
@@ -662,7 +684,9 @@
             let has_unreserved = has_unreserved(now, service, self.fleet.len());
             let placement = service.placement(now, &self.domain, self.fleet.len());
             let waiters = service.queue.iter();
-            let next = first_start(&placement, self.random, waiters, has_unreserved);
+            let mut no_room = service.no_room(now);
+            let next = first_start(&placement, self.random, waiters, has_unreserved, &mut no_room);
+            service.set_no_room(now, no_room);
             let Some((id, assignment)) = next else { break };
             let Some(service) = self.services.get_mut(name) else { break };
             let Some(waiter) = service.queue.remove(id) else { break };
@@ -738,6 +762,10 @@
         self.services.values().map(|it| it.queue.deadline()).min().unwrap_or(Time::NEVER)
     }
 
+    fn invalidate_capacities(&mut self) {
+        self.services.values_mut().for_each(Service::invalidate);
+    }
+
     fn endpoint(&mut self, handle: EndpointHandle) -> Option<&mut Endpoint> {
         let name = self.service_names.get(&handle)?;
         self.services.get_mut(name)?.get_mut(handle)
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -32,8 +32,15 @@
     pub(crate) running: u32,
     /// Those of this router.
     pub(crate) own: u32,
+    /// Whether an endpoint takes requests now and at any rate.
+    is_open: bool,
+    /// Whether no endpoint will open by itself.
+    is_settled: bool,
 }
 
+/// The fewest tokens and the latest start of a request for which there was no room.
+pub(crate) type NoRoom = Option<(u32, Time)>;
+
 /// A service's endpoints and waiting requests.
 #[derive(Default, Debug)]
 pub(crate) struct Service {
@@ -47,6 +54,8 @@
     pub(crate) work: WorkEstimate,
     pub(crate) demands: Demands,
     capacity: Option<(Capacity, Time)>,
+    /// What had no room, and when. Nothing has ended since.
+    no_room: Option<(NoRoom, Time)>,
 }
 
 impl Service {
@@ -82,6 +91,11 @@
         if rate > 0.0 { (ahead as f64 / rate * 1_000.0) as u64 } else { 0 }
     }
 
+    /// Returns when the first endpoint takes new requests, or an earlier time if one does now.
+    pub(crate) fn next_opening(&mut self, now: Time, build: Option<BuildId>) -> Time {
+        if self.capacity(now, build).is_open { Time(0) } else { self.opens_at(build) }
+    }
+
     /// Returns the capacity of the open endpoints. That of all is summed up now and then only.
     pub(crate) fn capacity(&mut self, now: Time, build: Option<BuildId>) -> Capacity {
         let fresh = self.capacity.filter(|it| build.is_none() && now.since(it.1) < CAPACITY_TTL);
@@ -93,15 +107,46 @@
             slots: sum.slots.saturating_add(it.listed.slots),
             running: sum.running.saturating_add(it.load.requests(now)),
             own: sum.own + it.load.own.requests,
+            is_open: sum.is_open || it.notice.limit.rate().is_none(),
+            is_settled: false,
         });
+        let is_settled = self.endpoints.iter().all(|it| it.is_open(now) || !it.is_staying());
+        let capacity = Capacity { is_settled, ..capacity };
         if build.is_none() {
             self.capacity = Some((capacity, now));
         }
         capacity
     }
 
+    /// Returns what had no room a moment ago.
+    pub(crate) fn no_room(&self, now: Time) -> NoRoom {
+        let is_settled = self.capacity.is_some_and(|it| it.0.is_settled);
+        let fresh = self.no_room.filter(|it| is_settled && now.since(it.1) < CAPACITY_TTL);
+        fresh.and_then(|it| it.0)
+    }
+
+    /// Records what has no room.
+    pub(crate) fn set_no_room(&mut self, now: Time, no_room: NoRoom) {
+        if no_room != self.no_room(now) {
+            self.no_room = Some((no_room, now));
+        }
+    }
+
+    /// Forgets what had no room, as some may have become free.
+    pub(crate) fn forget_no_room(&mut self) {
+        self.no_room = None;
+    }
+
+    /// Forgets sums of the endpoints, which have changed.
+    pub(crate) fn invalidate(&mut self) {
+        (self.capacity, self.no_room) = (None, None);
+    }
+
     /// Adds a request of this router to the capacity in use, or removes one.
     pub(crate) fn change_capacity(&mut self, change: i32) {
+        if change < 0 {
+            self.no_room = None;
+        }
         if let Some((capacity, _)) = &mut self.capacity {
             capacity.running = capacity.running.saturating_add_signed(change);
             capacity.own = capacity.own.saturating_add_signed(change);
@@ -122,12 +167,12 @@
         (ahead, ahead_ms): (usize, f64),
         routers: usize,
     ) -> u64 {
-        let opens_at = self.opens_at(build);
+        let opens_at = self.next_opening(now, build);
         if opens_at > now {
             let opens_ms = opens_at.since(now).div_ceil(MILLISECOND);
             return opens_ms.saturating_add(self.limit_wait_ms(build, ahead));
         }
-        let Capacity { slots, running, own } = self.capacity(now, build);
+        let Capacity { slots, running, own, .. } = self.capacity(now, build);
         let first_ms = self.run_ms.unwrap_or(INITIAL_RUN_MS);
         // What ends is started anew by the router that sent it.
         let share = (f64::from(own) / f64::from(running.max(1))).max(1.0 / routers as f64);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -352,7 +352,9 @@
 
     async fn place(&self, now: Time) -> PlacementResult {
         quarantine::decided(&self.shared, &self.subjects).await;
-        let deadline = Some(self.deadline);
+        // Without a target nothing is late. A request that was sent before has another answer to give.
+        let may_be_late = self.found.route.target_ms > 0 && self.tried.is_empty();
+        let deadline = may_be_late.then_some(self.deadline);
         let mut ask =
             DispatchRequest { deadline, ..self.dispatch_request(self.queue_deadline(now)) };
         let placement = tokio::select! {
