Log which replica announced, referred or withheld a configuration

The log could not tell the hypotheses apart: it had the first announcement only, not which replica made it, no referral on the side of the gateway, and nothing about the configuration in force when a request was refused. Now each announcement names its replica, a referral and how long it took are logged, a replica logs requests that are withdrawn while they wait, and a refusal tells the installed and the announced version with their age.

--- a/crates/control/src/watch_service.rs
+++ b/crates/control/src/watch_service.rs
@@ -283,6 +283,9 @@
             (false, false) => None,
         };
         if pending.as_ref().map(|it| it.message) != wanted {
+            if let Some(withdrawn) = pending.take() {
+                log_withdrawal(&router, &withdrawn);
+            }
             pending = wanted.map(|it| PendingGrant::request(it, &shared.bulk_limiter, &router));
         }
         if Instant::now() >= next_heartbeat {
@@ -379,6 +382,16 @@
     );
 }
 
+fn log_withdrawal(router: &Router, withdrawn: &PendingGrant) {
+    tracing::info!(
+        event = "bulk-withdrawn",
+        router = %router.addr,
+        message = ?withdrawn.message,
+        waited_ms = withdrawn.requested_at.elapsed().as_millis() as u64,
+        "control: a router got a large message from elsewhere while it waited"
+    );
+}
+
 /// A large message that waits to be sent.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum BulkMessage {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,7 +9,7 @@
         attempt::{Attempt, Failure, UpstreamResponse, max_silence_ms},
         detour, evacuations,
         headers::RequestHead,
-        paths, quarantine,
+        layout, paths, quarantine,
         rejection::Rejection,
         replacement,
         shared::{PlacementResult, Rejected, Shared},
@@ -187,10 +187,15 @@
 }
 
 fn reject(shared: &Shared, head: &RequestHead, rejection: Rejection) -> Response<Body> {
+    let announcement = *shared.announcement.lock();
     tracing::info!(
         event = "refused",
         request = head.id(),
         reason = %rejection,
+        version = layout::installed_version(shared),
+        installed_ms = shared.layout_installed_at.lock().map(layout::elapsed_ms),
+        announced = announcement.map(|it| it.version),
+        announced_ms = announcement.map(|it| layout::elapsed_ms(it.heard_at)),
         "gateway: request rejected"
     );
     shared.metrics.record_request(rejection.label());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -133,6 +133,7 @@
             is_relay: AtomicBool::new(false),
             shutdown_at: AtomicU64::new(0),
             shutdown_phase: watch::Sender::default(),
+            layout_installed_at: Mutex::new(None),
             announcement: Mutex::new(None),
             layout_request: Mutex::new(None),
             layout_changed: watch::Sender::default(),
--- a/crates/gateway/src/layout.rs
+++ b/crates/gateway/src/layout.rs
@@ -24,8 +24,15 @@
     shared.table.load().as_ref().map(|it| it.config().version)
 }
 
-/// Records when a version was first announced.
-pub(crate) fn record_announcement(shared: &Shared, version: u64) {
+/// Records that a replica announced a version.
+pub(crate) fn record_announcement(shared: &Shared, replica: SocketAddr, version: u64) {
+    tracing::info!(
+        event = "configuration-announced",
+        version,
+        %replica,
+        installed = installed_version(shared),
+        "gateway: a control replica announced a configuration"
+    );
     let mut newest = shared.announcement.lock();
     if newest.is_none_or(|it| it.version < version) {
         *newest = Some(Announcement { version, heard_at: Instant::now() });
@@ -109,10 +116,12 @@
         replica = %sender,
         routes = layout.routes.len(),
         level = next.level(),
-        announced_ms = announcement.map(|it| it.heard_at.elapsed().as_millis() as u64),
-        requested_ms = request.map(|it| it.first_sent_at.elapsed().as_millis() as u64),
+        announced_ms = announcement.map(|it| elapsed_ms(it.heard_at)),
+        replaced_ms = shared.layout_installed_at.lock().map(elapsed_ms),
+        requested_ms = request.map(|it| elapsed_ms(it.first_sent_at)),
         "gateway: configuration applied"
     );
+    *shared.layout_installed_at.lock() = Some(Instant::now());
     set_service_limits(shared, layout);
     shared.table.store(Some(Arc::new(RouteTable::new(layout.clone()))));
     if installed.is_none() {
@@ -125,6 +134,11 @@
     }
 }
 
+/// Returns the milliseconds since `at`.
+pub(crate) fn elapsed_ms(at: Instant) -> u64 {
+    at.elapsed().as_millis() as u64
+}
+
 fn set_service_limits(shared: &Shared, layout: &RoutingConfig) {
     let (now, cold) = (shared.now(), shared.settings.cold);
     let mut dispatcher = shared.dispatcher.lock();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -155,7 +155,8 @@
 /// Requests the configuration from another gateway, and installs it. If that fails, the request for
 /// `version` ends, so that a control replica is asked again.
 pub(crate) async fn fetch(shared: Arc<Shared>, provider: SocketAddr, version: u64) {
-    let expires_at = Instant::now() + FETCH_TIMEOUT;
+    let started_at = Instant::now();
+    let expires_at = started_at + FETCH_TIMEOUT;
     shared.set_layout_request_expiry(version, expires_at);
     let result = timeout_at(expires_at, receive_state(&shared, provider)).await;
     if installed_version(&shared) >= Some(version) {
@@ -170,6 +171,7 @@
         event = "relay-failed",
         version,
         %provider,
+        after_ms = started_at.elapsed().as_millis() as u64,
         err,
         "gateway: another gateway did not send the configuration"
     );
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -148,6 +148,8 @@
     /// When shutdown was requested, in microseconds of this process's clock. Zero if it was not.
     pub(crate) shutdown_at: AtomicU64,
     pub(crate) shutdown_phase: watch::Sender<ShutdownPhase>,
+    /// When the installed configuration was installed.
+    pub(crate) layout_installed_at: Mutex<Option<Instant>>,
     /// The newest announced configuration.
     pub(crate) announcement: Mutex<Option<Announcement>>,
     /// The last request for a configuration.
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -245,13 +245,20 @@
         match message {
             WatchUpdate::Announce { version } => {
                 self.announced = self.announced.max(Some(version));
-                layout::record_announcement(shared, version);
+                layout::record_announcement(shared, replica, version);
                 self.request_at = None;
             }
             WatchUpdate::Layout(_) | WatchUpdate::LayoutDelta(_) => {
                 layout::apply(shared, replica, &message)?;
             }
             WatchUpdate::Refer { version, router } => {
+                tracing::info!(
+                    event = "configuration-referred",
+                    version,
+                    %replica,
+                    provider = %router,
+                    "gateway: referred to another gateway for a configuration"
+                );
                 tokio::spawn(relay::fetch(shared.clone(), router, version));
             }
             WatchUpdate::Catalog(compressed) => {
