Add failing tests of configurations that are requested in vain

Scripted replicas announce a version, and the first one asked does not send it, ends its stream or refers to a gateway that sends something else.

--- /dev/null
+++ b/crates/gateway/tests/config_requests.rs
@@ -0,0 +1,189 @@
+//! Requests for a configuration while some of those that have it do not send it.
+
+mod common;
+
+use {
+    common::{StaticList, gateway_settings, layout, start_gateway, wait_until},
+    gateway::Gateway,
+    route::FIELD_LEVEL,
+    rstest::rstest,
+    settings::GatewaySettings,
+    std::{net::SocketAddr, time::Duration},
+    tokio::{
+        net::TcpListener,
+        sync::watch,
+        time::{Instant, interval, sleep},
+    },
+    wire::{
+        Compressed, Listener, Stream, Traffic, WireError,
+        msg::{WatchHello, WatchRequest, WatchUpdate},
+    },
+};
+
+/// The time within which a change must be in force on the users' platform.
+const IN_FORCE: Duration = Duration::from_millis(2_500);
+
+/// How much earlier one replica announces a configuration than the others.
+const HEAD_START: Duration = Duration::from_millis(50);
+
+/// The interval between the messages of a gateway that is slow to send the configuration.
+const MESSAGE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What a replica does about a request for a configuration.
+#[derive(Clone, Copy, Debug)]
+enum OnRequest {
+    Send,
+    Ignore,
+    Close,
+    Refer(SocketAddr),
+}
+
+/// The version that a replica announces, and what it does about requests.
+#[derive(Clone, Copy, Debug)]
+struct Script {
+    version: u64,
+    on_request: OnRequest,
+}
+
+/// A control replica that is always healthy by its heartbeats.
+struct Replica {
+    addr: SocketAddr,
+    script: watch::Sender<Script>,
+}
+
+impl Replica {
+    async fn start() -> Replica {
+        let listener = Listener::bind(([127, 0, 0, 1], 0).into(), None, Traffic::default()).await;
+        let mut listener = listener.expect("failed to bind");
+        let addr = listener.addr();
+        let script = watch::Sender::new(Script { version: 1, on_request: OnRequest::Send });
+        let changes = script.clone();
+        tokio::spawn(async move {
+            while let Some(incoming) = listener.accept().await {
+                tokio::spawn(serve(incoming.stream, changes.subscribe()));
+            }
+        });
+        Replica { addr, script }
+    }
+
+    fn publish(&self, version: u64, on_request: OnRequest) {
+        self.script.send_replace(Script { version, on_request });
+    }
+}
+
+/// Serves a watch stream until either side ends it.
+async fn serve(stream: Stream, mut script: watch::Receiver<Script>) -> Result<(), WireError> {
+    let (mut send, mut recv) = stream.split();
+    let _ = recv.recv::<WatchHello>().await?;
+    let mut heartbeats = interval(Duration::from_millis(500));
+    let mut announced = None;
+    loop {
+        let Script { version, on_request } = *script.borrow_and_update();
+        if announced.replace(version) != Some(version) {
+            send.send(&WatchUpdate::Announce { version }).await?;
+        }
+        tokio::select! {
+            _ = heartbeats.tick() => {
+                send.send(&WatchUpdate::Heartbeat { has_leader: true, listing_is_recent: false }).await?;
+            }
+            changed = script.changed() => if changed.is_err() {
+                return Ok(());
+            },
+            request = recv.recv::<WatchRequest>() => {
+                let Some(request) = request? else { return Ok(()) };
+                let WatchRequest::Layout { installed_version } = request else { continue };
+                if installed_version >= Some(version) {
+                    continue;
+                }
+                match on_request {
+                    OnRequest::Send => send.send(&encode(version)).await?,
+                    OnRequest::Ignore => {}
+                    OnRequest::Close => return Ok(()),
+                    OnRequest::Refer(router) => {
+                        send.send(&WatchUpdate::Refer { version, router }).await?;
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn encode(version: u64) -> WatchUpdate {
+    let bytes = layout(version).encode(FIELD_LEVEL).expect("failed to encode");
+    WatchUpdate::Layout(Compressed::compress(&bytes).expect("failed to compress"))
+}
+
+/// Starts a gateway that watches three replicas, and waits until it has heard of version 1 from all of them.
+async fn start() -> (Gateway, [Replica; 3]) {
+    let replicas = [Replica::start().await, Replica::start().await, Replica::start().await];
+    let control = replicas.iter().map(|it| it.addr).collect();
+    let settings = GatewaySettings { control, ..gateway_settings(replicas[0].addr) };
+    let gateway = start_gateway(settings, StaticList::default()).await;
+    wait_until(|| gateway.layout_version() == Some(1)).await;
+    wait_until(|| replicas.iter().all(|it| it.script.receiver_count() > 0)).await;
+    (gateway, replicas)
+}
+
+/// Starts another gateway, which sends something from time to time, but not the configuration.
+async fn start_slow_gateway() -> SocketAddr {
+    let listener = Listener::bind(([127, 0, 0, 1], 0).into(), None, Traffic::default()).await;
+    let mut listener = listener.expect("failed to bind");
+    let addr = listener.addr();
+    tokio::spawn(async move {
+        while let Some(incoming) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut send, _recv) = incoming.stream.split();
+                let evacuations = WatchUpdate::Evacuations { revision: 0, domains: Vec::new() };
+                while send.send(&evacuations).await.is_ok() {
+                    sleep(MESSAGE_INTERVAL).await;
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Publishes version 2, first at the first replica, and checks that it comes into force in time.
+async fn publish_and_check(gateway: &Gateway, replicas: &[Replica; 3], on_request: [OnRequest; 3]) {
+    let published_at = Instant::now();
+    for (replica, on_request) in replicas.iter().zip(on_request) {
+        replica.publish(2, on_request);
+        sleep(HEAD_START).await;
+    }
+    while gateway.layout_version() != Some(2) {
+        assert!(published_at.elapsed() < IN_FORCE, "not in force after {IN_FORCE:?}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[rstest]
+#[case::first_is_silent([OnRequest::Ignore, OnRequest::Send, OnRequest::Send])]
+#[case::two_are_silent([OnRequest::Ignore, OnRequest::Ignore, OnRequest::Send])]
+#[case::others_end_their_streams([OnRequest::Ignore, OnRequest::Close, OnRequest::Send])]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn configuration_is_not_delayed_by_replicas_that_do_not_send_it(
+    #[case] on_request: [OnRequest; 3],
+) {
+    let (gateway, replicas) = start().await;
+    publish_and_check(&gateway, &replicas, on_request).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn configuration_is_not_delayed_by_a_referral_to_a_slow_gateway() {
+    let (gateway, replicas) = start().await;
+    let slow = OnRequest::Refer(start_slow_gateway().await);
+    publish_and_check(&gateway, &replicas, [slow, OnRequest::Send, OnRequest::Send]).await;
+}
+
+/// Gateways that were stopped still accept connections, as their sockets live on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn configuration_is_not_delayed_by_referrals_to_stopped_gateways() {
+    let (gateway, replicas) = start().await;
+    let mut stopped = Vec::new();
+    for _ in 0..2 {
+        stopped.push(TcpListener::bind(("127.0.0.1", 0)).await.expect("failed to bind"));
+    }
+    let refer = |it: &TcpListener| OnRequest::Refer(it.local_addr().expect("no local address"));
+    let on_request = [refer(&stopped[0]), refer(&stopped[1]), OnRequest::Send];
+    publish_and_check(&gateway, &replicas, on_request).await;
+}
