Ask another replica for a configuration that one announced and does not send

Cause: the stream that had sent a request also woke first when it expired, so that it sent the request again to the same replica, at intervals that doubled to 5.6 s and outlived the stream; each new version began anew with the replica that announces first; a referral to a slow gateway held back all requests for 5 s. Change: fanout::Requests decides for all streams of a gateway whose turn it is. A request that is outstanding for 700 ms, whose stream ended, whose referral failed or whose answer did not apply makes way for the replica that was asked longest ago; one that was too slow comes last until it has answered. A request that waits in a replica's queue stays there, so asking elsewhere costs one small message, and nothing needs to back off. Why it works: a replica that fails in any way costs one interval, once.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -135,7 +135,7 @@
             shutdown_phase: watch::Sender::default(),
             layout_installed_at: Mutex::new(None),
             announcement: Mutex::new(None),
-            layout_request: Mutex::new(None),
+            layout_requests: Mutex::default(),
             layout_changed: watch::Sender::default(),
             startup_progress: watch::Sender::default(),
             held: AtomicUsize::new(0),
--- a/crates/gateway/src/layout.rs
+++ b/crates/gateway/src/layout.rs
@@ -3,7 +3,8 @@
 use {
     crate::shared::{Announcement, Shared},
     dispatch::ColdRate,
-    fanout::ConfigHistory,
+    fanout::{ConfigHistory, RequestCause},
+    model::MILLISECOND,
     route::{
         ColdStart, Decoded, EncodingError, FIELD_LEVEL, RouteDelta, RouteTable, RoutingConfig,
     },
@@ -33,15 +34,22 @@
         installed = installed_version(shared),
         "gateway: a control replica announced a configuration"
     );
+    shared.layout_requests.lock().record_announced(replica, version);
     let mut newest = shared.announcement.lock();
     if newest.is_none_or(|it| it.version < version) {
         *newest = Some(Announcement { version, heard_at: Instant::now() });
     }
 }
 
+/// Records that a replica does not owe a configuration any more, so that another one can be asked.
+pub(crate) fn settle_request(shared: &Shared, replica: SocketAddr, cause: RequestCause) {
+    shared.layout_requests.lock().record_settled(shared.now(), replica, cause);
+    shared.layout_changed.send_replace(());
+}
+
 /// Installs the configuration in an update from a replica or another gateway, if it is newer than
 /// the installed one, or the same version with fields that the sender of the installed one did not
-/// know. Other updates are ignored.
+/// know. Other updates are ignored. Returns whether the configuration was installed.
 ///
 /// # Errors
 ///
@@ -50,7 +58,7 @@
     shared: &Arc<Shared>,
     sender: SocketAddr,
     update: &WatchUpdate,
-) -> Result<(), WireError> {
+) -> Result<bool, WireError> {
     let mut history = shared.layout_history.lock();
     let installed = history.as_deref();
     let next = match update {
@@ -59,7 +67,7 @@
                 decode(compressed, sender, RoutingConfig::decode)?;
             if let Some(installed) = installed {
                 if (installed.version(), installed.level()) >= (layout.version, level) {
-                    return Ok(());
+                    return Ok(false);
                 }
                 inherit(&mut layout, level, installed);
             }
@@ -67,13 +75,13 @@
         }
         WatchUpdate::LayoutDelta(compressed) => {
             let Decoded { value: delta, level } = decode(compressed, sender, RouteDelta::decode)?;
-            let Some(installed) = installed else { return Ok(()) };
+            let Some(installed) = installed else { return Ok(false) };
             // Another process may have sent the same version in the meantime.
-            let Ok(mut layout) = delta.apply(installed.config()) else { return Ok(()) };
+            let Ok(mut layout) = delta.apply(installed.config()) else { return Ok(false) };
             inherit(&mut layout, level, installed);
             installed.next_with_delta(Arc::new(layout), compressed.clone(), level)
         }
-        _ => return Ok(()),
+        _ => return Ok(false),
     };
     let (version, level) = (next.version(), next.level());
     install(shared, sender, installed.map(ConfigHistory::version), &next);
@@ -81,7 +89,7 @@
     *history = Some(Arc::new(next));
     drop(history);
     shared.layout_changed.send_replace(());
-    Ok(())
+    Ok(true)
 }
 
 /// Keeps restrictions of the installed configuration in force if the sender of a later one did not
@@ -108,7 +116,8 @@
 fn install(shared: &Arc<Shared>, sender: SocketAddr, installed: Option<u64>, next: &ConfigHistory) {
     let layout = next.config();
     let announcement = shared.announcement.lock().filter(|it| it.version >= layout.version);
-    let request = shared.layout_request.lock().filter(|it| it.version >= layout.version);
+    let now = shared.now();
+    let requested_at = shared.layout_requests.lock().first_sent_at();
     tracing::info!(
         event = "configuration",
         version = layout.version,
@@ -118,9 +127,10 @@
         level = next.level(),
         announced_ms = announcement.map(|it| elapsed_ms(it.heard_at)),
         replaced_ms = shared.layout_installed_at.lock().map(elapsed_ms),
-        requested_ms = request.map(|it| elapsed_ms(it.first_sent_at)),
+        requested_ms = requested_at.map(|it| now.since(it) / MILLISECOND),
         "gateway: configuration applied"
     );
+    shared.layout_requests.lock().record_installed(now, layout.version, sender);
     *shared.layout_installed_at.lock() = Some(Instant::now());
     set_service_limits(shared, layout);
     shared.table.store(Some(Arc::new(RouteTable::new(layout.clone()))));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,6 +12,7 @@
         shared::Shared,
     },
     directory::Catalog,
+    fanout::RequestCause,
     std::{
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
@@ -19,7 +20,7 @@
     },
     tokio::{
         sync::Semaphore,
-        time::{Instant, error::Elapsed, sleep, timeout, timeout_at},
+        time::{Instant, error::Elapsed, sleep, timeout},
     },
     wire::{
         Compressed, Encoded, Listener, Peer, Step, Stream, WireError,
@@ -152,15 +153,19 @@
     candidates.get(at).map(|it| it.0)
 }
 
-/// Requests the configuration from another gateway, and installs it. If that fails, the request for
-/// `version` ends, so that a control replica is asked again.
-pub(crate) async fn fetch(shared: Arc<Shared>, provider: SocketAddr, version: u64) {
+/// Requests the configuration from another gateway to which `replica` referred this one, and installs
+/// it. Then the request to that replica has ended.
+pub(crate) async fn fetch(
+    shared: Arc<Shared>,
+    replica: SocketAddr,
+    provider: SocketAddr,
+    version: u64,
+) {
     let started_at = Instant::now();
-    let expires_at = started_at + FETCH_TIMEOUT;
-    shared.set_layout_request_expiry(version, expires_at);
-    let result = timeout_at(expires_at, receive_state(&shared, provider)).await;
+    let result = timeout(FETCH_TIMEOUT, receive_state(&shared, provider)).await;
     if installed_version(&shared) >= Some(version) {
-        return;
+        // The replica may have announced a later version meanwhile.
+        return layout::settle_request(&shared, replica, RequestCause::Announced);
     }
     let err = match result {
         Ok(Ok(())) => "the gateway does not have the version".to_owned(),
@@ -175,8 +180,7 @@
         err,
         "gateway: another gateway did not send the configuration"
     );
-    shared.set_layout_request_expiry(version, Instant::now());
-    shared.layout_changed.send_replace(());
+    layout::settle_request(&shared, replica, RequestCause::ReferralFailed);
 }
 
 async fn receive_state(shared: &Arc<Shared>, provider: SocketAddr) -> Result<(), WireError> {
@@ -205,7 +209,9 @@
                     let cold = discovery::cold_until(shared.now(), &endpoints);
                     discovery::apply_cold(shared, cold);
                 }
-                Some(update) => layout::apply(shared, provider, &update)?,
+                Some(update) => {
+                    layout::apply(shared, provider, &update)?;
+                }
                 None => break,
             },
             Err(elapsed) if recv.received() == received => return Err(stalled(elapsed)),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -13,7 +13,7 @@
         Assignment, AttemptOutcome, DispatchRequest, Dispatcher, RetryBudget, RetryBudgetLimits,
         SubmitResult, WaiterId,
     },
-    fanout::ConfigHistory,
+    fanout::{ConfigHistory, Requests},
     model::{Domain, MILLISECOND, Name, Time},
     origin::{LookupId, Origins, Resolution},
     parking_lot::Mutex,
@@ -72,18 +72,6 @@
     pub(crate) heard_at: Instant,
 }
 
-/// A request for a configuration, sent to a control replica.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct LayoutRequest {
-    pub(crate) version: u64,
-    /// When the first replica was asked for this version.
-    pub(crate) first_sent_at: Instant,
-    /// When to stop waiting for the configuration and ask another replica.
-    pub(crate) expires_at: Instant,
-    /// How many replicas were asked for this version before.
-    pub(crate) retries: u32,
-}
-
 /// The stage of a shutdown.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Debug)]
 pub(crate) enum ShutdownPhase {
@@ -152,9 +140,9 @@
     pub(crate) layout_installed_at: Mutex<Option<Instant>>,
     /// The newest announced configuration.
     pub(crate) announcement: Mutex<Option<Announcement>>,
-    /// The last request for a configuration.
-    pub(crate) layout_request: Mutex<Option<LayoutRequest>>,
-    /// Notified when a configuration was installed or a request for one failed.
+    /// The requests for configurations.
+    pub(crate) layout_requests: Mutex<Requests>,
+    /// Notified when a configuration was installed or a request for one ended.
     pub(crate) layout_changed: watch::Sender<()>,
     /// Notified when the first configuration or list of endpoints was applied.
     pub(crate) startup_progress: watch::Sender<()>,
@@ -221,14 +209,6 @@
             && ends > self.shutdown_deadline(shutdown_at)
     }
 
-    /// Sets when another replica is asked for a version, unless a later one was requested.
-    pub(crate) fn set_layout_request_expiry(&self, version: u64, expires_at: Instant) {
-        let mut request = self.layout_request.lock();
-        if let Some(request) = request.as_mut().filter(|it| it.version <= version) {
-            request.expires_at = expires_at;
-        }
-    }
-
     /// Waits for a slot at an endpoint.
     pub(crate) async fn acquire_slot(&self, ask: DispatchRequest) -> PlacementResult {
         let service = ask.service.clone();
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -6,9 +6,11 @@
         field_requests::{self, FieldRequest},
         layout::{self, installed_version},
         relay,
-        shared::{LayoutRequest, Shared},
+        shared::Shared,
     },
+    derive_more::Debug,
     directory::Catalog,
+    fanout::{RequestCause, Turn},
     model::{Domain, Name},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -30,18 +32,6 @@
 /// The delay before reconnecting to a replica.
 const RECONNECT_DELAY: Duration = Duration::from_millis(250);
 
-/// How long a replica may take to send a configuration before another one is asked for it. Once
-/// each watched replica was asked, the interval doubles each time, as replicas with busy links
-/// serve one router after the other.
-const LAYOUT_RETRY_INTERVAL: Duration = Duration::from_millis(700);
-
-/// How many replicas are asked again before the interval doubles: two of three may be lost right
-/// after they announced a version.
-const RETRIES_BEFORE_BACKOFF: u32 = 2;
-
-/// The maximum number of times that the interval doubles.
-const MAX_DOUBLINGS: u32 = 3;
-
 /// An update received from a control replica.
 pub(crate) struct ReplicaUpdate {
     pub(crate) replica: SocketAddr,
@@ -102,7 +92,7 @@
     let (addr, domain) = (shared.settings.inner, shared.settings.domain.clone());
     send.send(&WatchHello { addr, domain, version }).await?;
     tracing::info!(event = "control-found", %replica, version, "gateway: watching control replica");
-    let mut subscription = Subscription { protocol, ..Subscription::default() };
+    let mut subscription = Subscription::new(shared.clone(), replica, protocol);
     let mut times_out_at = Instant::now() + SILENCE_TIMEOUT;
     let mut received = recv.received();
     let mut layout_changes = shared.layout_changed.subscribe();
@@ -112,7 +102,7 @@
             subscription.catalog_requested = true;
             send.send(&WatchRequest::Catalog).await?;
         }
-        if let Some(installed_version) = subscription.next_layout_request(shared, replica) {
+        if let Some(installed_version) = subscription.next_layout_request() {
             send.send(&WatchRequest::Layout { installed_version }).await?;
         }
         let wake_at = subscription.request_at.unwrap_or(times_out_at).min(times_out_at);
@@ -124,10 +114,7 @@
                 Err(_) => return Ok(()),
             },
             changed = layout_changes.changed() => match changed {
-                Ok(()) => {
-                    subscription.request_at = None;
-                    continue;
-                }
+                Ok(()) => continue,
                 Err(_) => return Ok(()),
             },
         };
@@ -143,8 +130,7 @@
             continue;
         };
         let Some(message) = message? else { return Ok(()) };
-        let update = subscription.apply(shared, replica, message);
-        if let Some(update) = update?
+        if let Some(update) = subscription.apply(message)?
             && sender.send(ReplicaUpdate { replica, update }).await.is_err()
         {
             return Ok(());
@@ -153,13 +139,16 @@
 }
 
 /// The state of a subscription to a replica.
-#[derive(Default, Debug)]
+#[derive(Debug)]
 struct Subscription {
+    #[debug(skip)]
+    shared: Arc<Shared>,
+    replica: SocketAddr,
     /// The protocol that the replica speaks.
     protocol: u32,
     /// The highest version that the replica announced.
     announced: Option<u64>,
-    /// When to request the announced version, if it is not applied by then.
+    /// When to see again whether a request is due.
     request_at: Option<Instant>,
     /// Whether a requested configuration is outstanding.
     layout_pending: bool,
@@ -171,14 +160,38 @@
     routers: Vec<(SocketAddr, Domain)>,
 }
 
+impl Drop for Subscription {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        self.shared.layout_requests.lock().record_lost(now, self.replica);
+        self.shared.layout_changed.send_replace(());
+    }
+}
+
 impl Subscription {
+    fn new(shared: Arc<Shared>, replica: SocketAddr, protocol: u32) -> Subscription {
+        Subscription {
+            shared,
+            replica,
+            protocol,
+            announced: None,
+            request_at: None,
+            layout_pending: false,
+            fields_pending: false,
+            catalog_requested: false,
+            catalog: None,
+            routers: Vec::new(),
+        }
+    }
+
     /// Returns the installed version to send with a configuration request, if one is due. A request
-    /// is due if this replica announced a newer version than the installed one and no other replica
-    /// was just asked for it, or if the version requested here has arrived from another replica.
-    fn next_layout_request(&mut self, shared: &Shared, replica: SocketAddr) -> Option<Option<u64>> {
+    /// is due if it is this replica's turn to be asked for a newer version than the installed one,
+    /// or if the version requested here has arrived from elsewhere.
+    fn next_layout_request(&mut self) -> Option<Option<u64>> {
+        let (shared, replica) = (&self.shared, self.replica);
         let installed = installed_version(shared);
+        self.request_at = None;
         if self.announced <= installed {
-            self.request_at = None;
             // A replica that speaks an older protocol does not know the fields either.
             let announced =
                 self.announced.filter(|_| self.protocol >= field_requests::MIN_PROTOCOL);
@@ -204,52 +217,43 @@
             let is_obsolete = std::mem::take(&mut self.layout_pending) || fields_arrived;
             return is_obsolete.then_some(installed);
         }
-        let now = Instant::now();
-        if self.request_at.is_some_and(|it| now < it) {
-            return None;
-        }
-        let mut pending_request = shared.layout_request.lock();
-        let last = pending_request.filter(|it| self.announced <= Some(it.version));
-        let pending = last.is_some_and(|it| now < it.expires_at);
-        let retries = last.map_or(0, |it| it.retries + u32::from(!pending));
-        let doublings = retries.saturating_sub(RETRIES_BEFORE_BACKOFF).min(MAX_DOUBLINGS);
-        let expires_at = now + LAYOUT_RETRY_INTERVAL * 2u32.pow(doublings);
-        self.request_at = Some(if pending { now + LAYOUT_RETRY_INTERVAL } else { expires_at });
-        if pending {
-            return None;
-        }
-        let first_sent_at = last.map_or(now, |it| it.first_sent_at);
-        *pending_request = self.announced.map(|version| {
-            tracing::info!(
-                event = "configuration-requested",
-                version,
-                before = installed,
-                %replica,
-                retries,
-                "gateway: requested a configuration"
-            );
-            LayoutRequest { version, first_sent_at, expires_at, retries }
-        });
+        let cause = match shared.layout_requests.lock().next(shared.now(), replica) {
+            Turn::Idle => return None,
+            Turn::Wait(at) => {
+                self.request_at = Some(shared.clock.deadline(at));
+                return None;
+            }
+            Turn::Ask { cause, repeat_at } => {
+                self.request_at = Some(shared.clock.deadline(repeat_at));
+                cause
+            }
+        };
+        tracing::info!(
+            event = "configuration-requested",
+            version = self.announced,
+            before = installed,
+            %replica,
+            %cause,
+            "gateway: requested a configuration"
+        );
         self.layout_pending = true;
         self.fields_pending = false;
         Some(installed)
     }
 
     /// Applies a message; returns the update for the watcher, if any.
-    fn apply(
-        &mut self,
-        shared: &Arc<Shared>,
-        replica: SocketAddr,
-        message: WatchUpdate,
-    ) -> Result<Option<Update>, WireError> {
+    fn apply(&mut self, message: WatchUpdate) -> Result<Option<Update>, WireError> {
+        let (shared, replica) = (&self.shared, self.replica);
         match message {
             WatchUpdate::Announce { version } => {
                 self.announced = self.announced.max(Some(version));
                 layout::record_announcement(shared, replica, version);
-                self.request_at = None;
             }
             WatchUpdate::Layout(_) | WatchUpdate::LayoutDelta(_) => {
-                layout::apply(shared, replica, &message)?;
+                if !layout::apply(shared, replica, &message)? {
+                    let cause = RequestCause::NotApplicable;
+                    layout::settle_request(shared, replica, cause);
+                }
             }
             WatchUpdate::Refer { version, router } => {
                 tracing::info!(
@@ -259,7 +263,7 @@
                     provider = %router,
                     "gateway: referred to another gateway for a configuration"
                 );
-                tokio::spawn(relay::fetch(shared.clone(), router, version));
+                tokio::spawn(relay::fetch(shared.clone(), replica, router, version));
             }
             WatchUpdate::Catalog(compressed) => {
                 let catalog = compressed.decode::<Catalog>();
--- a/crates/gateway/tests/config_requests.rs
+++ b/crates/gateway/tests/config_requests.rs
@@ -26,6 +26,12 @@
 /// How much earlier one replica announces a configuration than the others.
 const HEAD_START: Duration = Duration::from_millis(50);
 
+/// The interval between changes that follow each other.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The last version of changes that follow each other, for longer than [`IN_FORCE`].
+const LAST_VERSION: u64 = 50;
+
 /// The interval between the messages of a gateway that is slow to send the configuration.
 const MESSAGE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -175,6 +181,25 @@
     publish_and_check(&gateway, &replicas, [slow, OnRequest::Send, OnRequest::Send]).await;
 }
 
+/// A replica that is the first to announce each version was asked for each of them, and none of the others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn configurations_are_not_delayed_by_a_silent_replica_while_changes_follow_each_other() {
+    let (gateway, replicas) = start().await;
+    let mut published = Vec::new();
+    for version in 2..=LAST_VERSION {
+        let on_request = [OnRequest::Ignore, OnRequest::Send, OnRequest::Send];
+        for (replica, on_request) in replicas.iter().zip(on_request) {
+            replica.publish(version, on_request);
+            sleep(CHANGE_INTERVAL / 4).await;
+        }
+        published.push((version, Instant::now()));
+        sleep(CHANGE_INTERVAL / 4).await;
+        let due = published.iter().rfind(|it| it.1.elapsed() > IN_FORCE).map(|it| it.0);
+        let installed = gateway.layout_version();
+        assert!(installed >= due, "version {installed:?} is in force, {due:?} is due");
+    }
+}
+
 /// Gateways that were stopped still accept connections, as their sockets live on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn configuration_is_not_delayed_by_referrals_to_stopped_gateways() {
