Require that a refusal of an endpoint names the request it refuses

Cause: a response with another attempt id proves nothing, but a refusal without any was taken as proof that this request did not run. An endpoint that writes an earlier refusal once more may leave the id out. A connection carries a single request, so there is no kept connection of the gateway's on which a copy could wait, but the endpoint may mix up its own. Evidence: refusal_of_another_request_does_not_prove_that_this_one_did_not_run failed in the 10 of 20 cases without an id (503 instead of 502); the 10 with another id passed before. Why it works: endpoints echo the id in their responses; what doesn't echo it is treated as a response of unknown origin, after which the request may have run. A gateway that passes a request on for another one judges by the same function.

--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -175,12 +175,14 @@
     if echoed.is_some() && echoed != attempt_id {
         return ResponseProof::Unverified;
     }
-    if headers.contains_key(&names.not_run) && !response.status.is_success() {
-        let misdirected = response.status == http::StatusCode::MISDIRECTED_REQUEST;
-        return if misdirected { ResponseProof::Misdirected } else { ResponseProof::Full };
-    }
-    if response.status == http::StatusCode::MISDIRECTED_REQUEST {
-        return ResponseProof::Misdirected;
+    let is_misdirected = response.status == http::StatusCode::MISDIRECTED_REQUEST;
+    let is_not_run = headers.contains_key(&names.not_run) && !response.status.is_success();
+    match (is_misdirected, is_not_run) {
+        // A rejection that names no request may be that of an earlier one.
+        (true, _) | (_, true) if echoed != attempt_id => return ResponseProof::Unverified,
+        (true, _) => return ResponseProof::Misdirected,
+        (false, true) => return ResponseProof::Full,
+        (false, false) => {}
     }
     let encoded = headers.contains_key(header::CONTENT_ENCODING);
     let signed = headers.contains_key(&names.signature);
--- a/crates/gateway/tests/common/endpoint.rs
+++ b/crates/gateway/tests/common/endpoint.rs
@@ -28,6 +28,8 @@
     Fail(u16),
     /// A response with this status that states that the request did not run.
     NotRun(u16),
+    /// A response with this status and these header lines, instead of the attempt id.
+    Refuse(u16, &'static str),
     /// Closes the connection without a response.
     Close,
     /// Reads the request and never responds.
@@ -50,6 +52,8 @@
     Reject,
     /// Events with these numbers, terminated correctly.
     Events(std::ops::Range<u64>),
+    /// A stream with this text, terminated correctly.
+    Text(&'static str),
     /// Events with these numbers, then a connection reset in the middle of the next event.
     Reset(std::ops::Range<u64>),
     /// Events with these numbers and a part of the next one, terminated correctly.
@@ -300,6 +304,9 @@
         Behavior::NotRun(status) => {
             head(*status, id, "not-run: 1\r\ncontent-length: 0\r\n\r\n").into_bytes()
         }
+        Behavior::Refuse(status, lines) => {
+            format!("HTTP/1.1 {status} X\r\n{lines}content-length: 0\r\n\r\n").into_bytes()
+        }
         Behavior::Close | Behavior::NoResponse => Vec::new(),
         Behavior::Truncated => {
             head(200, id, &format!("{SIGNED}content-length: 9\r\n\r\nwhole")).into_bytes()
@@ -322,6 +329,7 @@
             bytes.extend(b"0\r\n\r\n");
             bytes
         }
+        Behavior::Text(text) => [events_head(id), chunk(text), b"0\r\n\r\n".to_vec()].concat(),
         Behavior::Reset(events) => {
             let mut bytes = events_head(id);
             events.clone().for_each(|it| bytes.extend(chunk(&event(it))));
--- a/crates/gateway/tests/reported_faults.rs
+++ b/crates/gateway/tests/reported_faults.rs
@@ -222,3 +222,24 @@
     }
     assert!(started.elapsed() < Duration::from_secs(14));
 }
+
+/// Guards against an earlier refusal that an endpoint writes once more while it runs another request.
+#[rstest]
+#[case::without_an_id("not-run: 1\r\n")]
+#[case::of_another_request("not-run: 1\r\nattempt-id: a0\r\n")]
+#[tokio::test]
+async fn refusal_of_another_request_does_not_prove_that_this_one_did_not_run(
+    #[case] lines: &'static str,
+    #[values(400, 408, 421, 429, 503)] status: u16,
+    #[values("/write/", "/stream/")] path: &str,
+) {
+    let refusal = Behavior::Refuse(status, lines);
+    let endpoints = [Endpoint::start([refusal.clone()]).await, Endpoint::start([refusal]).await];
+    let service = if path == "/write/" { "plain" } else { "model" };
+    let listing = [("e0", &endpoints[0]), ("e1", &endpoints[1])];
+    let listing = listing.map(|(id, it)| it.listing_entry(service, id));
+    let fixture = Fixture::start(&layout(1), &listing).await;
+    let response = fixture.client().body("x").call(path).await;
+    assert_eq!(response.status, 502, "{response:?}");
+    assert_eq!(endpoints.iter().map(|it| it.received().len()).sum::<usize>(), 1);
+}
