Join nothing but the next numbered event to a stream that broke off

Cause: after a resumption the first event was checked only if it had an id; one without was forwarded, as was all text before the first event and after the last one. Errors by status, responses of other requests, unsigned ones and such that are no stream were not joined before either. Change: after a resumption the first event must be the next one by its id, text before it is dropped, and an answer of anything but comments without events counts as broken.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -428,7 +428,8 @@
                 Some(Err(err)) => return Err(format!("stream failed: {err}")),
                 None => {
                     let rest = self.events.finish();
-                    let rest = rest.ok_or_else(|| "stream ended mid-event".to_owned())?;
+                    let rest =
+                        rest.ok_or_else(|| "stream ended without a whole event".to_owned())?;
                     return Ok((!rest.is_empty()).then_some(rest));
                 }
             };
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -23,6 +23,12 @@
         /// The id of the next event received.
         found: u64,
     },
+    /// The first event after a resumption has no id, so it may be anything.
+    #[display("event without an id follows event {last} after a resumption")]
+    Unnumbered {
+        /// The id of the last event forwarded.
+        last: u64,
+    },
     /// The id of an event does not exceed the one before.
     #[display("event {found} follows event {last}")]
     NotIncreasing {
@@ -36,7 +42,8 @@
 /// Buffers the events of a response, across resumptions.
 ///
 /// Comments, blank lines and blocks without an id or data belong to the event after them. So they
-/// are forwarded unchanged with it, but are no progress by themselves.
+/// are forwarded unchanged with it, but are no progress by themselves. After a resumption those before
+/// the first event are dropped, as they may be part of an error.
 #[derive(Default, Debug)]
 pub(crate) struct EventBuffer {
     #[debug("{} bytes", partial.len())]
@@ -78,12 +85,15 @@
     }
 
     /// Returns what follows the last event at the end of the stream, or `None` if the stream stopped
-    /// in the middle of an event.
+    /// in the middle of an event, or consists of something else than events after a resumption.
     pub(crate) fn finish(&mut self) -> Option<Bytes> {
-        self.scanner.is_between_events(&self.partial).then(|| {
-            self.scanner = Scanner::default();
-            self.partial.split().freeze()
-        })
+        let is_whole = self.scanner.is_between_events(&self.partial);
+        self.scanner = Scanner::default();
+        let rest = self.partial.split().freeze();
+        match self.joins_events() {
+            true => (is_whole && is_comment(&rest)).then(Bytes::new),
+            false => is_whole.then_some(rest),
+        }
     }
 
     /// Prepares for the response of another endpoint and discards the incomplete event.
@@ -102,8 +112,14 @@
         while self.failed.is_none()
             && let Some(event) = self.scanner.next_event(&self.partial)
         {
+            let joins = self.joins_events();
             match self.accept(event.id) {
-                Ok(true) => end = event.end,
+                Ok(true) => {
+                    if joins {
+                        skipped = event.start;
+                    }
+                    end = event.end;
+                }
                 Ok(false) => skipped = event.end,
                 Err(err) => self.failed = Some(err),
             }
@@ -121,9 +137,17 @@
         }
     }
 
+    /// Returns whether the next event is joined to those of another response.
+    fn joins_events(&self) -> bool {
+        self.resumed && self.forwarded > 0
+    }
+
     /// Records an event to forward, or returns false for one that was forwarded before the
     /// resumption.
     fn accept(&mut self, id: Option<u64>) -> Result<bool, EventError> {
+        if let (Some(last), None, true) = (self.last_id, id, self.resumed) {
+            return Err(EventError::Unnumbered { last });
+        }
         if let (Some(last), Some(found)) = (self.last_id, id) {
             match found.checked_sub(last) {
                 None | Some(0) if self.resumed => return Ok(false),
@@ -140,9 +164,16 @@
     }
 }
 
+/// Returns whether a part of a stream has only comments and blank lines.
+fn is_comment(bytes: &[u8]) -> bool {
+    bytes.split(|it| matches!(it, b'\n' | b'\r')).all(|it| it.is_empty() || it.starts_with(b":"))
+}
+
 /// A complete event.
 #[derive(Clone, Copy, Debug)]
 struct Event {
+    /// Where its first line starts in the buffer.
+    start: usize,
     /// Where it ends in the buffer.
     end: usize,
     /// The number in its `id` line.
@@ -152,6 +183,8 @@
 /// Finds the events in a buffer, looking at each byte once.
 #[derive(Default, Debug)]
 struct Scanner {
+    /// Where the current block starts in the buffer.
+    block: usize,
     /// Where the current line starts in the buffer.
     line: usize,
     /// Where to look for the end of the line.
@@ -178,9 +211,10 @@
             match line.strip_suffix(b"\r").unwrap_or(line) {
                 b"" => {
                     let (is_event, id) = (self.is_event, self.id);
+                    let start = std::mem::replace(&mut self.block, end + 1);
                     (self.is_event, self.in_block, self.id) = (false, false, None);
                     if is_event {
-                        return Some(Event { end: end + 1, id });
+                        return Some(Event { start, end: end + 1, id });
                     }
                 }
                 line => self.read_field(line),
@@ -209,6 +243,7 @@
     /// Continues in a buffer from which the first `length` bytes were removed, up to the end of an
     /// event.
     fn forget(&mut self, length: usize) {
+        self.block = self.block.saturating_sub(length);
         self.line = self.line.saturating_sub(length);
         self.searched = self.searched.saturating_sub(length);
     }
--- a/crates/gateway/tests/reported_faults.rs
+++ b/crates/gateway/tests/reported_faults.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use {
-    common::{Behavior, Endpoint, Fixture, SIGNED, TEAM_KEY, chunk, event, layout, read_request},
+    common::{
+        Behavior, Endpoint, Fixture, Response, SIGNED, TEAM_KEY, chunk, event, layout, read_request,
+    },
     futures_util::future::join_all,
     rstest::rstest,
     std::{net::SocketAddr, time::Duration},
@@ -243,3 +245,96 @@
     assert_eq!(response.status, 502, "{response:?}");
     assert_eq!(endpoints.iter().map(|it| it.received().len()).sum::<usize>(), 1);
 }
+
+/// Guards against the answer of the next endpoint in the midst of a stream that broke off.
+#[rstest]
+#[case::server_error(Behavior::Fail(500))]
+#[case::client_error(Behavior::Fail(404))]
+#[case::not_a_stream(Behavior::Respond)]
+#[case::no_content(Behavior::Refuse(204, "attempt-id: a1\r\nendpoint-signature: s\r\n"))]
+#[case::refusal(Behavior::NotRun(503))]
+#[case::garbage(Behavior::Garbage)]
+#[case::unsigned(Behavior::Unsigned)]
+#[case::another_stream(Behavior::OtherRequest)]
+#[case::event_without_an_id(Behavior::Text("event: error\ndata: overloaded\n\n"))]
+#[case::event_without_an_id_first(Behavior::Text("data: overloaded\n\nid: 3\ndata: word-3\n\n"))]
+#[case::head_as_text(Behavior::Text("HTTP/1.1 500 X\r\ncontent-length: 10\r\n\r\noverloaded"))]
+#[case::head_and_event(Behavior::Text("HTTP/1.1 500 X\r\n\r\n"))]
+#[tokio::test]
+async fn answer_of_the_next_endpoint_is_not_joined_to_a_stream_that_broke_off(
+    #[case] next: Behavior,
+) {
+    let response = resume(next).await;
+    let events: String = (0..3).map(event).collect();
+    assert_eq!((response.body, response.complete), (events, false));
+}
+
+/// Returns the response to a stream that breaks off after three events, while all other endpoints behave
+/// like `next`.
+async fn resume(next: Behavior) -> Response {
+    let first = Endpoint::start([]).await;
+    let others = [Endpoint::start([]).await, Endpoint::start([]).await];
+    let listing = [("e0", &first), ("e1", &others[0]), ("e2", &others[1])];
+    let listing = listing.map(|(id, it)| it.listing_entry("model", id));
+    let fixture = Fixture::start(&layout(1), &listing).await;
+    // The prompt determines the endpoint. Try prompts until one starts on the first endpoint.
+    for chat in 0..50 {
+        first.set_behaviors([Behavior::Reset(0..3)]);
+        others.iter().for_each(|it| it.set_behaviors(vec![next.clone(); 2]));
+        let before = first.received().len();
+        let parts = format!("prompt-parts: {chat:x}:5000,ff{chat:x}:10");
+        let response = fixture.client().header(&parts).body("x").call("/resume/").await;
+        if first.received().len() > before && response.body.starts_with(&event(0)) {
+            return response;
+        }
+    }
+    panic!("no request started on the first endpoint");
+}
+
+/// A resumed stream may have what is no event, and nothing that is left to send.
+#[rstest]
+#[case::comment(": resumed\n\nid: 3\ndata: word-3\n\n", "id: 3\ndata: word-3\n\n")]
+#[case::repeated("id: 2\ndata: word-2\n\nid: 3\ndata: word-3\n\n", "id: 3\ndata: word-3\n\n")]
+#[case::later_comment("id: 3\ndata: word-3\n\n: end\n\n", "id: 3\ndata: word-3\n\n: end\n\n")]
+#[case::only_a_comment(": end\n\n", "")]
+#[tokio::test]
+async fn resumed_stream_is_completed_beside_comments(
+    #[case] next: &'static str,
+    #[case] rest: &str,
+) {
+    let response = resume(Behavior::Text(next)).await;
+    let events: String = (0..3).map(event).collect();
+    assert_eq!((response.body, response.complete), (format!("{events}{rest}"), true));
+}
+
+/// Guards against a response that looks whole though the endpoint stopped in its head. Nothing but the
+/// end of the connection would mark the end of its body.
+#[rstest]
+#[tokio::test]
+async fn response_whose_head_stops_halfway_is_not_forwarded(
+    #[values(false, true)] is_stream: bool,
+) {
+    let whole = response(Framing::Connection, is_stream);
+    let head_bytes = whole.windows(4).position(|it| it == b"\r\n\r\n").expect("no head") + 4;
+    let addr = start_cutting(whole, false).await;
+    let (path, service) = if is_stream { ("/stream/", "model") } else { ("/write/", "plain") };
+    let endpoint = Endpoint::start([]).await;
+    let listing: Vec<_> = (0..20)
+        .map(|at| {
+            let mut entry = endpoint.listing_entry(service, &format!("e{at}"));
+            (entry.addr, entry.slots) = (addr, 500);
+            entry
+        })
+        .collect();
+    let fixture = Fixture::start(&layout(1), &listing).await;
+    let calls = (0..head_bytes).map(|cut| {
+        let client = fixture.client().body(&format!("{cut:04}"));
+        async move { (cut, client.call(path).await) }
+    });
+    let mut reached = 0;
+    for (cut, response) in join_all(calls).await {
+        assert!(matches!(response.status, 502 | 503), "after {cut} bytes: {response:?}");
+        reached += usize::from(response.status == 502);
+    }
+    assert!(reached > head_bytes / 2, "{reached} of {head_bytes} were sent to the endpoint");
+}
