Test errors in the midst of a response and halted heads on jf-router's side

A refusal written twice can't reach another request, as a connection carries one by default (EndpointLimits::max_idle). Passed on the code as it is; no logic is changed.

--- a/crates/edge/tests/endpoint.rs
+++ b/crates/edge/tests/endpoint.rs
@@ -20,6 +20,9 @@
 
 const BODY: &[u8] = b"a complete response to a request";
 
+/// The start of the head of a response.
+const HEAD: &str = "HTTP/1.1 200 OK\r\nserver: scripted\r\n";
+
 /// The time limit for the head of a response.
 const HEAD_MS: u64 = 200;
 
@@ -46,6 +49,10 @@
     CloseBeforeHead,
     /// Refuses the request and states that it did not run.
     RefuseNotRun,
+    /// Responds with a server error.
+    Fail,
+    /// Sends the given number of bytes of the head, then closes the connection.
+    CloseInHead(usize),
 }
 
 /// A request that the endpoint received: its request line and its resume offset.
@@ -87,7 +94,7 @@
             continue;
         }
         let rest = &BODY[offset.min(BODY.len())..];
-        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", rest.len());
+        let head = format!("{HEAD}content-length: {}\r\n\r\n", rest.len());
         let len = match behavior {
             Behavior::StallInBody(len) | Behavior::CloseInBody(len) => len,
             Behavior::StallBeforeHead => return std::future::pending().await,
@@ -98,6 +105,15 @@
                 let _ = socket.write_all(head.as_bytes()).await;
                 continue;
             }
+            Behavior::Fail => {
+                let response = "HTTP/1.1 500 X\r\ncontent-length: 10\r\n\r\noverloaded";
+                let _ = socket.write_all(response.as_bytes()).await;
+                continue;
+            }
+            Behavior::CloseInHead(len) => {
+                let _ = socket.write_all(&HEAD.as_bytes()[..len]).await;
+                return;
+            }
             Behavior::SlowHead => {
                 sleep(Duration::from_millis(HEAD_MS * 3 / 2)).await;
                 rest.len()
@@ -404,3 +420,39 @@
     while !matches!(first.next().await, Ok(EndpointEvent::End { .. })) {}
     assert_eq!(client.idle_connections(), before, "a retired connection was returned to the pool");
 }
+
+/// Guards against an error in the midst of a response that broke off, from the same endpoint or from
+/// the next one.
+#[rstest]
+#[case::error(Behavior::Fail)]
+#[case::refusal(Behavior::RefuseNotRun)]
+#[tokio::test]
+async fn an_error_is_not_joined_to_a_response_that_broke_off(
+    #[case] next: Behavior,
+    #[values(0, 9)] begun: usize,
+) {
+    let behaviors = vec![Behavior::CloseInBody(begun), Behavior::Serve, next];
+    let (addr, _requests) = start_endpoint(behaviors).await;
+    let client = EndpointClient::new(addr, ServiceKind::Model, limits());
+    let (body, err) = run(&client, request(true)).await;
+    assert_eq!(body, &BODY[..begun]);
+    assert_eq!(err.map(|it| it.outcome), Some(Outcome::Unknown));
+
+    let (addr, _requests) = start_endpoint(vec![next]).await;
+    let client = EndpointClient::new(addr, ServiceKind::Model, limits());
+    let mut stream = client.send(EndpointRequest { offset: 9, ..request(true) });
+    let event = stream.next().await;
+    assert!(event.is_err(), "{event:?}");
+}
+
+/// Guards against a response that looks whole though the endpoint stopped in its head.
+#[tokio::test]
+async fn a_head_that_stops_halfway_is_an_error() {
+    for len in 0..HEAD.len() {
+        let (addr, _requests) = start_endpoint(vec![Behavior::CloseInHead(len)]).await;
+        let client = EndpointClient::new(addr, ServiceKind::Plain, limits());
+        let (body, err) = run(&client, request(false)).await;
+        assert!(body.is_empty(), "after {len} bytes: {body:?}");
+        assert_eq!(err.map(|it| it.outcome), Some(Outcome::Unknown), "after {len} bytes");
+    }
+}
