Answer an unproven 408 or 429 of an endpoint with 502

What callers would see: 408 or 429, which promise that a request did not run, for one that an endpoint has run. Evidence: the cases unproven_rate_limit and unproven_timeout of non_idempotent_request_is_not_retried failed (429 and 408 instead of 502). Change: such a response counts as failed; a request that may run again is retried.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,8 +5,8 @@
         call::Call,
         crash,
         headers::{
-            ForwardHeaders, ResponseProof, is_event_stream, is_framed, request_headers,
-            response_headers, verify_response,
+            ForwardHeaders, ResponseProof, implies_not_run, is_event_stream, is_framed,
+            request_headers, response_headers, verify_response,
         },
         notices,
         response_memory::{BufferedBody, Reservation},
@@ -86,7 +86,8 @@
     /// The request may have run.
     #[display("{reason}")]
     Indeterminate { reason: String },
-    /// The endpoint responded with a server error.
+    /// The endpoint responded with a server error, or with a status that claims without proof that it
+    /// did not run the request.
     #[display("endpoint answered {}", _0.0.status)]
     #[debug("Failed")]
     Failed(Box<(response::Parts, Bytes)>),
@@ -285,7 +286,7 @@
         let memory = Reservation::new(&call.shared.response_memory);
         match self.wait(call, read_all(&mut body, memory)).await {
             Some(Ok(body)) => {
-                if parts.status.is_server_error() {
+                if parts.status.is_server_error() || implies_not_run(parts.status) {
                     let failure = Failure::Failed(Box::new((parts, body)));
                     return Err(self.fail(AttemptOutcome::Failed, failure));
                 }
--- a/crates/gateway/src/call/outcome.rs
+++ b/crates/gateway/src/call/outcome.rs
@@ -4,11 +4,12 @@
     super::Call,
     crate::{
         attempt::{Failure, UpstreamResponse},
+        headers::implies_not_run,
         rejection::Rejection,
         stream::ProxiedStream,
     },
     edge::{Body, full},
-    http::{Response, StatusCode},
+    http::Response,
     model::MILLISECOND,
 };
 
@@ -115,14 +116,3 @@
         );
     }
 }
-
-/// Returns whether a status tells the client that the request did not run and will not run.
-fn implies_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -4,7 +4,7 @@
     crate::header_names::{HeaderNames, is_hop_by_hop},
     derive_more::Debug,
     dispatch::{Assignment, Prompt, PromptPart},
-    http::{HeaderMap, HeaderName, HeaderValue, header, request, response},
+    http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header, request, response},
     model::{Name, SECOND},
     smallvec::SmallVec,
 };
@@ -175,7 +175,7 @@
     if echoed.is_some() && echoed != attempt_id {
         return ResponseProof::Unverified;
     }
-    let is_misdirected = response.status == http::StatusCode::MISDIRECTED_REQUEST;
+    let is_misdirected = response.status == StatusCode::MISDIRECTED_REQUEST;
     let is_not_run = headers.contains_key(&names.not_run) && !response.status.is_success();
     match (is_misdirected, is_not_run) {
         // A rejection that names no request may be that of an earlier one.
@@ -194,6 +194,17 @@
     }
 }
 
+/// Returns whether a status tells the client that the request did not run and will not run.
+pub(crate) fn implies_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns the number of running and waiting requests that an endpoint reports.
 pub(crate) fn reported_load(names: &HeaderNames, headers: &HeaderMap) -> Option<u32> {
     let text = headers.get(&names.load)?.to_str().ok()?;
@@ -237,7 +248,7 @@
 /// Returns how long an endpoint that rejected a request wants none, in microseconds. The error is a
 /// value that is not a number of seconds in the accepted range.
 pub(crate) fn retry_after(response: &response::Parts) -> Result<Option<u64>, HeaderValue> {
-    if response.status != http::StatusCode::SERVICE_UNAVAILABLE {
+    if response.status != StatusCode::SERVICE_UNAVAILABLE {
         return Ok(None);
     }
     let Some(value) = response.headers.get(header::RETRY_AFTER) else { return Ok(None) };
--- a/crates/gateway/tests/responses.rs
+++ b/crates/gateway/tests/responses.rs
@@ -140,6 +140,8 @@
 #[case::unsigned(Behavior::Unsigned)]
 #[case::encoded(Behavior::Encoded)]
 #[case::unproven_rejection(Behavior::Fail(503))]
+#[case::unproven_rate_limit(Behavior::Fail(429))]
+#[case::unproven_timeout(Behavior::Fail(408))]
 #[tokio::test]
 async fn non_idempotent_request_is_not_retried(#[case] behavior: Behavior) {
     let (fixture, endpoints) = start_plain([vec![behavior.clone()], vec![behavior]]).await;
