Ask other gateways for a newer configuration while control replicas may withhold one

Cause: a gateway asked others only until it had a first configuration and a list of endpoints, and one that answered slowly held it up for 5 s. Change: it also asks one at random every 700 ms while fewer than two watched replicas hear of a leader, or while an announced version is overdue; the next one is asked meanwhile if one is slow. The request and its answer are those that a gateway that starts uses, so older builds know them, and whoever has nothing newer sends nothing.

--- a/crates/fanout/src/requests.rs
+++ b/crates/fanout/src/requests.rs
@@ -113,6 +113,12 @@
         self.first_sent_at
     }
 
+    /// Returns whether an announced version has not been installed in the time for an answer.
+    pub fn is_overdue(&self, now: Time) -> bool {
+        let is_late = self.first_sent_at.is_some_and(|it| it + ANSWER_TIME <= now);
+        is_late && self.candidates().next().is_some()
+    }
+
     /// Records that a replica announced a version.
     pub fn record_announced(&mut self, addr: SocketAddr, version: u64) {
         match self.replicas.iter_mut().find(|it| it.addr == addr) {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -34,6 +34,9 @@
 /// reports.
 const WATCHED_REPLICAS: usize = 3;
 
+/// How many of the watched replicas must hear of a leader. A single one may lag behind it.
+const MIN_HEALTHY_REPLICAS: usize = 2;
+
 /// How long a replica may take to become healthy before an additional one is watched, in
 /// milliseconds.
 const PROBATION_MS: u64 = 1_500;
@@ -69,6 +72,7 @@
     loop {
         let addrs = seeds.borrow_and_update().clone();
         watcher.reconcile(&addrs);
+        watcher.update_doubt();
         tokio::select! {
             update = updates.recv() => match update {
                 Some(update) => watcher.apply(update),
@@ -110,6 +114,22 @@
         }
     }
 
+    /// Records whether enough replicas hear of a leader to announce a new configuration.
+    fn update_doubt(&self) {
+        let known = self.watched.values().map(|it| it.replicas.len()).max().unwrap_or(0);
+        let healthy = self.watched.values().filter(|it| it.has_leader).count();
+        let in_doubt = healthy < MIN_HEALTHY_REPLICAS.min(known.max(1));
+        if self.shared.control_in_doubt.swap(in_doubt, Ordering::Relaxed) != in_doubt {
+            tracing::info!(
+                event = "control-doubted",
+                in_doubt,
+                healthy,
+                known,
+                "gateway: changed whether other gateways are asked for newer configurations"
+            );
+        }
+    }
+
     fn select_replicas(&self, seeds: &[SocketAddr]) -> BTreeSet<SocketAddr> {
         let now = self.shared.now();
         let candidates = self.watched.values().flat_map(|it| it.replicas.iter().copied());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -139,6 +139,7 @@
             layout_changed: watch::Sender::default(),
             startup_progress: watch::Sender::default(),
             held: AtomicUsize::new(0),
+            control_in_doubt: AtomicBool::new(false),
             catalog_updated_at: AtomicU64::new(clock.now().0),
             endpoints_loaded: AtomicBool::new(false),
             evacuations: Mutex::default(),
@@ -157,7 +158,7 @@
         let tasks = vec![
             tokio::spawn(control::run(shared.clone(), seed_updates)),
             tokio::spawn(relay::serve(shared.clone(), listener)),
-            tokio::spawn(relay::bootstrap(shared.clone())),
+            tokio::spawn(relay::seek(shared.clone())),
             tokio::spawn(discovery::run(shared.clone(), directory)),
             tokio::spawn(gossip::send_reports(shared.clone(), socket.clone())),
             tokio::spawn(gossip::send_sums(shared.clone(), socket.clone())),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,8 +1,8 @@
 //! Passes routing configurations and lists of endpoints on from gateway to gateway.
 //!
 //! Control hosts have slow links. A control replica that is busy sending a configuration refers a gateway to another
-//! gateway that has it. A gateway that has just started also asks others by itself, until it has a configuration and a
-//! list of endpoints.
+//! gateway that has it. A gateway also asks others by itself: when it has just started, until it has a configuration and
+//! a list of endpoints, and while control replicas may withhold a newer configuration.
 
 use {
     crate::{
@@ -13,6 +13,7 @@
     },
     directory::Catalog,
     fanout::RequestCause,
+    model::{MILLISECOND, Time},
     std::{
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
@@ -20,7 +21,7 @@
     },
     tokio::{
         sync::Semaphore,
-        time::{Instant, error::Elapsed, sleep, timeout},
+        time::{Instant, error::Elapsed, sleep, timeout, timeout_at},
     },
     wire::{
         Compressed, Encoded, Listener, Peer, Step, Stream, WireError,
@@ -44,6 +45,10 @@
 /// How often a gateway that has just started asks another gateway.
 const BOOTSTRAP_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How often a gateway whose configuration may be out of date asks another gateway, and how long it
+/// waits for one before it asks the next, in milliseconds.
+const SEEK_INTERVAL_MS: u64 = 700;
+
 /// Accepts requests of other gateways for as long as the process runs.
 pub(crate) async fn serve(shared: Arc<Shared>, mut listener: Listener) {
     let slots = Arc::new(Semaphore::new(MAX_REQUESTS));
@@ -122,26 +127,48 @@
     Encoded::new(&WatchUpdate::Catalog(Compressed::encode(&catalog).ok()?))
 }
 
-/// Asks other gateways, one after the other, until this one has a configuration, a list of endpoints
-/// and a set of evacuated domains, for which it does not wait longer than until it is ready.
-pub(crate) async fn bootstrap(shared: Arc<Shared>) {
+/// Asks other gateways for the configuration for as long as the process runs: until this gateway has
+/// one, a list of endpoints and a set of evacuated domains, for which it does not wait longer than until
+/// it is ready, and whenever control replicas may withhold a newer one.
+pub(crate) async fn seek(shared: Arc<Shared>) {
+    let mut seek_at = Time(0);
     loop {
         sleep(BOOTSTRAP_INTERVAL).await;
-        let has_evacuations =
-            evacuations::is_known(&shared) || shared.layout_settled.load(Ordering::Relaxed);
-        let is_complete =
-            installed_version(&shared).is_some() && shared.endpoints_loaded.load(Ordering::Relaxed);
-        if is_complete && has_evacuations {
-            return;
+        if has_started(&shared) && (shared.now() < seek_at || !may_be_outdated(&shared)) {
+            continue;
         }
         let Some(provider) = choose_provider(&shared) else { continue };
-        let received = timeout(FETCH_TIMEOUT, receive_state(&shared, provider)).await;
-        if let Ok(Err(err)) = received {
-            tracing::debug!("gateway: {provider} did not send its state: {err}");
-        }
+        seek_at = shared.now() + SEEK_INTERVAL_MS * MILLISECOND;
+        let mut task = tokio::spawn(ask(shared.clone(), provider));
+        // A slow gateway does not keep this one from asking others.
+        let _ = timeout_at(shared.clock.deadline(seek_at), &mut task).await;
+    }
+}
+
+async fn ask(shared: Arc<Shared>, provider: SocketAddr) {
+    let received = timeout(FETCH_TIMEOUT, receive_state(&shared, provider)).await;
+    if let Ok(Err(err)) = received {
+        tracing::debug!("gateway: {provider} did not send its state: {err}");
     }
 }
 
+/// Returns whether this gateway has a configuration, a list of endpoints and, unless it has waited long
+/// enough, a set of evacuated domains.
+fn has_started(shared: &Shared) -> bool {
+    let has_evacuations =
+        evacuations::is_known(shared) || shared.layout_settled.load(Ordering::Relaxed);
+    installed_version(shared).is_some()
+        && shared.endpoints_loaded.load(Ordering::Relaxed)
+        && has_evacuations
+}
+
+/// Returns whether another gateway may have a newer configuration: too few control replicas would
+/// announce one, or those that announced one do not send it.
+fn may_be_outdated(shared: &Shared) -> bool {
+    shared.control_in_doubt.load(Ordering::Relaxed)
+        || shared.layout_requests.lock().is_overdue(shared.now())
+}
+
 /// Returns a random gateway, of the own domain in every other case.
 fn choose_provider(shared: &Shared) -> Option<SocketAddr> {
     let (own, domain) = (shared.settings.inner, &shared.settings.domain);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -148,6 +148,8 @@
     pub(crate) startup_progress: watch::Sender<()>,
     /// The number of requests held until this gateway has started.
     pub(crate) held: AtomicUsize,
+    /// Whether so few control replicas are healthy that a new configuration may not be announced here.
+    pub(crate) control_in_doubt: AtomicBool,
     /// When the control plane last confirmed the endpoint list, in microseconds of this process's
     /// clock.
     pub(crate) catalog_updated_at: AtomicU64,
--- a/crates/gateway/tests/config_requests.rs
+++ b/crates/gateway/tests/config_requests.rs
@@ -3,8 +3,10 @@
 mod common;
 
 use {
-    common::{StaticList, gateway_settings, layout, start_gateway, wait_until},
+    common::{StaticList, free_port, gateway_settings, layout, start_gateway, wait_until},
+    directory::ListedEndpoint,
     gateway::Gateway,
+    model::Domain,
     route::FIELD_LEVEL,
     rstest::rstest,
     settings::GatewaySettings,
@@ -26,6 +28,9 @@
 /// How much earlier one replica announces a configuration than the others.
 const HEAD_START: Duration = Duration::from_millis(50);
 
+/// The interval between the heartbeats of a replica.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The interval between changes that follow each other.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -44,11 +49,13 @@
     Refer(SocketAddr),
 }
 
-/// The version that a replica announces, and what it does about requests.
-#[derive(Clone, Copy, Debug)]
+/// The version that a replica announces, what it does about requests, and the gateways that it names.
+#[derive(Clone, Debug)]
 struct Script {
     version: u64,
     on_request: OnRequest,
+    routers: Vec<SocketAddr>,
+    is_stopped: bool,
 }
 
 /// A control replica that is always healthy by its heartbeats.
@@ -62,7 +69,9 @@
         let listener = Listener::bind(([127, 0, 0, 1], 0).into(), None, Traffic::default()).await;
         let mut listener = listener.expect("failed to bind");
         let addr = listener.addr();
-        let script = watch::Sender::new(Script { version: 1, on_request: OnRequest::Send });
+        let routers = Vec::new();
+        let (on_request, is_stopped) = (OnRequest::Send, false);
+        let script = watch::Sender::new(Script { version: 1, on_request, routers, is_stopped });
         let changes = script.clone();
         tokio::spawn(async move {
             while let Some(incoming) = listener.accept().await {
@@ -73,7 +82,16 @@
     }
 
     fn publish(&self, version: u64, on_request: OnRequest) {
-        self.script.send_replace(Script { version, on_request });
+        self.script.send_modify(|it| (it.version, it.on_request) = (version, on_request));
+    }
+
+    fn name_routers(&self, routers: &[SocketAddr]) {
+        self.script.send_modify(|it| it.routers = routers.to_vec());
+    }
+
+    /// Ends all streams. New ones end at once.
+    fn stop(&self) {
+        self.script.send_modify(|it| it.is_stopped = true);
     }
 }
 
@@ -81,10 +99,20 @@
 async fn serve(stream: Stream, mut script: watch::Receiver<Script>) -> Result<(), WireError> {
     let (mut send, mut recv) = stream.split();
     let _ = recv.recv::<WatchHello>().await?;
-    let mut heartbeats = interval(Duration::from_millis(500));
-    let mut announced = None;
+    let mut heartbeats = interval(HEARTBEAT_INTERVAL);
+    let (mut announced, mut named) = (None, None);
     loop {
-        let Script { version, on_request } = *script.borrow_and_update();
+        let Script { version, on_request, routers, is_stopped } =
+            script.borrow_and_update().clone();
+        if is_stopped {
+            return Ok(());
+        }
+        if named.as_ref() != Some(&routers) {
+            let members = routers.iter().map(|it| (*it, Domain("d0".into()))).collect();
+            let fleet = WatchUpdate::Fleet { routers: members, replicas: Vec::new() };
+            send.send(&fleet).await?;
+            named = Some(routers);
+        }
         if announced.replace(version) != Some(version) {
             send.send(&WatchUpdate::Announce { version }).await?;
         }
@@ -119,12 +147,28 @@
     WatchUpdate::Layout(Compressed::compress(&bytes).expect("failed to compress"))
 }
 
+/// Returns a list with an endpoint, without which a gateway has not started.
+fn list() -> StaticList {
+    let list = StaticList::default();
+    list.replace(&[ListedEndpoint {
+        id: "e0".into(),
+        service: "plain".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        domain: Domain("d0".into()),
+        slots: 8,
+        draining: false,
+        started_at_ms: None,
+        build: None,
+    }]);
+    list
+}
+
 /// Starts a gateway that watches three replicas, and waits until it has heard of version 1 from all of them.
 async fn start() -> (Gateway, [Replica; 3]) {
     let replicas = [Replica::start().await, Replica::start().await, Replica::start().await];
     let control = replicas.iter().map(|it| it.addr).collect();
     let settings = GatewaySettings { control, ..gateway_settings(replicas[0].addr) };
-    let gateway = start_gateway(settings, StaticList::default()).await;
+    let gateway = start_gateway(settings, list()).await;
     wait_until(|| gateway.layout_version() == Some(1)).await;
     wait_until(|| replicas.iter().all(|it| it.script.receiver_count() > 0)).await;
     (gateway, replicas)
@@ -200,6 +244,26 @@
     }
 }
 
+/// A gateway lost all replicas that it watched just before they would have announced a version.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn configuration_is_had_from_another_gateway_when_no_watched_replica_announces_it() {
+    let (gateway, replicas) = start().await;
+    let other_replica = Replica::start().await;
+    let settings = GatewaySettings { inner: free_port(), ..gateway_settings(other_replica.addr) };
+    let other_addr = settings.inner;
+    let other = start_gateway(settings, list()).await;
+    wait_until(|| other.is_ready() && gateway.is_ready()).await;
+    replicas.iter().for_each(|it| it.name_routers(&[other_addr]));
+    sleep(HEARTBEAT_INTERVAL).await;
+    replicas.iter().for_each(Replica::stop);
+    other_replica.publish(2, OnRequest::Send);
+    wait_until(|| other.layout_version() == Some(2)).await;
+    let published_at = Instant::now();
+    wait_until(|| gateway.layout_version() == Some(2)).await;
+    let took = published_at.elapsed();
+    assert!(took < IN_FORCE, "in force after {took:?}");
+}
+
 /// Gateways that were stopped still accept connections, as their sockets live on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn configuration_is_not_delayed_by_referrals_to_stopped_gateways() {
