Take the list of endpoints from another replica when its source is silent

Change: a source that sent nothing for 1.5 s makes way for a replica whose list is recent, and no longer counts as confirmed. The list is then requested from that one.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -41,6 +41,10 @@
 /// milliseconds.
 const PROBATION_MS: u64 = 1_500;
 
+/// How long the replica whose endpoint list is applied may be silent before that of another one is
+/// requested, in milliseconds: until the second heartbeat in a row would be late.
+const LIST_SILENCE_MS: u64 = 1_500;
+
 /// How often the set of watched replicas is recomputed.
 const RECONCILE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -53,6 +57,8 @@
     catalog_wanted: watch::Sender<bool>,
     /// Until this time the replica counts as healthy even without a heartbeat that shows it.
     probation_until: Time,
+    /// When the replica last sent an update.
+    heard_at: Time,
     /// Whether the replica hears of a leader, so that it would know of a newer configuration.
     has_leader: bool,
     /// Whether the replica has read the endpoint list recently.
@@ -73,6 +79,7 @@
         let addrs = seeds.borrow_and_update().clone();
         watcher.reconcile(&addrs);
         watcher.update_doubt();
+        watcher.update_catalog_source();
         tokio::select! {
             update = updates.recv() => match update {
                 Some(update) => watcher.apply(update),
@@ -87,6 +94,13 @@
     }
 }
 
+impl WatchedReplica {
+    /// Returns whether the endpoint list of this replica is up to date.
+    fn has_recent_list(&self, now: Time) -> bool {
+        self.listing_is_recent && now < self.heard_at + LIST_SILENCE_MS * MILLISECOND
+    }
+}
+
 struct ReplicaWatcher {
     shared: Arc<Shared>,
     sender: mpsc::Sender<ReplicaUpdate>,
@@ -178,6 +192,7 @@
             task: task.abort_handle(),
             catalog_wanted,
             probation_until: self.shared.now() + PROBATION_MS * MILLISECOND,
+            heard_at: self.shared.now(),
             has_leader: false,
             listing_is_recent: false,
             routers: Vec::new(),
@@ -190,6 +205,7 @@
     fn apply(&mut self, update: ReplicaUpdate) {
         let ReplicaUpdate { replica, update } = update;
         let Some(watched) = self.watched.get_mut(&replica) else { return };
+        watched.heard_at = self.shared.now();
         match update {
             Update::Membership { routers, replicas } => {
                 (watched.routers, watched.replicas) = (routers, replicas);
@@ -209,12 +225,10 @@
             }
             Update::Heartbeat { has_leader, listing_is_recent } => {
                 (watched.has_leader, watched.listing_is_recent) = (has_leader, listing_is_recent);
-                self.update_catalog_source();
             }
             Update::Disconnected => {
                 (watched.has_leader, watched.listing_is_recent) = (false, false);
                 (watched.catalog, watched.cold) = (None, None);
-                self.update_catalog_source();
             }
         }
     }
@@ -240,15 +254,22 @@
         self.shared.dispatcher.lock().set_routers(now, own, routers);
     }
 
-    /// Keeps the current source of the endpoint list for as long as that replica reads the list.
+    /// Keeps the current source of the endpoint list for as long as its list is up to date.
     fn update_catalog_source(&mut self) {
+        let now = self.shared.now();
         let present = self.catalog_source.and_then(|it| self.watched.get(&it));
-        if !present.is_some_and(|it| it.listing_is_recent) {
-            let listed = self.watched.iter().filter(|it| it.1.listing_is_recent);
+        if !present.is_some_and(|it| it.has_recent_list(now)) {
+            let listed = self.watched.iter().filter(|it| it.1.has_recent_list(now));
             let order =
                 |it: &(&SocketAddr, &WatchedReplica)| (it.1.catalog.is_none(), self.rank(*it.0));
             let best = listed.min_by_key(order).map(|it| *it.0);
-            if let Some(replica) = best.filter(|it| self.catalog_source != Some(*it)) {
+            if let Some(replica) = best {
+                tracing::info!(
+                    event = "list-source",
+                    before = ?self.catalog_source,
+                    %replica,
+                    "gateway: applies the list of endpoints of another control replica"
+                );
                 self.catalog_source = Some(replica);
                 self.apply_catalog(replica);
                 self.apply_cold(replica);
@@ -261,8 +282,8 @@
                 .send_if_modified(|it| std::mem::replace(it, catalog_wanted) != catalog_wanted);
         }
         let catalog_source = self.catalog_source.and_then(|it| self.watched.get(&it));
-        if catalog_source.is_some_and(|it| it.listing_is_recent && it.catalog.is_some()) {
-            self.shared.catalog_updated_at.store(self.shared.now().0, Ordering::Relaxed);
+        if catalog_source.is_some_and(|it| it.has_recent_list(now) && it.catalog.is_some()) {
+            self.shared.catalog_updated_at.store(now.0, Ordering::Relaxed);
         }
     }
 
--- a/crates/gateway/tests/config_requests.rs
+++ b/crates/gateway/tests/config_requests.rs
@@ -1,10 +1,13 @@
-//! Requests for a configuration while some of those that have it do not send it.
+//! Requests for a configuration or a list of endpoints while some of those that have it do not send it.
 
 mod common;
 
 use {
-    common::{StaticList, free_port, gateway_settings, layout, start_gateway, wait_until},
-    directory::ListedEndpoint,
+    common::{
+        Client, Endpoint, StaticList, free_port, gateway_settings, layout, start_gateway,
+        wait_until,
+    },
+    directory::{Catalog, ListedEndpoint},
     gateway::Gateway,
     model::Domain,
     route::FIELD_LEVEL,
@@ -25,6 +28,10 @@
 /// The time within which a change must be in force on the users' platform.
 const IN_FORCE: Duration = Duration::from_millis(2_500);
 
+/// The time within which endpoints must be drained on the users' platform, less that which a replica may take to read the
+/// list of endpoints.
+const DRAINED: Duration = Duration::from_millis(3_000 - 500);
+
 /// How much earlier one replica announces a configuration than the others.
 const HEAD_START: Duration = Duration::from_millis(50);
 
@@ -49,13 +56,24 @@
     Refer(SocketAddr),
 }
 
-/// The version that a replica announces, what it does about requests, and the gateways that it names.
+/// Whether a replica keeps its streams alive.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Liveness {
+    Alive,
+    /// It sends nothing, and its streams stay open.
+    Frozen,
+    /// Its streams end, also new ones.
+    Stopped,
+}
+
+/// The version that a replica announces, what it does about requests, and the gateways and endpoints that it lists.
 #[derive(Clone, Debug)]
 struct Script {
     version: u64,
     on_request: OnRequest,
     routers: Vec<SocketAddr>,
-    is_stopped: bool,
+    endpoints: Vec<ListedEndpoint>,
+    liveness: Liveness,
 }
 
 /// A control replica that is always healthy by its heartbeats.
@@ -69,9 +87,13 @@
         let listener = Listener::bind(([127, 0, 0, 1], 0).into(), None, Traffic::default()).await;
         let mut listener = listener.expect("failed to bind");
         let addr = listener.addr();
-        let routers = Vec::new();
-        let (on_request, is_stopped) = (OnRequest::Send, false);
-        let script = watch::Sender::new(Script { version: 1, on_request, routers, is_stopped });
+        let script = watch::Sender::new(Script {
+            version: 1,
+            on_request: OnRequest::Send,
+            routers: Vec::new(),
+            endpoints: Vec::new(),
+            liveness: Liveness::Alive,
+        });
         let changes = script.clone();
         tokio::spawn(async move {
             while let Some(incoming) = listener.accept().await {
@@ -89,9 +111,12 @@
         self.script.send_modify(|it| it.routers = routers.to_vec());
     }
 
-    /// Ends all streams. New ones end at once.
-    fn stop(&self) {
-        self.script.send_modify(|it| it.is_stopped = true);
+    fn list_endpoints(&self, endpoints: &[ListedEndpoint]) {
+        self.script.send_modify(|it| it.endpoints = endpoints.to_vec());
+    }
+
+    fn set_liveness(&self, liveness: Liveness) {
+        self.script.send_modify(|it| it.liveness = liveness);
     }
 }
 
@@ -100,12 +125,25 @@
     let (mut send, mut recv) = stream.split();
     let _ = recv.recv::<WatchHello>().await?;
     let mut heartbeats = interval(HEARTBEAT_INTERVAL);
-    let (mut announced, mut named) = (None, None);
+    let (mut announced, mut named, mut listed) = (None, None, None);
+    let mut catalog_wanted = false;
     loop {
-        let Script { version, on_request, routers, is_stopped } =
+        let Script { version, on_request, routers, endpoints, liveness } =
             script.borrow_and_update().clone();
-        if is_stopped {
-            return Ok(());
+        match liveness {
+            Liveness::Alive => {}
+            Liveness::Stopped => return Ok(()),
+            Liveness::Frozen => {
+                let _ = script.changed().await;
+                continue;
+            }
+        }
+        let listing_is_recent = !endpoints.is_empty();
+        if catalog_wanted && listed.as_ref() != Some(&endpoints) {
+            let catalog = Catalog::from_endpoints(&endpoints);
+            let catalog = Compressed::encode(&catalog).expect("failed to encode");
+            send.send(&WatchUpdate::Catalog(catalog)).await?;
+            listed = Some(endpoints);
         }
         if named.as_ref() != Some(&routers) {
             let members = routers.iter().map(|it| (*it, Domain("d0".into()))).collect();
@@ -118,14 +156,17 @@
         }
         tokio::select! {
             _ = heartbeats.tick() => {
-                send.send(&WatchUpdate::Heartbeat { has_leader: true, listing_is_recent: false }).await?;
+                send.send(&WatchUpdate::Heartbeat { has_leader: true, listing_is_recent }).await?;
             }
             changed = script.changed() => if changed.is_err() {
                 return Ok(());
             },
             request = recv.recv::<WatchRequest>() => {
                 let Some(request) = request? else { return Ok(()) };
-                let WatchRequest::Layout { installed_version } = request else { continue };
+                let WatchRequest::Layout { installed_version } = request else {
+                    catalog_wanted = true;
+                    continue;
+                };
                 if installed_version >= Some(version) {
                     continue;
                 }
@@ -147,19 +188,23 @@
     WatchUpdate::Layout(Compressed::compress(&bytes).expect("failed to compress"))
 }
 
-/// Returns a list with an endpoint, without which a gateway has not started.
-fn list() -> StaticList {
-    let list = StaticList::default();
-    list.replace(&[ListedEndpoint {
-        id: "e0".into(),
+fn entry(id: &str, addr: SocketAddr) -> ListedEndpoint {
+    ListedEndpoint {
+        id: id.into(),
         service: "plain".into(),
-        addr: ([127, 0, 0, 1], 1).into(),
+        addr,
         domain: Domain("d0".into()),
         slots: 8,
         draining: false,
         started_at_ms: None,
         build: None,
-    }]);
+    }
+}
+
+/// Returns a list with an endpoint, without which a gateway has not started.
+fn list() -> StaticList {
+    let list = StaticList::default();
+    list.replace(&[entry("e0", ([127, 0, 0, 1], 1).into())]);
     list
 }
 
@@ -255,7 +300,7 @@
     wait_until(|| other.is_ready() && gateway.is_ready()).await;
     replicas.iter().for_each(|it| it.name_routers(&[other_addr]));
     sleep(HEARTBEAT_INTERVAL).await;
-    replicas.iter().for_each(Replica::stop);
+    replicas.iter().for_each(|it| it.set_liveness(Liveness::Stopped));
     other_replica.publish(2, OnRequest::Send);
     wait_until(|| other.layout_version() == Some(2)).await;
     let published_at = Instant::now();
@@ -264,6 +309,31 @@
     assert!(took < IN_FORCE, "in force after {took:?}");
 }
 
+/// The list of endpoints came from a replica that was killed, while two others had a newer one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn list_of_endpoints_is_not_kept_from_a_silent_replica() {
+    let endpoints = [Endpoint::start([]).await, Endpoint::start([]).await];
+    let entries = [entry("e0", endpoints[0].addr), entry("e1", endpoints[1].addr)];
+    let (gateway, replicas) = start().await;
+    // The gateway has its list from the only one that has read it.
+    replicas[0].list_endpoints(&entries[..1]);
+    let client = Client::new(gateway.addr());
+    wait_until(|| gateway.is_ready()).await;
+    while client.clone().call("/read/").await.status != 200 {
+        sleep(Duration::from_millis(20)).await;
+    }
+    replicas[1..].iter().for_each(|it| it.list_endpoints(&entries[..1]));
+    sleep(HEARTBEAT_INTERVAL * 2).await;
+    replicas[0].set_liveness(Liveness::Frozen);
+    replicas[1..].iter().for_each(|it| it.list_endpoints(&entries[1..]));
+    let listed_at = Instant::now();
+    while endpoints[1].received().is_empty() {
+        assert!(listed_at.elapsed() < DRAINED, "not in use after {DRAINED:?}");
+        client.clone().call("/read/").await;
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Gateways that were stopped still accept connections, as their sockets live on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn configuration_is_not_delayed_by_referrals_to_stopped_gateways() {
