Hold requests that an announced configuration may allow, instead of refusing them for good

No client retries a 404 or 401, so that each one is a lost request, whatever made the gateway late. Cause: a gateway decided by the version that it had, also when it had heard of a newer one, or had started less than a second ago with a first configuration that may come from a replica that lags. Change: a request without a route or with an unknown key is held until the version that was announced when it arrived is installed, at most 1.5 s and half of its time; then it is decided on again, or answered 503 with Retry-After, so that the client turns to another gateway. What the installed version allows is served as before, and while the gateway is up to date a refusal is as quick as before. Evidence: request_that_an_announced_version_may_allow_is_not_refused_for_good (404 and 401) and request_on_an_announced_route_is_served_when_its_version_arrives (404) failed before. cargo test -p gateway: config_requests, lifecycle, versions, outage, responses, refusals passed.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -14,7 +14,7 @@
         replacement,
         shared::{PlacementResult, Rejected, Shared},
         sse::EventBuffer,
-        startup::{self, EXPECTED_START_MS, MAX_HELD_BODY_BYTES},
+        startup::{EXPECTED_START_MS, Holds, MAX_HELD_BODY_BYTES},
         upstream::{IdleConnection, SendError},
     },
     ::quarantine::{Admission, Subject},
@@ -63,22 +63,32 @@
     let arrived = shared.now();
     let (parts, body) = request.into_parts();
     let head = RequestHead::read(&shared.names, &parts);
-    if let Some(hold_deadline) = startup::hold_deadline(&shared, &head, arrived) {
+    let holds = Holds::new(&shared, &head, arrived);
+    let mut admission = admit(&shared, &head, &parts);
+    let mut hold = holds.next(&shared, admission.as_ref().err());
+    if hold.is_some() {
         let stall = Duration::from_millis(MAX_DISCARD_MS);
         let body = match read_all(body, MAX_HELD_BODY_BYTES, stall).await {
             Ok(body) => body,
-            Err(_) => return reject(&shared, &head, no_configuration(&shared)),
+            Err(_) => {
+                let refusal = admission.err().unwrap_or_else(|| no_configuration(&shared));
+                return reject(&shared, &head, holds.refusal(&shared, refusal));
+            }
         };
-        startup::hold(&shared, &head, hold_deadline).await;
-        return match admit(&shared, &head, &parts) {
+        while let Some(current) = hold {
+            current.wait(&shared, &head).await;
+            admission = admit(&shared, &head, &parts);
+            hold = holds.next(&shared, admission.as_ref().err());
+        }
+        return match admission {
             Ok(admitted) if body.len() > admitted.body_limit => {
                 reject(&shared, &head, Rejection::TooLarge)
             }
             Ok(admitted) => run(shared, admitted, parts, head, body, arrived).await,
-            Err(rejection) => reject(&shared, &head, rejection),
+            Err(refusal) => reject(&shared, &head, holds.refusal(&shared, refusal)),
         };
     }
-    let admitted = match admit(&shared, &head, &parts) {
+    let admitted = match admission {
         Ok(it) => it,
         Err(rejection) => {
             // A connection that is closed with unread bytes is reset, which may discard the
@@ -87,7 +97,7 @@
                 let deadline = shared.clock.deadline(arrived + MAX_DISCARD_MS * MILLISECOND);
                 discard(body, MAX_DISCARDED_BYTES, deadline).await;
             }
-            return reject(&shared, &head, rejection);
+            return reject(&shared, &head, holds.refusal(&shared, rejection));
         }
     };
     let stall = Duration::from_millis(time_limit_ms(&admitted, &head));
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -86,7 +86,7 @@
     shared.paths.lock().set_endpoints(endpoints_by_path);
     shared.origins.lock().update_endpoints(now, endpoints);
     if !shared.endpoints_loaded.swap(true, Ordering::Relaxed) {
-        shared.startup_progress.send_replace(());
+        shared.progress.send_replace(());
     }
     changes.iter().for_each(log);
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -137,7 +137,7 @@
             announcement: Mutex::new(None),
             layout_requests: Mutex::default(),
             layout_changed: watch::Sender::default(),
-            startup_progress: watch::Sender::default(),
+            progress: watch::Sender::default(),
             held: AtomicUsize::new(0),
             control_in_doubt: AtomicBool::new(false),
             catalog_updated_at: AtomicU64::new(clock.now().0),
--- a/crates/gateway/src/layout.rs
+++ b/crates/gateway/src/layout.rs
@@ -134,12 +134,13 @@
     *shared.layout_installed_at.lock() = Some(Instant::now());
     set_service_limits(shared, layout);
     shared.table.store(Some(Arc::new(RouteTable::new(layout.clone()))));
+    shared.progress.send_replace(());
     if installed.is_none() {
-        shared.startup_progress.send_replace(());
         let shared = shared.clone();
         tokio::spawn(async move {
             sleep(SETTLE_DELAY).await;
             shared.layout_settled.store(true, Ordering::Relaxed);
+            shared.progress.send_replace(());
         });
     }
 }
--- a/crates/gateway/src/rejection.rs
+++ b/crates/gateway/src/rejection.rs
@@ -11,6 +11,8 @@
 pub(crate) enum Rejection {
     #[display("no configuration received yet")]
     NoConfiguration { retry_ms: u64 },
+    #[display("the configuration is out of date")]
+    Outdated,
     #[display("no route matches the request")]
     NoRoute,
     #[display("missing or unknown team key")]
@@ -47,15 +49,16 @@
 /// takes to be listed.
 const NO_ENDPOINT_RETRY_MS: u64 = 500;
 
-/// The retry delay when this gateway is shutting down and the client may try another one, in
-/// milliseconds.
-const STOPPING_RETRY_MS: u64 = 50;
+/// The retry delay when this gateway is shutting down or out of date and the client may try another
+/// one, in milliseconds.
+const OTHER_GATEWAY_RETRY_MS: u64 = 50;
 
 impl Rejection {
     /// Returns the name used in logs and metrics.
     pub(crate) fn label(self) -> &'static str {
         match self {
             Rejection::NoConfiguration { .. } => "no-configuration",
+            Rejection::Outdated => "outdated",
             Rejection::Stopping => "stopping",
             Rejection::NoRoute => "no-route",
             Rejection::UnknownKey => "unknown-key",
@@ -74,6 +77,11 @@
         }
     }
 
+    /// Returns whether another version of the configuration may allow the request.
+    pub(crate) fn depends_on_version(self) -> bool {
+        matches!(self, Rejection::NoRoute | Rejection::UnknownKey)
+    }
+
     fn status(self) -> StatusCode {
         match self {
             Rejection::NoRoute => StatusCode::NOT_FOUND,
@@ -81,6 +89,7 @@
             Rejection::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Rejection::BadBody => StatusCode::BAD_REQUEST,
             Rejection::NoConfiguration { .. }
+            | Rejection::Outdated
             | Rejection::Stopping
             | Rejection::NoEndpoint
             | Rejection::NoCommonRegion
@@ -102,7 +111,7 @@
             | Rejection::UnknownOrigin { retry_ms }
             | Rejection::AmbiguousOrigin { retry_ms }
             | Rejection::Quarantined { retry_ms } => Some(retry_ms),
-            Rejection::Stopping => Some(STOPPING_RETRY_MS),
+            Rejection::Stopping | Rejection::Outdated => Some(OTHER_GATEWAY_RETRY_MS),
             Rejection::NoEndpoint | Rejection::NoRegion | Rejection::NoVersion => {
                 Some(NO_ENDPOINT_RETRY_MS)
             }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -144,8 +144,9 @@
     pub(crate) layout_requests: Mutex<Requests>,
     /// Notified when a configuration was installed or a request for one ended.
     pub(crate) layout_changed: watch::Sender<()>,
-    /// Notified when the first configuration or list of endpoints was applied.
-    pub(crate) startup_progress: watch::Sender<()>,
+    /// Notified when a configuration or the first list of endpoints was applied, and when others had time to report a
+    /// newer configuration.
+    pub(crate) progress: watch::Sender<()>,
     /// The number of requests held until this gateway has started.
     pub(crate) held: AtomicUsize,
     /// Whether so few control replicas are healthy that a new configuration may not be announced here.
--- a/crates/gateway/tests/config_requests.rs
+++ b/crates/gateway/tests/config_requests.rs
@@ -4,13 +4,13 @@
 
 use {
     common::{
-        Client, Endpoint, StaticList, free_port, gateway_settings, layout, start_gateway,
-        wait_until,
+        Client, Endpoint, StaticList, TEAM_KEY, free_port, gateway_settings, layout, route,
+        start_gateway, wait_until,
     },
     directory::{Catalog, ListedEndpoint},
     gateway::Gateway,
     model::Domain,
-    route::FIELD_LEVEL,
+    route::{FIELD_LEVEL, RouteKind},
     rstest::rstest,
     settings::GatewaySettings,
     std::{net::SocketAddr, time::Duration},
@@ -183,8 +183,13 @@
     }
 }
 
+/// Returns a configuration that has the route `added` from version 2 on.
 fn encode(version: u64) -> WatchUpdate {
-    let bytes = layout(version).encode(FIELD_LEVEL).expect("failed to encode");
+    let mut layout = layout(version);
+    if version > 1 {
+        layout.routes.push(route("added", RouteKind::NonIdempotent, "plain"));
+    }
+    let bytes = layout.encode(FIELD_LEVEL).expect("failed to encode");
     WatchUpdate::Layout(Compressed::compress(&bytes).expect("failed to compress"))
 }
 
@@ -203,17 +208,25 @@
 
 /// Returns a list with an endpoint, without which a gateway has not started.
 fn list() -> StaticList {
+    list_of(([127, 0, 0, 1], 1).into())
+}
+
+fn list_of(endpoint: SocketAddr) -> StaticList {
     let list = StaticList::default();
-    list.replace(&[entry("e0", ([127, 0, 0, 1], 1).into())]);
+    list.replace(&[entry("e0", endpoint)]);
     list
 }
 
 /// Starts a gateway that watches three replicas, and waits until it has heard of version 1 from all of them.
 async fn start() -> (Gateway, [Replica; 3]) {
+    start_with(list()).await
+}
+
+async fn start_with(list: StaticList) -> (Gateway, [Replica; 3]) {
     let replicas = [Replica::start().await, Replica::start().await, Replica::start().await];
     let control = replicas.iter().map(|it| it.addr).collect();
     let settings = GatewaySettings { control, ..gateway_settings(replicas[0].addr) };
-    let gateway = start_gateway(settings, list()).await;
+    let gateway = start_gateway(settings, list).await;
     wait_until(|| gateway.layout_version() == Some(1)).await;
     wait_until(|| replicas.iter().all(|it| it.script.receiver_count() > 0)).await;
     (gateway, replicas)
@@ -346,3 +359,45 @@
     let on_request = [refer(&stopped[0]), refer(&stopped[1]), OnRequest::Send];
     publish_and_check(&gateway, &replicas, on_request).await;
 }
+
+/// Callers got 404 or 401 from a gateway that had heard of the version that allows their requests.
+#[rstest]
+#[case::route("/added/", TEAM_KEY, 404)]
+#[case::key("/write/", "new-key", 401)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn request_that_an_announced_version_may_allow_is_not_refused_for_good(
+    #[case] path: &str,
+    #[case] key: &str,
+    #[case] refusal: u16,
+) {
+    let endpoint = Endpoint::start([]).await;
+    let (gateway, replicas) = start_with(list_of(endpoint.addr)).await;
+    wait_until(|| gateway.is_ready()).await;
+    let client = Client::new(gateway.addr()).key(Some(key)).body("x");
+    assert_eq!(client.clone().call(path).await.status, refusal);
+    replicas.iter().for_each(|it| it.publish(2, OnRequest::Ignore));
+    sleep(HEAD_START).await;
+    let response = client.clone().call(path).await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(response.header("retry-after").is_some(), "{response:?}");
+    assert!(response.elapsed < IN_FORCE, "{response:?}");
+    let known = Client::new(gateway.addr()).body("x").call("/write/").await;
+    assert_eq!(known.status, 200);
+    assert!(known.elapsed < Duration::from_millis(500), "{known:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn request_on_an_announced_route_is_served_when_its_version_arrives() {
+    let endpoint = Endpoint::start([]).await;
+    let (gateway, replicas) = start_with(list_of(endpoint.addr)).await;
+    wait_until(|| gateway.is_ready()).await;
+    replicas[0].publish(2, OnRequest::Ignore);
+    sleep(HEAD_START).await;
+    replicas[1].publish(2, OnRequest::Send);
+    let client = Client::new(gateway.addr()).body("x");
+    let response = client.clone().call("/added/").await;
+    assert_eq!((response.status, response.body.as_str()), (200, "whole"));
+    let started = Instant::now();
+    assert_eq!(client.call("/none/").await.status, 404);
+    assert!(started.elapsed() < Duration::from_millis(500));
+}
