--- a/crates/gateway/tests/reported_faults.rs
+++ b/crates/gateway/tests/reported_faults.rs
@@ -6,6 +6,7 @@
     common::{
         Behavior, Endpoint, Fixture, Response, SIGNED, TEAM_KEY, chunk, event, layout, read_request,
     },
+    directory::ListedEndpoint,
     futures_util::future::join_all,
     rstest::rstest,
     std::{net::SocketAddr, time::Duration},
@@ -69,6 +70,16 @@
     addr
 }
 
+/// Returns many entries for an endpoint, so that those that failed do not keep the others from being tried.
+async fn copies(service: &str, addr: SocketAddr) -> Vec<ListedEndpoint> {
+    let endpoint = Endpoint::start([]).await;
+    let copy = |at| {
+        let entry = endpoint.listing_entry(service, &format!("e{at}"));
+        ListedEndpoint { addr, slots: 500, ..entry }
+    };
+    (0..20).map(copy).collect()
+}
+
 /// Guards against a response that broke off and reaches the caller as complete.
 ///
 /// A response that ends with its connection can be told from a whole one only if the connection is
@@ -88,15 +99,7 @@
     let whole = response(framing, is_stream);
     let addr = start_cutting(whole.clone(), is_reset).await;
     let (path, service) = if is_stream { ("/stream/", "model") } else { ("/write/", "plain") };
-    let endpoint = Endpoint::start([]).await;
-    // Many copies, so that endpoints that failed do not keep the others from being tried.
-    let listing: Vec<_> = (0..20)
-        .map(|at| {
-            let mut entry = endpoint.listing_entry(service, &format!("e{at}"));
-            (entry.addr, entry.slots) = (addr, 500);
-            entry
-        })
-        .collect();
+    let listing = copies(service, addr).await;
     let fixture = Fixture::start(&layout(1), &listing).await;
     let calls = (0..whole.len()).map(|cut| {
         let client = fixture.client().body(&format!("{cut:04}"));
@@ -307,8 +310,7 @@
     assert_eq!((response.body, response.complete), (format!("{events}{rest}"), true));
 }
 
-/// Guards against a response that looks whole though the endpoint stopped in its head. Nothing but the
-/// end of the connection would mark the end of its body.
+/// Guards against a response that looks whole though the endpoint stopped in its head.
 #[rstest]
 #[tokio::test]
 async fn response_whose_head_stops_halfway_is_not_forwarded(
@@ -318,14 +320,7 @@
     let head_bytes = whole.windows(4).position(|it| it == b"\r\n\r\n").expect("no head") + 4;
     let addr = start_cutting(whole, false).await;
     let (path, service) = if is_stream { ("/stream/", "model") } else { ("/write/", "plain") };
-    let endpoint = Endpoint::start([]).await;
-    let listing: Vec<_> = (0..20)
-        .map(|at| {
-            let mut entry = endpoint.listing_entry(service, &format!("e{at}"));
-            (entry.addr, entry.slots) = (addr, 500);
-            entry
-        })
-        .collect();
+    let listing = copies(service, addr).await;
     let fixture = Fixture::start(&layout(1), &listing).await;
     let calls = (0..head_bytes).map(|cut| {
         let client = fixture.client().body(&format!("{cut:04}"));
