Log when documents were sent, why the leader was not reached, and changes of the leader

- leader-unreachable, and elapsed_ms in leader-called: cause and duration of calls to the leader.
- leader-changed: the leader and term that a replica follows.

No change of logic; documents are handed to the connection in chunks of 16 KB, so that their progress is known.

--- a/crates/control/src/leader_calls.rs
+++ b/crates/control/src/leader_calls.rs
@@ -13,6 +13,7 @@
         routing_configs,
     },
     derive_more::Debug,
+    model::MILLISECOND,
     route::PublishOutcome,
     serde::{Deserialize, Serialize},
     std::{sync::Arc, time::Duration},
@@ -92,7 +93,22 @@
             None => current.insert(Peer::new(leader, shared.dialer.clone())).clone(),
         }
     };
-    let Ok(mut stream) = peer.open(LEADER_PATH).await else { return LeaderReply::NotLeader };
+    let started_at = shared.clock.now();
+    let elapsed_ms = || (shared.clock.now().0 - started_at.0) / MILLISECOND;
+    let mut stream = match peer.open(LEADER_PATH).await {
+        Ok(stream) => stream,
+        Err(err) => {
+            tracing::info!(
+                event = "leader-unreachable",
+                %leader,
+                ?call,
+                %err,
+                elapsed_ms = elapsed_ms(),
+                "control: cannot open a stream to the leader"
+            );
+            return LeaderReply::NotLeader;
+        }
+    };
     if stream.protocol < call.min_protocol() {
         return LeaderReply::Evacuation(EvacuationResult::OldMember);
     }
@@ -108,7 +124,14 @@
             LeaderReply::Unknown
         }
     };
-    tracing::info!(event = "leader-called", %leader, ?call, ?reply, "control: called the leader");
+    tracing::info!(
+        event = "leader-called",
+        %leader,
+        ?call,
+        ?reply,
+        elapsed_ms = elapsed_ms(),
+        "control: called the leader"
+    );
     reply
 }
 
--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -3,11 +3,21 @@
 use {
     bytes::{Bytes, BytesMut},
     http_body_util::{BodyExt, Empty, Full, combinators::UnsyncBoxBody},
+    hyper::body::{Frame, SizeHint},
     model::Reason,
-    std::{convert::Infallible, error::Error as StdError, time::Duration},
+    std::{
+        convert::Infallible,
+        error::Error as StdError,
+        pin::Pin,
+        task::{Context, Poll},
+        time::Duration,
+    },
     tokio::time::{Instant, timeout, timeout_at},
 };
 
+/// The size of the chunks of a [`chunked`] body, in bytes.
+const CHUNK_BYTES: usize = 16 << 10;
+
 /// The error type of a streamed body.
 pub type BodyError = Box<dyn StdError + Send + Sync>;
 
@@ -22,6 +32,66 @@
     Full::new(bytes.into()).map_err(|it: Infallible| match it {}).boxed_unsync()
 }
 
+/// Returns a body of the given bytes that is handed to the connection in chunks, as the connection takes them.
+///
+/// `on_end` is called once with the number of bytes that the connection took, when the body ends or is dropped.
+pub fn chunked<F>(bytes: Bytes, on_end: F) -> Body
+where
+    F: FnOnce(usize) + Send + Unpin + 'static,
+{
+    let chunks = Chunks { rest: bytes, taken: 0, on_end: Some(on_end) };
+    chunks.map_err(|it: Infallible| match it {}).boxed_unsync()
+}
+
+/// The body of [`chunked`].
+struct Chunks<F>
+where
+    F: FnOnce(usize),
+{
+    rest: Bytes,
+    taken: usize,
+    on_end: Option<F>,
+}
+
+impl<F> hyper::body::Body for Chunks<F>
+where
+    F: FnOnce(usize) + Unpin,
+{
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.rest.is_empty() {
+            return Poll::Ready(None);
+        }
+        let len = self.rest.len().min(CHUNK_BYTES);
+        self.taken += len;
+        Poll::Ready(Some(Ok(Frame::data(self.rest.split_to(len)))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.rest.len() as u64)
+    }
+}
+
+impl<F> Drop for Chunks<F>
+where
+    F: FnOnce(usize),
+{
+    fn drop(&mut self) {
+        if let Some(on_end) = self.on_end.take() {
+            on_end(self.taken);
+        }
+    }
+}
+
 /// Returns an empty body.
 pub fn empty() -> Body {
     Empty::new().map_err(|it: Infallible| match it {}).boxed_unsync()
--- a/crates/replica/src/shared.rs
+++ b/crates/replica/src/shared.rs
@@ -88,6 +88,17 @@
         let leading_term = raft.leader_lease(now).map(|it| it.0);
         let new =
             ReplicaStatus { applied_index, leading_term, leader: raft.leader(), stopped: false };
+        let previous = self.status.borrow().leader;
+        if previous != new.leader {
+            tracing::info!(
+                event = "leader-changed",
+                leader = new.leader.map(|it| it.0),
+                term = raft.hard_state().term.0,
+                applied_index,
+                "replica: {} follows another leader or none",
+                self.id
+            );
+        }
         self.status.send_if_modified(|it| std::mem::replace(it, new) != new);
     }
 
