Send documents one at a time, and don't redirect operators to a leader that is out of reach

Cause: a call to the leader that got no answer within 500 ms counted as "not the leader", and the operator was redirected to it. The document of 253 KB then left by the leader's link, which carries 375 KB/s, so that more calls failed and more operators were redirected. The state kept itself up after its trigger (two empty replicas that receive the log) had gone. Documents had no limit: several at a time each took longer than operators wait.

Change: a call that does not reach the leader is repeated, within 500 ms for a read and 1.5 s for a command, and ends as 503 with Retry-After; no document is redirected. A replica sends one large document at a time, paced at 0.9 of its link, and refuses further reads at once, so that operators turn to another replica (control::documents).

--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -152,7 +152,7 @@
 async fn get_routing_config(shared: &Arc<Shared>) -> AdminResult {
     let document = RoutingConfigStore::new(shared.clone()).read().await;
     let document = document.map_err(|it| publish_request_error(shared, &it))?;
-    Ok(Response::new(full(document)))
+    Ok(Response::new(document.into_body(drop)))
 }
 
 async fn put_routing_config(shared: &Arc<Shared>, request: Request<Incoming>) -> AdminResult {
@@ -173,6 +173,7 @@
 fn publish_request_error(shared: &Shared, err: &PublishError) -> RequestError {
     match err {
         PublishError::NotLeader { .. } => not_leader_error(shared),
+        PublishError::Busy => RequestError::Busy,
         PublishError::Invalid { .. } | PublishError::Unknown => RequestError::NoQuorum,
     }
 }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -5,6 +5,7 @@
         admin,
         bulk_limiter::BulkLimiter,
         discovery::{self, Discovery},
+        documents::DocumentLimiter,
         evacuations::{self, EvacuationSet, EvacuationStore},
         feed, host_list, leader_calls, ledger_calls,
         membership::{self, Membership},
@@ -50,6 +51,7 @@
     pub(crate) evacuations: watch::Sender<Option<Arc<EvacuationSet>>>,
     pub(crate) watchers: Watchers,
     pub(crate) bulk_limiter: BulkLimiter,
+    pub(crate) document_limiter: DocumentLimiter,
     pub(crate) dialer: Dialer,
     /// The connection for calls to the leader.
     pub(crate) leader_peer: Mutex<Option<Peer>>,
@@ -147,6 +149,7 @@
         let clock = Clock::start();
         let log = ReplicatedLog::open(&settings, own_addrs, dialer.clone(), clock).await?;
         let bulk_limiter = BulkLimiter::new(settings.link_mbps);
+        let document_limiter = DocumentLimiter::new(settings.link_mbps, clock);
         let shared = Arc::new(Shared {
             settings,
             operators,
@@ -162,6 +165,7 @@
             evacuations: watch::Sender::default(),
             watchers: Watchers::default(),
             bulk_limiter,
+            document_limiter,
             dialer,
             leader_peer: Mutex::default(),
             metrics: OnceLock::new(),
--- a/crates/control/src/evacuations.rs
+++ b/crates/control/src/evacuations.rs
@@ -118,11 +118,11 @@
         let mut result = commit(&self.shared, order.clone(), is_known).await;
         if result == Err(CommitError::NotLeader) {
             let call = LeaderCall::Evacuate { order: order.clone(), is_known };
-            result = match leader_calls::call(&self.shared, &call).await {
+            let reply = leader_calls::call_with_command(&self.shared, &call).await;
+            result = reply.and_then(|it| match it {
                 LeaderReply::Evacuation(result) => Ok(result),
-                LeaderReply::NotLeader => Err(CommitError::NotLeader),
                 _ => Err(CommitError::Unknown),
-            };
+            });
         }
         tracing::info!(
             event = "evacuation-ordered",
--- a/crates/control/src/leader_calls.rs
+++ b/crates/control/src/leader_calls.rs
@@ -13,19 +13,24 @@
         routing_configs,
     },
     derive_more::Debug,
-    model::MILLISECOND,
     route::PublishOutcome,
     serde::{Deserialize, Serialize},
-    std::{sync::Arc, time::Duration},
-    tokio::time::timeout,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::time::{Instant, sleep, timeout, timeout_at},
     wire::{Peer, Stream, WireError, msg::LEADER_PATH},
 };
 
 /// Time limit for receiving a call.
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(3_000);
 
-/// Time limit for a call, including the commit.
-const CALL_TIMEOUT: Duration = Duration::from_millis(5_000);
+/// Delay before a call is repeated that reached no leader.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time limit for reaching the leader with a command.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Time limit for a command, including the commit.
+const COMMAND_TIMEOUT: Duration = Duration::from_millis(5_000);
 
 /// A call to the leader.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
@@ -83,56 +88,109 @@
     }
 }
 
-/// Calls the leader. Returns [`LeaderReply::NotLeader`] if the call did not reach it.
-pub(crate) async fn call(shared: &Shared, call: &LeaderCall) -> LeaderReply {
-    let Some(leader) = shared.log.leader_internal_addr() else { return LeaderReply::NotLeader };
-    let peer = {
-        let mut current = shared.leader_peer.lock();
-        match current.as_ref().filter(|it| it.addr() == leader) {
-            Some(peer) => peer.clone(),
-            None => current.insert(Peer::new(leader, shared.dialer.clone())).clone(),
-        }
-    };
-    let started_at = shared.clock.now();
-    let elapsed_ms = || (shared.clock.now().0 - started_at.0) / MILLISECOND;
-    let mut stream = match peer.open(LEADER_PATH).await {
-        Ok(stream) => stream,
-        Err(err) => {
+/// Calls the leader with a command.
+///
+/// # Errors
+///
+/// As for [`call`].
+pub(crate) async fn call_with_command(
+    shared: &Shared,
+    command: &LeaderCall,
+) -> Result<LeaderReply, CommitError> {
+    let now = Instant::now();
+    call(shared, command, now + OPEN_TIMEOUT, now + COMMAND_TIMEOUT).await
+}
+
+/// Calls the leader, and returns its reply. A call that does not reach a leader is repeated until `open_deadline`; one
+/// that was sent is given up at `deadline`.
+///
+/// That a replica can't reach the leader doesn't mean that others can't, or that another one leads: its link may be busy.
+///
+/// # Errors
+///
+/// [`CommitError::NotLeader`] if no leader is known or none was reached. The call had no effect.
+pub(crate) async fn call(
+    shared: &Shared,
+    call: &LeaderCall,
+    open_deadline: Instant,
+    deadline: Instant,
+) -> Result<LeaderReply, CommitError> {
+    loop {
+        let leader = shared.log.leader_internal_addr().ok_or(CommitError::NotLeader)?;
+        let started = Instant::now();
+        let elapsed_ms = || started.elapsed().as_millis() as u64;
+        let peer = leader_peer(shared, leader);
+        let cause = match timeout_at(open_deadline, peer.open(LEADER_PATH)).await {
+            Ok(Ok(stream)) => {
+                let reply = exchange(&peer, stream, call, deadline).await;
+                tracing::info!(
+                    event = "leader-called",
+                    %leader,
+                    ?call,
+                    ?reply,
+                    elapsed_ms = elapsed_ms(),
+                    "control: called the leader"
+                );
+                match reply {
+                    LeaderReply::NotLeader => None,
+                    LeaderReply::Unknown => return Err(CommitError::Unknown),
+                    reply => return Ok(reply),
+                }
+            }
+            Ok(Err(err)) => Some(err.to_string()),
+            Err(elapsed) => {
+                peer.retire().await;
+                Some(elapsed.to_string())
+            }
+        };
+        if let Some(cause) = cause {
             tracing::info!(
                 event = "leader-unreachable",
                 %leader,
                 ?call,
-                %err,
+                cause,
                 elapsed_ms = elapsed_ms(),
                 "control: cannot open a stream to the leader"
             );
-            return LeaderReply::NotLeader;
         }
-    };
+        if Instant::now() + RETRY_INTERVAL >= open_deadline {
+            return Err(CommitError::NotLeader);
+        }
+        sleep(RETRY_INTERVAL).await;
+    }
+}
+
+/// Returns the connection to the leader, which is replaced when another replica leads.
+fn leader_peer(shared: &Shared, leader: SocketAddr) -> Peer {
+    let mut current = shared.leader_peer.lock();
+    match current.as_ref().filter(|it| it.addr() == leader) {
+        Some(peer) => peer.clone(),
+        None => current.insert(Peer::new(leader, shared.dialer.clone())).clone(),
+    }
+}
+
+/// Sends a call and waits for its reply.
+async fn exchange(
+    peer: &Peer,
+    mut stream: Stream,
+    call: &LeaderCall,
+    deadline: Instant,
+) -> LeaderReply {
     if stream.protocol < call.min_protocol() {
         return LeaderReply::Evacuation(EvacuationResult::OldMember);
     }
-    let exchanged = timeout(CALL_TIMEOUT, async {
+    let exchanged = timeout_at(deadline, async {
         stream.send.send(call).await?;
         stream.send.finish();
         stream.recv.recv::<LeaderReply>().await
     });
-    let reply = match exchanged.await {
+    match exchanged.await {
         Ok(Ok(Some(reply))) => reply,
         Ok(Ok(None) | Err(_)) | Err(_) => {
             peer.retire().await;
             LeaderReply::Unknown
         }
-    };
-    tracing::info!(
-        event = "leader-called",
-        %leader,
-        ?call,
-        ?reply,
-        elapsed_ms = elapsed_ms(),
-        "control: called the leader"
-    );
-    reply
+    }
 }
 
 /// Serves one call of another replica.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 mod command;
 mod control;
 mod discovery;
+mod documents;
 mod evacuation_state;
 mod evacuations;
 mod feed;
@@ -47,6 +48,7 @@
     cold_list::ColdList,
     command::{Command, Output},
     control::{Control, Sockets},
+    documents::{Document, DocumentSlot},
     evacuation_state::{
         Evacuation, EvacuationOrder, EvacuationOutcome, EvacuationRecord, EvacuationState,
     },
--- a/crates/control/src/response.rs
+++ b/crates/control/src/response.rs
@@ -56,6 +56,9 @@
     /// A member of the group runs a build without evacuations, or is not known to run one with them.
     #[display("not all control replicas are known to support evacuations; retry")]
     OldMember,
+    /// The link is occupied by a document for another operator.
+    #[display("this replica is sending a document to another operator; retry")]
+    Busy,
     /// This replica does not count towards the quorum yet.
     #[display("this replica is not a voter yet")]
     NotVoter,
@@ -78,6 +81,7 @@
         RequestError::UnknownDomain => (StatusCode::NOT_FOUND, "domain"),
         RequestError::ReusedOperation => (StatusCode::CONFLICT, "operation-id"),
         RequestError::OldMember => (StatusCode::SERVICE_UNAVAILABLE, "protocol"),
+        RequestError::Busy => (StatusCode::SERVICE_UNAVAILABLE, "busy"),
         RequestError::NotVoter => (StatusCode::SERVICE_UNAVAILABLE, "no-vote"),
     };
     json(status, &error_body("request", rule, &error.to_string()))
--- a/crates/control/src/routing_configs.rs
+++ b/crates/control/src/routing_configs.rs
@@ -4,6 +4,7 @@
     crate::{
         command::{Command, Output},
         control::Shared,
+        documents::{Document, LinkBusy},
         leader_calls::{self, LeaderCall, LeaderReply},
         replicated_log::CommitError,
     },
@@ -12,12 +13,13 @@
     fanout::ConfigHistory,
     route::{PublishOutcome, RoutingConfig},
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::time::timeout,
+    tokio::time::{Instant, timeout_at},
     wire::{Compressed, CompressionError},
 };
 
-/// How long a read waits for this replica to learn of a configuration that the leader has.
-const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// How long a read waits for the leader and for this replica to learn of a configuration that the leader has. An operator
+/// that is refused has time left to receive the document from another replica.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The format of routing configuration documents.
 pub trait RoutingConfigFormat: Send + Sync {
@@ -48,12 +50,16 @@
         /// Why the configuration is invalid.
         reason: String,
     },
-    /// Another replica is the leader.
-    #[display("this replica is not the leader")]
+    /// This replica is not the leader, and did not reach it in time. A publication had no effect.
+    #[display("this replica is not the leader and cannot reach it")]
     NotLeader {
         /// The address on which the leader serves replicas and routers, if known.
         leader: Option<SocketAddr>,
     },
+    /// This replica is sending a document to another operator, which its link does not bear twice. Another replica may
+    /// send it.
+    #[display("this replica is sending a document to another operator")]
+    Busy,
     /// The outcome of a publication, or the newest configuration for a read, is unknown.
     #[display("no quorum answered in time")]
     Unknown,
@@ -97,11 +103,11 @@
         let mut result = commit(&self.shared, version, document.clone()).await;
         if result == Err(CommitError::NotLeader) {
             let call = LeaderCall::Publish { version, document };
-            result = match leader_calls::call(&self.shared, &call).await {
+            let reply = leader_calls::call_with_command(&self.shared, &call).await;
+            result = reply.and_then(|it| match it {
                 LeaderReply::Published(outcome) => Ok(outcome),
-                LeaderReply::NotLeader => Err(CommitError::NotLeader),
                 _ => Err(CommitError::Unknown),
-            };
+            });
         }
         match result {
             Ok(verdict) => {
@@ -129,22 +135,35 @@
     ///
     /// # Errors
     ///
-    /// [`PublishError::NotLeader`] or [`PublishError::Unknown`].
-    pub async fn read(&self) -> Result<Bytes, PublishError> {
-        let mut newest = newest_version(&self.shared).await;
-        if newest == Err(CommitError::NotLeader) {
-            newest = match leader_calls::call(&self.shared, &LeaderCall::NewestVersion).await {
-                LeaderReply::NewestVersion(version) => Ok(version),
-                LeaderReply::NotLeader => Err(CommitError::NotLeader),
-                _ => Err(CommitError::Unknown),
-            };
+    /// [`PublishError::NotLeader`], [`PublishError::Unknown`] or [`PublishError::Busy`].
+    pub async fn read(&self) -> Result<Document, PublishError> {
+        let limiter = &self.shared.document_limiter;
+        if limiter.is_busy() {
+            return Err(PublishError::Busy);
         }
-        let newest = newest.map_err(|it| self.publish_error(it))?;
-        let document = timeout(CATCH_UP_TIMEOUT, self.document_since(newest)).await;
-        let compressed = document.map_err(|_| PublishError::Unknown)?;
+        let deadline = Instant::now() + READ_TIMEOUT;
+        let compressed = timeout_at(deadline, async {
+            let newest = self.newest_version(deadline).await?;
+            Ok(self.document_since(newest).await)
+        });
+        let compressed = compressed.await.unwrap_or(Err(CommitError::Unknown));
+        let compressed = compressed.map_err(|it| self.publish_error(it))?;
         let document =
             Compressed::from_compressed(compressed).decompress().map_err(|it| codec_error(&it))?;
-        Ok(document.into())
+        limiter.admit(document.into()).map_err(|LinkBusy| PublishError::Busy)
+    }
+
+    /// Returns the version of the newest acknowledged configuration, from the leader if it is another replica.
+    async fn newest_version(&self, deadline: Instant) -> Result<Option<u64>, CommitError> {
+        let newest = newest_version(&self.shared).await;
+        if newest != Err(CommitError::NotLeader) {
+            return newest;
+        }
+        let call = LeaderCall::NewestVersion;
+        match leader_calls::call(&self.shared, &call, deadline, deadline).await? {
+            LeaderReply::NewestVersion(version) => Ok(version),
+            _ => Err(CommitError::Unknown),
+        }
     }
 
     /// Waits until this replica has `version` or a higher one, and returns its compressed document.
--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -9,13 +9,13 @@
         convert::Infallible,
         error::Error as StdError,
         pin::Pin,
-        task::{Context, Poll},
+        task::{Context, Poll, ready},
         time::Duration,
     },
-    tokio::time::{Instant, timeout, timeout_at},
+    tokio::time::{Instant, Sleep, sleep_until, timeout, timeout_at},
 };
 
-/// The size of the chunks of a [`chunked`] body, in bytes.
+/// The size of the chunks of a [`paced`] body, in bytes.
 const CHUNK_BYTES: usize = 16 << 10;
 
 /// The error type of a streamed body.
@@ -32,28 +32,36 @@
     Full::new(bytes.into()).map_err(|it: Infallible| match it {}).boxed_unsync()
 }
 
-/// Returns a body of the given bytes that is handed to the connection in chunks, as the connection takes them.
+/// Returns a body of the given bytes that is handed to the connection in chunks, at most `bytes_per_ms` bytes a
+/// millisecond.
 ///
 /// `on_end` is called once with the number of bytes that the connection took, when the body ends or is dropped.
-pub fn chunked<F>(bytes: Bytes, on_end: F) -> Body
+///
+/// # Panics
+///
+/// If called outside of a `tokio` runtime.
+pub fn paced<F>(bytes: Bytes, bytes_per_ms: f64, on_end: F) -> Body
 where
     F: FnOnce(usize) + Send + Unpin + 'static,
 {
-    let chunks = Chunks { rest: bytes, taken: 0, on_end: Some(on_end) };
-    chunks.map_err(|it: Infallible| match it {}).boxed_unsync()
+    let next_chunk = Box::pin(sleep_until(Instant::now()));
+    let body = Paced { rest: bytes, taken: 0, bytes_per_ms, next_chunk, on_end: Some(on_end) };
+    body.map_err(|it: Infallible| match it {}).boxed_unsync()
 }
 
-/// The body of [`chunked`].
-struct Chunks<F>
+/// The body of [`paced`].
+struct Paced<F>
 where
     F: FnOnce(usize),
 {
     rest: Bytes,
     taken: usize,
+    bytes_per_ms: f64,
+    next_chunk: Pin<Box<Sleep>>,
     on_end: Option<F>,
 }
 
-impl<F> hyper::body::Body for Chunks<F>
+impl<F> hyper::body::Body for Paced<F>
 where
     F: FnOnce(usize) + Unpin,
 {
@@ -62,13 +70,16 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
         if self.rest.is_empty() {
             return Poll::Ready(None);
         }
+        ready!(self.next_chunk.as_mut().poll(cx));
         let len = self.rest.len().min(CHUNK_BYTES);
         self.taken += len;
+        let pause = Duration::from_secs_f64(len as f64 / self.bytes_per_ms / 1_000.0);
+        self.next_chunk.as_mut().reset(Instant::now() + pause);
         Poll::Ready(Some(Ok(Frame::data(self.rest.split_to(len)))))
     }
 
@@ -81,7 +92,7 @@
     }
 }
 
-impl<F> Drop for Chunks<F>
+impl<F> Drop for Paced<F>
 where
     F: FnOnce(usize),
 {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use crate::{
     auth::Authenticator,
-    body::{Body, BodyError, chunked, discard, empty, full, read_all},
+    body::{Body, BodyError, discard, empty, full, paced, read_all},
     client::Client,
     directory::HttpDirectory,
     endpoint::{
--- a/crates/edge/tests/server.rs
+++ b/crates/edge/tests/server.rs
@@ -1,7 +1,7 @@
 //! The server responds to requests, and completes them before it shuts down.
 
 use {
-    edge::{Body, Client, Server, ServerLimits, empty, full},
+    edge::{Body, Client, Server, ServerLimits, empty, full, paced},
     http::{Request, Response},
     hyper::body::Incoming,
     std::{
@@ -9,8 +9,9 @@
         io::{Read, Write},
         net::TcpStream,
         sync::Arc,
+        time::Duration,
     },
-    tokio::sync::Notify,
+    tokio::{sync::Notify, time::Instant},
     tower::service_fn,
 };
 
@@ -87,3 +88,25 @@
     }
     shutdown.await.unwrap();
 }
+
+/// A large response at full speed delays everything else on a slow link.
+#[tokio::test]
+async fn paced_body_is_sent_in_full_at_its_rate() {
+    const BYTES: usize = 100_000;
+    const BYTES_PER_MS: f64 = 200.0;
+    let (taken, mut ended) = tokio::sync::mpsc::unbounded_channel();
+    let service = service_fn(move |_: Request<Incoming>| {
+        let taken = taken.clone();
+        let body = paced(vec![7; BYTES].into(), BYTES_PER_MS, move |it| taken.send(it).unwrap());
+        async move { Ok::<_, Infallible>(Response::new(body)) }
+    });
+    let loopback = "127.0.0.1:0".parse().unwrap();
+    let server = Server::bind(loopback, ServerLimits::default(), service).await.unwrap();
+    let started = Instant::now();
+    let (status, body) =
+        Client::new(5_000).call(server.addr(), "GET", "/", None, empty()).await.unwrap();
+    assert_eq!((status, body.len()), (200, BYTES));
+    assert!(started.elapsed() >= Duration::from_millis(400), "{:?}", started.elapsed());
+    assert_eq!(ended.recv().await, Some(BYTES));
+    server.shutdown().await;
+}
