Refuse requests that are not sent yet and may outlast a stop, not only those that arrive late

Callers may see (a report of another operator): in a planned stop, requests were passed on late in the grace period and cut off at its end, also those that must not be repeated.

Cause: whether a request may outlast the process was checked once, when its head was read. One whose body arrived slowly, or that waited for capacity, for the origin of a stream or for a new slot after a send that was not run, was passed on up to the end of the grace period.

Change: the same rule holds until the request may have run: it is refused with 503, while 'not run' is still true, as soon as it waits beyond the time for requests in transit and its deadline is after the end of the grace period.

Evidence: request_whose_body_arrives_late_in_a_stop_is_not_begun_if_it_may_outlast_the_process and request_that_waits_for_capacity_in_a_stop_is_refused_once_it_may_outlast_the_process got 504 at the end of the grace period before, after the endpoint had the request, and pass now with the rest of lifecycle.rs (13 of 13).

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -158,7 +158,8 @@
     let path = parts.uri.path();
     let found = table.find(&head.host, path, rand::random()).ok_or(Rejection::NoRoute)?;
     let team = authenticate(&table, &found, head)?;
-    if shared.would_outlive_shutdown(found.route.timeout_ms) {
+    let ends_by = shared.now() + found.route.timeout_ms.saturating_mul(MILLISECOND);
+    if shared.would_outlive_shutdown(ends_by) {
         return Err(Rejection::Stopping);
     }
     let priority = team.and_then(|it| it.priority).unwrap_or(found.route.priority);
@@ -394,8 +395,21 @@
         self.shared.metrics.record_send("replaced");
     }
 
-    /// Waits for a slot for the next attempt.
+    /// Waits for a slot for the next attempt. A request that has not run is rejected once the process could exit before
+    /// it is answered: its body may have arrived slowly, or it may have waited.
     pub(crate) async fn next_attempt(&mut self) -> Result<Attempt, Rejection> {
+        if self.runs > 0 {
+            return self.place_attempt().await;
+        }
+        let (shared, deadline) = (self.shared.clone(), self.deadline);
+        tokio::select! {
+            biased;
+            () = shared.until_outlives_shutdown(deadline) => Err(Rejection::Stopping),
+            attempt = self.place_attempt() => attempt,
+        }
+    }
+
+    async fn place_attempt(&mut self) -> Result<Attempt, Rejection> {
         let now = self.shared.now();
         let service = &self.found.service.name;
         let has_endpoints = |build, regions| {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -32,7 +32,7 @@
     tokio::{
         net::UdpSocket,
         sync::{Notify, oneshot, watch},
-        time::Instant,
+        time::{Instant, sleep_until},
     },
     wire::{Clock, Dialer, Peer},
 };
@@ -199,17 +199,27 @@
         shutdown_at + self.settings.grace_ms.saturating_sub(SHUTDOWN_MARGIN_MS) * MILLISECOND
     }
 
-    /// Returns whether a request with this timeout must be rejected, because the process could exit
-    /// before it finishes.
+    /// Returns whether a request that was not sent yet and must be answered by `deadline` must be rejected, because the
+    /// process could exit before that.
     ///
-    /// Requests that were already in transit when shutdown was requested are still accepted. That
-    /// time ends early by the delay with which the request to shut down may have been handled.
-    pub(crate) fn would_outlive_shutdown(&self, timeout_ms: u64) -> bool {
+    /// Requests that were already in transit when shutdown was requested are still sent. That time ends early by the
+    /// delay with which the request to shut down may have been handled.
+    pub(crate) fn would_outlive_shutdown(&self, deadline: Time) -> bool {
         let Some(shutdown_at) = self.shutdown_at() else { return false };
-        let now = self.now();
-        let ends = now + timeout_ms.saturating_mul(MILLISECOND);
-        now >= shutdown_at + (DEREGISTER_MS - SIGNAL_DELAY_MS) * MILLISECOND
-            && ends > self.shutdown_deadline(shutdown_at)
+        self.now() >= last_send_at(shutdown_at) && deadline > self.shutdown_deadline(shutdown_at)
+    }
+
+    /// Waits until [`Shared::would_outlive_shutdown`] holds, forever if it never does.
+    pub(crate) async fn until_outlives_shutdown(&self, deadline: Time) {
+        let mut phase = self.shutdown_phase.subscribe();
+        // The sender lives as long as any request.
+        let _ = phase.wait_for(|it| *it >= ShutdownPhase::Draining).await;
+        if let Some(shutdown_at) = self.shutdown_at() {
+            sleep_until(self.clock.deadline(last_send_at(shutdown_at))).await;
+        }
+        if !self.would_outlive_shutdown(deadline) {
+            std::future::pending().await
+        }
     }
 
     /// Waits for a slot at an endpoint.
@@ -292,6 +302,11 @@
     }
 }
 
+/// Returns until when requests are sent that the process may not outlive, after shutdown was requested.
+fn last_send_at(shutdown_at: Time) -> Time {
+    shutdown_at + (DEREGISTER_MS - SIGNAL_DELAY_MS) * MILLISECOND
+}
+
 /// A waiting request. It leaves the queue when dropped.
 struct QueuedRequest<'a> {
     shared: &'a Shared,
--- a/crates/gateway/tests/lifecycle.rs
+++ b/crates/gateway/tests/lifecycle.rs
@@ -4,6 +4,7 @@
 
 use {
     common::{Behavior, Endpoint, Fixture, layout, wait_until},
+    directory::ListedEndpoint,
     std::time::Duration,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -194,6 +195,49 @@
     stopping.await.expect("shutdown panicked");
 }
 
+/// A request of which the gateway got the head in time was passed on late in a stop, and cut off at its end.
+#[tokio::test]
+async fn request_whose_body_arrives_late_in_a_stop_is_not_begun_if_it_may_outlast_the_process() {
+    let endpoint = Endpoint::start([Behavior::NoResponse]).await;
+    let fixture = Fixture::start(&layout(1), &[endpoint.listing_entry("plain", "e0")]).await;
+    let mut connection = fixture.client().connect_now();
+    let Fixture { gateway, .. } = fixture;
+    let stopping = tokio::spawn(gateway.shutdown());
+    sleep(Duration::from_millis(1_500)).await;
+    connection.send_head("/write/", 2);
+    connection.send_bytes(b"x");
+    sleep(Duration::from_millis(1_500)).await;
+    connection.send_bytes(b"y");
+    let response = connection.response().await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert_eq!(endpoint.received().len(), 0);
+    stopping.await.expect("shutdown panicked");
+}
+
+/// A request that waited for capacity was passed on late in a stop, and cut off at its end.
+#[tokio::test]
+async fn request_that_waits_for_capacity_in_a_stop_is_refused_once_it_may_outlast_the_process() {
+    let busy = Behavior::Delayed(2_900, Box::new(Behavior::Events(0..2)));
+    let endpoint = Endpoint::start([busy, Behavior::NoResponse]).await;
+    let listing = ListedEndpoint { slots: 1, ..endpoint.listing_entry("model", "e0") };
+    let mut layout = layout(1);
+    layout.routes.iter_mut().for_each(|it| it.target_ms = 3_000);
+    let fixture = Fixture::start(&layout, &[listing]).await;
+    let client = fixture.client();
+    let _running = client.clone().body("x").send("/stream/").await;
+    wait_until(|| endpoint.active() == 1).await;
+    let Fixture { gateway, .. } = fixture;
+    let stopped_at = Instant::now();
+    let stopping = tokio::spawn(gateway.shutdown());
+    sleep_until(stopped_at + Duration::from_millis(2_000)).await;
+    let response = client.attempt("a2").body("x").call("/stream/").await;
+    assert_eq!(response.status, 503, "{response:?}");
+    let refused_after = stopped_at.elapsed().as_millis();
+    assert!((2_450..2_900).contains(&refused_after), "refused after {refused_after} ms");
+    assert_eq!(endpoint.received().len(), 1);
+    stopping.await.expect("shutdown panicked");
+}
+
 /// Guards against requests that are refused right after a restart of the whole fleet, although the
 /// configuration arrives a moment later. Clients that retry once would not be served at all.
 #[tokio::test]
