Prove a stream's only version by lists that were confirmed lately only

Callers may see (a report of another operator): a stream that began at a new software version through another gateway went on at the old version, when a gateway took it up that had been cut off or had stood still.

Cause: that a service has a single version was proved by a gateway's own list of endpoints however old it was, and so for itself, for others that asked it, and against the answers of those who knew more. Replicas had a limit on the age of their list, gateways had none.

Change: a list proves nothing unless control, or the directory, confirmed it in the last 1.5 s; another process with a confirmed list may still prove it. After 5 s without a confirmation the history begins anew, as after a start, because a version may have joined and left.

Evidence: three new tests in origin's fleet.rs fail if a router's list counts as confirmed at any age, and pass now. The other tests of the crate confirm the lists as control does; none of their checks changed.

--- a/crates/control/src/origins.rs
+++ b/crates/control/src/origins.rs
@@ -76,7 +76,9 @@
 
     /// Records a list of endpoints that was read just now.
     pub(crate) fn update_endpoints(&self, now: Time, endpoints: &[ListedEndpoint]) {
-        self.origins.lock().update_endpoints(now, endpoints);
+        let mut origins = self.origins.lock();
+        origins.update_endpoints(now, endpoints);
+        origins.confirm_endpoints(now);
     }
 
     pub(crate) fn len(&self) -> usize {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -282,8 +282,12 @@
                 .send_if_modified(|it| std::mem::replace(it, catalog_wanted) != catalog_wanted);
         }
         let catalog_source = self.catalog_source.and_then(|it| self.watched.get(&it));
-        if catalog_source.is_some_and(|it| it.has_recent_list(now) && it.catalog.is_some()) {
+        if let Some(source) = catalog_source
+            && source.has_recent_list(now)
+            && source.catalog.is_some()
+        {
             self.shared.catalog_updated_at.store(now.0, Ordering::Relaxed);
+            self.shared.origins.lock().confirm_endpoints(source.heard_at);
         }
     }
 
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -42,6 +42,7 @@
             );
         }
         reading = true;
+        let requested_at = shared.now();
         let listed = directory.list().await;
         let failed = listed.is_err();
         match listed {
@@ -50,6 +51,7 @@
                 // The control plane may have sent a newer list in the meantime.
                 if is_control_silent(&shared) {
                     apply(&shared, &listing.endpoints);
+                    shared.origins.lock().confirm_endpoints(requested_at);
                     apply_cold(&shared, cold_until(shared.now(), &listing.cold));
                 }
             }
--- a/crates/origin/src/builds.rs
+++ b/crates/origin/src/builds.rs
@@ -8,13 +8,16 @@
     std::collections::{BTreeSet, HashMap},
 };
 
+/// The longest time between two confirmations of a list in which no version joins and leaves again, in milliseconds.
+const MAX_GAP_MS: u64 = 5_000;
+
 /// The versions listed since this process has had a list.
 #[derive(Default, Debug)]
 pub(crate) struct Builds {
-    /// When the first list arrived.
+    /// As of when the lists are complete: when the first one arrived, or the first one after a long gap.
     since: Option<Time>,
-    /// When the last list arrived.
-    updated: Option<Time>,
+    /// When the current list was last known to be current.
+    confirmed: Option<Time>,
     /// The versions of each service in the current list, by the hash of the service's name.
     listed: HashMap<u64, BTreeSet<BuildId>>,
     /// When versions that are not listed any more left.
@@ -25,7 +28,6 @@
     /// Records a complete list. Returns whether versions changed.
     pub(crate) fn update(&mut self, now: Time, endpoints: &[ListedEndpoint]) -> bool {
         self.since.get_or_insert(now);
-        self.updated = Some(now);
         let mut listed: HashMap<u64, BTreeSet<BuildId>> = HashMap::new();
         for endpoint in endpoints {
             let service = hash64(endpoint.service.as_bytes());
@@ -45,14 +47,23 @@
         changed
     }
 
-    /// Returns when the first list arrived.
+    /// Returns as of when the lists are complete.
     pub(crate) fn since(&self) -> Option<Time> {
         self.since
     }
 
-    /// Returns whether the last list arrived at most `ms` milliseconds ago.
+    /// Records that the current list was current at `at`.
+    pub(crate) fn confirm(&mut self, at: Time) {
+        if self.confirmed.is_some_and(|it| at > it + MAX_GAP_MS * MILLISECOND) {
+            // A version may have joined and left unseen, as before the first list.
+            self.since = Some(at);
+        }
+        self.confirmed = self.confirmed.max(Some(at));
+    }
+
+    /// Returns whether the list was known to be current at most `ms` milliseconds ago.
     pub(crate) fn is_fresh(&self, now: Time, ms: u64) -> bool {
-        self.updated.is_some_and(|it| now <= it + ms * MILLISECOND)
+        self.confirmed.is_some_and(|it| now <= it + ms * MILLISECOND)
     }
 
     /// Returns the only version of a service that was listed since the first list.
--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -59,8 +59,9 @@
 /// How long after the first list of endpoints other routers may not be known yet, in milliseconds.
 const SETTLE_MS: u64 = 2_000;
 
-/// The age of a replica's last list at which it proves nothing, in milliseconds. Replicas read
-/// the list every 0.8 s, and gateways that were killed take at least 1 s to serve again.
+/// How long ago a list of endpoints that proves something was confirmed at most, in milliseconds.
+/// Replicas read the list every 0.8 s and confirm it to routers every second, and gateways that were
+/// killed take at least 1 s to serve again.
 const MAX_LIST_AGE_MS: u64 = 1_500;
 
 /// The shortest retry delay that a caller is told, in milliseconds.
@@ -232,8 +233,7 @@
         self.replicas = Members::new(own, replicas.into_iter().map(|it| (it, &domain)));
     }
 
-    /// Replaces the list of endpoints. A replica must be given each list that it reads, as it
-    /// proves nothing by an old one.
+    /// Replaces the list of endpoints. It proves nothing until it is confirmed.
     pub fn update_endpoints(&mut self, now: Time, endpoints: &[ListedEndpoint]) {
         if self.builds.update(now, endpoints) && !self.is_replica {
             let builds = &self.builds;
@@ -242,6 +242,13 @@
         }
     }
 
+    /// Records that the list of endpoints was current at `at`. Without that it proves nothing after
+    /// 1.5 s: this process may have been cut off, or may not have run, while others heard of a new
+    /// version.
+    pub fn confirm_endpoints(&mut self, at: Time) {
+        self.builds.confirm(at);
+    }
+
     /// Returns the messages for replicas on some of the streams that began before a second version
     /// was listed, and on conflicts. Call this repeatedly, with pauses, so that all routers together
     /// do not send too much at once.
@@ -388,9 +395,7 @@
             Some((_, Entry::Known(record))) => Message::Known(record),
             Some((key, Entry::Conflict { keep_ms })) => Message::Conflict { key, keep_ms },
             None => {
-                // A router is given only lists that differ from the one before.
-                let is_current = !self.is_replica || self.builds.is_fresh(now, MAX_LIST_AGE_MS);
-                let only = self.only_version(now, &wanted).ok().filter(|_| is_current);
+                let only = self.only_version(now, &wanted).ok();
                 Message::NotKnown { wanted, only: only.map(|it| it.build) }
             }
         }
@@ -474,10 +479,15 @@
         deadlines.min().unwrap_or(Time::NEVER)
     }
 
+    /// Returns whether the own list of endpoints was confirmed lately.
+    fn has_current_list(&self, now: Time) -> bool {
+        self.builds.is_fresh(now, MAX_LIST_AGE_MS)
+    }
+
     /// Returns the only origin that a stream can have by the own lists. The error is the time as of
     /// which they may prove it, or [`Time::NEVER`].
     fn only_version(&self, now: Time, wanted: &Wanted) -> Result<Origin, Time> {
-        let service = wanted.service.ok_or(Time::NEVER)?;
+        let service = wanted.service.filter(|_| self.has_current_list(now)).ok_or(Time::NEVER)?;
         let max_age = wanted.max_age_ms.min(MAX_KEEP_MS) * MILLISECOND;
         let from = now.0.checked_sub(max_age).map(Time);
         Ok(Origin { service, build: self.builds.only_one(from, service)? })
@@ -527,7 +537,9 @@
         match only {
             Ok(origin) => Resolution::Known { origin, source: Source::OnlyVersion },
             // Others may not be known here yet, or may answer later.
-            Err(_) if self.settles_at() > now || is_router_silent => {
+            Err(_)
+                if self.settles_at() > now || is_router_silent || !self.has_current_list(now) =>
+            {
                 Resolution::Unknown { retry_ms: MIN_RETRY_MS }
             }
             Err(Time::NEVER) => Resolution::Unknown { retry_ms: max_age_ms.max(MIN_RETRY_MS) },
--- a/crates/origin/tests/fleet.rs
+++ b/crates/origin/tests/fleet.rs
@@ -21,6 +21,9 @@
 const MAX_AGE_MS: u64 = 10_000;
 const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
 
+/// The interval between confirmations of a list of endpoints, in microseconds.
+const CONFIRM_INTERVAL: u64 = 1_000 * MILLISECOND;
+
 /// The delay of a datagram, in milliseconds.
 const DELAY_MS: u64 = 5;
 
@@ -95,6 +98,8 @@
     forgotten: Vec<HashSet<usize>>,
     /// The versions listed at each router, as bits.
     listed: Vec<usize>,
+    /// The routers whose lists are not confirmed, as they are cut off or do not run.
+    unconfirmed: HashSet<usize>,
     in_transit: Vec<(Time, usize, SocketAddr, Message)>,
     results: HashMap<(usize, LookupId), Resolution>,
     random: ChaCha8Rng,
@@ -111,6 +116,7 @@
             routers: (0..routers).map(|it| Origins::new(addr(it))).collect(),
             forgotten: vec![HashSet::new(); routers],
             listed: vec![1; routers],
+            unconfirmed: HashSet::new(),
             in_transit: Vec::new(),
             results: HashMap::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -142,6 +148,15 @@
         self.routers[at].update_endpoints(self.now, &listed);
     }
 
+    /// Confirms the lists of endpoints, as control does all the time.
+    fn confirm(&mut self) {
+        for (at, router) in self.routers.iter_mut().enumerate() {
+            if !self.unconfirmed.contains(&at) {
+                router.confirm_endpoints(self.now);
+            }
+        }
+    }
+
     fn perform(&mut self, at: usize, actions: Vec<Action>) {
         for action in actions {
             match action {
@@ -161,6 +176,15 @@
 
     /// Lets time pass until `until`.
     fn advance(&mut self, until: Time) {
+        while self.now + CONFIRM_INTERVAL < until {
+            self.deliver_until(self.now + CONFIRM_INTERVAL);
+            self.confirm();
+        }
+        self.deliver_until(until);
+        self.confirm();
+    }
+
+    fn deliver_until(&mut self, until: Time) {
         loop {
             let arrival = self.in_transit.iter().map(|it| it.0).min().unwrap_or(Time::NEVER);
             let deadline = self.routers.iter().map(Origins::next_deadline).min();
@@ -414,6 +438,7 @@
     let mut origins = Origins::new(addr(0));
     origins.update_endpoints(Time(0), &[endpoint("v1")]);
     let mut retry_ms = |at| {
+        origins.confirm_endpoints(Time(at * MILLISECOND));
         let actions = origins.look_up(Time(at * MILLISECOND), wanted(StreamKey(7))).1;
         match actions[..] {
             [Action::Resolve { resolution: Resolution::Unknown { retry_ms }, .. }] => retry_ms,
@@ -477,6 +502,66 @@
     assert!(matches!(fleet.resume(1, StreamKey(7)), Resolution::Unknown { .. }));
 }
 
+/// Returns a fleet of three in which the list of router 0 was not confirmed since `gap_ms` ago. Meanwhile the others got
+/// one with a second version, and a stream began there without the others being told.
+fn fleet_with_a_router_out_of_step(gap_ms: u64) -> (Fleet, StreamKey) {
+    let mut fleet = Fleet::new(3, 0, 1);
+    fleet.advance(Time(60_000 * MILLISECOND));
+    fleet.unconfirmed.insert(0);
+    (1..3).for_each(|it| fleet.list(it, 3));
+    fleet.loss = 100;
+    fleet.begin(1, 1);
+    fleet.loss = 0;
+    fleet.advance(fleet.now + gap_ms * MILLISECOND);
+    let key = fleet.streams[0].0;
+    fleet.start(1);
+    fleet.advance(fleet.now);
+    (fleet, key)
+}
+
+/// A gateway that was cut off or stood still took up a stream at the version of its old list.
+#[test]
+fn only_version_is_not_proved_by_a_list_that_was_not_confirmed_lately() {
+    let (mut fleet, key) = fleet_with_a_router_out_of_step(2_000);
+    for result in [fleet.resume(0, key), fleet.resume_unnamed(0)] {
+        assert_eq!(result, Resolution::Unknown { retry_ms: 1_000 });
+    }
+    // The list of the others arrives.
+    fleet.unconfirmed.clear();
+    fleet.list(0, 3);
+    fleet.advance(fleet.now);
+    for result in [fleet.resume(0, key), fleet.resume_unnamed(0)] {
+        assert!(matches!(result, Resolution::Unknown { .. }), "{result:?}");
+    }
+}
+
+/// Others that are asked instead must not prove anything by old lists either.
+#[test]
+fn only_version_is_not_proved_by_a_list_of_others_that_was_not_confirmed_lately() {
+    let (mut fleet, _) = fleet_with_a_router_out_of_step(2_000);
+    fleet.unconfirmed.extend(0..3);
+    (0..3).for_each(|it| fleet.list(it, 1));
+    fleet.advance(fleet.now + 20_000 * MILLISECOND);
+    let result = fleet.resume_unnamed(0);
+    assert!(matches!(result, Resolution::Unknown { .. }), "{result:?}");
+}
+
+/// A version that joined and left while a gateway was cut off is in none of its lists.
+#[test]
+fn only_version_is_not_proved_for_the_time_of_a_long_gap() {
+    let (mut fleet, key) = fleet_with_a_router_out_of_step(6_000);
+    (1..3).for_each(|it| fleet.list(it, 1));
+    fleet.unconfirmed.clear();
+    fleet.advance(fleet.now);
+    for result in [fleet.resume(0, key), fleet.resume_unnamed(0)] {
+        assert!(matches!(result, Resolution::Unknown { .. }), "{result:?}");
+    }
+    fleet.advance(fleet.now + MAX_AGE_MS * MILLISECOND);
+    let origin = Origin { service: service(), build: build("v1") };
+    let known = Resolution::Known { origin, source: Source::OnlyVersion };
+    assert_eq!(fleet.resume_unnamed(0), known);
+}
+
 #[test]
 fn kept_origins_are_bounded_and_expire() {
     let mut origins = Origins::new(addr(0));
--- a/crates/origin/tests/outage.rs
+++ b/crates/origin/tests/outage.rs
@@ -13,6 +13,9 @@
 const STREAMS: u64 = 200;
 const MAX_AGE_MS: u64 = 10_000;
 
+/// How often replicas read the list of endpoints, in milliseconds.
+const POLL_MS: u64 = 800;
+
 fn addr(port: u16) -> SocketAddr {
     ([10, 0, 0, 1], port).into()
 }
@@ -55,8 +58,10 @@
         let mut site = Site { now: Time(0), processes: BTreeMap::new() };
         site.processes.extend((101..=100 + REPLICAS).map(|it| (addr(it), replica(addr(it)))));
         site.start_gateways(versions);
-        site.list(versions);
-        site.wait(60_000);
+        for _ in 0..75 {
+            site.list(versions);
+            site.wait(POLL_MS);
+        }
         site
     }
 
@@ -73,11 +78,22 @@
 
     fn list(&mut self, versions: &[&str]) {
         let now = self.now;
-        self.processes.values_mut().for_each(|it| it.update_endpoints(now, &listing(versions)));
+        for process in self.processes.values_mut() {
+            process.update_endpoints(now, &listing(versions));
+            process.confirm_endpoints(now);
+        }
     }
 
+    /// Lets time pass. Control confirms the lists of gateways; replicas read none.
     fn wait(&mut self, ms: u64) {
-        self.now = self.now + ms * MILLISECOND;
+        let until = self.now + ms * MILLISECOND;
+        while self.now < until {
+            self.now = until.min(self.now + POLL_MS * MILLISECOND);
+            for port in 1..=GATEWAYS {
+                let Some(gateway) = self.processes.get_mut(&addr(port)) else { continue };
+                gateway.confirm_endpoints(self.now);
+            }
+        }
     }
 
     fn tell(&mut self, port: u16, key: StreamKey, version: &str) {
@@ -297,12 +313,13 @@
     for port in 101..=100 + REPLICAS {
         site.processes.insert(addr(port), replica(addr(port)));
     }
-    for _ in 0..2 {
-        site.wait(MAX_AGE_MS);
+    for _ in 0..=2 * MAX_AGE_MS / POLL_MS {
+        site.wait(POLL_MS);
         for port in 101..=100 + REPLICAS {
             let version = if port <= 102 { other } else { own };
             let replica = site.processes.get_mut(&addr(port)).expect("no such replica");
             replica.update_endpoints(site.now, &listing(&[version]));
+            replica.confirm_endpoints(site.now);
         }
     }
     site.start_gateways(&[own]);
--- a/crates/origin/tests/site.rs
+++ b/crates/origin/tests/site.rs
@@ -138,6 +138,7 @@
         if at >= ROUTERS || self.listed[at] != versions || process.settles_at() == Time::NEVER {
             process.update_endpoints(now, &listing(versions));
         }
+        process.confirm_endpoints(now);
         self.listed[at] = versions;
     }
 
