Don't take messages that waited while a gateway stood still for confirmations of its list

A gateway that stood still for seconds first reads what has waited in its sockets: heartbeats from before confirm the list of endpoints although a newer version was announced meanwhile, possibly on a stream that was replaced. A router now records that it runs; after a pause of over a second, what it reads within the next second confirms nothing.

message_that_waited_while_a_router_stood_still_does_not_confirm_its_list (origin) covers it.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -257,6 +257,7 @@
     /// Keeps the current source of the endpoint list for as long as its list is up to date.
     fn update_catalog_source(&mut self) {
         let now = self.shared.now();
+        self.shared.origins.lock().record_run(now);
         let present = self.catalog_source.and_then(|it| self.watched.get(&it));
         if !present.is_some_and(|it| it.has_recent_list(now)) {
             let listed = self.watched.iter().filter(|it| it.1.has_recent_list(now));
--- a/crates/origin/src/builds.rs
+++ b/crates/origin/src/builds.rs
@@ -11,6 +11,12 @@
 /// The longest time between two confirmations of a list in which no version joins and leaves again, in milliseconds.
 const MAX_GAP_MS: u64 = 5_000;
 
+/// How long a process may go without running before it counts as having stood still, in milliseconds.
+const MAX_PAUSE_MS: u64 = 1_000;
+
+/// How long after it stood still a process may read messages that were sent before, in milliseconds.
+const BACKLOG_MS: u64 = 1_000;
+
 /// The versions listed since this process has had a list.
 #[derive(Default, Debug)]
 pub(crate) struct Builds {
@@ -18,6 +24,10 @@
     since: Option<Time>,
     /// When the current list was last known to be current.
     confirmed: Option<Time>,
+    /// When the process last ran, if it says so.
+    ran_at: Option<Time>,
+    /// As of when messages that confirm the list are not from before the process stood still.
+    trusted_from: Time,
     /// The versions of each service in the current list, by the hash of the service's name.
     listed: HashMap<u64, BTreeSet<BuildId>>,
     /// When versions that are not listed any more left.
@@ -52,8 +62,19 @@
         self.since
     }
 
+    /// Records that the process runs.
+    pub(crate) fn record_run(&mut self, now: Time) {
+        if self.ran_at.is_some_and(|it| now > it + MAX_PAUSE_MS * MILLISECOND) {
+            self.trusted_from = now + BACKLOG_MS * MILLISECOND;
+        }
+        self.ran_at = Some(now);
+    }
+
     /// Records that the current list was current at `at`.
     pub(crate) fn confirm(&mut self, at: Time) {
+        if at < self.trusted_from {
+            return;
+        }
         if self.confirmed.is_some_and(|it| at > it + MAX_GAP_MS * MILLISECOND) {
             // A version may have joined and left unseen, as before the first list.
             self.since = Some(at);
--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -249,6 +249,12 @@
         self.builds.confirm(at);
     }
 
+    /// Records that this router runs. Must be called at least every second: messages that it reads after it stood still
+    /// may have waited, so they don't confirm its list.
+    pub fn record_run(&mut self, now: Time) {
+        self.builds.record_run(now);
+    }
+
     /// Returns the messages for replicas on some of the streams that began before a second version
     /// was listed, and on conflicts. Call this repeatedly, with pauses, so that all routers together
     /// do not send too much at once.
--- a/crates/origin/tests/fleet.rs
+++ b/crates/origin/tests/fleet.rs
@@ -535,6 +535,21 @@
     }
 }
 
+/// A gateway that stood still first reads the messages that have waited, and only then the new list.
+#[test]
+fn message_that_waited_while_a_router_stood_still_does_not_confirm_its_list() {
+    let (mut fleet, key) = fleet_with_a_router_out_of_step(0);
+    fleet.routers[0].record_run(fleet.now);
+    fleet.unconfirmed.clear();
+    fleet.unconfirmed.insert(0);
+    fleet.advance(fleet.now + 3_000 * MILLISECOND);
+    fleet.routers[0].record_run(fleet.now);
+    fleet.routers[0].confirm_endpoints(fleet.now);
+    for result in [fleet.resume(0, key), fleet.resume_unnamed(0)] {
+        assert!(matches!(result, Resolution::Unknown { .. }), "{result:?}");
+    }
+}
+
 /// Others that are asked instead must not prove anything by old lists either.
 #[test]
 fn only_version_is_not_proved_by_a_list_of_others_that_was_not_confirmed_lately() {
