--- a/review/2/successor.rs
+++ b/review/2/successor.rs
@@ -41,7 +41,7 @@
 ) -> Machine {
     let data = case.folder.join(format!("data-{ip}"));
     std::fs::create_dir_all(&data).unwrap();
-    let core = Core { ip, seeds, bootstrap, tolerance: TOLERANCE, data: &data, platform, ports };
+    let core = Core { ip, seeds, bootstrap, tolerance: TOLERANCE, link_mbps: 6, data: &data, platform, ports };
     let mut process = Process::new(case, &format!("core-{ip}"), "jf-core", &core.settings());
     say!("core-{ip} has the seeds {seeds:?}");
     process.start();
--- a/review/3/join.rs
+++ b/review/3/join.rs
@@ -44,6 +44,7 @@
             seeds,
             bootstrap,
             tolerance: TOLERANCE,
+            link_mbps: 3,
             data: &data,
             platform: self.platform,
             ports: self.ports,
--- a/review/common/harness.rs
+++ b/review/common/harness.rs
@@ -198,6 +198,7 @@
     pub seeds: &'a [&'a str],
     pub bootstrap: bool,
     pub tolerance: usize,
+    pub link_mbps: u32,
     pub data: &'a Path,
     pub platform: SocketAddr,
     pub ports: Ports,
@@ -232,11 +233,11 @@
 
 impl Core<'_> {
     pub fn settings(&self) -> String {
-        let Core { ip, seeds, bootstrap, tolerance, data, platform, ports } = self;
+        let Core { ip, seeds, bootstrap, tolerance, link_mbps, data, platform, ports } = self;
         format!(
             "seeds = [{}]\ninner-port = {}\ninstances = \"{platform}\"\npublish = \"{ip}:{}\"\n\n[control]\nhost = \
              \"core-{ip}\"\ndomain = \"prg-a\"\ndata = \"{}\"\ninner = \"{ip}:{}\"\nadmin = \"{ip}:{}\"\nbootstrap = \
-             {bootstrap}\nlink-mbps = 6\ntolerance = {tolerance}\n\n[control.listing]\nrate = 40.0\n\n[control.log]\nlevel \
+             {bootstrap}\nlink-mbps = {link_mbps}\ntolerance = {tolerance}\n\n[control.listing]\nrate = 40.0\n\n[control.log]\nlevel \
              = \"info\"\nformat = \"json\"\n",
             quoted_seeds(seeds, ports.control),
             ports.inner,
