--- a/review/common/harness.rs
+++ b/review/common/harness.rs
@@ -85,7 +85,8 @@
 pub fn signal(pid: u32, name: &str) {
     let is_own = PIDS.lock().map_or_else(|it| it.into_inner().contains(&pid), |it| it.contains(&pid));
     if is_own {
-        let _ = Command::new("kill").args([&format!("-{name}"), &pid.to_string()]).stderr(Stdio::null()).status();
+        let command = format!("kill -{name} {pid}");
+        let _ = Command::new("bash").args(["-c", &command]).stderr(Stdio::null()).status();
     }
 }
 
@@ -173,14 +174,6 @@
         }
     }
 
-    /// Returns a line of `/proc/PID/status` in MiB.
-    pub fn memory_mib(&self, field: &str) -> f64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
-        let line = status.lines().find_map(|it| it.strip_prefix(field)).unwrap_or("0 kB");
-        let kib: f64 = line.trim_start_matches(':').trim().trim_end_matches("kB").trim().parse().unwrap_or(0.0);
-        kib / 1024.0
-    }
-
     pub fn log_text(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
     }
@@ -192,6 +185,14 @@
     }
 }
 
+/// Returns a field of `/proc/PID/status` in MiB.
+pub fn memory_mib(pid: u32, field: &str) -> f64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|it| it.strip_prefix(field)).unwrap_or("0 kB");
+    let kib: f64 = line.trim_start_matches(':').trim().trim_end_matches("kB").trim().parse().unwrap_or(0.0);
+    kib / 1024.0
+}
+
 /// The settings of `jf-core` as `deploy/core.toml.template` makes them.
 pub struct Core<'a> {
     pub ip: &'a str,
