--- a/review/common/harness.rs
+++ b/review/common/harness.rs
@@ -20,6 +20,8 @@
 pub const HELD: i32 = 0;
 pub const NOT_RUN: i32 = 2;
 
+const MAX_RUN: Duration = Duration::from_secs(118);
+
 static RECORD: OnceLock<(Mutex<File>, Instant)> = OnceLock::new();
 static PIDS: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
@@ -51,6 +53,15 @@
         if fs::create_dir_all(&folder).is_err() {
             exit(NOT_RUN);
         }
+        // A run may take 120 s at most.
+        let left_over = folder.clone();
+        thread::spawn(move || {
+            thread::sleep(MAX_RUN);
+            say!("the script ran out of time");
+            end_all();
+            let _ = fs::remove_dir_all(&left_over);
+            exit(NOT_RUN);
+        });
         let trouble = env::var("TROUBLE").map_or(true, |it| it != "0");
         std::panic::set_hook(Box::new(|info| {
             eprintln!("{info}");
