Open the data folder again after a disk failure

Cause: Driver::run left its loop on Input::DiskFailed. The replica stopped, its process did not, so nothing started it again.

The state machine, which holds committed entries only, is kept.

Why it is safe: votes and acknowledgements are sent after their sync only, and no state of the former consensus survives. The simulation opens the folder again in half of its disk failures, on a disk that makes nothing durable after a failed sync; without the rewriting a property fails.

--- a/crates/fakes/src/disk.rs
+++ b/crates/fakes/src/disk.rs
@@ -17,7 +17,8 @@
 /// A crash keeps the synced content of each file and an arbitrary prefix of the data written after
 /// the last sync, possibly with a corrupt last byte. Of the directory entries, it keeps the synced
 /// state and an arbitrary subset of the later changes. [`Disk::fail_after`] makes the disk fail at
-/// a chosen operation, to kill a process between any two operations.
+/// a chosen operation, to kill a process between any two operations, or until [`Disk::repair`]. A
+/// file of which a sync failed stays readable, and nothing written to it becomes durable any more.
 #[derive(Clone, Default, Debug)]
 pub struct Disk {
     state: Arc<Mutex<State>>,
@@ -38,6 +39,8 @@
 struct FileContent {
     written: Vec<u8>,
     synced: Vec<u8>,
+    /// Whether a sync failed: later ones succeed, but do not make anything durable.
+    sync_failed: bool,
 }
 
 /// An open file on a [`Disk`].
@@ -53,6 +56,11 @@
         self.state.lock().remaining_changes = Some(operations);
     }
 
+    /// Ends the failure that [`Disk::fail_after`] began. The content stays as it is.
+    pub fn repair(&self) {
+        self.state.lock().remaining_changes = None;
+    }
+
     /// Simulates a crash that loses unsynced data; `seed` determines which part of it.
     pub fn crash(&self, seed: u64) {
         let state = &mut *self.state.lock();
@@ -107,6 +115,7 @@
 
 impl FileContent {
     fn crash(&mut self, seed: u64) {
+        self.sync_failed = false;
         if !self.written.starts_with(&self.synced) {
             // After an unsynced truncation, either content is possible.
             if seed.is_multiple_of(2) {
@@ -192,9 +201,17 @@
     }
 
     fn sync(&mut self) -> IoResult<()> {
-        let mut state = self.disk.begin_change()?;
+        let mut state = match self.disk.begin_change() {
+            Ok(state) => state,
+            Err(err) => {
+                self.disk.state.lock().files[self.file].sync_failed = true;
+                return Err(err);
+            }
+        };
         let file = &mut state.files[self.file];
-        file.synced = file.written.clone();
+        if !file.sync_failed {
+            file.synced = file.written.clone();
+        }
         Ok(())
     }
 }
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -14,7 +14,25 @@
 /// ends.
 pub(crate) struct DiskThread {
     pub(crate) writes: mpsc::UnboundedSender<(u64, Write)>,
-    pub(crate) handle: JoinHandle<()>,
+    /// `None` once the thread has ended or [`DiskThread::close`] was called.
+    handle: Option<JoinHandle<()>>,
+}
+
+impl DiskThread {
+    /// Waits until the thread ends, which it does by itself only after a failure.
+    pub(crate) async fn ended(&mut self) {
+        match &mut self.handle {
+            Some(handle) => drop(handle.await),
+            None => std::future::pending().await,
+        }
+        self.handle = None;
+    }
+
+    /// Makes the thread end after the queued writes. Returns its handle if it has not ended yet.
+    pub(crate) fn close(&mut self) -> Option<JoinHandle<()>> {
+        (self.writes, _) = mpsc::unbounded_channel();
+        self.handle.take()
+    }
 }
 
 /// Starts the disk thread. With `batching`, it syncs once for all writes that arrived during the previous sync.
@@ -30,7 +48,7 @@
 {
     let (writes, queue) = mpsc::unbounded_channel();
     let handle = task::spawn_blocking(move || run(journal, queue, inputs, batching));
-    DiskThread { writes, handle }
+    DiskThread { writes, handle: Some(handle) }
 }
 
 fn run<F>(
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -8,6 +8,7 @@
         error::ProposeError,
         link::{Body, Frame, Link},
         machine::StateMachine,
+        reopen::report_failure,
         shared::Shared,
     },
     bytes::Bytes,
@@ -51,17 +52,20 @@
 
 type Reply<T> = oneshot::Sender<Result<T, ProposeError>>;
 
-/// The reason why the task ends.
-enum Exit {
+/// The reason why the consensus ends.
+pub(crate) enum Exit {
+    /// The disk thread failed; the data folder must be opened again.
+    DiskFailed,
+    /// The state machine failed or the data folder is damaged.
     Failed,
     Shutdown(Option<oneshot::Sender<()>>),
 }
 
 pub(crate) struct Driver<M> {
-    config: ReplicaConfig,
-    raft: Raft,
-    shared: Arc<Shared<M>>,
-    disk: DiskThread,
+    pub(crate) config: ReplicaConfig,
+    pub(crate) raft: Raft,
+    pub(crate) shared: Arc<Shared<M>>,
+    pub(crate) disk: DiskThread,
     dialer: Dialer,
     links: BTreeMap<SocketAddr, Link>,
     /// The addresses of the replicas from which messages arrived.
@@ -69,17 +73,17 @@
     bootstrap: Bootstrap,
     /// When to try again to join or bootstrap a group.
     next_join_at: Time,
-    inputs: mpsc::Sender<Input>,
+    pub(crate) inputs: mpsc::Sender<Input>,
     /// The reply channels of the commands that are being proposed.
-    proposed_replies: Vec<Reply<Vec<u8>>>,
-    pending_proposals: BTreeMap<u64, (Term, Reply<Vec<u8>>)>,
-    pending_reads: BTreeMap<u64, Reply<()>>,
+    pub(crate) proposed_replies: Vec<Reply<Vec<u8>>>,
+    pub(crate) pending_proposals: BTreeMap<u64, (Term, Reply<Vec<u8>>)>,
+    pub(crate) pending_reads: BTreeMap<u64, Reply<()>>,
     last_token: u64,
     /// The size of the commands applied since the last snapshot.
     bytes_since_snapshot: u64,
     /// The size of the last snapshot.
     snapshot_bytes: u64,
-    snapshot_pending: bool,
+    pub(crate) snapshot_pending: bool,
 }
 
 impl<M> Driver<M>
@@ -138,31 +142,49 @@
         mut inputs: mpsc::Receiver<Input>,
     ) {
         let exit = loop {
-            let deadline = self.raft.deadline().min(self.next_join_at);
-            let exited = tokio::select! {
-                input = inputs.recv() => input.and_then(|it| self.on_input(it)),
-                request = requests.recv() => match request {
-                    Some(request) => self.on_requests(request, &mut requests),
-                    None => Some(Exit::Shutdown(None)),
-                },
-                () = sleep_until(self.shared.clock.deadline(deadline)) => self.on_timer(),
+            let exit = match self.serve(&mut requests, &mut inputs).await {
+                Exit::DiskFailed => self.reopen(&mut requests, &mut inputs).await,
+                exit => Some(exit),
             };
-            if let Some(exit) = exited {
+            if let Some(exit) = exit {
                 break exit;
             }
         };
         requests.close();
         drop(inputs);
         self.shared.stop();
-        // Dropping the pending replies tells the callers that the outcome is unknown.
-        let Driver { disk, .. } = self;
-        drop(disk.writes);
-        let _ = disk.handle.await;
+        self.drop_pending();
+        if let Some(handle) = self.disk.close() {
+            let _ = handle.await;
+        }
         if let Exit::Shutdown(Some(reply)) = exit {
             let _ = reply.send(());
         }
     }
 
+    /// Runs the consensus until it ends.
+    async fn serve(
+        &mut self,
+        requests: &mut mpsc::Receiver<Request>,
+        inputs: &mut mpsc::Receiver<Input>,
+    ) -> Exit {
+        loop {
+            let deadline = self.raft.deadline().min(self.next_join_at);
+            let exit = tokio::select! {
+                input = inputs.recv() => input.and_then(|it| self.on_input(it)),
+                request = requests.recv() => match request {
+                    Some(request) => self.on_requests(request, requests),
+                    None => Some(Exit::Shutdown(None)),
+                },
+                () = sleep_until(self.shared.clock.deadline(deadline)) => self.on_timer(),
+                () = self.disk.ended() => Some(Exit::DiskFailed),
+            };
+            if let Some(exit) = exit {
+                return exit;
+            }
+        }
+    }
+
     fn on_timer(&mut self) -> Option<Exit> {
         let now = self.shared.clock.now();
         if now >= self.next_join_at
@@ -221,8 +243,8 @@
             Input::Frame(frame) => self.on_frame(frame),
             Input::Synced(up_to) => self.step(Event::Synced(up_to)),
             Input::DiskFailed(err) => {
-                tracing::error!("replica: stopped by a disk failure: {err}");
-                Some(Exit::Failed)
+                report_failure(&err);
+                Some(Exit::DiskFailed)
             }
             Input::Snapshot { index, data } => {
                 self.snapshot_pending = false;
@@ -294,7 +316,7 @@
         exit
     }
 
-    fn execute(&mut self, actions: Actions) -> Option<Exit> {
+    pub(crate) fn execute(&mut self, actions: Actions) -> Option<Exit> {
         for action in actions {
             match action {
                 Action::Send(envelope) => self.send_envelope(envelope),
@@ -336,8 +358,19 @@
         None
     }
 
+    /// Tells the callers of all pending requests that the outcome is unknown.
+    pub(crate) fn drop_pending(&mut self) {
+        self.proposed_replies.clear();
+        self.pending_proposals.clear();
+        self.pending_reads.clear();
+    }
+
     fn restore(&mut self, snapshot: &Snapshot) -> Option<Exit> {
         let mut state = self.shared.state.write();
+        // Committed entries never change, so a state that was kept across a disk failure includes the snapshot.
+        if snapshot.index <= state.applied_index {
+            return None;
+        }
         if let Err(err) = state.machine.restore(&snapshot.data) {
             tracing::error!("replica: stopped at snapshot index {}: {err}", snapshot.index);
             return Some(Exit::Failed);
@@ -350,6 +383,10 @@
 
     fn apply(&mut self, entry: Entry) {
         let mut state = self.shared.state.write();
+        // Already applied before the consensus was restarted after a disk failure.
+        if entry.index <= state.applied_index {
+            return;
+        }
         state.applied_index = entry.index;
         let Payload::Command(command) = entry.payload else { return };
         let answer = state.machine.apply(entry.index, &command);
--- a/crates/replica/src/journal.rs
+++ b/crates/replica/src/journal.rs
@@ -59,6 +59,21 @@
         Ok((journal, durable))
     }
 
+    /// Opens a data folder again after [`Journal::write`] or [`Journal::sync`] failed. What it returns is durable.
+    ///
+    /// # Errors
+    ///
+    /// The folder is in use or damaged, or the file system still fails.
+    pub fn reopen(
+        fs: F,
+        folder: &Path,
+        new_id: ReplicaId,
+    ) -> Result<(Journal<F>, DurableState), StoreError> {
+        let (mut journal, durable) = Journal::open(fs, folder, new_id)?;
+        journal.store.rewrite()?;
+        Ok((journal, durable))
+    }
+
     /// The id of the replica that the folder belongs to.
     pub fn id(&self) -> ReplicaId {
         self.meta.id
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -23,6 +23,7 @@
 mod link;
 mod machine;
 mod protocols;
+mod reopen;
 mod serve;
 mod shared;
 
--- a/crates/replica/src/shared.rs
+++ b/crates/replica/src/shared.rs
@@ -29,7 +29,8 @@
     pub leading_term: Option<Term>,
     /// The current leader, as far as this replica knows.
     pub leader: Option<ReplicaId>,
-    /// Whether this replica has stopped for good: it was shut down, or its disk or its state machine failed.
+    /// Whether this replica has stopped for good: it was shut down, its data folder is damaged, or its state machine
+    /// failed.
     pub stopped: bool,
 }
 
@@ -102,13 +103,20 @@
         self.status.send_if_modified(|it| std::mem::replace(it, new) != new);
     }
 
+    /// Reports that this replica takes no part in the group until its data folder is open again.
+    pub(crate) fn suspend(&self) {
+        self.leave_group(false);
+    }
+
+    /// Reports that this replica has stopped for good.
     pub(crate) fn stop(&self) {
+        self.leave_group(true);
+    }
+
+    fn leave_group(&self, stopped: bool) {
         self.view.lock().lease = None;
         let applied_index = self.state.read().applied_index;
-        self.status.send_replace(ReplicaStatus {
-            applied_index,
-            stopped: true,
-            ..ReplicaStatus::default()
-        });
+        let status = ReplicaStatus { applied_index, stopped, ..ReplicaStatus::default() };
+        self.status.send_replace(status);
     }
 }
--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -241,7 +241,8 @@
     }
 }
 
-const CHANGE_SITUATIONS: [Situation; 6] = [
+const CHANGE_SITUATIONS: [Situation; 7] = [
+    Situation::FolderReopened,
     Situation::ElectedInReplacement,
     Situation::DiskLostInChange,
     Situation::SameDiskLostAgain,
--- a/crates/replica/tests/group/mod.rs
+++ b/crates/replica/tests/group/mod.rs
@@ -153,6 +153,21 @@
         std::fs::remove_dir_all(self.folders[at].path().join("data")).unwrap();
     }
 
+    /// Makes each write of the metadata of a replica fail as on a full disk.
+    pub(crate) fn fill_disk(&self, at: usize) {
+        std::os::unix::fs::symlink("/dev/full", self.temp_file(at)).unwrap();
+    }
+
+    /// Ends the effect of [`Group::fill_disk`].
+    pub(crate) fn free_disk(&self, at: usize) {
+        std::fs::remove_file(self.temp_file(at)).unwrap();
+    }
+
+    /// The file through which a replica replaces its metadata.
+    fn temp_file(&self, at: usize) -> PathBuf {
+        self.folders[at].path().join("data").join("aside.tmp")
+    }
+
     /// Waits until one of the open replicas leads, and returns its index.
     pub(crate) async fn wait_for_leader(&self) -> usize {
         let open: Vec<_> = (0..self.slots.len())
--- a/crates/replica/tests/sim/mod.rs
+++ b/crates/replica/tests/sim/mod.rs
@@ -11,8 +11,8 @@
     fakes::{Disk, DriftingClock, Network},
     model::{MILLISECOND, ReplicaId, Term, Time},
     quorum::{
-        Action, Actions, Config, Entry, Envelope, Event, Member, MemberRole, Membership, Message,
-        Payload, Raft,
+        Action, Actions, Config, DurableState, Entry, Envelope, Event, Member, MemberRole,
+        Membership, Message, Payload, Raft,
     },
     replica::Journal,
     std::{
@@ -119,8 +119,12 @@
     ElectedInReplacement,
     /// A voter that was being replaced became leader.
     OutgoingVoterElected,
+    /// A replica opened its data folder again after a disk failure, without a crash.
+    FolderReopened,
 }
 
+type OpenJournal = fn(Disk, &Path, ReplicaId) -> Result<(Journal<Disk>, DurableState), StoreError>;
+
 pub(crate) fn addr(host: usize) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], host as u16 + 1))
 }
@@ -216,6 +220,23 @@
     }
 
     pub(crate) fn restart(&mut self, at: usize) {
+        self.open(at, Journal::open);
+    }
+
+    /// Handles a disk failure: the replica crashes, or the disk works again and the replica opens its folder again.
+    fn on_disk_failure(&mut self, at: usize) {
+        let pick = self.hosts[at].crash_pick;
+        if pick.is_multiple_of(2) {
+            self.crash(at, pick);
+            return;
+        }
+        self.record(Situation::FolderReopened);
+        self.hosts[at].node = None;
+        self.hosts[at].disk.repair();
+        self.open(at, Journal::reopen);
+    }
+
+    fn open(&mut self, at: usize, open: OpenJournal) {
         if self.hosts[at].node.is_some() || self.hosts[at].absent {
             return;
         }
@@ -228,7 +249,7 @@
         let now = host.clock.at(self.now);
         let is_initial = may_bootstrap && host.bootstrap;
         let new_id = if is_initial { initial_id(at) } else { ReplicaId(self.counter) };
-        let opened = Journal::open(host.disk.clone(), Path::new(FOLDER), new_id);
+        let opened = open(host.disk.clone(), Path::new(FOLDER), new_id);
         let (journal, durable) = match opened {
             Ok(opened) => opened,
             // The replica crashed while it read its disk.
@@ -276,7 +297,7 @@
         host.disk.crash(pick);
     }
 
-    /// Makes the disk fail after the given number of operations, which crashes the replica.
+    /// Makes the disk fail after the given number of operations; `pick` selects whether the replica crashes.
     pub(crate) fn fail_disk(&mut self, at: usize, operations: u32, pick: u64) {
         self.hosts[at].disk.fail_after(operations);
         self.hosts[at].crash_pick = pick;
@@ -428,8 +449,7 @@
         }
         let written = node.written;
         if node.journal.sync().is_err() {
-            let pick = host.crash_pick;
-            self.crash(at, pick);
+            self.on_disk_failure(at);
             return;
         }
         self.step(at, Event::Synced(written));
@@ -582,8 +602,8 @@
                 Action::Write(number, write) => {
                     node.written = number;
                     if node.journal.write(&write).is_err() {
-                        let pick = self.hosts[at].crash_pick;
-                        self.crash(at, pick);
+                        self.on_disk_failure(at);
+                        return;
                     }
                 }
                 Action::Restore(snapshot) => {
--- a/crates/replica/tests/three.rs
+++ b/crates/replica/tests/three.rs
@@ -155,3 +155,56 @@
     };
     timeout(Duration::from_secs(5), commit).await.expect("a commit over new connections");
 }
+
+/// Proposes a command to the current leader.
+async fn propose(group: &Group, command: &str) -> Result<Vec<u8>, ProposeError> {
+    let replica = group.replica(group.wait_for_leader().await);
+    with_timeout(replica.propose(command.into())).await
+}
+
+/// Proposes a command until it is acknowledged.
+async fn commit(group: &Group, command: &str) {
+    with_timeout(async { while propose(group, command).await.is_err() {} }).await;
+}
+
+/// Fills the disk of a replica, proposes commands until it has failed to write, and frees the disk.
+async fn fill_for_a_moment(group: &Group, at: usize) {
+    let mut status = group.replica(at).subscribe();
+    group.fill_disk(at);
+    let commits = async {
+        loop {
+            let _ = propose(group, "during").await;
+        }
+    };
+    with_timeout(async {
+        tokio::select! {
+            failed = status.wait_for(|it| it.leader.is_none()) => assert!(failed.is_ok()),
+            () = commits => {}
+        }
+    })
+    .await;
+    group.free_disk(at);
+}
+
+/// Guards against a replica that never takes part in its group again after its disk was full for a moment.
+#[tokio::test]
+async fn a_replica_whose_disk_was_full_for_a_moment_votes_again() {
+    let group = Group::start(3, 1 << 30).await;
+    group.wait_for_all_voters().await;
+    commit(&group, "before").await;
+    for at in [0, 1] {
+        fill_for_a_moment(&group, at).await;
+        let replica = group.replica(at);
+        with_timeout(wait_for_status(at, &replica, |it| it.leader.is_some())).await;
+    }
+    commit(&group, "between").await;
+    group.stop(2).await;
+    commit(&group, "after").await;
+    let leader = group.wait_for_leader().await;
+    let commands = group.replica(leader).with(|it| it.0.clone());
+    for acknowledged in ["before", "between", "after"] {
+        assert!(commands.iter().any(|it| it == acknowledged.as_bytes()), "lost {acknowledged}");
+    }
+    group.wait_for_applied(1 - leader, commands.len()).await;
+    assert_eq!(group.replica(1 - leader).with(|it| it.0[..commands.len()].to_vec()), commands);
+}
--- a/crates/store/src/atomic_file.rs
+++ b/crates/store/src/atomic_file.rs
@@ -20,18 +20,31 @@
     name: &str,
     payload: &[u8],
 ) -> Result<(), StoreError>
+where
+    F: FileSystem,
+{
+    let crc = crc32fast::hash(payload).to_le_bytes();
+    replace_raw(fs, &folder.join(name), folder, &[&MAGIC, &crc, payload])
+}
+
+/// Replaces the file at `path` in `folder`, without a checksum of its own.
+pub(crate) fn replace_raw<F>(
+    fs: &F,
+    path: &Path,
+    folder: &Path,
+    parts: &[&[u8]],
+) -> Result<(), StoreError>
 where
     F: FileSystem,
 {
     let temp_path = folder.join(TEMP_FILE);
-    let path = folder.join(name);
     let io_error = |step| StoreError::io(step, &temp_path);
     let mut file = fs.create(&temp_path).map_err(io_error(StoreStep::Write))?;
-    file.write(&MAGIC).map_err(io_error(StoreStep::Write))?;
-    file.write(&crc32fast::hash(payload).to_le_bytes()).map_err(io_error(StoreStep::Write))?;
-    file.write(payload).map_err(io_error(StoreStep::Write))?;
+    for part in parts {
+        file.write(part).map_err(io_error(StoreStep::Write))?;
+    }
     file.sync().map_err(io_error(StoreStep::Sync))?;
-    fs.rename(&temp_path, &path).map_err(StoreError::io(StoreStep::Rename, &path))?;
+    fs.rename(&temp_path, path).map_err(StoreError::io(StoreStep::Rename, path))?;
     fs.sync_folder(folder).map_err(StoreError::io(StoreStep::Sync, folder))
 }
 
--- a/crates/store/src/segment.rs
+++ b/crates/store/src/segment.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        atomic_file,
         error::{StoreError, StoreStep},
         frame::{Frame, HEADER_BYTES, Kind},
         fs::{DiskFile, FileSystem},
@@ -68,6 +69,22 @@
         Ok(Segment { number, max_index, path, file, synced_len: len, buf: Vec::new() })
     }
 
+    /// Writes the intact frames of the segment to a new file in its place.
+    pub(crate) fn rewrite<F>(self, fs: &F, folder: &Path) -> Result<Segment<T>, StoreError>
+    where
+        F: FileSystem<File = T>,
+    {
+        let bytes = fs.read(&self.path).map_err(StoreError::io(StoreStep::Read, &self.path))?;
+        let bytes = bytes.unwrap_or_default();
+        let Some(intact) = bytes.get(..self.synced_len as usize) else {
+            return Err(StoreError::corrupt(&self.path, bytes.len() as u64, "file is too short"));
+        };
+        atomic_file::replace_raw(fs, &self.path, folder, &[intact])?;
+        let file = fs.open_append(&self.path);
+        let file = file.map_err(StoreError::io(StoreStep::Write, &self.path))?;
+        Ok(Segment { file, ..self })
+    }
+
     /// Buffers a frame until [`Segment::sync`].
     pub(crate) fn push(&mut self, kind: Kind, index: u64, payload: &[u8]) {
         Frame { kind, index, synced_len: self.synced_len, payload }.encode(&mut self.buf);
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -85,6 +85,21 @@
         Ok((store, contents))
     }
 
+    /// Writes the metadata and the last segment again.
+    ///
+    /// After a failed write or sync, the operating system may return data that it never wrote to
+    /// the disk, and may report a later sync of it as successful.
+    ///
+    /// # Errors
+    ///
+    /// A file system operation failed.
+    pub fn rewrite(&mut self) -> Result<(), StoreError> {
+        if let Some(segment) = self.segment.take() {
+            self.segment = Some(segment.rewrite(&self.fs, &self.folder)?);
+        }
+        self.write_meta()
+    }
+
     /// Sets the length at which a segment is closed and a new one is created, in bytes.
     pub fn set_segment_limit(&mut self, bytes: u64) {
         self.segment_limit = bytes.max(EMPTY_SEGMENT_BYTES);
