End the control process when its replica has stopped for good

Cause: nothing watched ReplicaStatus::stopped, and a driver that panicked did not even report it.

What is supervised from outside is the process, so it has to end.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -16,11 +16,12 @@
         router_reports::RouterReports,
         routing_configs::{self, JsonFormat, RoutingConfigFormat, RoutingConfigStore},
         state_versions::{self, StateVersions},
+        tasks::Tasks,
         watch_service::{self, Watchers},
     },
     directory::Directory,
     edge::{Server, ServerLimits},
-    eyre::{Result, eyre},
+    eyre::{Report, Result, eyre},
     fanout::ConfigHistory,
     intent::{OrderProgress, WeightStore},
     parking_lot::Mutex,
@@ -30,7 +31,7 @@
         sync::{Arc, OnceLock},
         time::{SystemTime, UNIX_EPOCH},
     },
-    tokio::{sync::watch, task::JoinHandle},
+    tokio::sync::watch,
     tower::service_fn,
     wire::{Clock, Dialer, Identity, Incoming, Listener, Peer, Traffic, TrafficClass, msg},
 };
@@ -65,7 +66,7 @@
     shared: Arc<Shared>,
     internal_addr: SocketAddr,
     server: Server,
-    tasks: Vec<JoinHandle<()>>,
+    tasks: Tasks,
 }
 
 /// The bound sockets of a replica that has not started yet. Requests to it are rejected.
@@ -173,20 +174,22 @@
             traffic,
         });
         shared_slot.get_or_init(|| shared.clone());
-        let mut tasks = vec![
-            tokio::spawn(accept(shared.clone(), listener)),
-            tokio::spawn(membership::run(shared.clone())),
-            tokio::spawn(orders::run(shared.clone())),
-            tokio::spawn(state_versions::run(shared.clone())),
-            tokio::spawn(routing_configs::run(shared.clone())),
-            tokio::spawn(watch_service::run(shared.clone())),
-            tokio::spawn(origins::run(shared.clone(), bound_addr)),
-            tokio::spawn(evacuations::run(shared.clone())),
-            tokio::spawn(evacuations::record_protocol(shared.clone())),
-        ];
-        let hosts = shared.settings.host_list;
-        tasks.extend(hosts.map(|it| tokio::spawn(host_list::run(shared.clone(), it))));
-        tasks.extend(identity.map(|it| tokio::spawn(it.reload_periodically())));
+        let mut tasks = Tasks::default();
+        tasks.spawn(accept(shared.clone(), listener));
+        tasks.spawn(membership::run(shared.clone()));
+        tasks.spawn(orders::run(shared.clone()));
+        tasks.spawn(state_versions::run(shared.clone()));
+        tasks.spawn(routing_configs::run(shared.clone()));
+        tasks.spawn(watch_service::run(shared.clone()));
+        tasks.spawn(origins::run(shared.clone(), bound_addr));
+        tasks.spawn(evacuations::run(shared.clone()));
+        tasks.spawn(evacuations::record_protocol(shared.clone()));
+        if let Some(hosts) = shared.settings.host_list {
+            tasks.spawn(host_list::run(shared.clone(), hosts));
+        }
+        if let Some(identity) = identity {
+            tasks.spawn(identity.reload_periodically());
+        }
         tracing::info!(
             "control: listening for routers on {} and for operators on {}",
             own_addrs.internal,
@@ -209,7 +212,7 @@
     where
         D: Directory,
     {
-        self.tasks.push(tokio::spawn(discovery::run(self.shared.clone(), directory)));
+        self.tasks.spawn(discovery::run(self.shared.clone(), directory));
     }
 
     /// Returns a handle for publishing and reading routing configurations.
@@ -247,11 +250,19 @@
         self.server.addr()
     }
 
+    /// Waits until the replica cannot work any more and returns the reason. The process must then be restarted.
+    pub async fn failed(&self) -> Report {
+        tokio::select! {
+            () = self.shared.log.wait_until_stopped() => eyre!("control: the replica has stopped"),
+            () = self.tasks.panicked() => eyre!("control: a background task panicked"),
+        }
+    }
+
     /// Stops the replica after the responses to pending admin requests are sent.
     pub async fn shutdown(self) {
         self.server.shutdown().await;
         self.shared.log.shutdown().await;
-        self.tasks.iter().for_each(JoinHandle::abort);
+        self.tasks.abort();
     }
 }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -40,6 +40,7 @@
 mod state;
 mod state_versions;
 mod status;
+mod tasks;
 mod topic;
 mod watch_service;
 
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -55,6 +55,7 @@
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        err = control.failed() => return Err(err),
     }
     control.shutdown().await;
     Ok(())
--- a/crates/control/src/replicated_log.rs
+++ b/crates/control/src/replicated_log.rs
@@ -233,6 +233,12 @@
         self.replica.subscribe()
     }
 
+    /// Waits until this replica has stopped for good.
+    pub(crate) async fn wait_until_stopped(&self) {
+        // Fails only after the replica was dropped.
+        let _ = self.subscribe().wait_for(|it| it.stopped).await;
+    }
+
     /// Serves a stream from another replica.
     pub(crate) fn handle_stream(&self, stream: Stream) {
         self.replica.handle_stream(stream);
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -10,7 +10,11 @@
     model::{Digest, Domain, HostName},
     serde_json::Value,
     settings::{ControlSettings, ListingSettings, LogSettings, WeightStoreLimits},
-    std::{fs, net::SocketAddr, path::Path},
+    std::{
+        fs,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+    },
     tempfile::TempDir,
 };
 
@@ -76,6 +80,10 @@
         TestReplica::start_in(self.data_dir).await
     }
 
+    pub(crate) fn data_dir(&self) -> PathBuf {
+        self.data_dir.path().join("data")
+    }
+
     async fn start_in(data_dir: TempDir) -> TestReplica {
         let control = Control::spawn(settings(data_dir.path())).await.unwrap();
         control.wait_until_leader().await;
--- a/crates/control/tests/replica.rs
+++ b/crates/control/tests/replica.rs
@@ -210,3 +210,22 @@
     assert!(page.contains("jasminefront_control_state{value=\"revision\"} 1"), "{page}");
     replica.control.shutdown().await;
 }
+
+/// Guards against a process that lives on after its replica has stopped for good.
+#[tokio::test]
+async fn a_replica_that_cannot_open_its_data_folder_again_fails() {
+    let replica = TestReplica::start().await;
+    let data = replica.data_dir();
+    std::os::unix::fs::symlink("/dev/full", data.join("aside.tmp")).unwrap();
+    std::fs::write(data.join("meta"), "damaged").unwrap();
+    let plan = replica.post("/v1/plans", "a-plan", INTENT);
+    let failed = async {
+        tokio::select! {
+            err = replica.control.failed() => err,
+            // The plan itself is not written to the metadata file, but its commit index is.
+            _ = plan => replica.control.failed().await,
+        }
+    };
+    let err = tokio::time::timeout(std::time::Duration::from_secs(10), failed).await.unwrap();
+    assert!(err.to_string().contains("the replica has stopped"), "{err}");
+}
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -109,7 +109,7 @@
         let is_single = config.peers.is_empty();
         let election_ms = config.election_ms;
         let driver = Driver::new(config, raft, shared.clone(), disk, dialer, inputs.clone());
-        task::spawn(driver.run(request_queue, input_queue));
+        task::spawn(supervise(driver.run(request_queue, input_queue), shared.clone()));
         let replica = Replica { shared, requests, inputs, allowed_senders };
         if is_single {
             replica.wait_until_leading(Duration::from_millis(election_ms)).await;
@@ -230,3 +230,15 @@
         }
     }
 }
+
+/// Runs a driver, and reports that the replica has stopped if it panics.
+async fn supervise<M, F>(driver: F, shared: Arc<Shared<M>>)
+where
+    M: StateMachine,
+    F: Future<Output = ()> + Send + 'static,
+{
+    if let Err(err) = task::spawn(driver).await {
+        tracing::error!("replica: {} stopped: {err}", shared.id);
+        shared.stop();
+    }
+}
--- a/crates/replica/tests/three.rs
+++ b/crates/replica/tests/three.rs
@@ -4,9 +4,10 @@
 
 use {
     group::{Group, wait_for_status, with_timeout},
-    replica::ProposeError,
+    replica::{ProposeError, Replica, ReplicaConfig, RestoreError, StateMachine},
     std::time::Duration,
     tokio::time::timeout,
+    wire::{Clock, Dialer, Traffic, TrafficClass},
 };
 
 const NEVER_SNAPSHOT: u64 = 1 << 30;
@@ -208,3 +209,30 @@
     group.wait_for_applied(1 - leader, commands.len()).await;
     assert_eq!(group.replica(1 - leader).with(|it| it.0[..commands.len()].to_vec()), commands);
 }
+
+/// Guards against a replica that ends by a panic and never reports that it has stopped.
+#[tokio::test]
+async fn a_replica_whose_state_machine_panics_reports_that_it_has_stopped() {
+    struct Panics;
+    impl StateMachine for Panics {
+        fn apply(&mut self, _: u64, _: &[u8]) -> Vec<u8> {
+            panic!("as the test expects")
+        }
+        fn snapshot(&self) -> Vec<u8> {
+            Vec::new()
+        }
+        fn restore(&mut self, _: &[u8]) -> Result<(), RestoreError> {
+            Ok(())
+        }
+    }
+    let folder = tempfile::tempdir().unwrap();
+    let addr = "127.0.0.1:1".parse().unwrap();
+    let config = ReplicaConfig::new(folder.path().join("data"), addr, Vec::new());
+    let dialer =
+        Dialer { identity: None, traffic: Traffic::default(), class: TrafficClass::Control };
+    let replica = Replica::open(config, Panics, dialer, Clock::start()).await.unwrap();
+    let mut status = replica.subscribe();
+    let outcome = with_timeout(replica.propose(b"command".to_vec())).await;
+    assert_eq!(outcome, Err(ProposeError::Unknown));
+    with_timeout(status.wait_for(|it| it.stopped)).await.unwrap();
+}
