Forward a request to join to the leader

Cause: on_join_request returned at once on a replica that does not lead. The new replica knows its seeds only, so it never joined, and the lost machine kept its vote.

Change: a replica that follows a leader forwards the request to it, once; the receiver of the envelope tells a forwarded request from a direct one, so no message changes its encoding. The leader takes the address of the new replica from the message, not from the sender of the frame.

Measured: a_follower_passes_a_request_to_join_on_to_the_leader failed before.

--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -1,6 +1,6 @@
 //! Membership changes, one at a time.
 //!
-//! A replica that asks to join becomes a non-voter. Once it has all committed entries, it takes the place of the voter
+//! A replica that asks to join becomes a non-voter; replicas that do not lead forward the request to the leader. Once it has all committed entries, it takes the place of the voter
 //! that used the same address before it (a new id at that address means that the old disk is lost). In a group with its
 //! intended number of voters, a replica at a new address takes the place of a voter that has not responded for the
 //! voter timeout; in a smaller group it becomes one more voter.
@@ -12,19 +12,33 @@
 use {
     crate::{
         entry::{Member, MemberRole, Membership, Payload},
-        event::Actions,
+        event::{Action, Actions},
         leader::LeaderState,
+        message::{Envelope, Message},
         raft::{Raft, Role},
     },
-    model::{ReplicaId, Time},
+    model::{ReplicaId, Term, Time},
 };
 
 impl Raft {
-    pub(crate) fn on_join_request(&mut self, now: Time, member: Member, actions: &mut Actions) {
+    /// Handles a request to join. `is_direct` tells whether it came from the replica itself.
+    pub(crate) fn on_join_request(
+        &mut self,
+        now: Time,
+        member: Member,
+        is_direct: bool,
+        actions: &mut Actions,
+    ) {
+        let Role::Leader(leader) = &mut self.role else {
+            // The replica may know only replicas that do not lead.
+            if let Some(leader) = self.leader.filter(|_| is_direct) {
+                self.forward_join_request(leader, member, actions);
+            }
+            return;
+        };
         let members = self.log.members();
         let own = members.get(self.id).is_some_and(|it| it.addr == member.addr);
         let known = members.get(member.id).is_some() || own;
-        let Role::Leader(leader) = &mut self.role else { return };
         if known || leader.pending_joins.iter().any(|it| it.id == member.id) {
             return;
         }
@@ -32,6 +46,13 @@
         self.change_members(now, actions);
     }
 
+    fn forward_join_request(&self, leader: ReplicaId, member: Member, actions: &mut Actions) {
+        let group = self.hard_state.group;
+        let message = Message::JoinRequest { addr: member.addr };
+        let envelope = Envelope { group, from: member.id, to: leader, term: Term(0), message };
+        actions.push(Action::Send(envelope));
+    }
+
     /// Starts the next membership change if the previous one is committed and this replica holds its lease.
     pub(crate) fn change_members(&mut self, now: Time, actions: &mut Actions) {
         if self.log.members_index() > self.commit_index || self.current_lease(now).is_none() {
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -107,7 +107,8 @@
         /// The `sent_at` of the request.
         sent_at: Time,
     },
-    /// Asks to be added to the group; the envelope's receiver is ignored.
+    /// Asks to be added to the group. The envelope's receiver is the sender itself, or the leader to which another
+    /// replica forwards the request.
     JoinRequest {
         /// The address that the sender listens on.
         addr: SocketAddr,
--- a/crates/quorum/src/raft.rs
+++ b/crates/quorum/src/raft.rs
@@ -171,11 +171,8 @@
         let Envelope { group, from, to, term, message } = envelope;
         if let Message::JoinRequest { addr } = message {
             if group == 0 || group == self.hard_state.group {
-                self.on_join_request(
-                    now,
-                    Member { id: from, addr, role: MemberRole::NonVoter },
-                    actions,
-                );
+                let member = Member { id: from, addr, role: MemberRole::NonVoter };
+                self.on_join_request(now, member, to == from, actions);
             }
             return;
         }
--- a/crates/quorum/tests/members.rs
+++ b/crates/quorum/tests/members.rs
@@ -134,3 +134,50 @@
     assert_eq!(raft.commit_index(), 2);
     assert_eq!(raft.leader(), None, "it leaves the lead to the voters");
 }
+
+/// Guards against a replica that never joins because the replicas that it knows don't lead.
+#[test]
+fn a_follower_passes_a_request_to_join_on_to_the_leader() {
+    let (joiner, addr) = (ReplicaId(9), ([127, 0, 0, 1], 9).into());
+    let request = |group, to| {
+        let message = Message::JoinRequest { addr };
+        Event::Received(Envelope { group, from: joiner, to, term: Term(0), message })
+    };
+    let mut follower = open(2);
+    let now = follower.deadline();
+    let sent = |actions: Actions| -> Vec<Envelope> {
+        let envelope = |it| if let Action::Send(envelope) = it { Some(envelope) } else { None };
+        actions.into_iter().filter_map(envelope).collect()
+    };
+    assert_eq!(sent(follower.step(now, request(0, joiner))), [], "no leader is known");
+    let heartbeat = Message::AppendEntries {
+        prev_index: 1,
+        prev_term: Term(1),
+        entries: Vec::new(),
+        commit_index: 1,
+        sent_at: now,
+    };
+    receive(&mut follower, now, 1, heartbeat);
+    let passed_on = sent(follower.step(now, request(0, joiner)));
+    assert_eq!(passed_on.len(), 1);
+    assert_eq!((passed_on[0].from, passed_on[0].to), (joiner, ReplicaId(1)));
+    assert_eq!(sent(follower.step(now, request(8, joiner))), [], "a replica of another group");
+    assert_eq!(sent(follower.step(now, request(0, ReplicaId(2)))), [], "passed on once only");
+
+    let mut leader = lead(1, &[2, 4]);
+    let now = leader.deadline();
+    for envelope in passed_on {
+        step(&mut leader, now, Event::Received(envelope));
+    }
+    // The replacement that `lead` began is committed first.
+    for from in [2, 4] {
+        let last = leader.last_index();
+        receive(
+            &mut leader,
+            now,
+            from,
+            Message::AppendAccepted { match_index: last, sent_at: now },
+        );
+    }
+    assert_eq!(leader.members().get(joiner).map(|it| it.addr), Some(addr));
+}
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -258,7 +258,12 @@
         let Frame { from, body } = frame;
         match body {
             Body::Consensus(envelope) => {
-                self.sender_addrs.insert(envelope.from, from);
+                // Another replica may have forwarded the request.
+                let addr = match envelope.message {
+                    Message::JoinRequest { addr } => addr,
+                    _ => from,
+                };
+                self.sender_addrs.insert(envelope.from, addr);
                 self.step(Event::Received(envelope))
             }
             Body::QueryUninitialized { round } => {
--- a/crates/replica/tests/sim/mod.rs
+++ b/crates/replica/tests/sim/mod.rs
@@ -577,9 +577,10 @@
         }
         let message = Message::JoinRequest { addr: addr(at) };
         let envelope = Envelope { group, from: id, to: id, term: Term(0), message };
-        (0..self.hosts.len())
-            .filter(|it| *it != at)
-            .for_each(|it| self.net.send(at, it, envelope.clone()));
+        // The seeds of a replica need not include the leader.
+        let following = (1..self.hosts.len()).map(|it| (at + it) % self.hosts.len());
+        let seed = following.into_iter().find(|it| !self.hosts[*it].absent);
+        seed.into_iter().for_each(|it| self.net.send(at, it, envelope.clone()));
     }
 
     fn step(&mut self, at: usize, event: Event) {
