Let a control replica take over seeds that change while it runs

Cause: jf-core ignored every change of its settings, as seeds "only serve to find the group"; a replica that has not found it yet still needs them.

Change: Control::set_seeds replaces the addresses that are asked; the members with which a group may be bootstrapped stay as they are.

Measured: a_replica_joins_through_seeds_that_it_gets_later passes; the method is new, so there is no run of it before the change.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -250,6 +250,13 @@
         self.server.addr()
     }
 
+    /// Replaces the seeds through which this replica finds its group, unless its settings name fixed peers instead.
+    pub async fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        if !self.shared.settings.seeds.is_empty() {
+            self.shared.log.set_seeds(seeds).await;
+        }
+    }
+
     /// Waits until the replica cannot work any more and returns the reason. The process must then be restarted.
     pub async fn failed(&self) -> Report {
         tokio::select! {
--- a/crates/control/src/replicated_log.rs
+++ b/crates/control/src/replicated_log.rs
@@ -239,6 +239,11 @@
         let _ = self.subscribe().wait_for(|it| it.stopped).await;
     }
 
+    /// Replaces the addresses through which this replica finds its group.
+    pub(crate) async fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.replica.set_seeds(seeds).await;
+    }
+
     /// Serves a stream from another replica.
     pub(crate) fn handle_stream(&self, stream: Stream) {
         self.replica.handle_stream(stream);
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -39,6 +39,7 @@
 pub(crate) enum Request {
     Propose { command: Bytes, reply: Reply<Vec<u8>> },
     Read { reply: Reply<()> },
+    SetSeeds(Vec<SocketAddr>),
     Shutdown { reply: oneshot::Sender<()> },
 }
 
@@ -50,7 +51,7 @@
     Snapshot { index: u64, data: Bytes },
 }
 
-type Reply<T> = oneshot::Sender<Result<T, ProposeError>>;
+pub(crate) type Reply<T> = oneshot::Sender<Result<T, ProposeError>>;
 
 /// The reason why the consensus ends.
 pub(crate) enum Exit {
@@ -300,6 +301,7 @@
                         return exit;
                     }
                 }
+                Some(Request::SetSeeds(seeds)) => self.set_seeds(seeds),
                 Some(Request::Shutdown { reply }) => return Some(Exit::Shutdown(Some(reply))),
                 None => break,
             }
@@ -311,6 +313,13 @@
         if commands.is_empty() { None } else { self.step(Event::Propose(commands)) }
     }
 
+    /// Replaces the addresses through which this replica finds its group. Which members it may bootstrap a group with
+    /// stays as it is.
+    pub(crate) fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.config.peers = seeds.into_iter().filter(|it| *it != self.config.addr).collect();
+        self.update_links();
+    }
+
     fn step(&mut self, event: Event) -> Option<Exit> {
         let now = self.shared.clock.now();
         let actions = self.raft.step(now, event);
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -222,6 +222,14 @@
         task::spawn(serve::receive(stream, allowed, inputs, self.shared.protocols.clone()));
     }
 
+    /// Replaces the addresses through which this replica finds its group if it is not a member or hears from no leader.
+    ///
+    /// A replica that was not opened with [`ReplicaConfig::from_seeds`] must not be given other addresses.
+    pub async fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        // Fails only after the replica has stopped.
+        let _ = self.requests.send(Request::SetSeeds(seeds)).await;
+    }
+
     /// Stops the replica, syncs all writes and releases the data folder.
     pub async fn shutdown(&self) {
         let (reply, answer) = oneshot::channel();
--- a/crates/replica/src/reopen.rs
+++ b/crates/replica/src/reopen.rs
@@ -7,7 +7,7 @@
     crate::{
         config::ReplicaConfig,
         disk,
-        driver::{Driver, Exit, Input, Request},
+        driver::{Driver, Exit, Input, Reply, Request},
         error::ProposeError,
         journal::Journal,
         machine::StateMachine,
@@ -49,8 +49,10 @@
                 opened = &mut opening => break opened,
                 Some(input) = inputs.recv() => self.discard(input),
                 request = requests.recv() => match request {
+                    Some(Request::Propose { reply, .. }) => reject(reply),
+                    Some(Request::Read { reply }) => reject(reply),
+                    Some(Request::SetSeeds(seeds)) => self.set_seeds(seeds),
                     Some(Request::Shutdown { reply }) => return Some(Exit::Shutdown(Some(reply))),
-                    Some(request) => reject(request),
                     None => return Some(Exit::Shutdown(None)),
                 },
             }
@@ -130,11 +132,6 @@
     tracing::error!(event = "disk-failed", %err, "replica: a write to disk failed");
 }
 
-fn reject(request: Request) {
-    let err = ProposeError::NotLeader { leader: None };
-    match request {
-        Request::Propose { reply, .. } => drop(reply.send(Err(err))),
-        Request::Read { reply } => drop(reply.send(Err(err))),
-        Request::Shutdown { reply } => drop(reply.send(())),
-    }
+fn reject<T>(reply: Reply<T>) {
+    let _ = reply.send(Err(ProposeError::NotLeader { leader: None }));
 }
--- a/crates/replica/tests/three.rs
+++ b/crates/replica/tests/three.rs
@@ -3,11 +3,12 @@
 mod group;
 
 use {
-    group::{Group, wait_for_status, with_timeout},
+    group::{CommandRecorder, Group, wait_for_status, with_timeout},
     replica::{ProposeError, Replica, ReplicaConfig, RestoreError, StateMachine},
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
+    tempfile::TempDir,
     tokio::time::timeout,
-    wire::{Clock, Dialer, Traffic, TrafficClass},
+    wire::{Clock, Dialer, Listener, Traffic, TrafficClass},
 };
 
 const NEVER_SNAPSHOT: u64 = 1 << 30;
@@ -236,3 +237,41 @@
     assert_eq!(outcome, Err(ProposeError::Unknown));
     with_timeout(status.wait_for(|it| it.stopped)).await.unwrap();
 }
+
+/// Opens a replica that finds its group through seeds, for a group of one voter.
+async fn open_with_seeds(
+    folder: &TempDir,
+    seeds: Option<Vec<SocketAddr>>,
+) -> (SocketAddr, Replica<CommandRecorder>) {
+    let mut listener =
+        Listener::bind("127.0.0.1:0".parse().unwrap(), None, Traffic::default()).await.unwrap();
+    let addr = listener.addr();
+    let bootstrap = seeds.is_none();
+    let seeds = seeds.unwrap_or(vec![addr]);
+    let config = ReplicaConfig::from_seeds(folder.path().join("data"), addr, seeds, bootstrap, 1);
+    let dialer =
+        Dialer { identity: None, traffic: Traffic::default(), class: TrafficClass::Control };
+    let machine = CommandRecorder::default();
+    let replica = Replica::open(config, machine, dialer, Clock::start()).await.unwrap();
+    let receiver = replica.clone();
+    tokio::spawn(async move {
+        while let Some(incoming) = listener.accept().await {
+            receiver.handle_stream(incoming.stream);
+        }
+    });
+    (addr, replica)
+}
+
+/// Guards against a replica that never joins because all seeds that it started with are gone.
+#[tokio::test]
+async fn a_replica_joins_through_seeds_that_it_gets_later() {
+    let folders = [tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap()];
+    let (founder_addr, founder) = open_with_seeds(&folders[0], None).await;
+    with_timeout(wait_for_status(0, &founder, |it| it.leading_term.is_some())).await;
+    let gone = "127.0.0.1:1".parse().unwrap();
+    let (addr, replica) = open_with_seeds(&folders[1], Some(vec![gone])).await;
+    assert!(timeout(Duration::from_millis(500), replica.subscribe().changed()).await.is_err());
+    replica.set_seeds(vec![founder_addr, addr]).await;
+    with_timeout(wait_for_status(1, &replica, |it| it.leader == Some(founder.id()))).await;
+    assert!(founder.member_addrs().contains(&addr));
+}
