Give a replica whose disk was lost its vote back before spares that wait

Cause: next_membership looked at the first caught-up member without a vote only, in the order of random ids. If that was a spare, which has to wait until a voter is silent for the voter timeout, the host that came back at a voter's address was not looked at, though it could vote at once.

Change: all caught-up members are considered, those at a lost voter's address first; unresponsive members without a vote are removed also while a spare waits; requests to join are taken in their order, and only the latest of an address. New log lines tell each change of members with its reason, the committed members, and why a member has no vote.

--- a/crates/quorum/src/entry.rs
+++ b/crates/quorum/src/entry.rs
@@ -2,7 +2,7 @@
 
 use {
     bytes::Bytes,
-    derive_more::Debug,
+    derive_more::{Debug, Display},
     model::{ReplicaId, Term},
     serde::{Deserialize, Serialize},
     smallvec::SmallVec,
@@ -33,7 +33,8 @@
 }
 
 /// A replica of the group.
-#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug, Display)]
+#[display("{} at {addr} ({role})", id.0)]
 pub struct Member {
     /// The replica's id.
     pub id: ReplicaId,
@@ -47,20 +48,25 @@
 /// a majority of each.
 ///
 /// Earlier releases stored a `bool`, whose encoding equals that of the first two variants.
-#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug, Display)]
 pub enum MemberRole {
     /// It receives the log and does not count.
+    #[display("non-voter")]
     NonVoter,
     /// It is in both sets of voters.
+    #[display("voter")]
     Voter,
     /// It takes the place of the outgoing voter, and is in the new set only.
+    #[display("incoming")]
     Incoming,
     /// It is being replaced, and is in the old set only.
+    #[display("outgoing")]
     Outgoing,
 }
 
 /// The replicas of the group, sorted by id.
-#[derive(Clone, PartialEq, Eq, Default, Serialize, Deserialize, Debug)]
+#[derive(Clone, PartialEq, Eq, Default, Serialize, Deserialize, Debug, Display)]
+#[display("{}", _0.iter().map(ToString::to_string).collect::<Vec<_>>().join(", "))]
 pub struct Membership(pub Arc<[Member]>);
 
 impl Membership {
--- a/crates/quorum/src/event.rs
+++ b/crates/quorum/src/event.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         entry::{Entry, HardState, Membership, Snapshot},
+        members::MemberChange,
         message::Envelope,
     },
     bytes::Bytes,
@@ -76,6 +77,8 @@
         /// The token of [`Event::Read`].
         token: u64,
     },
+    /// The leader begins a change of the membership; only for logs.
+    MemberChange(MemberChange),
     /// This replica is no longer the leader; commands that it proposed may or may not be committed.
     SteppedDown,
 }
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -31,6 +31,7 @@
     config::{Config, ConfigError},
     entry::{Entry, HardState, Member, MemberRole, Membership, Payload, Snapshot},
     event::{Action, Actions, Event, Write},
+    members::{MemberChange, ReplaceReason, WaitReason},
     message::{Envelope, Message},
     raft::{DurableState, Raft},
 };
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -17,9 +17,66 @@
         message::{Envelope, Message},
         raft::{Raft, Role},
     },
+    derive_more::{Debug, Display},
     model::{ReplicaId, Term, Time},
+    smallvec::SmallVec,
 };
 
+/// A change of the membership that the leader begins.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Display)]
+pub enum MemberChange {
+    /// Adds a replica that asked to join, without a vote.
+    #[display("adds {_0} without a vote")]
+    Add(ReplicaId),
+    /// Makes a member a voter, as the group has too few.
+    #[display("makes {_0} a voter")]
+    Promote(ReplicaId),
+    /// Begins to replace a voter.
+    #[display("begins to replace {old} with {new}: {reason}")]
+    Replace {
+        /// The voter that is replaced.
+        old: ReplicaId,
+        /// The member that takes its place.
+        new: ReplicaId,
+        /// Why the voter is replaced.
+        reason: ReplaceReason,
+    },
+    /// Ends the replacement that was begun before.
+    #[display("ends a replacement")]
+    EndReplacement,
+    /// Removes a member without a vote that has not responded.
+    #[display("removes {_0}, which did not respond")]
+    Remove(ReplicaId),
+}
+
+/// Why a voter is replaced.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Display)]
+pub enum ReplaceReason {
+    /// Another replica uses its address, so its disk is lost.
+    #[display("its disk is lost")]
+    LostDisk,
+    /// It has not responded for the voter timeout.
+    #[display("it did not respond")]
+    Unresponsive,
+}
+
+/// Why a member has no vote.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Display)]
+pub enum WaitReason {
+    /// It does not respond, or lacks committed entries.
+    #[display("lagging")]
+    Lagging,
+    /// The latest change of the membership is not committed.
+    #[display("uncommitted-change")]
+    UncommittedChange,
+    /// The leader holds no lease.
+    #[display("no-lease")]
+    NoLease,
+    /// The group has enough voters, and all of them respond.
+    #[display("voters-respond")]
+    VotersRespond,
+}
+
 impl Raft {
     /// Handles a request to join. `is_direct` tells whether it came from the replica itself.
     pub(crate) fn on_join_request(
@@ -42,6 +99,8 @@
         if known || leader.pending_joins.iter().any(|it| it.id == member.id) {
             return;
         }
+        // A replica at an address takes the place of an earlier one whose disk is lost.
+        leader.pending_joins.retain(|it| it.addr != member.addr);
         leader.pending_joins.push(member);
         self.change_members(now, actions);
     }
@@ -58,7 +117,8 @@
         if self.log.members_index() > self.commit_index || self.current_lease(now).is_none() {
             return;
         }
-        let Some(members) = self.next_membership(now) else { return };
+        let Some((members, change)) = self.next_membership(now) else { return };
+        actions.push(Action::MemberChange(change));
         self.append_payloads(vec![Payload::Membership(members)], actions);
         self.update_peers(now, self.log.last_index());
         self.broadcast(now, actions);
@@ -66,45 +126,75 @@
         self.advance_commit(now, actions);
     }
 
-    fn next_membership(&mut self, now: Time) -> Option<Membership> {
+    fn next_membership(&mut self, now: Time) -> Option<(Membership, MemberChange)> {
         let members = self.log.members().clone();
         let Role::Leader(leader) = &mut self.role else { return None };
         if members.is_joint() {
-            return Some(end_replacement(&members, self.id));
-        }
-        if let Some(member) = leader.pending_joins.pop() {
-            return Some(add_non_voter(&members, member));
+            return Some((end_replacement(&members, self.id), MemberChange::EndReplacement));
         }
-        let ready = |it: &&Member| !it.is_voter() && self.is_caught_up(now, it);
-        if let Some(member) = members.0.iter().copied().find(|it| ready(&it)) {
-            return self.promote_or_replace(now, &members, member);
+        if !leader.pending_joins.is_empty() {
+            let member = leader.pending_joins.remove(0);
+            return Some((add_non_voter(&members, member), MemberChange::Add(member.id)));
         }
-        let unresponsive =
-            members.0.iter().find(|it| !it.is_voter() && self.is_unresponsive(now, it))?;
-        Some(remove_member(&members, unresponsive.id))
+        let change = self.next_vote_change(now, &members).or_else(|| {
+            let mut others = members.0.iter().filter(|it| !it.is_voter());
+            Some(MemberChange::Remove(others.find(|it| self.is_unresponsive(now, it))?.id))
+        })?;
+        let changed = match change {
+            MemberChange::Promote(id) => set_role(&members, id, MemberRole::Voter),
+            MemberChange::Replace { old, new, .. } => {
+                let members = set_role(&members, old, MemberRole::Outgoing);
+                set_role(&members, new, MemberRole::Incoming)
+            }
+            MemberChange::Remove(id) => remove_member(&members, id),
+            MemberChange::Add(_) | MemberChange::EndReplacement => return None,
+        };
+        Some((changed, change))
     }
 
-    /// Promotes `member` to a voter, or begins to replace a voter with it.
-    fn promote_or_replace(
-        &self,
-        now: Time,
-        members: &Membership,
-        member: Member,
-    ) -> Option<Membership> {
-        let others = || members.0.iter().filter(|it| it.is_voter() && it.id != self.id);
-        let predecessor = others().find(|it| it.addr == member.addr);
-        if predecessor.is_none() && members.voter_count() < self.config.target_voters {
-            return Some(set_roles(members, |it| {
-                if it.id == member.id { MemberRole::Voter } else { it.role }
-            }));
-        }
-        let replaced =
-            predecessor.or_else(|| others().find(|it| self.is_unresponsive(now, it)))?.id;
-        Some(set_roles(members, |it| match it.id {
-            id if id == replaced => MemberRole::Outgoing,
-            id if id == member.id => MemberRole::Incoming,
-            _ => it.role,
-        }))
+    /// Returns how a caught-up member gets a vote. Members that can take one now come before those that have to wait,
+    /// and those at the address of a voter before all others.
+    fn next_vote_change(&self, now: Time, members: &Membership) -> Option<MemberChange> {
+        let ready: SmallVec<[&Member; 4]> =
+            members.0.iter().filter(|it| !it.is_voter() && self.is_caught_up(now, it)).collect();
+        let voters = || members.0.iter().filter(|it| it.is_voter() && it.id != self.id);
+        let replace = |old: &Member, new: &Member, reason| MemberChange::Replace {
+            old: old.id,
+            new: new.id,
+            reason,
+        };
+        let successor = ready.iter().find_map(|it| {
+            let old = voters().find(|old| old.addr == it.addr)?;
+            Some(replace(old, it, ReplaceReason::LostDisk))
+        });
+        let spare = || {
+            let new = ready.first()?;
+            if members.voter_count() < self.config.target_voters {
+                return Some(MemberChange::Promote(new.id));
+            }
+            let old = voters().find(|it| self.is_unresponsive(now, it))?;
+            Some(replace(old, new, ReplaceReason::Unresponsive))
+        };
+        successor.or_else(spare)
+    }
+
+    /// The members without a vote and why they have none, if this replica leads.
+    pub fn waiting_members(&self, now: Time) -> SmallVec<[(ReplicaId, WaitReason); 2]> {
+        let Role::Leader(_) = &self.role else { return SmallVec::new() };
+        let members = self.log.members();
+        let reason = |it: &Member| {
+            if !self.is_caught_up(now, it) {
+                WaitReason::Lagging
+            } else if self.log.members_index() > self.commit_index {
+                WaitReason::UncommittedChange
+            } else if self.current_lease(now).is_none() {
+                WaitReason::NoLease
+            } else {
+                WaitReason::VotersRespond
+            }
+        };
+        let waiting = members.0.iter().filter(|it| !it.is_voter());
+        waiting.map(|it| (it.id, reason(it))).collect()
     }
 
     /// Whether a replica has not answered this leader for the voter timeout.
@@ -154,6 +244,10 @@
     })
 }
 
+fn set_role(members: &Membership, id: ReplicaId, role: MemberRole) -> Membership {
+    set_roles(members, |it| if it.id == id { role } else { it.role })
+}
+
 fn set_roles<F>(members: &Membership, role: F) -> Membership
 where
     F: Fn(&Member) -> MemberRole,
--- a/crates/quorum/tests/members.rs
+++ b/crates/quorum/tests/members.rs
@@ -34,14 +34,14 @@
 }
 
 fn open(id: u64) -> Raft {
-    open_with(id, joint())
+    open_with(id, joint(), Config::default())
 }
 
-fn open_with(id: u64, members: Membership) -> Raft {
+fn open_with(id: u64, members: Membership, config: Config) -> Raft {
     let entry = Entry { index: 1, term: Term(1), payload: Payload::Membership(members) };
     let hard_state = HardState { group: 7, term: Term(1), vote: None, commit_index: 0 };
     let durable = DurableState { hard_state, entries: vec![entry], ..DurableState::default() };
-    Raft::open(Time(SECOND), Config::default(), ReplicaId(id), durable, 1).0
+    Raft::open(Time(SECOND), config, ReplicaId(id), durable, 1).0
 }
 
 /// Handles an event and reports its writes as synced.
@@ -60,7 +60,11 @@
 
 /// Lets a replica win an election with votes of these replicas and commits its first entry.
 fn lead(id: u64, voters: &[u64]) -> Raft {
-    let mut raft = open(id);
+    lead_with(open(id), voters)
+}
+
+fn lead_with(mut raft: Raft, voters: &[u64]) -> Raft {
+    let id = raft.id();
     let now = raft.deadline();
     step(&mut raft, now, Event::Tick);
     for from in voters {
@@ -69,7 +73,7 @@
     for from in voters {
         receive(&mut raft, now, *from, Message::VoteResponse { granted: true });
     }
-    assert_eq!(raft.leader(), Some(ReplicaId(id)));
+    assert_eq!(raft.leader(), Some(id));
     for from in voters {
         receive(&mut raft, now, *from, Message::AppendAccepted { match_index: 2, sent_at: now });
     }
@@ -116,7 +120,7 @@
 
 #[test]
 fn a_successor_with_a_newer_log_campaigns_when_it_is_asked_for_its_vote() {
-    let mut raft = open_with(4, without_successor());
+    let mut raft = open_with(4, without_successor(), Config::default());
     let now = Time(10 * SECOND);
     let request = Message::RequestPreVote { last_index: 9, last_term: Term(0) };
     receive(&mut raft, now, 1, request);
@@ -181,3 +185,38 @@
     }
     assert_eq!(leader.members().get(joiner).map(|it| it.addr), Some(addr));
 }
+
+/// Guards against a spare that has to wait and keeps a replica which lost its disk from its old vote.
+#[test]
+fn a_replica_whose_disk_was_lost_gets_its_vote_back_before_a_spare_that_waits() {
+    let member = |id: u64, port, role| Member {
+        id: ReplicaId(id),
+        addr: ([127, 0, 0, 1], port).into(),
+        role,
+    };
+    let (voter, non_voter) = (MemberRole::Voter, MemberRole::NonVoter);
+    let spare = member(4, 4, non_voter);
+    let successor = member(5, 3, non_voter);
+    let members = Membership(
+        [member(1, 1, voter), member(2, 2, voter), member(3, 3, voter), spare, successor].into(),
+    );
+    let mut config = Config::default();
+    config.set_target_voters(3, 4 * SECOND);
+    let mut leader = lead_with(open_with(1, members, config), &[2]);
+    let now = leader.deadline();
+    step(&mut leader, now, Event::Tick);
+    for from in [2, 4, 5] {
+        let last = leader.last_index();
+        receive(
+            &mut leader,
+            now,
+            from,
+            Message::AppendAccepted { match_index: last, sent_at: now },
+        );
+    }
+    let (outgoing, incoming) = (MemberRole::Outgoing, MemberRole::Incoming);
+    assert_eq!(
+        roles(&leader),
+        [(1, voter), (2, voter), (3, outgoing), (4, non_voter), (5, incoming)]
+    );
+}
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -15,8 +15,9 @@
     model::{MILLISECOND, ReplicaId, Term, Time},
     quorum::{
         Action, Actions, Entry, Envelope, Event, Member, MemberRole, Membership, Message, Payload,
-        Raft, Snapshot,
+        Raft, Snapshot, WaitReason,
     },
+    smallvec::SmallVec,
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
@@ -35,6 +36,9 @@
 /// The maximum number of requests that are handled in one step.
 const MAX_REQUEST_BATCH: usize = 1_024;
 
+/// The shortest interval between log lines on members that wait for a vote, in microseconds.
+const WAITING_LOG_INTERVAL: u64 = 1_000 * MILLISECOND;
+
 /// A request from a handle.
 pub(crate) enum Request {
     Propose { command: Bytes, reply: Reply<Vec<u8>> },
@@ -85,6 +89,9 @@
     /// The size of the last snapshot.
     snapshot_bytes: u64,
     pub(crate) snapshot_pending: bool,
+    /// The members without a vote, as last logged.
+    waiting_members: SmallVec<[(ReplicaId, WaitReason); 2]>,
+    next_waiting_log: Time,
 }
 
 impl<M> Driver<M>
@@ -117,6 +124,8 @@
             bytes_since_snapshot: 0,
             snapshot_bytes: 0,
             snapshot_pending: false,
+            waiting_members: SmallVec::new(),
+            next_waiting_log: Time::default(),
         };
         driver.update_links();
         driver
@@ -326,10 +335,31 @@
         self.shared.publish(now, &self.raft);
         let exit = self.execute(actions);
         self.shared.notify(now, &self.raft);
+        self.log_waiting_members(now);
         self.snapshot_if_due();
         exit
     }
 
+    fn log_waiting_members(&mut self, now: Time) {
+        if now < self.next_waiting_log {
+            return;
+        }
+        self.next_waiting_log = now + WAITING_LOG_INTERVAL;
+        let waiting = self.raft.waiting_members(now);
+        if waiting == self.waiting_members {
+            return;
+        }
+        for (id, reason) in waiting.iter().filter(|it| !self.waiting_members.contains(it)) {
+            tracing::info!(
+                event = "member-waits",
+                member = id.0,
+                %reason,
+                "replica: a member has no vote yet"
+            );
+        }
+        self.waiting_members = waiting;
+    }
+
     pub(crate) fn execute(&mut self, actions: Actions) -> Option<Exit> {
         for action in actions {
             match action {
@@ -361,6 +391,13 @@
                     let leader = self.raft.leader();
                     self.complete_read(token, Err(ProposeError::NotLeader { leader }));
                 }
+                Action::MemberChange(change) => {
+                    tracing::info!(
+                        event = "member-change",
+                        index = self.raft.last_index(),
+                        "replica: the leader {change}"
+                    );
+                }
                 Action::SteppedDown => {
                     tracing::info!("replica: {} stepped down as leader", self.raft.id());
                     for (_, (_, reply)) in std::mem::take(&mut self.pending_proposals) {
--- a/crates/replica/src/shared.rs
+++ b/crates/replica/src/shared.rs
@@ -79,6 +79,12 @@
         let mut view = self.view.lock();
         view.lease = lease.map(|(term, expires_at)| LeaderLease { term, expires_at });
         if view.members != *raft.committed_members() {
+            tracing::info!(
+                event = "members-committed",
+                members = %raft.committed_members(),
+                "replica: {} knows another membership",
+                self.id
+            );
             view.members = raft.committed_members().clone();
         }
     }
--- a/crates/replica/tests/sim/mod.rs
+++ b/crates/replica/tests/sim/mod.rs
@@ -630,7 +630,7 @@
                 }
                 Action::ReadFailed { token } => drop(node.reads.remove(&token)),
                 Action::SteppedDown => node.pending.clear(),
-                Action::ProposalRejected => {}
+                Action::ProposalRejected | Action::MemberChange(_) => {}
             }
         }
     }
