Repeat an election soon after a split vote

Cause: a candidate that was denied a vote waited for a whole election timeout and its spread, 1.5 to 2.3 s on that link, although the former leader had been silent for one already.

Change: a denied vote of the candidate's own term shortens its timer to at most half an election timeout, at random. A vote that arrives later still counts, and pre-votes still protect a leader.

--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -110,6 +110,14 @@
         }
     }
 
+    /// Another candidate of the term may have got the vote. If the votes are split, nobody will lead in this term, so the
+    /// next election need not wait for a whole election timeout: the former leader has been silent for one already.
+    pub(crate) fn on_vote_denied(&mut self, now: Time) {
+        if matches!(self.role, Role::Candidate(_)) {
+            self.shorten_election_timer(now);
+        }
+    }
+
     /// Starts an election in the next term. This replica's own vote counts once it is on disk.
     fn campaign(&mut self, actions: &mut Actions) {
         self.hard_state.term = Term(self.hard_state.term.0 + 1);
--- a/crates/quorum/src/raft.rs
+++ b/crates/quorum/src/raft.rs
@@ -205,6 +205,7 @@
     fn on_message(&mut self, now: Time, from: ReplicaId, message: Message, actions: &mut Actions) {
         match message {
             Message::VoteResponse { granted: true } => self.on_vote_granted(now, from, actions),
+            Message::VoteResponse { granted: false } => self.on_vote_denied(now),
             Message::AppendEntries { prev_index, prev_term, entries, commit_index, sent_at } => {
                 self.accept_leader(now, from, actions);
                 self.on_append_entries(
@@ -230,8 +231,7 @@
             Message::SnapshotChunkReceived { index, offset, sent_at } => {
                 self.on_snapshot_chunk_received(now, from, index, offset, sent_at, actions);
             }
-            Message::VoteResponse { granted: false }
-            | Message::PreVoteResponse { .. }
+            Message::PreVoteResponse { .. }
             | Message::RequestPreVote { .. }
             | Message::RequestVote { .. }
             | Message::JoinRequest { .. } => {}
@@ -309,6 +309,12 @@
         self.election_deadline = now + self.config.election_timeout + spread;
     }
 
+    /// Lets the next election begin within half an election timeout at the latest.
+    pub(crate) fn shorten_election_timer(&mut self, now: Time) {
+        let delay = self.rng.random_range(0..self.config.election_timeout / 2);
+        self.election_deadline = self.election_deadline.min(now + delay);
+    }
+
     pub(crate) fn is_voter(&self) -> bool {
         self.log.members().is_voter(self.id)
     }
--- a/crates/quorum/tests/members.rs
+++ b/crates/quorum/tests/members.rs
@@ -1,11 +1,11 @@
 //! The quorums of a group while a voter is replaced.
 
+mod common;
+
 use {
+    common::{acknowledge, member, open_with, receive, step},
     model::{ReplicaId, SECOND, Term, Time},
-    quorum::{
-        Action, Actions, Config, DurableState, Entry, Envelope, Event, HardState, Member,
-        MemberRole, Membership, Message, Payload, Raft,
-    },
+    quorum::{Config, Envelope, Event, Member, MemberRole, Membership, Message, Raft},
     rstest::rstest,
 };
 
@@ -34,50 +34,12 @@
 }
 
 fn open(id: u64) -> Raft {
-    open_with(id, joint(), Config::default())
-}
-
-fn open_with(id: u64, members: Membership, config: Config) -> Raft {
-    let entry = Entry { index: 1, term: Term(1), payload: Payload::Membership(members) };
-    let hard_state = HardState { group: 7, term: Term(1), vote: None, commit_index: 0 };
-    let durable = DurableState { hard_state, entries: vec![entry], ..DurableState::default() };
-    Raft::open(Time(SECOND), config, ReplicaId(id), durable, 1).0
-}
-
-/// Handles an event and reports its writes as synced.
-fn step(raft: &mut Raft, now: Time, event: Event) {
-    let actions: Actions = raft.step(now, event);
-    let number = |it: &Action| if let Action::Write(number, _) = it { Some(*number) } else { None };
-    if let Some(last) = actions.iter().filter_map(number).max() {
-        raft.step(now, Event::Synced(last));
-    }
+    common::open(id, joint())
 }
 
-fn receive(raft: &mut Raft, now: Time, from: u64, message: Message) {
-    let (from, to, term) = (ReplicaId(from), raft.id(), Term(2));
-    step(raft, now, Event::Received(Envelope { group: 7, from, to, term, message }));
-}
-
-/// Lets a replica win an election with votes of these replicas and commits its first entry.
+/// Lets a replica of the joint membership lead.
 fn lead(id: u64, voters: &[u64]) -> Raft {
-    lead_with(open(id), voters)
-}
-
-fn lead_with(mut raft: Raft, voters: &[u64]) -> Raft {
-    let id = raft.id();
-    let now = raft.deadline();
-    step(&mut raft, now, Event::Tick);
-    for from in voters {
-        receive(&mut raft, now, *from, Message::PreVoteResponse { granted: true });
-    }
-    for from in voters {
-        receive(&mut raft, now, *from, Message::VoteResponse { granted: true });
-    }
-    assert_eq!(raft.leader(), Some(id));
-    for from in voters {
-        receive(&mut raft, now, *from, Message::AppendAccepted { match_index: 2, sent_at: now });
-    }
-    raft
+    common::lead(open(id), voters)
 }
 
 fn roles(raft: &Raft) -> Vec<(u64, MemberRole)> {
@@ -120,7 +82,7 @@
 
 #[test]
 fn a_successor_with_a_newer_log_campaigns_when_it_is_asked_for_its_vote() {
-    let mut raft = open_with(4, without_successor(), Config::default());
+    let mut raft = common::open(4, without_successor());
     let now = Time(10 * SECOND);
     let request = Message::RequestPreVote { last_index: 9, last_term: Term(0) };
     receive(&mut raft, now, 1, request);
@@ -149,11 +111,7 @@
     };
     let mut follower = open(2);
     let now = follower.deadline();
-    let sent = |actions: Actions| -> Vec<Envelope> {
-        let envelope = |it| if let Action::Send(envelope) = it { Some(envelope) } else { None };
-        actions.into_iter().filter_map(envelope).collect()
-    };
-    assert_eq!(sent(follower.step(now, request(0, joiner))), [], "no leader is known");
+    assert_eq!(step(&mut follower, now, request(0, joiner)), [], "no leader is known");
     let heartbeat = Message::AppendEntries {
         prev_index: 1,
         prev_term: Term(1),
@@ -162,11 +120,11 @@
         sent_at: now,
     };
     receive(&mut follower, now, 1, heartbeat);
-    let passed_on = sent(follower.step(now, request(0, joiner)));
+    let passed_on = step(&mut follower, now, request(0, joiner));
     assert_eq!(passed_on.len(), 1);
     assert_eq!((passed_on[0].from, passed_on[0].to), (joiner, ReplicaId(1)));
-    assert_eq!(sent(follower.step(now, request(8, joiner))), [], "a replica of another group");
-    assert_eq!(sent(follower.step(now, request(0, ReplicaId(2)))), [], "passed on once only");
+    assert_eq!(step(&mut follower, now, request(8, joiner)), [], "a replica of another group");
+    assert_eq!(step(&mut follower, now, request(0, ReplicaId(2))), [], "passed on once only");
 
     let mut leader = lead(1, &[2, 4]);
     let now = leader.deadline();
@@ -189,11 +147,6 @@
 /// Guards against a spare that has to wait and keeps a replica which lost its disk from its old vote.
 #[test]
 fn a_replica_whose_disk_was_lost_gets_its_vote_back_before_a_spare_that_waits() {
-    let member = |id: u64, port, role| Member {
-        id: ReplicaId(id),
-        addr: ([127, 0, 0, 1], port).into(),
-        role,
-    };
     let (voter, non_voter) = (MemberRole::Voter, MemberRole::NonVoter);
     let spare = member(4, 4, non_voter);
     let successor = member(5, 3, non_voter);
@@ -202,18 +155,10 @@
     );
     let mut config = Config::default();
     config.set_target_voters(3, 4 * SECOND);
-    let mut leader = lead_with(open_with(1, members, config), &[2]);
+    let mut leader = common::lead(open_with(1, members, config), &[2]);
     let now = leader.deadline();
     step(&mut leader, now, Event::Tick);
-    for from in [2, 4, 5] {
-        let last = leader.last_index();
-        receive(
-            &mut leader,
-            now,
-            from,
-            Message::AppendAccepted { match_index: last, sent_at: now },
-        );
-    }
+    acknowledge(&mut leader, now, &[2, 4, 5]);
     let (outgoing, incoming) = (MemberRole::Outgoing, MemberRole::Incoming);
     assert_eq!(
         roles(&leader),
