Count a voter's silence from before the election of a leader

Cause: each new leader counted the voter timeout of 4 s from its own election, so that an election of some seconds, or a change of the leader, delayed the replacement by as much.

Change: a replica remembers when it last heard from each member, in any role. A leader counts the silence from then, and gives a member an election timeout at least to answer it.

--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -41,8 +41,10 @@
     last_progress: (u64, Time),
     /// The sending time of the latest message that it answered; zero before the first answer.
     pub(crate) acked_sent_at: Time,
-    /// When it became a member, or this replica became leader if that was later.
+    /// When this leader began to replicate to it.
     pub(crate) tracked_since: Time,
+    /// When this replica last heard from it before `tracked_since`; equal to that if it became a member then.
+    pub(crate) earlier_contact: Time,
     pub(crate) outgoing_snapshot: Option<OutgoingSnapshot>,
 }
 
@@ -88,6 +90,13 @@
             pending_joins: SmallVec::new(),
         }));
         self.update_peers(now, first_index);
+        let contacts: SmallVec<[Time; 5]> =
+            self.peer_ids().into_iter().map(|it| self.last_contact(it)).collect();
+        if let Role::Leader(leader) = &mut self.role {
+            for (peer, contact) in leader.peers.values_mut().zip(contacts) {
+                peer.earlier_contact = contact;
+            }
+        }
         self.append_payloads(vec![Payload::Empty], actions);
         self.broadcast(now, actions);
     }
@@ -249,6 +258,7 @@
             leader.peers.entry(member.id).or_insert_with(|| Peer {
                 next_index,
                 tracked_since: now,
+                earlier_contact: now,
                 ..Peer::default()
             });
         }
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -197,11 +197,14 @@
         waiting.map(|it| (it.id, reason(it))).collect()
     }
 
-    /// Whether a replica has not answered this leader for the voter timeout.
+    /// Whether a member has been silent for the voter timeout. That includes the time before this replica was elected, so
+    /// that a change of the leader does not delay the replacement of a lost voter; but a sound member must have had an
+    /// election timeout to answer this leader.
     fn is_unresponsive(&self, now: Time, member: &Member) -> bool {
         let Role::Leader(leader) = &self.role else { return false };
         let Some(peer) = leader.peers.get(&member.id) else { return false };
-        now.since(peer.acked_sent_at.max(peer.tracked_since)) >= self.config.voter_timeout
+        now.since(peer.acked_sent_at.max(peer.earlier_contact)) >= self.config.voter_timeout
+            && now.since(peer.tracked_since) >= self.config.election_timeout
     }
 
     /// Whether a replica has answered within an election timeout and has all committed entries on disk.
--- a/crates/quorum/src/raft.rs
+++ b/crates/quorum/src/raft.rs
@@ -14,7 +14,7 @@
     model::{MILLISECOND, ReplicaId, Term, Time},
     rand::{Rng, SeedableRng, rngs::StdRng},
     smallvec::SmallVec,
-    std::collections::VecDeque,
+    std::collections::{BTreeMap, VecDeque},
 };
 
 /// The state of a replica as read from its disk.
@@ -72,6 +72,10 @@
     /// When this replica last received a message from a leader, or started if it has received none. It grants no vote
     /// until an election timeout after that.
     pub(crate) last_leader_contact: Time,
+    /// When this process began to run the replica.
+    pub(crate) opened_at: Time,
+    /// When this replica, in any role, last received a message from each other member.
+    last_contacts: BTreeMap<ReplicaId, Time>,
     pub(crate) election_deadline: Time,
     pub(crate) incoming_snapshot: Option<IncomingSnapshot>,
     pub(crate) last_write: u64,
@@ -110,6 +114,8 @@
             role: Role::Follower,
             leader: None,
             last_leader_contact: now,
+            opened_at: now,
+            last_contacts: BTreeMap::new(),
             election_deadline: now,
             incoming_snapshot: None,
             last_write: 0,
@@ -179,6 +185,7 @@
         if to != self.id || !self.accept_group(group, &message, actions) {
             return;
         }
+        self.record_contact(now, from);
         match message {
             Message::RequestPreVote { last_index, last_term } => {
                 self.on_request_pre_vote(now, from, term, (last_term, last_index), actions);
@@ -238,6 +245,18 @@
         }
     }
 
+    fn record_contact(&mut self, now: Time, from: ReplicaId) {
+        let members = self.log.members();
+        if members.get(from).is_some() && self.last_contacts.insert(from, now).is_none() {
+            self.last_contacts.retain(|it, _| members.get(*it).is_some());
+        }
+    }
+
+    /// When this replica last heard from a member, or was opened if it never has.
+    pub(crate) fn last_contact(&self, member: ReplicaId) -> Time {
+        self.last_contacts.get(&member).copied().unwrap_or(self.opened_at)
+    }
+
     /// Returns whether a message belongs to this replica's group. An uninitialized replica adopts the group of the
     /// first leader that sends it entries or a snapshot.
     fn accept_group(&mut self, group: u64, message: &Message, actions: &mut Actions) -> bool {
