Hand over a voter's vote before it stops

Cause: a replica that stops kept its vote until it had been silent for the voter timeout, though its successor was ready. The next planned stop took the majority along.

Change: a voter that is told to stop asks the leader to give its vote to a caught-up member without one, by joint consensus as for a lost voter, and stops when that is committed, or after 3 s; at once if there is no such member. The spare must have joined while all other voters answered, so that it does not stand for a lost one. The two new messages are sent to processes of protocol 2 only; the leader records the highest protocol that all members speak, so that orders of protocol 1 still go on in a mixed group.

Measured: a_voter_that_shuts_down_hands_its_vote_over (leader, follower) failed before.

--- a/crates/control/src/evacuations.rs
+++ b/crates/control/src/evacuations.rs
@@ -237,14 +237,13 @@
         sleep(PROTOCOL_INTERVAL).await;
         let recorded = shared.log.with_state(|it| it.section.protocol);
         let members = shared.log.member_protocols();
-        if recorded >= PROTOCOL || !shared.log.is_leader() || !all_speak(PROTOCOL, 0, &members) {
-            continue;
-        }
-        let command = Command::RecordProtocol { number: PROTOCOL };
+        let common = (recorded + 1..=PROTOCOL).rev().find(|it| all_speak(*it, 0, &members));
+        let Some(number) = common.filter(|_| shared.log.is_leader()) else { continue };
+        let command = Command::RecordProtocol { number };
         match shared.log.propose(&command).await {
             Ok(_) => tracing::info!(
                 event = "protocol-recorded",
-                number = PROTOCOL,
+                number,
                 "control: all members of the group speak this protocol"
             ),
             Err(err) => tracing::debug!("control: cannot record the protocol: {err}"),
--- a/crates/control/tests/replica.rs
+++ b/crates/control/tests/replica.rs
@@ -216,7 +216,10 @@
 async fn a_replica_that_cannot_open_its_data_folder_again_fails() {
     let replica = TestReplica::start().await;
     let data = replica.data_dir();
-    std::os::unix::fs::symlink("/dev/full", data.join("aside.tmp")).unwrap();
+    // The file exists while the replica replaces its metadata.
+    while let Err(err) = std::os::unix::fs::symlink("/dev/full", data.join("aside.tmp")) {
+        assert_eq!(err.kind(), std::io::ErrorKind::AlreadyExists);
+    }
     std::fs::write(data.join("meta"), "damaged").unwrap();
     let plan = replica.post("/v1/plans", "a-plan", INTENT);
     let failed = async {
--- a/crates/quorum/src/event.rs
+++ b/crates/quorum/src/event.rs
@@ -35,6 +35,9 @@
         /// The encoded state.
         data: Bytes,
     },
+    /// This replica is about to stop, and another member should get its vote. Must be repeated each heartbeat interval
+    /// until [`crate::Raft::has_left`] returns `true` or the replica stops.
+    Leave,
     /// Starts a new group with these members. The caller must know that no other group exists, or that all initial
     /// members start the same group, with the same number, membership and ids.
     Bootstrap {
--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -28,6 +28,8 @@
     pub(crate) peers: BTreeMap<ReplicaId, Peer>,
     pub(crate) pending_reads: Vec<PendingRead>,
     pub(crate) pending_joins: SmallVec<[Member; 2]>,
+    /// The members that are about to stop, and when they last said so.
+    pub(crate) leaving: SmallVec<[(ReplicaId, Time); 2]>,
 }
 
 /// The replication progress of another replica.
@@ -88,6 +90,7 @@
             peers: BTreeMap::new(),
             pending_reads: Vec::new(),
             pending_joins: SmallVec::new(),
+            leaving: SmallVec::new(),
         }));
         self.update_peers(now, first_index);
         let contacts: SmallVec<[Time; 5]> =
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -20,6 +20,7 @@
 mod follower;
 mod leader;
 mod lease;
+mod leave;
 mod log;
 mod members;
 mod message;
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -55,6 +55,9 @@
     /// Another replica uses its address, so its disk is lost.
     #[display("its disk is lost")]
     LostDisk,
+    /// It is about to stop.
+    #[display("it is about to stop")]
+    Leaving,
     /// It has not responded for the voter timeout.
     #[display("it did not respond")]
     Unresponsive,
@@ -130,7 +133,8 @@
         let members = self.log.members().clone();
         let Role::Leader(leader) = &mut self.role else { return None };
         if members.is_joint() {
-            return Some((end_replacement(&members, self.id), MemberChange::EndReplacement));
+            let kept = Some(self.id).filter(|it| !self.is_leaving(now, *it));
+            return Some((end_replacement(&members, kept), MemberChange::EndReplacement));
         }
         if !leader.pending_joins.is_empty() {
             let member = leader.pending_joins.remove(0);
@@ -157,14 +161,15 @@
     fn next_vote_change(&self, now: Time, members: &Membership) -> Option<MemberChange> {
         let ready: SmallVec<[&Member; 4]> =
             members.0.iter().filter(|it| !it.is_voter() && self.is_caught_up(now, it)).collect();
-        let voters = || members.0.iter().filter(|it| it.is_voter() && it.id != self.id);
+        let voters = || members.0.iter().filter(|it| it.is_voter());
+        let others = || voters().filter(|it| it.id != self.id);
         let replace = |old: &Member, new: &Member, reason| MemberChange::Replace {
             old: old.id,
             new: new.id,
             reason,
         };
         let successor = ready.iter().find_map(|it| {
-            let old = voters().find(|old| old.addr == it.addr)?;
+            let old = others().find(|old| old.addr == it.addr)?;
             Some(replace(old, it, ReplaceReason::LostDisk))
         });
         let spare = || {
@@ -172,7 +177,11 @@
             if members.voter_count() < self.config.target_voters {
                 return Some(MemberChange::Promote(new.id));
             }
-            let old = voters().find(|it| self.is_unresponsive(now, it))?;
+            let leaving = voters().find(|it| self.is_leaving(now, it.id));
+            if let Some(old) = leaving.filter(|it| self.may_hand_over(now, it, new)) {
+                return Some(replace(old, new, ReplaceReason::Leaving));
+            }
+            let old = others().find(|it| self.is_unresponsive(now, it))?;
             Some(replace(old, new, ReplaceReason::Unresponsive))
         };
         successor.or_else(spare)
@@ -207,6 +216,21 @@
             && now.since(peer.tracked_since) >= self.config.election_timeout
     }
 
+    /// Whether a sound voter may hand its vote to `new`. All other voters must have answered since `new` joined: it may
+    /// have been started in place of one that is lost, and must then take that one's vote.
+    fn may_hand_over(&self, now: Time, old: &Member, new: &Member) -> bool {
+        let Role::Leader(leader) = &self.role else { return false };
+        let Some(joined_at) = leader.peers.get(&new.id).map(|it| it.tracked_since) else {
+            return false;
+        };
+        let mut others = self.log.members().voters().filter(|it| *it != old.id && *it != self.id);
+        others.all(|it| {
+            let acked_sent_at =
+                leader.peers.get(&it).map_or(Time::default(), |it| it.acked_sent_at);
+            acked_sent_at >= joined_at && now.since(acked_sent_at) < self.config.election_timeout
+        })
+    }
+
     /// Whether a replica has answered within an election timeout and has all committed entries on disk.
     fn is_caught_up(&self, now: Time, member: &Member) -> bool {
         let Role::Leader(leader) = &self.role else { return false };
@@ -229,9 +253,10 @@
     Membership(members.0.iter().filter(|it| it.id != id).copied().collect())
 }
 
-/// Removes the outgoing voter. A leader that is the outgoing voter is not lost, so it keeps its place instead.
-fn end_replacement(members: &Membership, leader: ReplicaId) -> Membership {
-    let keeps_place = members.0.iter().any(|it| it.id == leader && it.role == MemberRole::Outgoing);
+/// Removes the outgoing voter, unless it is `kept`: a leader that is not about to stop is not lost.
+fn end_replacement(members: &Membership, kept: Option<ReplicaId>) -> Membership {
+    let keeps_place =
+        members.0.iter().any(|it| Some(it.id) == kept && it.role == MemberRole::Outgoing);
     if keeps_place {
         return set_roles(members, |it| match it.role {
             MemberRole::Outgoing => MemberRole::Voter,
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -113,4 +113,12 @@
         /// The address that the sender listens on.
         addr: SocketAddr,
     },
+    /// Asks the leader to give the sender's vote to another member, because the sender is about to stop. Only a process
+    /// of protocol 2 or later knows this message.
+    LeaveRequest,
+    /// Responds to [`Message::LeaveRequest`] once nothing is left to wait for.
+    LeaveResponse {
+        /// Whether the receiver has no vote any more. If not, no other member can take it now.
+        left: bool,
+    },
 }
--- a/crates/quorum/src/raft.rs
+++ b/crates/quorum/src/raft.rs
@@ -72,6 +72,8 @@
     /// When this replica last received a message from a leader, or started if it has received none. It grants no vote
     /// until an election timeout after that.
     pub(crate) last_leader_contact: Time,
+    /// Whether this replica need not wait any longer before it stops.
+    pub(crate) left: bool,
     /// When this process began to run the replica.
     pub(crate) opened_at: Time,
     /// When this replica, in any role, last received a message from each other member.
@@ -114,6 +116,7 @@
             role: Role::Follower,
             leader: None,
             last_leader_contact: now,
+            left: false,
             opened_at: now,
             last_contacts: BTreeMap::new(),
             election_deadline: now,
@@ -145,6 +148,7 @@
             Event::Read { token } => self.on_read(now, token, &mut actions),
             Event::Synced(up_to) => self.on_synced(now, up_to, &mut actions),
             Event::Snapshot { index, data } => self.on_snapshot(index, data, &mut actions),
+            Event::Leave => self.on_leave(now, &mut actions),
             Event::Bootstrap { group, members } => {
                 self.on_bootstrap(now, group, members, &mut actions)
             }
@@ -187,6 +191,9 @@
         }
         self.record_contact(now, from);
         match message {
+            // Valid in any term: a replica that was removed does not learn of later ones.
+            Message::LeaveRequest => self.on_leave_request(now, from, actions),
+            Message::LeaveResponse { .. } => self.left = true,
             Message::RequestPreVote { last_index, last_term } => {
                 self.on_request_pre_vote(now, from, term, (last_term, last_index), actions);
             }
@@ -238,7 +245,9 @@
             Message::SnapshotChunkReceived { index, offset, sent_at } => {
                 self.on_snapshot_chunk_received(now, from, index, offset, sent_at, actions);
             }
-            Message::PreVoteResponse { .. }
+            Message::LeaveRequest
+            | Message::LeaveResponse { .. }
+            | Message::PreVoteResponse { .. }
             | Message::RequestPreVote { .. }
             | Message::RequestVote { .. }
             | Message::JoinRequest { .. } => {}
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -36,6 +36,12 @@
 /// The maximum number of requests that are handled in one step.
 const MAX_REQUEST_BATCH: usize = 1_024;
 
+/// How long a replica that shuts down waits until another one has its vote, in milliseconds.
+const HANDOVER_TIMEOUT_MS: u64 = 3_000;
+
+/// The protocol that introduced [`Message::LeaveRequest`].
+const LEAVE_PROTOCOL: u32 = 2;
+
 /// The shortest interval between log lines on members that wait for a vote, in microseconds.
 const WAITING_LOG_INTERVAL: u64 = 1_000 * MILLISECOND;
 
@@ -66,6 +72,12 @@
     Shutdown(Option<oneshot::Sender<()>>),
 }
 
+/// A shutdown that waits until another replica has the vote of this one.
+struct Handover {
+    deadline: Time,
+    reply: oneshot::Sender<()>,
+}
+
 pub(crate) struct Driver<M> {
     pub(crate) config: ReplicaConfig,
     pub(crate) raft: Raft,
@@ -92,6 +104,7 @@
     /// The members without a vote, as last logged.
     waiting_members: SmallVec<[(ReplicaId, WaitReason); 2]>,
     next_waiting_log: Time,
+    handover: Option<Handover>,
 }
 
 impl<M> Driver<M>
@@ -126,6 +139,7 @@
             snapshot_pending: false,
             waiting_members: SmallVec::new(),
             next_waiting_log: Time::default(),
+            handover: None,
         };
         driver.update_links();
         driver
@@ -197,18 +211,23 @@
 
     fn on_timer(&mut self) -> Option<Exit> {
         let now = self.shared.clock.now();
-        if now >= self.next_join_at
-            && let Some(exit) = self.join_or_bootstrap(now)
-        {
-            return Some(exit);
+        if now >= self.next_join_at {
+            self.next_join_at = now + self.config.heartbeat_ms * MILLISECOND;
+            self.update_links();
+            let exit = match &self.handover {
+                Some(handover) if now >= handover.deadline => self.end_handover(),
+                Some(_) => self.step(Event::Leave),
+                None => self.join_or_bootstrap(now),
+            };
+            if exit.is_some() {
+                return exit;
+            }
         }
         if now >= self.raft.deadline() { self.step(Event::Tick) } else { None }
     }
 
     /// Asks to join the group, or bootstraps one, if this replica is not part of a group.
     fn join_or_bootstrap(&mut self, now: Time) -> Option<Exit> {
-        self.next_join_at = now + self.config.heartbeat_ms * MILLISECOND;
-        self.update_links();
         if !self.raft.should_request_join(now) {
             return None;
         }
@@ -311,7 +330,7 @@
                     }
                 }
                 Some(Request::SetSeeds(seeds)) => self.set_seeds(seeds),
-                Some(Request::Shutdown { reply }) => return Some(Exit::Shutdown(Some(reply))),
+                Some(Request::Shutdown { reply }) => return self.shut_down(reply),
                 None => break,
             }
             if !self.config.batching {
@@ -337,7 +356,33 @@
         self.shared.notify(now, &self.raft);
         self.log_waiting_members(now);
         self.snapshot_if_due();
-        exit
+        if exit.is_none() && self.raft.has_left() { self.end_handover() } else { exit }
+    }
+
+    /// Stops, or first asks the leader to give the vote of this replica to another one that has none.
+    fn shut_down(&mut self, reply: oneshot::Sender<()>) -> Option<Exit> {
+        let leader = self.raft.leader().and_then(|it| self.raft.members().get(it));
+        let is_asked = leader.is_none_or(|it| self.knows_leave(it.addr));
+        if self.handover.is_some() || !self.raft.has_successor() || !is_asked {
+            return Some(Exit::Shutdown(Some(reply)));
+        }
+        let deadline = self.shared.clock.now() + HANDOVER_TIMEOUT_MS * MILLISECOND;
+        tracing::info!(event = "handover", "replica: {} hands over its vote", self.raft.id());
+        self.handover = Some(Handover { deadline, reply });
+        self.step(Event::Leave)
+    }
+
+    fn end_handover(&mut self) -> Option<Exit> {
+        let handover = self.handover.take()?;
+        let has_vote = !self.raft.has_left();
+        tracing::info!(event = "handover-ended", has_vote, "replica: {} stops", self.raft.id());
+        Some(Exit::Shutdown(Some(handover.reply)))
+    }
+
+    /// Whether the replica at an address can decode [`Message::LeaveRequest`].
+    fn knows_leave(&self, addr: SocketAddr) -> bool {
+        addr == self.config.addr
+            || self.shared.protocols.get(addr).is_some_and(|it| it >= LEAVE_PROTOCOL)
     }
 
     fn log_waiting_members(&mut self, now: Time) {
@@ -478,7 +523,8 @@
     fn send_envelope(&self, envelope: Envelope) {
         let member = self.raft.members().get(envelope.to).map(|it| it.addr);
         let sender = self.sender_addrs.get(&envelope.to).copied();
-        if let Some(addr) = member.or(sender) {
+        let Some(addr) = member.or(sender) else { return };
+        if !matches!(envelope.message, Message::LeaveRequest) || self.knows_leave(addr) {
             self.send(addr, Body::Consensus(envelope));
         }
     }
--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -40,6 +40,8 @@
     ReplaceHost(usize),
     CrashAll(u64),
     ReturnOutgoingVoter(usize, u64),
+    Leave(usize),
+    LeaderLeaves,
     /// Another fault, once replicas have changed their membership that many times.
     AfterChange(u8, Box<Op>),
 }
@@ -94,10 +96,14 @@
         1 => Just(Op::IsolateLeader),
         1 => host().prop_map(Op::Isolate),
         3 => host().prop_map(Op::ReplaceHost),
+        2 => host().prop_map(Op::Leave),
+        2 => Just(Op::LeaderLeaves),
         1 => Just(Op::Heal),
     ];
     prop_oneof![
         100 => op(hosts),
+        8 => host().prop_map(Op::Leave),
+        4 => Just(Op::LeaderLeaves),
         10 => host().prop_map(Op::Isolate),
         2 => any::<u64>().prop_map(Op::CrashAll),
         4 => (host(), any::<u64>()).prop_map(|(at, pick)| Op::ReturnOutgoingVoter(at, pick)),
@@ -156,6 +162,8 @@
             isolate(sim, at);
             sim.return_outgoing_voter(at, pick);
         }
+        Op::Leave(at) => sim.leave(at),
+        Op::LeaderLeaves => sim.leader().into_iter().for_each(|it| sim.leave(it)),
         Op::AfterChange(count, ref fault) => {
             sim.run_until_change(count);
             apply(sim, fault);
@@ -251,7 +259,9 @@
     Situation::AddressReturnedBesideSilentVoter,
 ];
 
-const SILENT_VOTER_SITUATIONS: [Situation; 5] = [
+const SILENT_VOTER_SITUATIONS: [Situation; 7] = [
+    Situation::VoterLeft,
+    Situation::LeaderLeft,
     Situation::DiskLostAfterRemoval,
     Situation::FormerVoterReturned,
     Situation::SuccessorLostItsDisk,
--- a/crates/replica/tests/group/mod.rs
+++ b/crates/replica/tests/group/mod.rs
@@ -155,7 +155,10 @@
 
     /// Makes each write of the metadata of a replica fail as on a full disk.
     pub(crate) fn fill_disk(&self, at: usize) {
-        std::os::unix::fs::symlink("/dev/full", self.temp_file(at)).unwrap();
+        // The file exists while the replica replaces its metadata.
+        while let Err(err) = std::os::unix::fs::symlink("/dev/full", self.temp_file(at)) {
+            assert_eq!(err.kind(), std::io::ErrorKind::AlreadyExists);
+        }
     }
 
     /// Ends the effect of [`Group::fill_disk`].
--- a/crates/replica/tests/sim/mod.rs
+++ b/crates/replica/tests/sim/mod.rs
@@ -62,6 +62,8 @@
     state: Vec<Bytes>,
     pending: BTreeMap<u64, (Term, Bytes)>,
     reads: BTreeMap<u64, u64>,
+    /// Whether it hands over its vote, and stops then.
+    leaving: bool,
 }
 
 pub(crate) struct Sim {
@@ -119,6 +121,10 @@
     ElectedInReplacement,
     /// A voter that was being replaced became leader.
     OutgoingVoterElected,
+    /// A voter that was told to stop handed over its vote.
+    VoterLeft,
+    /// A leader that was told to stop handed over its vote.
+    LeaderLeft,
     /// A replica opened its data folder again after a disk failure, without a crash.
     FolderReopened,
 }
@@ -273,6 +279,7 @@
             state: Vec::new(),
             pending: BTreeMap::new(),
             reads: BTreeMap::new(),
+            leaving: false,
         });
         self.execute(at, actions);
     }
@@ -334,6 +341,34 @@
         self.initial_hosts > 0
     }
 
+    /// Tells a replica to hand over its vote and to stop, if another one may take the vote.
+    pub(crate) fn leave(&mut self, at: usize) {
+        let Some(node) = &mut self.hosts[at].node else { return };
+        node.leaving = node.raft.has_successor();
+    }
+
+    /// Lets the replicas that leave ask the leader, and stops those that have left.
+    fn step_leaving(&mut self) {
+        for at in 0..self.hosts.len() {
+            if self.hosts[at].node.as_ref().is_some_and(|it| it.leaving) {
+                self.step(at, Event::Leave);
+            }
+            let has_left =
+                |it: &Host| it.node.as_ref().is_some_and(|it| it.leaving && it.raft.has_left());
+            if has_left(&self.hosts[at]) && !self.hosts[at].frozen {
+                let id = self.hosts[at].id.expect("a running replica");
+                let was_leader = self.leaders.last_key_value().is_some_and(|it| *it.1 == id);
+                if self.is_former_voter(at) {
+                    self.record(Situation::VoterLeft);
+                    if was_leader {
+                        self.record(Situation::LeaderLeft);
+                    }
+                }
+                self.hosts[at].node = None;
+            }
+        }
+    }
+
     /// Crashes and restarts all replicas.
     pub(crate) fn crash_all(&mut self, pick: u64) {
         if self.is_changing() {
@@ -507,6 +542,9 @@
             }
         }
         self.rounds += 1;
+        if self.rounds.is_multiple_of(5) {
+            self.step_leaving();
+        }
         if self.rounds.is_multiple_of(10) {
             (0..self.hosts.len()).for_each(|it| self.bootstrap_from_seeds(it));
             (0..self.hosts.len()).for_each(|it| self.request_join(it));
--- a/crates/replica/tests/three.rs
+++ b/crates/replica/tests/three.rs
@@ -4,7 +4,8 @@
 
 use {
     group::{CommandRecorder, Group, wait_for_status, with_timeout},
-    replica::{ProposeError, Replica, ReplicaConfig, RestoreError, StateMachine},
+    replica::{ProposeError, Replica, ReplicaConfig, ReplicaStatus, RestoreError, StateMachine},
+    rstest::rstest,
     std::{net::SocketAddr, time::Duration},
     tempfile::TempDir,
     tokio::time::timeout,
@@ -238,40 +239,100 @@
     with_timeout(status.wait_for(|it| it.stopped)).await.unwrap();
 }
 
-/// Opens a replica that finds its group through seeds, for a group of one voter.
-async fn open_with_seeds(
-    folder: &TempDir,
-    seeds: Option<Vec<SocketAddr>>,
-) -> (SocketAddr, Replica<CommandRecorder>) {
-    let mut listener =
-        Listener::bind("127.0.0.1:0".parse().unwrap(), None, Traffic::default()).await.unwrap();
-    let addr = listener.addr();
-    let bootstrap = seeds.is_none();
-    let seeds = seeds.unwrap_or(vec![addr]);
-    let config = ReplicaConfig::from_seeds(folder.path().join("data"), addr, seeds, bootstrap, 1);
-    let dialer =
-        Dialer { identity: None, traffic: Traffic::default(), class: TrafficClass::Control };
-    let machine = CommandRecorder::default();
-    let replica = Replica::open(config, machine, dialer, Clock::start()).await.unwrap();
-    let receiver = replica.clone();
-    tokio::spawn(async move {
-        while let Some(incoming) = listener.accept().await {
-            receiver.handle_stream(incoming.stream);
+/// A replica that finds its group through seeds.
+struct Seeded {
+    addr: SocketAddr,
+    replica: Replica<CommandRecorder>,
+    _folder: TempDir,
+}
+
+async fn bind() -> Listener {
+    Listener::bind("127.0.0.1:0".parse().unwrap(), None, Traffic::default()).await.unwrap()
+}
+
+impl Seeded {
+    async fn open(
+        mut listener: Listener,
+        seeds: Vec<SocketAddr>,
+        bootstrap: bool,
+        voters: usize,
+    ) -> Seeded {
+        let (folder, addr) = (tempfile::tempdir().unwrap(), listener.addr());
+        let data = folder.path().join("data");
+        let config = ReplicaConfig::from_seeds(data, addr, seeds, bootstrap, voters);
+        let dialer =
+            Dialer { identity: None, traffic: Traffic::default(), class: TrafficClass::Control };
+        let machine = CommandRecorder::default();
+        let replica = Replica::open(config, machine, dialer, Clock::start()).await.unwrap();
+        let receiver = replica.clone();
+        tokio::spawn(async move {
+            while let Some(incoming) = listener.accept().await {
+                receiver.handle_stream(incoming.stream);
+            }
+        });
+        Seeded { addr, replica, _folder: folder }
+    }
+
+    /// Opens replicas that bootstrap a group together, and one that joins it without a vote.
+    async fn open_group(voters: usize) -> Vec<Seeded> {
+        let mut listeners = Vec::new();
+        for _ in 0..voters {
+            listeners.push(bind().await);
+        }
+        let seeds: Vec<_> = listeners.iter().map(Listener::addr).collect();
+        let mut group = Vec::new();
+        for listener in listeners {
+            group.push(Seeded::open(listener, seeds.clone(), true, voters).await);
         }
-    });
-    (addr, replica)
+        group.push(Seeded::open(bind().await, seeds, false, voters).await);
+        let spare = &group[voters].replica;
+        with_timeout(wait_for_status(voters, spare, |it| it.applied_index > 1)).await;
+        group
+    }
+}
+
+/// Guards against a voter that stops as planned and keeps its vote, so that the next loss is final.
+#[rstest]
+#[case::leader(true)]
+#[case::follower(false)]
+#[tokio::test]
+async fn a_voter_that_shuts_down_hands_its_vote_over(#[case] leads: bool) {
+    let group = Seeded::open_group(3).await;
+    let leader = group[3].replica.leader().unwrap();
+    let leaving = (0..3).find(|it| (group[*it].replica.id() == leader) == leads).unwrap();
+    let id = group[leaving].replica.id();
+    let observer = &group[(leaving + 1) % 3].replica;
+    assert!(observer.is_voter(id) && !observer.is_voter(group[3].replica.id()));
+    // Far less than the voter timeout.
+    timeout(Duration::from_secs(1), group[leaving].replica.shutdown()).await.unwrap();
+    let replaced =
+        |_: &ReplicaStatus| observer.is_voter(group[3].replica.id()) && !observer.is_voter(id);
+    timeout(Duration::from_secs(3), wait_for_status(0, observer, replaced)).await.unwrap();
+}
+
+/// Guards against a restart that is delayed although no other replica can take the vote.
+#[tokio::test]
+async fn a_voter_without_a_successor_shuts_down_at_once() {
+    let group = Group::start(3, NEVER_SNAPSHOT).await;
+    let leader = group.wait_for_all_voters().await;
+    for at in [(leader + 1) % 3, leader] {
+        timeout(Duration::from_millis(500), group.stop(at)).await.unwrap();
+    }
 }
 
 /// Guards against a replica that never joins because all seeds that it started with are gone.
 #[tokio::test]
 async fn a_replica_joins_through_seeds_that_it_gets_later() {
-    let folders = [tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap()];
-    let (founder_addr, founder) = open_with_seeds(&folders[0], None).await;
-    with_timeout(wait_for_status(0, &founder, |it| it.leading_term.is_some())).await;
+    let listener = bind().await;
+    let seeds = vec![listener.addr()];
+    let founder = Seeded::open(listener, seeds.clone(), true, 1).await;
+    with_timeout(wait_for_status(0, &founder.replica, |it| it.leading_term.is_some())).await;
     let gone = "127.0.0.1:1".parse().unwrap();
-    let (addr, replica) = open_with_seeds(&folders[1], Some(vec![gone])).await;
-    assert!(timeout(Duration::from_millis(500), replica.subscribe().changed()).await.is_err());
-    replica.set_seeds(vec![founder_addr, addr]).await;
-    with_timeout(wait_for_status(1, &replica, |it| it.leader == Some(founder.id()))).await;
-    assert!(founder.member_addrs().contains(&addr));
+    let joiner = Seeded::open(bind().await, vec![gone], false, 1).await;
+    let mut status = joiner.replica.subscribe();
+    assert!(timeout(Duration::from_millis(500), status.changed()).await.is_err());
+    joiner.replica.set_seeds([seeds, vec![joiner.addr]].concat()).await;
+    let leader = Some(founder.replica.id());
+    with_timeout(wait_for_status(1, &joiner.replica, |it| it.leader == leader)).await;
+    assert!(founder.replica.member_addrs().contains(&joiner.addr));
 }
--- a/crates/wire/src/protocol.rs
+++ b/crates/wire/src/protocol.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 
 /// The number of this build. It increases by one whenever a variant is added to a message.
-pub const PROTOCOL: u32 = 1;
+pub const PROTOCOL: u32 = 2;
 
 /// The header of the number, in the request and in the response that open a stream.
 static PROTOCOL_HEADER: HeaderName = HeaderName::from_static("jf-protocol");
