Hand a vote over only to a spare that still answers

A leader that stopped gave its vote to a spare that had lost its disk less than an election timeout ago; with the next lost disk no majority was left.

Cause: the spare counted as caught up by its last answer, however long before the request to leave.

Change: the spare and all other voters must have answered a message that was sent after the member first said that it stops.

--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -28,8 +28,17 @@
     pub(crate) peers: BTreeMap<ReplicaId, Peer>,
     pub(crate) pending_reads: Vec<PendingRead>,
     pub(crate) pending_joins: SmallVec<[Member; 2]>,
-    /// The members that are about to stop, and when they last said so.
-    pub(crate) leaving: SmallVec<[(ReplicaId, Time); 2]>,
+    pub(crate) leaving: SmallVec<[LeavingMember; 2]>,
+}
+
+/// A member that is about to stop.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LeavingMember {
+    pub(crate) id: ReplicaId,
+    /// When it first said so.
+    pub(crate) since: Time,
+    /// When this is forgotten unless it says so again.
+    pub(crate) expires_at: Time,
 }
 
 /// The replication progress of another replica.
--- a/crates/quorum/src/leave.rs
+++ b/crates/quorum/src/leave.rs
@@ -8,6 +8,7 @@
 use {
     crate::{
         event::Actions,
+        leader::LeavingMember,
         message::Message,
         raft::{Raft, Role},
     },
@@ -52,16 +53,42 @@
         if !has_vote || !has_spare {
             return is_committed.then_some(!has_vote);
         }
-        leader.leaving.retain(|it| it.0 != id);
-        leader.leaving.push((id, now));
+        leader.leaving.retain(|it| now < it.expires_at);
+        let expires_at = now + self.config.election_timeout;
+        match leader.leaving.iter_mut().find(|it| it.id == id) {
+            Some(known) => known.expires_at = expires_at,
+            None => leader.leaving.push(LeavingMember { id, since: now, expires_at }),
+        }
         self.change_members(now, actions);
         None
     }
 
     /// Whether a member has lately said that it is about to stop.
     pub(crate) fn is_leaving(&self, now: Time, id: ReplicaId) -> bool {
+        self.leaving_since(now, id).is_some()
+    }
+
+    fn leaving_since(&self, now: Time, id: ReplicaId) -> Option<Time> {
+        let Role::Leader(leader) = &self.role else { return None };
+        leader.leaving.iter().find(|it| it.id == id && now < it.expires_at).map(|it| it.since)
+    }
+
+    /// Whether a member that is about to stop may hand its vote to `new`.
+    ///
+    /// `new` and all other voters must have answered since it said so, as the group must not lose two votes with one
+    /// disk. All other voters must also have answered since `new` joined: it may have been started in place of one that
+    /// is lost, and must then take that one's vote.
+    pub(crate) fn may_hand_over(&self, now: Time, old: ReplicaId, new: ReplicaId) -> bool {
         let Role::Leader(leader) = &self.role else { return false };
-        let is_recent = |at: Time| now.since(at) < self.config.election_timeout;
-        leader.leaving.iter().any(|it| it.0 == id && is_recent(it.1))
+        let Some(since) = self.leaving_since(now, old) else { return false };
+        let Some(joined_at) = leader.peers.get(&new).map(|it| it.tracked_since) else {
+            return false;
+        };
+        let voters = self.log.members().voters().filter(|it| *it != old && *it != self.id);
+        voters.chain([new]).all(|it| {
+            let acked_sent_at =
+                leader.peers.get(&it).map_or(Time::default(), |it| it.acked_sent_at);
+            acked_sent_at >= since.max(joined_at)
+        })
     }
 }
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -177,8 +177,7 @@
             if members.voter_count() < self.config.target_voters {
                 return Some(MemberChange::Promote(new.id));
             }
-            let leaving = voters().find(|it| self.is_leaving(now, it.id));
-            if let Some(old) = leaving.filter(|it| self.may_hand_over(now, it, new)) {
+            if let Some(old) = voters().find(|it| self.may_hand_over(now, it.id, new.id)) {
                 return Some(replace(old, new, ReplaceReason::Leaving));
             }
             let old = others().find(|it| self.is_unresponsive(now, it))?;
@@ -216,21 +215,6 @@
             && now.since(peer.tracked_since) >= self.config.election_timeout
     }
 
-    /// Whether a sound voter may hand its vote to `new`. All other voters must have answered since `new` joined: it may
-    /// have been started in place of one that is lost, and must then take that one's vote.
-    fn may_hand_over(&self, now: Time, old: &Member, new: &Member) -> bool {
-        let Role::Leader(leader) = &self.role else { return false };
-        let Some(joined_at) = leader.peers.get(&new.id).map(|it| it.tracked_since) else {
-            return false;
-        };
-        let mut others = self.log.members().voters().filter(|it| *it != old.id && *it != self.id);
-        others.all(|it| {
-            let acked_sent_at =
-                leader.peers.get(&it).map_or(Time::default(), |it| it.acked_sent_at);
-            acked_sent_at >= joined_at && now.since(acked_sent_at) < self.config.election_timeout
-        })
-    }
-
     /// Whether a replica has answered within an election timeout and has all committed entries on disk.
     fn is_caught_up(&self, now: Time, member: &Member) -> bool {
         let Role::Leader(leader) = &self.role else { return false };
--- a/crates/quorum/tests/members.rs
+++ b/crates/quorum/tests/members.rs
@@ -165,3 +165,31 @@
         [(1, voter), (2, voter), (3, outgoing), (4, non_voter), (5, incoming)]
     );
 }
+
+/// Guards against a vote that is handed to a spare which has just lost its disk.
+#[test]
+fn a_leader_that_stops_hands_its_vote_to_a_spare_that_still_answers() {
+    let (voter, non_voter) = (MemberRole::Voter, MemberRole::NonVoter);
+    let spare = member(4, 4, non_voter);
+    let members = Membership(common::voters(3).0.iter().copied().chain([spare]).collect());
+    let mut config = Config::default();
+    config.set_target_voters(3, 4 * SECOND);
+    let mut leader = common::lead(open_with(1, members, config), &[2]);
+    let now = leader.deadline();
+    step(&mut leader, now, Event::Tick);
+    acknowledge(&mut leader, now, &[2, 3, 4]);
+    let asked_at = now + 1;
+    step(&mut leader, asked_at, Event::Leave);
+    acknowledge(&mut leader, now, &[4]);
+    acknowledge(&mut leader, asked_at, &[2, 3]);
+    assert_eq!(roles(&leader), [(1, voter), (2, voter), (3, voter), (4, non_voter)]);
+    assert!(!leader.has_left());
+    acknowledge(&mut leader, asked_at, &[4]);
+    let (outgoing, incoming) = (MemberRole::Outgoing, MemberRole::Incoming);
+    assert_eq!(roles(&leader), [(1, outgoing), (2, voter), (3, voter), (4, incoming)]);
+    acknowledge(&mut leader, asked_at, &[2, 3]);
+    acknowledge(&mut leader, asked_at, &[2, 3, 4]);
+    assert_eq!(leader.leader(), None, "it leaves the lead to the voters");
+    step(&mut leader, asked_at, Event::Leave);
+    assert!(leader.has_left());
+}
