Let a candidate win before a non-voter with a newer log campaigns

A group of three, all but one lost disk sound, had no leader for 40 s and 200 elections.

Cause: a non-voter whose vote is asked for and whose log is newer campaigned at once. It and the candidate that had asked it then split the votes of the others, each time in the same order.

Change: it campaigns at random within half an election timeout, unless a leader is heard of before. The candidate wins if it can do without that vote.

Measured: a_non_voter_with_a_newer_log_does_not_keep_the_group_from_a_leader, the schedule found, failed before. a_successor_with_a_newer_log_campaigns_when_it_is_asked_for_its_vote expected the campaign in the same step; it now expects none in that step and one within half a timeout.

--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -13,9 +13,12 @@
 impl Raft {
     /// Starts a pre-vote once the election timeout has passed without a message from a leader.
     pub(crate) fn tick_election(&mut self, now: Time, actions: &mut Actions) {
-        if now < self.election_deadline || !self.is_voter() {
+        let due =
+            if self.is_voter() { Some(self.election_deadline) } else { self.non_voter_campaign };
+        if due.is_none_or(|it| now < it) {
             return;
         }
+        self.non_voter_campaign = None;
         self.start_pre_vote(now, actions);
     }
 
@@ -48,10 +51,10 @@
         let envelope = self.envelope(from, response_term, Message::PreVoteResponse { granted });
         self.defer_until_synced(Deferred::Send(envelope), actions);
         // By the candidate's log this replica is a voter. If its own log is newer and it did not campaign itself, the
-        // group might never have a leader again.
+        // group might never have a leader again. If it did so at once, the two could split the votes each time.
         let newer = !granted && term > self.hard_state.term && self.may_vote(now);
-        if newer && !self.is_voter() {
-            self.start_pre_vote(now, actions);
+        if newer && !self.is_voter() && self.non_voter_campaign.is_none() {
+            self.non_voter_campaign = Some(self.retry_deadline(now));
         }
     }
 
@@ -114,7 +117,7 @@
     /// next election need not wait for a whole election timeout: the former leader has been silent for one already.
     pub(crate) fn on_vote_denied(&mut self, now: Time) {
         if matches!(self.role, Role::Candidate(_)) {
-            self.shorten_election_timer(now);
+            self.election_deadline = self.election_deadline.min(self.retry_deadline(now));
         }
     }
 
--- a/crates/quorum/src/follower.rs
+++ b/crates/quorum/src/follower.rs
@@ -16,6 +16,7 @@
         debug_assert!(!matches!(self.role, Role::Leader(_)), "a term has one leader");
         self.become_follower(now, self.hard_state.term, Some(from), actions);
         self.last_leader_contact = now;
+        self.non_voter_campaign = None;
         self.reset_election_timer(now);
     }
 
--- a/crates/quorum/src/raft.rs
+++ b/crates/quorum/src/raft.rs
@@ -79,6 +79,8 @@
     /// When this replica, in any role, last received a message from each other member.
     last_contacts: BTreeMap<ReplicaId, Time>,
     pub(crate) election_deadline: Time,
+    /// When this replica campaigns although it is no voter by its own log.
+    pub(crate) non_voter_campaign: Option<Time>,
     pub(crate) incoming_snapshot: Option<IncomingSnapshot>,
     pub(crate) last_write: u64,
     pub(crate) last_synced_write: u64,
@@ -120,6 +122,7 @@
             opened_at: now,
             last_contacts: BTreeMap::new(),
             election_deadline: now,
+            non_voter_campaign: None,
             incoming_snapshot: None,
             last_write: 0,
             last_synced_write: 0,
@@ -164,7 +167,9 @@
             Role::Follower | Role::PreCandidate(_) | Role::Candidate(_) if self.is_voter() => {
                 self.election_deadline
             }
-            Role::Follower | Role::PreCandidate(_) | Role::Candidate(_) => Time::NEVER,
+            Role::Follower | Role::PreCandidate(_) | Role::Candidate(_) => {
+                self.non_voter_campaign.unwrap_or(Time::NEVER)
+            }
         }
     }
 
@@ -337,10 +342,9 @@
         self.election_deadline = now + self.config.election_timeout + spread;
     }
 
-    /// Lets the next election begin within half an election timeout at the latest.
-    pub(crate) fn shorten_election_timer(&mut self, now: Time) {
-        let delay = self.rng.random_range(0..self.config.election_timeout / 2);
-        self.election_deadline = self.election_deadline.min(now + delay);
+    /// A time within half an election timeout, at random.
+    pub(crate) fn retry_deadline(&mut self, now: Time) -> Time {
+        now + self.rng.random_range(0..self.config.election_timeout / 2)
     }
 
     pub(crate) fn is_voter(&self) -> bool {
--- a/crates/quorum/tests/members.rs
+++ b/crates/quorum/tests/members.rs
@@ -86,6 +86,11 @@
     let now = Time(10 * SECOND);
     let request = Message::RequestPreVote { last_index: 9, last_term: Term(0) };
     receive(&mut raft, now, 1, request);
+    // The candidate gets some time to win with the other votes.
+    assert_eq!(raft.hard_state().term, Term(1));
+    let now = raft.deadline();
+    assert!(now <= Time(10 * SECOND + SECOND / 2), "{now:?}");
+    step(&mut raft, now, Event::Tick);
     for from in [1, 2] {
         receive(&mut raft, now, from, Message::PreVoteResponse { granted: true });
     }
--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -325,3 +325,44 @@
     ];
     run_and_verify(Sim::with_spares(&[-50_000; 7], 5), &ops);
 }
+
+/// Guards against a candidate and a non-voter with a newer log that split the votes again and again.
+#[test]
+fn a_non_voter_with_a_newer_log_does_not_keep_the_group_from_a_leader() {
+    let ops = [
+        Op::AfterChange(1, Box::new(Op::WipeDisk(2))),
+        Op::Rounds(1),
+        Op::Isolate(2),
+        Op::AfterChange(1, Box::new(Op::WipeDisk(2))),
+        Op::Rounds(1),
+        Op::Propose(0),
+        Op::Rounds(1),
+        Op::Propose(0),
+        Op::Crash(2, 0),
+        Op::CrashAndRestart(0, 0),
+        Op::Propose(0),
+        Op::Propose(0),
+        Op::ReturnOutgoingVoter(2, 0),
+        Op::Isolate(0),
+        Op::Leave(0),
+        Op::Propose(0),
+        Op::Rounds(1),
+        Op::Heal,
+        Op::UnfreezeAndRead(0),
+        Op::Propose(0),
+        Op::Propose(0),
+        Op::Rounds(1),
+        Op::AfterChange(1, Box::new(Op::CrashAndRestart(0, 0))),
+        Op::Read(0),
+        Op::AfterChange(1, Box::new(Op::CrashAll(0))),
+        Op::Rounds(1),
+        Op::ReturnOutgoingVoter(1, 0),
+        Op::Isolate(0),
+        Op::AfterChange(3, Box::new(Op::WipeLeaderDisk)),
+        Op::Deliver(35294),
+        Op::Isolate(1),
+        Op::Rounds(1),
+        Op::Rounds(1),
+    ];
+    run_and_verify(Sim::with_spares(&[23540, 50000, -50000, 50000], 3), &ops);
+}
