Limit the responses to probes of endpoints

Report: a faulty runner sent bytes without end, and the machine that had called it ran out of memory.

Cause: jf-router probes all its endpoints at once, and control asks all for their images; each response was collected up to 16 MB, so that some tens of faulty endpoints exceed any machine's memory. Heads of responses had the HTTP library's limit of 400 KB.

Change: 256 KB for a load report or cache events, 64 KB for a list of images, 1 MB for the platform's list of hosts, and 64 KB for each head that the client reads.

--- a/crates/control/src/host_list.rs
+++ b/crates/control/src/host_list.rs
@@ -19,6 +19,9 @@
 /// Time limit for the platform's response, in milliseconds.
 const REQUEST_TIMEOUT_MS: u64 = 2_000;
 
+/// The limit on the list, in bytes.
+const MAX_LIST_BYTES: usize = 1 << 20;
+
 /// An entry of the list. Other fields of the platform's response are ignored.
 #[derive(Deserialize)]
 struct HostEntry {
@@ -27,7 +30,7 @@
 
 /// Polls the list while this replica is the leader. Runs until the process exits.
 pub(crate) async fn run(shared: Arc<Shared>, addr: SocketAddr) {
-    let client = Client::new(REQUEST_TIMEOUT_MS);
+    let client = Client::new(REQUEST_TIMEOUT_MS).with_limit(MAX_LIST_BYTES);
     let mut ticks = interval(POLL_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -64,6 +64,9 @@
     Ready,
 }
 
+/// The limit on the list of an endpoint's images, in bytes. All endpoints are asked at once.
+const MAX_IMAGES_BYTES: usize = 64 << 10;
+
 /// The body of `POST /orders`.
 #[derive(Serialize)]
 struct OrderRequest<'a> {
@@ -75,7 +78,8 @@
 /// Reconciles the images of the endpoints with the configuration while this replica is the leader.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let limits = order_limits(&shared);
-    let client = Client::new(limits.probe_timeout / MILLISECOND);
+    let probe_ms = limits.probe_timeout / MILLISECOND;
+    let client = Client::new(probe_ms).with_limit(MAX_IMAGES_BYTES);
     let (sender, mut results) = mpsc::channel(RESULT_QUEUE_LEN);
     let mut ticks = interval(TICK_INTERVAL);
     let mut leadership = None;
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -23,6 +23,9 @@
 /// The default limit on the body of a response, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
+/// The limit on the head of a response, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// An HTTP client with a connection pool.
 #[derive(Clone)]
 pub struct Client {
@@ -40,6 +43,7 @@
         connector.set_connect_timeout(Some(Duration::from_millis(2_000)));
         let pool = PoolClient::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
+            .http1_max_buf_size(MAX_HEAD_BYTES)
             .build(connector);
         Client { pool, timeout: Duration::from_millis(timeout_ms), max_body: MAX_BODY_BYTES }
     }
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -23,6 +23,9 @@
 /// Timeout of a probe, in milliseconds.
 const PROBE_TIMEOUT_MS: u64 = 800;
 
+/// The limit on the response to a probe, in bytes. All owned endpoints are probed at once.
+const MAX_RESPONSE_BYTES: usize = 256 << 10;
+
 /// The load that an endpoint reports, in units of [`Work`].
 #[derive(Deserialize)]
 struct LoadReport {
@@ -56,7 +59,7 @@
 
 /// Probes the owned endpoints until the process exits.
 pub(crate) async fn run(shared: Arc<Shared>) {
-    let client = Client::new(PROBE_TIMEOUT_MS);
+    let client = Client::new(PROBE_TIMEOUT_MS).with_limit(MAX_RESPONSE_BYTES);
     let mut last_seqs: HashMap<EndpointId, u64> = HashMap::new();
     let mut ticks = interval(Duration::from_millis(PROBE_INTERVAL_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
