Limit the responses that jf-router collects for the ledger together

Cause: the response to a call with an idempotency key is collected for the ledger, up to 16 MB each, and their sum had no limit.

Change: they share 48 MB, by the same rule as responses in gateways: one may take no more than it leaves free. A call whose response finds no room ends as one whose response is too long does, with an unknown outcome. ResponseMemory moves from gateway to edge, where both find it.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,6 +17,7 @@
 mod endpoint;
 mod error;
 mod refusal;
+mod response_memory;
 mod server;
 mod tls;
 
@@ -31,6 +32,7 @@
     },
     error::{HttpError, HttpStep},
     refusal::{OUTCOME_HEADER, REASON_HEADER, refusal_response},
+    response_memory::{Reservation, ResponseMemory},
     server::{Server, ServerLimits},
     tls::ServerTls,
 };
--- a/crates/edge/src/response_memory.rs
+++ b/crates/edge/src/response_memory.rs
@@ -1,6 +1,7 @@
 //! Limits the memory that all responses being received take together.
 
 use {
+    bytes::Bytes,
     derive_more::Debug,
     std::sync::{
         Arc,
@@ -10,28 +11,28 @@
 
 /// The memory for bytes of responses that cannot be forwarded yet.
 #[derive(Debug)]
-pub(crate) struct ResponseMemory {
+pub struct ResponseMemory {
     limit: usize,
     used: AtomicUsize,
 }
 
 impl ResponseMemory {
     /// Returns memory of `limit` bytes.
-    pub(crate) fn new(limit: usize) -> ResponseMemory {
+    pub fn new(limit: usize) -> ResponseMemory {
         ResponseMemory { limit, used: AtomicUsize::new(0) }
     }
 }
 
 /// The part of the memory that one response takes. It is returned on drop.
 #[derive(Debug)]
-pub(crate) struct Reservation {
+pub struct Reservation {
     memory: Arc<ResponseMemory>,
     held: usize,
 }
 
 impl Reservation {
     /// Returns an empty reservation.
-    pub(crate) fn new(memory: &Arc<ResponseMemory>) -> Reservation {
+    pub fn new(memory: &Arc<ResponseMemory>) -> Reservation {
         Reservation { memory: memory.clone(), held: 0 }
     }
 
@@ -39,7 +40,7 @@
     ///
     /// A response may take no more than it leaves free. So the largest ones are refused first, and
     /// however many they are, there is memory left for a smaller one.
-    pub(crate) fn resize(&mut self, bytes: usize) -> bool {
+    pub fn resize(&mut self, bytes: usize) -> bool {
         let used = &self.memory.used;
         if bytes <= self.held {
             used.fetch_sub(self.held - bytes, Ordering::Relaxed);
@@ -57,6 +58,13 @@
     }
 }
 
+impl Reservation {
+    /// Returns a body that keeps this reservation as long as its bytes.
+    pub fn hold(self, bytes: Vec<u8>) -> Bytes {
+        Bytes::from_owner(BufferedBody { bytes, _reservation: self })
+    }
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.memory.used.fetch_sub(self.held, Ordering::Relaxed);
@@ -64,11 +72,9 @@
 }
 
 /// A complete body with the memory that it takes.
-#[derive(Debug)]
-pub(crate) struct BufferedBody {
-    #[debug("{} bytes", bytes.len())]
-    pub(crate) bytes: Vec<u8>,
-    pub(crate) _reservation: Reservation,
+struct BufferedBody {
+    bytes: Vec<u8>,
+    _reservation: Reservation,
 }
 
 impl AsRef<[u8]> for BufferedBody {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,7 +9,6 @@
             request_headers, response_headers, verify_response,
         },
         notices,
-        response_memory::{BufferedBody, Reservation},
         shared::{RunningRequest, Shared},
         sse::EventBuffer,
         upstream::{IdleConnection, ResponseBody, SendError},
@@ -17,6 +16,7 @@
     bytes::Bytes,
     derive_more::{Debug, Display, Error},
     dispatch::{Assignment, AttemptOutcome},
+    edge::Reservation,
     http::{Request, Response, Uri, response},
     http_body_util::Full,
     model::{MILLISECOND, Time},
@@ -372,7 +372,7 @@
         }
         bytes.extend_from_slice(&part);
     }
-    Ok(Bytes::from_owner(BufferedBody { bytes, _reservation: reservation }))
+    Ok(reservation.hold(bytes))
 }
 
 impl EventStream {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,7 +29,6 @@
 mod rejection;
 mod relay;
 mod replacement;
-mod response_memory;
 mod sampler;
 mod server;
 mod shared;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,7 +5,7 @@
 use {
     crate::{
         evacuations::EvacuationSet, field_requests::FieldRequests, header_names::HeaderNames,
-        metrics::Metrics, response_memory::ResponseMemory, sampler::Sampler,
+        metrics::Metrics, sampler::Sampler,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
     derive_more::Debug,
@@ -13,6 +13,7 @@
         Assignment, AttemptOutcome, DispatchRequest, Dispatcher, RetryBudget, RetryBudgetLimits,
         SubmitResult, WaiterId,
     },
+    edge::ResponseMemory,
     fanout::{ConfigHistory, Requests},
     model::{Domain, MILLISECOND, Name, Time},
     origin::{LookupId, Origins, Resolution},
--- a/crates/router/src/idempotency.rs
+++ b/crates/router/src/idempotency.rs
@@ -7,7 +7,8 @@
         driver::{self, BodyPart, ResponseHead},
         shared::Shared,
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
+    edge::Reservation,
     ledger::{
         AnswerBody, AnswerHeader, ClaimKey, ClaimStep, LedgerCall, LedgerReply, RecordedAnswer,
     },
@@ -63,7 +64,7 @@
 
 async fn run(shared: &Arc<Shared>, call: Arc<Call>, claim: Claim) -> Result<ResponseHead, Refusal> {
     let result = match driver::start(shared, call).await {
-        Ok(head) => collect(head).await,
+        Ok(head) => collect(head, Reservation::new(&shared.response_memory)).await,
         Err(refusal) => Err(refusal),
     };
     match result {
@@ -126,21 +127,31 @@
 }
 
 /// Collects a complete response.
-async fn collect(mut head: ResponseHead) -> Result<(CompleteResponse, EndpointId), Refusal> {
-    let mut body = BytesMut::new();
+async fn collect(
+    mut head: ResponseHead,
+    mut reservation: Reservation,
+) -> Result<(CompleteResponse, EndpointId), Refusal> {
+    let mut body = Vec::new();
     loop {
         match head.body.recv().await {
-            Some(BodyPart::Bytes(bytes)) if body.len() + bytes.len() <= MAX_ANSWER_BYTES => {
-                body.extend_from_slice(&bytes)
+            Some(BodyPart::Bytes(bytes)) => {
+                let len = body.len() + bytes.len();
+                if len > body.capacity() {
+                    let capacity = len.max(2 * body.capacity()).min(MAX_ANSWER_BYTES);
+                    if len > MAX_ANSWER_BYTES || !reservation.resize(capacity) {
+                        return Err(unknown_outcome());
+                    }
+                    body.reserve_exact(capacity - body.len());
+                }
+                body.extend_from_slice(&bytes);
             }
-            Some(BodyPart::Bytes(_)) | None => return Err(unknown_outcome()),
+            None => return Err(unknown_outcome()),
             Some(BodyPart::Abort(refusal)) => return Err(refusal),
             Some(BodyPart::End) => break,
         }
     }
-    let response =
-        CompleteResponse { status: head.status, headers: head.headers, body: body.freeze() };
-    Ok((response, head.endpoint))
+    let body = reservation.hold(body);
+    Ok((CompleteResponse { status: head.status, headers: head.headers, body }, head.endpoint))
 }
 
 /// Replays a recorded response. If its body was too long to record, the refusal tells that the call ran.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -6,7 +6,7 @@
 use {
     crate::{call::Call, hint, metrics::Metrics, owned::OwnedEndpoints, view::ClusterView},
     admission::TeamLimiter,
-    edge::{EndpointClient, EndpointLimits},
+    edge::{EndpointClient, EndpointLimits, ResponseMemory},
     model::{
         ChatKey, Config, Digest, Endpoint, EndpointId, RequestId, Roster, RouterId, RouterState,
         ServiceKind, Time,
@@ -29,6 +29,9 @@
     wire::{Clock, Dialer, Identity, Peer, Traffic, TrafficClass, msg::ToControl},
 };
 
+/// The limit on all responses that are collected for the ledger at once, in bytes.
+const MAX_COLLECTED_BYTES: usize = 48 << 20;
+
 /// Number of retries allowed per thousand first attempts.
 const RETRY_PERMILLE: u32 = 150;
 
@@ -53,6 +56,8 @@
     pub(crate) team_limiter: Mutex<TeamLimiter>,
     pub(crate) owned: Mutex<OwnedEndpoints>,
     pub(crate) retry_budget: RetryBudget,
+    /// The memory of the responses that are collected for the ledger.
+    pub(crate) response_memory: Arc<ResponseMemory>,
     pub(crate) metrics: Metrics,
     /// Wakes the control feed when the router starts to shut down.
     pub(crate) leave_notify: Notify,
@@ -89,6 +94,7 @@
             team_limiter: Mutex::new(TeamLimiter::new(1)),
             owned: Mutex::new(OwnedEndpoints::new()),
             retry_budget: RetryBudget::new(RETRY_PERMILLE, MAX_SAVED_RETRIES),
+            response_memory: Arc::new(ResponseMemory::new(MAX_COLLECTED_BYTES)),
             metrics,
             leave_notify: Notify::new(),
             is_leaving: AtomicBool::new(false),
