--- a/crates/edge/src/endpoint/connection.rs
+++ b/crates/edge/src/endpoint/connection.rs
@@ -12,14 +12,14 @@
     hyper_util::rt::TokioIo,
     std::{
         future::poll_fn,
-        io::{IoSlice, Result as IoResult},
+        io::{Error as IoError, IoSlice, Result as IoResult},
         net::SocketAddr,
         pin::{Pin, pin},
         sync::{
             Arc,
             atomic::{AtomicU64, Ordering},
         },
-        task::{Context, Poll},
+        task::{Context, Poll, ready},
         time::Duration,
     },
     tokio::{
@@ -32,6 +32,10 @@
 /// The maximum size of the headers of a response, in bytes.
 const MAX_HEADER_BYTES: usize = 64 << 10;
 
+/// The maximum number of bytes that an endpoint may send without a head or a part of a body. The HTTP
+/// library limits neither interim responses nor the digits of a chunk's size.
+const MAX_OVERHEAD_BYTES: u64 = 4 * MAX_HEADER_BYTES as u64;
+
 type HttpConnection = Connection<TokioIo<CountingSocket>, Full<Bytes>>;
 
 /// A connection that carries one exchange at a time.
@@ -42,6 +46,8 @@
     sender: SendRequest<Full<Bytes>>,
     connection: Option<HttpConnection>,
     written: Arc<AtomicU64>,
+    /// The number of bytes received since the last head or part of a body.
+    overhead: Arc<AtomicU64>,
     /// When the connection was opened.
     pub(crate) opened_at: Instant,
     /// When the connection was last used.
@@ -65,7 +71,9 @@
             .map_err(connect_error)?;
         let _ = socket.set_nodelay(true);
         let written = Arc::new(AtomicU64::new(0));
-        let io = TokioIo::new(CountingSocket { inner: socket, written: written.clone() });
+        let overhead = Arc::new(AtomicU64::new(0));
+        let (inner, counters) = (socket, (written.clone(), overhead.clone()));
+        let io = TokioIo::new(CountingSocket { inner, written: counters.0, overhead: counters.1 });
         let handshake = http1::Builder::new().max_buf_size(MAX_HEADER_BYTES).handshake(io).await;
         let (sender, connection) =
             handshake.map_err(|it| ExchangeError::new(ExchangeErrorKind::Connect, it))?;
@@ -73,6 +81,7 @@
             sender,
             connection: Some(connection),
             written,
+            overhead,
             opened_at,
             last_used: opened_at,
             reused: false,
@@ -104,9 +113,11 @@
         self.last_used = Instant::now();
         let response = self.sender.send_request(request);
         let result = timeout_at(deadline, drive(&mut self.connection, response)).await;
-        result
+        let response = result
             .map_err(|it| ExchangeError::new(ExchangeErrorKind::Timeout, it))?
-            .map_err(exchange_error)
+            .map_err(exchange_error)?;
+        self.overhead.store(0, Ordering::Relaxed);
+        Ok(response)
     }
 
     /// Waits until `deadline` for the next bytes of a body. Returns `None` at the end of the body.
@@ -120,7 +131,10 @@
             let frame = result.map_err(|it| ExchangeError::new(ExchangeErrorKind::Timeout, it))?;
             let Some(frame) = frame else { return Ok(None) };
             match frame.map_err(exchange_error)?.into_data() {
-                Ok(bytes) if !bytes.is_empty() => return Ok(Some(bytes)),
+                Ok(bytes) if !bytes.is_empty() => {
+                    self.overhead.store(0, Ordering::Relaxed);
+                    return Ok(Some(bytes));
+                }
                 _ => {}
             }
         }
@@ -157,10 +171,12 @@
     .await
 }
 
-/// A socket that counts the bytes that it has accepted for sending.
+/// A socket that counts the bytes that it has accepted for sending, and fails once the endpoint has
+/// sent too many bytes without content.
 struct CountingSocket {
     inner: TcpStream,
     written: Arc<AtomicU64>,
+    overhead: Arc<AtomicU64>,
 }
 
 impl CountingSocket {
@@ -178,7 +194,13 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<IoResult<()>> {
-        Pin::new(&mut self.inner).poll_read(cx, buf)
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        let read = (buf.filled().len() - before) as u64;
+        if self.overhead.fetch_add(read, Ordering::Relaxed) + read > MAX_OVERHEAD_BYTES {
+            return Poll::Ready(Err(IoError::other("too many bytes without content")));
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/gateway/tests/endless_memory.rs
+++ b/crates/gateway/tests/endless_memory.rs
@@ -90,6 +90,17 @@
     flood(endless("x: y", "y"), "plain", "/write/", 60).await;
 }
 
+#[rstest]
+#[case::header_lines("HTTP/1.1 200 X\r\n", "x: y\r\n")]
+#[case::header_value("HTTP/1.1 200 X\r\nx: ", "y")]
+#[tokio::test]
+async fn endless_heads_at_once_do_not_exhaust_memory(#[case] start: &str, #[case] part: &str) {
+    let part = part.repeat(4_096);
+    let behavior =
+        Behavior::Endless { start: start.into(), part: part.into(), pause: Duration::ZERO };
+    flood(behavior, "plain", "/write/", 60).await;
+}
+
 #[tokio::test]
 async fn endless_body_in_chunks_of_one_byte_does_not_exhaust_memory() {
     flood(endless("transfer-encoding: chunked", "1\r\ny\r\n"), "plain", "/write/", 8).await;
