Consider every caught-up member when a voter hands its vote over

Found by reading: the first caught-up member alone was considered, so one that joined too late to be eligible would hide another that is. A silent voter is replaced before one that is about to stop.

--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -1,9 +1,10 @@
 //! Membership changes, one at a time.
 //!
-//! A replica that asks to join becomes a non-voter; replicas that do not lead forward the request to the leader. Once it has all committed entries, it takes the place of the voter
-//! that used the same address before it (a new id at that address means that the old disk is lost). In a group with its
-//! intended number of voters, a replica at a new address takes the place of a voter that has not responded for the
-//! voter timeout; in a smaller group it becomes one more voter.
+//! A replica that asks to join becomes a non-voter; replicas that do not lead forward its request to the leader. Once it
+//! has all committed entries, it takes the place of the voter that used the same address before it (a new id at that
+//! address means that the old disk is lost). In a group with its intended number of voters, a replica at a new address
+//! takes the place of a voter that has not responded for the voter timeout, or that is about to stop; in a smaller group
+//! it becomes one more voter.
 //!
 //! A voter is replaced by joint consensus: first a membership in which a quorum needs majorities both with the outgoing
 //! and with the incoming voter, then, once that is committed, one without the outgoing voter. In between, the group
@@ -177,13 +178,16 @@
             if members.voter_count() < self.config.target_voters {
                 return Some(MemberChange::Promote(new.id));
             }
-            if let Some(old) = voters().find(|it| self.may_hand_over(now, it.id, new.id)) {
-                return Some(replace(old, new, ReplaceReason::Leaving));
-            }
             let old = others().find(|it| self.is_unresponsive(now, it))?;
             Some(replace(old, new, ReplaceReason::Unresponsive))
         };
-        successor.or_else(spare)
+        let heir = || {
+            ready.iter().find_map(|new| {
+                let old = voters().find(|it| self.may_hand_over(now, it.id, new.id))?;
+                Some(replace(old, new, ReplaceReason::Leaving))
+            })
+        };
+        successor.or_else(spare).or_else(heir)
     }
 
     /// The members without a vote and why they have none, if this replica leads.
