Log which replicas a gateway watches and which members they report

No log line told which members a replica reported, whether it heard of a leader then, or which replicas the gateway watches from then on.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -113,6 +113,15 @@
     /// Starts and stops tasks so that exactly the selected replicas are watched.
     fn reconcile(&mut self, seeds: &[SocketAddr]) {
         let wanted = self.select_replicas(seeds);
+        if !self.watched.keys().eq(&wanted) {
+            tracing::info!(
+                event = "control-selected",
+                replicas = ?wanted,
+                before = ?self.watched.keys(),
+                healthy = self.watched.values().filter(|it| it.has_leader).count(),
+                "gateway: watches other control replicas"
+            );
+        }
         self.watched.retain(|addr, it| {
             let kept = wanted.contains(addr);
             if !kept {
@@ -208,6 +217,16 @@
         watched.heard_at = self.shared.now();
         match update {
             Update::Membership { routers, replicas } => {
+                if replicas != watched.replicas {
+                    tracing::info!(
+                        event = "control-members",
+                        %replica,
+                        members = ?replicas,
+                        before = ?watched.replicas,
+                        has_leader = watched.has_leader,
+                        "gateway: a control replica reported other members of its group"
+                    );
+                }
                 (watched.routers, watched.replicas) = (routers, replicas);
                 self.update_membership();
             }
