--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -7,12 +7,14 @@
 mod crashing;
 mod endpoint;
 mod link;
+mod replica;
 
 pub(crate) use {
     client::{Client, Connection, Response, read_response},
     crashing::{CrashingEndpoints, EVENTS, Framing},
     endpoint::{Behavior, Endpoint, ReceivedRequest, SIGNED, chunk, event, read_request},
     link::{Cut, Link, SWITCH_TIME},
+    replica::{HEARTBEAT_INTERVAL, Liveness, OnRequest, Replica},
 };
 
 use {
--- a/crates/gateway/tests/config_requests.rs
+++ b/crates/gateway/tests/config_requests.rs
@@ -4,25 +4,20 @@
 
 use {
     common::{
-        Client, Endpoint, StaticList, TEAM_KEY, free_port, gateway_settings, layout, route,
-        start_gateway, wait_until,
+        Client, Endpoint, HEARTBEAT_INTERVAL, Liveness, OnRequest, Replica, StaticList, TEAM_KEY,
+        free_port, gateway_settings, start_gateway, wait_until,
     },
-    directory::{Catalog, ListedEndpoint},
+    directory::ListedEndpoint,
     gateway::Gateway,
     model::Domain,
-    route::{FIELD_LEVEL, RouteKind},
     rstest::rstest,
     settings::GatewaySettings,
     std::{net::SocketAddr, time::Duration},
     tokio::{
         net::TcpListener,
-        sync::watch,
-        time::{Instant, interval, sleep},
-    },
-    wire::{
-        Compressed, Listener, Stream, Traffic, WireError,
-        msg::{WatchHello, WatchRequest, WatchUpdate},
+        time::{Instant, sleep},
     },
+    wire::{Listener, Traffic, msg::WatchUpdate},
 };
 
 /// The time within which a change must be in force on the users' platform.
@@ -35,9 +30,6 @@
 /// How much earlier one replica announces a configuration than the others.
 const HEAD_START: Duration = Duration::from_millis(50);
 
-/// The interval between the heartbeats of a replica.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
-
 /// The interval between changes that follow each other.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -47,152 +39,6 @@
 /// The interval between the messages of a gateway that is slow to send the configuration.
 const MESSAGE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// What a replica does about a request for a configuration.
-#[derive(Clone, Copy, Debug)]
-enum OnRequest {
-    Send,
-    Ignore,
-    Close,
-    Refer(SocketAddr),
-}
-
-/// Whether a replica keeps its streams alive.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Liveness {
-    Alive,
-    /// It sends nothing, and its streams stay open.
-    Frozen,
-    /// Its streams end, also new ones.
-    Stopped,
-}
-
-/// The version that a replica announces, what it does about requests, and the gateways and endpoints that it lists.
-#[derive(Clone, Debug)]
-struct Script {
-    version: u64,
-    on_request: OnRequest,
-    routers: Vec<SocketAddr>,
-    endpoints: Vec<ListedEndpoint>,
-    liveness: Liveness,
-}
-
-/// A control replica that is always healthy by its heartbeats.
-struct Replica {
-    addr: SocketAddr,
-    script: watch::Sender<Script>,
-}
-
-impl Replica {
-    async fn start() -> Replica {
-        let listener = Listener::bind(([127, 0, 0, 1], 0).into(), None, Traffic::default()).await;
-        let mut listener = listener.expect("failed to bind");
-        let addr = listener.addr();
-        let script = watch::Sender::new(Script {
-            version: 1,
-            on_request: OnRequest::Send,
-            routers: Vec::new(),
-            endpoints: Vec::new(),
-            liveness: Liveness::Alive,
-        });
-        let changes = script.clone();
-        tokio::spawn(async move {
-            while let Some(incoming) = listener.accept().await {
-                tokio::spawn(serve(incoming.stream, changes.subscribe()));
-            }
-        });
-        Replica { addr, script }
-    }
-
-    fn publish(&self, version: u64, on_request: OnRequest) {
-        self.script.send_modify(|it| (it.version, it.on_request) = (version, on_request));
-    }
-
-    fn name_routers(&self, routers: &[SocketAddr]) {
-        self.script.send_modify(|it| it.routers = routers.to_vec());
-    }
-
-    fn list_endpoints(&self, endpoints: &[ListedEndpoint]) {
-        self.script.send_modify(|it| it.endpoints = endpoints.to_vec());
-    }
-
-    fn set_liveness(&self, liveness: Liveness) {
-        self.script.send_modify(|it| it.liveness = liveness);
-    }
-}
-
-/// Serves a watch stream until either side ends it.
-async fn serve(stream: Stream, mut script: watch::Receiver<Script>) -> Result<(), WireError> {
-    let (mut send, mut recv) = stream.split();
-    let _ = recv.recv::<WatchHello>().await?;
-    let mut heartbeats = interval(HEARTBEAT_INTERVAL);
-    let (mut announced, mut named, mut listed) = (None, None, None);
-    let mut catalog_wanted = false;
-    loop {
-        let Script { version, on_request, routers, endpoints, liveness } =
-            script.borrow_and_update().clone();
-        match liveness {
-            Liveness::Alive => {}
-            Liveness::Stopped => return Ok(()),
-            Liveness::Frozen => {
-                let _ = script.changed().await;
-                continue;
-            }
-        }
-        let listing_is_recent = !endpoints.is_empty();
-        if catalog_wanted && listed.as_ref() != Some(&endpoints) {
-            let catalog = Catalog::from_endpoints(&endpoints);
-            let catalog = Compressed::encode(&catalog).expect("failed to encode");
-            send.send(&WatchUpdate::Catalog(catalog)).await?;
-            listed = Some(endpoints);
-        }
-        if named.as_ref() != Some(&routers) {
-            let members = routers.iter().map(|it| (*it, Domain("d0".into()))).collect();
-            let fleet = WatchUpdate::Fleet { routers: members, replicas: Vec::new() };
-            send.send(&fleet).await?;
-            named = Some(routers);
-        }
-        if announced.replace(version) != Some(version) {
-            send.send(&WatchUpdate::Announce { version }).await?;
-        }
-        tokio::select! {
-            _ = heartbeats.tick() => {
-                send.send(&WatchUpdate::Heartbeat { has_leader: true, listing_is_recent }).await?;
-            }
-            changed = script.changed() => if changed.is_err() {
-                return Ok(());
-            },
-            request = recv.recv::<WatchRequest>() => {
-                let Some(request) = request? else { return Ok(()) };
-                let WatchRequest::Layout { installed_version } = request else {
-                    catalog_wanted = true;
-                    continue;
-                };
-                if installed_version >= Some(version) {
-                    continue;
-                }
-                match on_request {
-                    OnRequest::Send => send.send(&encode(version)).await?,
-                    OnRequest::Ignore => {}
-                    OnRequest::Close => return Ok(()),
-                    OnRequest::Refer(router) => {
-                        send.send(&WatchUpdate::Refer { version, router }).await?;
-                    }
-                }
-            }
-        }
-    }
-}
-
-/// Returns a configuration that has the route `added` from version 2 on.
-fn encode(version: u64) -> WatchUpdate {
-    let mut layout = layout(version);
-    if version > 1 {
-        layout.routes.push(route("added", RouteKind::NonIdempotent, "plain"));
-    }
-    let bytes = layout.encode(FIELD_LEVEL).expect("failed to encode");
-    WatchUpdate::Layout(Compressed::compress(&bytes).expect("failed to compress"))
-}
-
 fn entry(id: &str, addr: SocketAddr) -> ListedEndpoint {
     ListedEndpoint {
         id: id.into(),
