Keep the control replicas that a gateway knows when restarted ones report former members

Cause: a gateway knew the group only from the replicas that it watched at that moment, and took every report for the present members. When all had restarted and reported addresses that have left, the gateway stopped watching the present members, and forgot what these had reported; from then on it asked only the seeds of its settings, for ever.

Now Group, a state machine in fanout, decides which replicas are watched: only replicas that hear of a leader can remove members; without one, all known members and the seeds are watched; a healthy replica is kept until enough others are healthy; and an address is retained for 30 s after a healthy replica last reported it, as one that has just restarted may report former members beside its first heartbeat. An address that has left is no longer watched, where it had been asked four times a second for ever.

gateway_does_not_forget_its_replicas_when_all_restart_and_report_former_members failed before in both cases, and passes; the property of fanout/tests/group.rs and both cases beside it fail without the retention.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,8 +1,6 @@
 //! Watches the control plane for routing configurations, endpoints and other gateways.
 //!
-//! The gateway watches a few control replicas, ranked by a hash of both addresses so that the
-//! gateways are spread over the replicas. It watches more of them while one of the preferred
-//! replicas is unreachable or sees no leader. The highest configuration version reported by any
+//! The gateway watches a few control replicas ([`Group`]). The highest configuration version reported by any
 //! replica is applied; the version never decreases. The endpoint list is requested from a single
 //! replica at a time, because lists can be large and because lists read at different times must not
 //! alternate.
@@ -15,9 +13,10 @@
     },
     derive_more::Debug,
     directory::Catalog,
-    model::{Domain, MILLISECOND, Name, Time, hash64, mix2},
+    fanout::Group,
+    model::{Domain, MILLISECOND, Name, Time},
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::BTreeMap,
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
         time::Duration,
@@ -30,17 +29,6 @@
     wire::Peer,
 };
 
-/// How many replicas are watched while all of them are healthy. With two of them lost, one still
-/// reports.
-const WATCHED_REPLICAS: usize = 3;
-
-/// How many of the watched replicas must hear of a leader. A single one may lag behind it.
-const MIN_HEALTHY_REPLICAS: usize = 2;
-
-/// How long a replica may take to become healthy before an additional one is watched, in
-/// milliseconds.
-const PROBATION_MS: u64 = 1_500;
-
 /// How long the replica whose endpoint list is applied may be silent before that of another one is
 /// requested, in milliseconds: until the second heartbeat in a row would be late.
 const LIST_SILENCE_MS: u64 = 1_500;
@@ -55,16 +43,11 @@
     task: AbortHandle,
     /// Whether to request the endpoint list from this replica.
     catalog_wanted: watch::Sender<bool>,
-    /// Until this time the replica counts as healthy even without a heartbeat that shows it.
-    probation_until: Time,
     /// When the replica last sent an update.
     heard_at: Time,
-    /// Whether the replica hears of a leader, so that it would know of a newer configuration.
-    has_leader: bool,
     /// Whether the replica has read the endpoint list recently.
     listing_is_recent: bool,
     routers: Vec<(SocketAddr, Domain)>,
-    replicas: Vec<SocketAddr>,
     catalog: Option<Catalog>,
     /// The cold endpoints by that list, and until when; `None` if the replica has not said.
     cold: Option<Vec<(Name, Time)>>,
@@ -73,11 +56,12 @@
 /// Watches replicas for as long as the process runs. `seeds` are the configured addresses.
 pub(crate) async fn run(shared: Arc<Shared>, mut seeds: watch::Receiver<Vec<SocketAddr>>) {
     let (sender, mut updates) = mpsc::channel(64);
-    let mut watcher =
-        ReplicaWatcher { shared, sender, watched: BTreeMap::new(), catalog_source: None };
+    let group = Group::new(shared.settings.inner, &seeds.borrow());
+    let watched = BTreeMap::new();
+    let mut watcher = ReplicaWatcher { shared, sender, group, watched, catalog_source: None };
     loop {
-        let addrs = seeds.borrow_and_update().clone();
-        watcher.reconcile(&addrs);
+        watcher.group.set_seeds(&seeds.borrow_and_update());
+        watcher.reconcile();
         watcher.update_doubt();
         watcher.update_catalog_source();
         tokio::select! {
@@ -104,6 +88,7 @@
 struct ReplicaWatcher {
     shared: Arc<Shared>,
     sender: mpsc::Sender<ReplicaUpdate>,
+    group: Group,
     watched: BTreeMap<SocketAddr, WatchedReplica>,
     /// The replica whose endpoint list is applied.
     catalog_source: Option<SocketAddr>,
@@ -111,25 +96,25 @@
 
 impl ReplicaWatcher {
     /// Starts and stops tasks so that exactly the selected replicas are watched.
-    fn reconcile(&mut self, seeds: &[SocketAddr]) {
-        let wanted = self.select_replicas(seeds);
-        if !self.watched.keys().eq(&wanted) {
+    fn reconcile(&mut self) {
+        let selected = self.group.select(self.shared.now());
+        if !self.watched.keys().eq(&selected) {
             tracing::info!(
                 event = "control-selected",
-                replicas = ?wanted,
+                replicas = ?selected,
                 before = ?self.watched.keys(),
-                healthy = self.watched.values().filter(|it| it.has_leader).count(),
+                healthy = self.group.healthy(),
                 "gateway: watches other control replicas"
             );
         }
         self.watched.retain(|addr, it| {
-            let kept = wanted.contains(addr);
+            let kept = selected.contains(addr);
             if !kept {
                 it.task.abort();
             }
             kept
         });
-        for addr in wanted {
+        for addr in selected {
             if !self.watched.contains_key(&addr) {
                 let watched = self.spawn(addr);
                 self.watched.insert(addr, watched);
@@ -139,54 +124,18 @@
 
     /// Records whether enough replicas hear of a leader to announce a new configuration.
     fn update_doubt(&self) {
-        let known = self.watched.values().map(|it| it.replicas.len()).max().unwrap_or(0);
-        let healthy = self.watched.values().filter(|it| it.has_leader).count();
-        let in_doubt = healthy < MIN_HEALTHY_REPLICAS.min(known.max(1));
+        let in_doubt = self.group.is_in_doubt();
         if self.shared.control_in_doubt.swap(in_doubt, Ordering::Relaxed) != in_doubt {
             tracing::info!(
                 event = "control-doubted",
                 in_doubt,
-                healthy,
-                known,
+                healthy = self.group.healthy(),
+                known = self.group.members().count(),
                 "gateway: changed whether other gateways are asked for newer configurations"
             );
         }
     }
 
-    fn select_replicas(&self, seeds: &[SocketAddr]) -> BTreeSet<SocketAddr> {
-        let now = self.shared.now();
-        let candidates = self.watched.values().flat_map(|it| it.replicas.iter().copied());
-        let mut candidates: BTreeSet<_> = candidates.collect();
-        if candidates.is_empty() {
-            candidates.extend(seeds);
-        }
-        let mut by_rank: Vec<_> = candidates.into_iter().collect();
-        by_rank.sort_unstable_by_key(|it| self.rank(*it));
-        let mut healthy = 0;
-        let mut wanted = BTreeSet::new();
-        for addr in by_rank {
-            if healthy == WATCHED_REPLICAS {
-                break;
-            }
-            let watched = self.watched.get(&addr);
-            healthy +=
-                usize::from(watched.is_none_or(|it| it.has_leader || now < it.probation_until));
-            wanted.insert(addr);
-        }
-        // If no replica is healthy, fall back to the seeds, which may include replicas that no
-        // other replica has reported.
-        if !self.watched.values().any(|it| it.has_leader) {
-            wanted.extend(seeds);
-        }
-        wanted
-    }
-
-    /// Ranks a replica by rendezvous hashing, so that the order differs between gateways.
-    fn rank(&self, replica: SocketAddr) -> u64 {
-        let own = hash64(self.shared.settings.inner.to_string().as_bytes());
-        mix2(own, hash64(replica.to_string().as_bytes()))
-    }
-
     fn spawn(&self, addr: SocketAddr) -> WatchedReplica {
         let peer = Peer::new(addr, self.shared.dialer.clone());
         let catalog_wanted = watch::Sender::new(false);
@@ -200,12 +149,9 @@
         WatchedReplica {
             task: task.abort_handle(),
             catalog_wanted,
-            probation_until: self.shared.now() + PROBATION_MS * MILLISECOND,
             heard_at: self.shared.now(),
-            has_leader: false,
             listing_is_recent: false,
             routers: Vec::new(),
-            replicas: Vec::new(),
             catalog: None,
             cold: None,
         }
@@ -214,20 +160,20 @@
     fn apply(&mut self, update: ReplicaUpdate) {
         let ReplicaUpdate { replica, update } = update;
         let Some(watched) = self.watched.get_mut(&replica) else { return };
-        watched.heard_at = self.shared.now();
+        let now = self.shared.now();
+        watched.heard_at = now;
         match update {
             Update::Membership { routers, replicas } => {
-                if replicas != watched.replicas {
+                watched.routers = routers;
+                if self.group.record_members(now, replica, &replicas) {
                     tracing::info!(
                         event = "control-members",
                         %replica,
                         members = ?replicas,
-                        before = ?watched.replicas,
-                        has_leader = watched.has_leader,
+                        has_leader = self.group.has_leader(replica),
                         "gateway: a control replica reported other members of its group"
                     );
                 }
-                (watched.routers, watched.replicas) = (routers, replicas);
                 self.update_membership();
             }
             Update::Catalog(catalog) => {
@@ -243,11 +189,13 @@
                 }
             }
             Update::Heartbeat { has_leader, listing_is_recent } => {
-                (watched.has_leader, watched.listing_is_recent) = (has_leader, listing_is_recent);
+                watched.listing_is_recent = listing_is_recent;
+                self.group.record_leader(replica, has_leader);
             }
             Update::Disconnected => {
-                (watched.has_leader, watched.listing_is_recent) = (false, false);
+                watched.listing_is_recent = false;
                 (watched.catalog, watched.cold) = (None, None);
+                self.group.record_leader(replica, false);
             }
         }
     }
@@ -256,7 +204,7 @@
         let watched = || self.watched.values();
         let mut membership = self.shared.membership.lock();
         membership.routers = watched().flat_map(|it| it.routers.iter().cloned()).collect();
-        membership.replicas = watched().flat_map(|it| it.replicas.iter().copied()).collect();
+        membership.replicas = self.group.members().collect();
         let routers = membership.routers.iter().map(|it| (it.0, &it.1));
         let mut origins = self.shared.origins.lock();
         origins.set_members(self.shared.settings.inner, routers);
@@ -280,8 +228,9 @@
         let present = self.catalog_source.and_then(|it| self.watched.get(&it));
         if !present.is_some_and(|it| it.has_recent_list(now)) {
             let listed = self.watched.iter().filter(|it| it.1.has_recent_list(now));
-            let order =
-                |it: &(&SocketAddr, &WatchedReplica)| (it.1.catalog.is_none(), self.rank(*it.0));
+            let order = |it: &(&SocketAddr, &WatchedReplica)| {
+                (it.1.catalog.is_none(), self.group.rank(*it.0))
+            };
             let best = listed.min_by_key(order).map(|it| *it.0);
             if let Some(replica) = best {
                 tracing::info!(
