Tell routers the members of the group as soon as a replica is open

A restarted control replica told gateways for its first 300 ms that its group has no members: what it shares with its handles was filled by the first step of the driver, after the first report had been made. Now the membership that is known to be committed is shared when the replica is opened. a_restarted_replica_knows_its_members_as_soon_as_it_is_open; the test of gateways plays both reports.

--- a/crates/gateway/tests/control_group.rs
+++ b/crates/gateway/tests/control_group.rs
@@ -55,13 +55,21 @@
     replicas.iter().filter(|it| it.script.receiver_count() > 0).count()
 }
 
-/// Replicas that were restarted report the members of their last snapshot until they hear of a leader.
+/// What replicas report as the members of their group after a restart, until they hear of a leader.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Reported {
+    Nothing,
+    FormerMembers,
+}
+
+/// A gateway took what its replicas reported just after their restart for the present members.
 #[rstest]
 #[case::three(3)]
 #[case::five(5)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn gateway_does_not_forget_its_replicas_when_all_restart_and_report_former_members(
+async fn gateway_does_not_forget_its_replicas_when_all_restart_at_once(
     #[case] count: usize,
+    #[values(Reported::Nothing, Reported::FormerMembers)] reported: Reported,
 ) {
     let seeds = start_replicas(3).await;
     let replicas = start_replicas(count).await;
@@ -74,8 +82,12 @@
 
     replicas.iter().for_each(|it| it.set_liveness(Liveness::Stopped));
     sleep(Duration::from_millis(500)).await;
+    let reported = match reported {
+        Reported::Nothing => &[],
+        Reported::FormerMembers => former.as_slice(),
+    };
     for replica in &replicas {
-        replica.name_members(&former, false);
+        replica.name_members(reported, false);
         replica.set_liveness(Liveness::Alive);
     }
     sleep(NO_LEADER).await;
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -97,6 +97,7 @@
                 _ => {}
             }
         }
+        shared.publish(now, &raft);
         tracing::info!(
             "replica: {id} opened, commit index {}, last index {}",
             raft.commit_index(),
--- a/crates/replica/tests/three.rs
+++ b/crates/replica/tests/three.rs
@@ -6,7 +6,7 @@
     group::{CommandRecorder, Group, wait_for_status, with_timeout},
     replica::{ProposeError, Replica, ReplicaConfig, ReplicaStatus, RestoreError, StateMachine},
     rstest::rstest,
-    std::{net::SocketAddr, time::Duration},
+    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
     tempfile::TempDir,
     tokio::time::timeout,
     wire::{Clock, Dialer, Listener, Traffic, TrafficClass},
@@ -97,6 +97,18 @@
     }
 }
 
+/// A restarted replica knew no members until its driver ran, and told routers so.
+#[tokio::test]
+async fn a_restarted_replica_knows_its_members_as_soon_as_it_is_open() {
+    let group = Group::start(3, NEVER_SNAPSHOT).await;
+    propose_numbers(&group, 0, 20).await;
+    group.wait_for_applied(1, 20).await;
+    group.stop(1).await;
+    let replica = group.open(1).await;
+    let members: BTreeSet<_> = replica.member_addrs().into_iter().collect();
+    assert_eq!(members, group.addrs.iter().copied().collect());
+}
+
 #[tokio::test]
 async fn a_lost_disk_comes_back_under_another_id_and_a_second_loss_is_survived() {
     let group = Group::start(3, 300).await;
