Test that a gateway without a leader refuses no request for good

When all control replicas restart, each sends the configuration of which it knew before that it is committed. That index is written each 200 ms, so the newest acknowledged versions are missing until there is a leader, which takes 1 to 2.3 s. A gateway takes the announced version for the newest one a second after its own start (or at once, if it did not restart) and answers 404 or 401 for what a later acknowledged version allows.

The test fails on, both cases: 404 and 401 instead of 503.

--- a/crates/gateway/tests/config_requests.rs
+++ b/crates/gateway/tests/config_requests.rs
@@ -60,6 +60,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Liveness {
     Alive,
+    /// It hears of no leader, so that it may lack a committed configuration.
+    Leaderless,
     /// It sends nothing, and its streams stay open.
     Frozen,
     /// Its streams end, also new ones.
@@ -76,7 +78,7 @@
     liveness: Liveness,
 }
 
-/// A control replica that is always healthy by its heartbeats.
+/// A control replica that hears of a leader by its heartbeats, unless its liveness says otherwise.
 struct Replica {
     addr: SocketAddr,
     script: watch::Sender<Script>,
@@ -131,7 +133,7 @@
         let Script { version, on_request, routers, endpoints, liveness } =
             script.borrow_and_update().clone();
         match liveness {
-            Liveness::Alive => {}
+            Liveness::Alive | Liveness::Leaderless => {}
             Liveness::Stopped => return Ok(()),
             Liveness::Frozen => {
                 let _ = script.changed().await;
@@ -156,7 +158,8 @@
         }
         tokio::select! {
             _ = heartbeats.tick() => {
-                send.send(&WatchUpdate::Heartbeat { has_leader: true, listing_is_recent }).await?;
+                let has_leader = liveness == Liveness::Alive;
+                send.send(&WatchUpdate::Heartbeat { has_leader, listing_is_recent }).await?;
             }
             changed = script.changed() => if changed.is_err() {
                 return Ok(());
@@ -223,7 +226,13 @@
 }
 
 async fn start_with(list: StaticList) -> (Gateway, [Replica; 3]) {
+    start_among(list, Liveness::Alive).await
+}
+
+/// Starts a gateway with this list and three replicas that are in this state from the start.
+async fn start_among(list: StaticList, liveness: Liveness) -> (Gateway, [Replica; 3]) {
     let replicas = [Replica::start().await, Replica::start().await, Replica::start().await];
+    replicas.iter().for_each(|it| it.set_liveness(liveness));
     let control = replicas.iter().map(|it| it.addr).collect();
     let settings = GatewaySettings { control, ..gateway_settings(replicas[0].addr) };
     let gateway = start_gateway(settings, list).await;
@@ -401,3 +410,31 @@
     assert_eq!(client.call("/none/").await.status, 404);
     assert!(started.elapsed() < Duration::from_millis(500));
 }
+
+/// Gateways that restarted together with all control replicas answered 404 or 401 for what an acknowledged configuration
+/// allows: until there is a leader, a replica sends the configuration of which it knew before that it is committed.
+#[rstest]
+#[case::route("/added/", TEAM_KEY)]
+#[case::key("/write/", "new-key")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn restarted_gateway_refuses_no_request_for_good_before_a_replica_hears_of_a_leader(
+    #[case] path: &str,
+    #[case] key: &str,
+) {
+    let endpoint = Endpoint::start([]).await;
+    let (gateway, replicas) = start_among(list_of(endpoint.addr), Liveness::Leaderless).await;
+    wait_until(|| gateway.is_ready()).await;
+    let client = Client::new(gateway.addr()).key(Some(key)).body("x");
+    let response = client.call(path).await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(response.header("retry-after").is_some(), "{response:?}");
+    let known = Client::new(gateway.addr()).body("x").call("/write/").await;
+    assert_eq!(known.status, 200);
+    for replica in &replicas {
+        replica.set_liveness(Liveness::Alive);
+        replica.publish(2, OnRequest::Send);
+    }
+    wait_until(|| gateway.layout_version() == Some(2)).await;
+    let added = Client::new(gateway.addr()).body("x").call("/added/").await;
+    assert_eq!(added.status, 200);
+}
