Test that a denied pre-vote is followed by another one soon

After all replicas restart, each may vote only an election timeout after its own start (1,533 ms on links of 6 Mbit/s). If the only replica that can be elected, because its log is one entry longer, started first, its pre-vote is denied, and it waits 1 to 1.5 timeouts for the next one; a denied vote waits half a timeout at most. So a leader may take 2.5 timeouts (3.8 s) from the last start, longer than the 3 s after which a change must be in force.

--- a/crates/quorum/tests/elections.rs
+++ b/crates/quorum/tests/elections.rs
@@ -27,6 +27,28 @@
     assert_eq!(raft.leader(), Some(ReplicaId(1)));
 }
 
+/// After a restart of all replicas, the only one that can be elected may ask before the others may vote: each of them must
+/// wait an election timeout after its own start. Its next attempt must not take up to one and a half timeouts.
+#[test]
+fn a_denied_pre_vote_is_followed_by_another_within_half_a_timeout() {
+    let mut raft = open(1, common::voters(3));
+    let now = raft.deadline();
+    step(&mut raft, now, Event::Tick);
+    // The term of a denial is that of its sender.
+    let denial = quorum::Envelope {
+        group: 7,
+        from: ReplicaId(2),
+        to: ReplicaId(1),
+        term: Term(1),
+        message: Message::PreVoteResponse { granted: false },
+    };
+    step(&mut raft, now, Event::Received(denial));
+    assert!(raft.deadline() <= now + ELECTION_TIMEOUT / 2, "{:?} at {now:?}", raft.deadline());
+    // A pre-vote that arrives later still counts.
+    receive(&mut raft, now, 3, Message::PreVoteResponse { granted: true });
+    assert_eq!(raft.hard_state().term, Term(2));
+}
+
 #[test]
 fn a_denied_vote_does_not_make_a_leader_campaign() {
     let mut raft = lead(open(1, common::voters(3)), &[2]);
