--- a/crates/gateway/tests/common/replica.rs
+++ b/crates/gateway/tests/common/replica.rs
@@ -29,6 +29,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(crate) enum Liveness {
     Alive,
+    /// It hears of no leader, so that it may lack a committed configuration.
+    Leaderless,
     /// It sends nothing, and its streams stay open.
     Frozen,
     /// Its streams end, also new ones.
@@ -110,7 +112,7 @@
         let Script { version, on_request, routers, members, has_leader, endpoints, liveness } =
             script.borrow_and_update().clone();
         match liveness {
-            Liveness::Alive => {}
+            Liveness::Alive | Liveness::Leaderless => {}
             Liveness::Stopped => return Ok(()),
             Liveness::Frozen => {
                 let _ = script.changed().await;
@@ -136,6 +138,7 @@
         }
         tokio::select! {
             _ = heartbeats.tick() => {
+                let has_leader = has_leader && liveness == Liveness::Alive;
                 send.send(&WatchUpdate::Heartbeat { has_leader, listing_is_recent }).await?;
             }
             changed = script.changed() => if changed.is_err() {
