Refuse no route or key for good while no replica hears of a leader

Cause: replicas that restarted together send the version of which they know that it is committed, which is older than the acknowledged one until there is a leader; a gateway took it for current 1 s later, whether or not any replica heard of a leader. Now such a request is held for as long as the gateway is expected to start, and is refused with 503 and Retry-After while too few replicas hear of a leader. restarted_gateway_refuses_no_request_for_good_before_a_replica_hears_of_a_leader failed before in both cases (404, 401).

--- a/crates/gateway/src/startup.rs
+++ b/crates/gateway/src/startup.rs
@@ -42,6 +42,8 @@
     Complete,
     /// This gateway has the announced version, and had time to hear of a newer one since its start.
     Current(Option<u64>),
+    /// It has that version, and enough control replicas hear of a leader to announce a newer one.
+    Confirmed(Option<u64>),
 }
 
 impl Condition {
@@ -54,6 +56,10 @@
                 installed_version(shared) >= version
                     && shared.layout_settled.load(Ordering::Relaxed)
             }
+            Condition::Confirmed(version) => {
+                Condition::Current(version).holds(shared)
+                    && !shared.control_in_doubt.load(Ordering::Relaxed)
+            }
         }
     }
 }
@@ -92,8 +98,16 @@
         let hold = if !Condition::Complete.holds(shared) {
             Hold { condition: Condition::Complete, deadline: self.start_deadline }
         } else if refusal.is_some_and(|it| it.depends_on_version()) {
-            let condition = Condition::Current(self.announced);
-            Hold { condition, deadline: self.version_deadline }
+            match shared.now() < self.start_deadline {
+                true => Hold {
+                    condition: Condition::Confirmed(self.announced),
+                    deadline: self.start_deadline,
+                },
+                false => Hold {
+                    condition: Condition::Current(self.announced),
+                    deadline: self.version_deadline,
+                },
+            }
         } else {
             return None;
         };
@@ -102,11 +116,11 @@
         is_held.then_some(hold)
     }
 
-    /// Returns why the request is refused in the end. A gateway that knows its configuration to be out
-    /// of date refuses none for good.
+    /// Returns why the request is refused in the end. A gateway whose configuration is out of date, or which would not
+    /// know that it is, refuses none for good.
     pub(crate) fn refusal(&self, shared: &Shared, refusal: Rejection) -> Rejection {
-        let is_current = Condition::Current(self.announced).holds(shared);
-        match refusal.depends_on_version() && !is_current {
+        let is_confirmed = Condition::Confirmed(self.announced).holds(shared);
+        match refusal.depends_on_version() && !is_confirmed {
             true => Rejection::Outdated,
             false => refusal,
         }
