Retain the gateways that control replicas reported, and watch all members while in doubt

A restarted replica also reports no gateways at first, so a gateway that had lost all replicas couldn't ask another gateway for a configuration either, and counted as the only one of the fleet. The members of which the other parts of the gateway know are updated when they change, not only with a report.

The test of a restarted replica waits until the commit index is written.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -8,7 +8,7 @@
 use {
     crate::{
         discovery,
-        shared::Shared,
+        shared::{Membership, Shared},
         subscription::{ReplicaUpdate, Update, watch_replica},
     },
     derive_more::Debug,
@@ -47,7 +47,6 @@
     heard_at: Time,
     /// Whether the replica has read the endpoint list recently.
     listing_is_recent: bool,
-    routers: Vec<(SocketAddr, Domain)>,
     catalog: Option<Catalog>,
     /// The cold endpoints by that list, and until when; `None` if the replica has not said.
     cold: Option<Vec<(Name, Time)>>,
@@ -62,6 +61,7 @@
     loop {
         watcher.group.set_seeds(&seeds.borrow_and_update());
         watcher.reconcile();
+        watcher.update_membership();
         watcher.update_doubt();
         watcher.update_catalog_source();
         tokio::select! {
@@ -104,7 +104,7 @@
                 replicas = ?selected,
                 before = ?self.watched.keys(),
                 healthy = self.group.healthy(),
-                "gateway: watches other control replicas"
+                "gateway: changed the control replicas that it watches"
             );
         }
         self.watched.retain(|addr, it| {
@@ -126,11 +126,12 @@
     fn update_doubt(&self) {
         let in_doubt = self.group.is_in_doubt();
         if self.shared.control_in_doubt.swap(in_doubt, Ordering::Relaxed) != in_doubt {
+            self.shared.progress.send_replace(());
             tracing::info!(
                 event = "control-doubted",
                 in_doubt,
                 healthy = self.group.healthy(),
-                known = self.group.members().count(),
+                known = self.group.members().len(),
                 "gateway: changed whether other gateways are asked for newer configurations"
             );
         }
@@ -151,7 +152,6 @@
             catalog_wanted,
             heard_at: self.shared.now(),
             listing_is_recent: false,
-            routers: Vec::new(),
             catalog: None,
             cold: None,
         }
@@ -164,8 +164,7 @@
         watched.heard_at = now;
         match update {
             Update::Membership { routers, replicas } => {
-                watched.routers = routers;
-                if self.group.record_members(now, replica, &replicas) {
+                if self.group.record_report(now, replica, &replicas, routers) {
                     tracing::info!(
                         event = "control-members",
                         %replica,
@@ -174,7 +173,6 @@
                         "gateway: a control replica reported other members of its group"
                     );
                 }
-                self.update_membership();
             }
             Update::Catalog(catalog) => {
                 watched.catalog = Some(catalog);
@@ -195,16 +193,21 @@
             Update::Disconnected => {
                 watched.listing_is_recent = false;
                 (watched.catalog, watched.cold) = (None, None);
-                self.group.record_leader(replica, false);
+                self.group.record_lost(replica);
             }
         }
     }
 
+    /// Tells the other parts of the gateway which processes exist, if that has changed.
     fn update_membership(&self) {
-        let watched = || self.watched.values();
+        let routers = self.group.routers().cloned().collect();
+        let replicas = self.group.members().into_iter().collect();
+        let current = Membership { routers, replicas };
         let mut membership = self.shared.membership.lock();
-        membership.routers = watched().flat_map(|it| it.routers.iter().cloned()).collect();
-        membership.replicas = self.group.members().collect();
+        if *membership == current {
+            return;
+        }
+        *membership = current;
         let routers = membership.routers.iter().map(|it| (it.0, &it.1));
         let mut origins = self.shared.origins.lock();
         origins.set_members(self.shared.settings.inner, routers);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -59,7 +59,7 @@
 }
 
 /// The other processes, as reported by the control plane.
-#[derive(Default, Debug)]
+#[derive(PartialEq, Eq, Default, Debug)]
 pub(crate) struct Membership {
     pub(crate) routers: HashSet<(SocketAddr, Domain)>,
     pub(crate) replicas: HashSet<SocketAddr>,
--- a/crates/replica/tests/three.rs
+++ b/crates/replica/tests/three.rs
@@ -8,7 +8,7 @@
     rstest::rstest,
     std::{collections::BTreeSet, net::SocketAddr, time::Duration},
     tempfile::TempDir,
-    tokio::time::timeout,
+    tokio::time::{sleep, timeout},
     wire::{Clock, Dialer, Listener, Traffic, TrafficClass},
 };
 
@@ -102,7 +102,10 @@
 async fn a_restarted_replica_knows_its_members_as_soon_as_it_is_open() {
     let group = Group::start(3, NEVER_SNAPSHOT).await;
     propose_numbers(&group, 0, 20).await;
-    group.wait_for_applied(1, 20).await;
+    // The commit index is not written for each commit.
+    sleep(Duration::from_millis(300)).await;
+    propose_numbers(&group, 20, 1).await;
+    group.wait_for_applied(1, 21).await;
     group.stop(1).await;
     let replica = group.open(1).await;
     let members: BTreeSet<_> = replica.member_addrs().into_iter().collect();
