--- a/crates/gateway/tests/config_requests.rs
+++ b/crates/gateway/tests/config_requests.rs
@@ -35,6 +35,9 @@
 /// How much earlier one replica announces a configuration than the others.
 const HEAD_START: Duration = Duration::from_millis(50);
 
+/// The time after which a gateway has read the list of endpoints itself if no replica lists them.
+const SELF_READ: Duration = Duration::from_millis(5_000);
+
 /// The interval between the heartbeats of a replica.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -73,6 +76,8 @@
     on_request: OnRequest,
     routers: Vec<SocketAddr>,
     endpoints: Vec<ListedEndpoint>,
+    /// Whether it reads the list of endpoints.
+    is_listing: bool,
     liveness: Liveness,
 }
 
@@ -92,6 +97,7 @@
             on_request: OnRequest::Send,
             routers: Vec::new(),
             endpoints: Vec::new(),
+            is_listing: true,
             liveness: Liveness::Alive,
         });
         let changes = script.clone();
@@ -115,6 +121,10 @@
         self.script.send_modify(|it| it.endpoints = endpoints.to_vec());
     }
 
+    fn set_listing(&self, is_listing: bool) {
+        self.script.send_modify(|it| it.is_listing = is_listing);
+    }
+
     fn set_liveness(&self, liveness: Liveness) {
         self.script.send_modify(|it| it.liveness = liveness);
     }
@@ -128,7 +138,7 @@
     let (mut announced, mut named, mut listed) = (None, None, None);
     let mut catalog_wanted = false;
     loop {
-        let Script { version, on_request, routers, endpoints, liveness } =
+        let Script { version, on_request, routers, endpoints, is_listing, liveness } =
             script.borrow_and_update().clone();
         match liveness {
             Liveness::Alive => {}
@@ -138,7 +148,7 @@
                 continue;
             }
         }
-        let listing_is_recent = !endpoints.is_empty();
+        let listing_is_recent = is_listing && !endpoints.is_empty();
         if catalog_wanted && listed.as_ref() != Some(&endpoints) {
             let catalog = Catalog::from_endpoints(&endpoints);
             let catalog = Compressed::encode(&catalog).expect("failed to encode");
@@ -347,6 +357,38 @@
     }
 }
 
+/// The only replica that lists endpoints could not do so for some time, and what the gateway then read itself lacked one.
+/// The list of the replica is the same afterwards.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn list_that_a_gateway_read_itself_is_replaced_once_control_lists_endpoints_again() {
+    let endpoints = [Endpoint::start([]).await, Endpoint::start([]).await];
+    let entries = [entry("e0", endpoints[0].addr), entry("e1", endpoints[1].addr)];
+    let (gateway, replicas) = start_with(list_of(endpoints[0].addr)).await;
+    replicas[0].list_endpoints(&entries);
+    wait_until(|| gateway.is_ready()).await;
+    let client = Client::new(gateway.addr());
+    wait_for_use(&client, &endpoints[1]).await;
+    replicas[0].set_listing(false);
+    sleep(SELF_READ).await;
+    let used = endpoints[1].received().len();
+    for _ in 0..20 {
+        assert_eq!(client.clone().call("/read/").await.status, 200);
+    }
+    assert_eq!(endpoints[1].received().len(), used, "the gateway does not read the list itself");
+    replicas[0].set_listing(true);
+    wait_for_use(&client, &endpoints[1]).await;
+}
+
+/// Calls until an endpoint has received one more request, which must be soon.
+async fn wait_for_use(client: &Client, endpoint: &Endpoint) {
+    let (used, started) = (endpoint.received().len(), Instant::now());
+    while endpoint.received().len() == used {
+        assert!(started.elapsed() < DRAINED, "not in use after {DRAINED:?}");
+        client.clone().call("/read/").await;
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Gateways that were stopped still accept connections, as their sockets live on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn configuration_is_not_delayed_by_referrals_to_stopped_gateways() {
