--- a/crates/gateway/tests/common/replica.rs
+++ b/crates/gateway/tests/common/replica.rs
@@ -47,6 +47,8 @@
     members: Vec<SocketAddr>,
     has_leader: bool,
     endpoints: Vec<ListedEndpoint>,
+    /// Whether it reads the list of endpoints.
+    is_listing: bool,
     liveness: Liveness,
 }
 
@@ -68,6 +70,7 @@
             members: Vec::new(),
             has_leader: true,
             endpoints: Vec::new(),
+            is_listing: true,
             liveness: Liveness::Alive,
         });
         let changes = script.clone();
@@ -96,6 +99,10 @@
         self.script.send_modify(|it| it.endpoints = endpoints.to_vec());
     }
 
+    pub(crate) fn set_listing(&self, is_listing: bool) {
+        self.script.send_modify(|it| it.is_listing = is_listing);
+    }
+
     pub(crate) fn set_liveness(&self, liveness: Liveness) {
         self.script.send_modify(|it| it.liveness = liveness);
     }
@@ -109,8 +116,16 @@
     let (mut announced, mut named, mut listed) = (None, None, None);
     let mut catalog_wanted = false;
     loop {
-        let Script { version, on_request, routers, members, has_leader, endpoints, liveness } =
-            script.borrow_and_update().clone();
+        let Script {
+            version,
+            on_request,
+            routers,
+            members,
+            has_leader,
+            endpoints,
+            is_listing,
+            liveness,
+        } = script.borrow_and_update().clone();
         match liveness {
             Liveness::Alive | Liveness::Leaderless => {}
             Liveness::Stopped => return Ok(()),
@@ -119,7 +134,7 @@
                 continue;
             }
         }
-        let listing_is_recent = !endpoints.is_empty();
+        let listing_is_recent = is_listing && !endpoints.is_empty();
         if catalog_wanted && listed.as_ref() != Some(&endpoints) {
             let catalog = Catalog::from_endpoints(&endpoints);
             let catalog = Compressed::encode(&catalog).expect("failed to encode");
--- a/crates/gateway/tests/config_requests.rs
+++ b/crates/gateway/tests/config_requests.rs
@@ -27,6 +27,9 @@
 /// list of endpoints.
 const DRAINED: Duration = Duration::from_millis(3_000 - 500);
 
+/// The time after which a gateway has read the list of endpoints itself if no replica lists them.
+const SELF_READ: Duration = Duration::from_millis(5_000);
+
 /// How much earlier one replica announces a configuration than the others.
 const HEAD_START: Duration = Duration::from_millis(50);
 
@@ -281,3 +284,35 @@
     let added = Client::new(gateway.addr()).body("x").call("/added/").await;
     assert_eq!(added.status, 200);
 }
+
+/// The only replica that lists endpoints could not do so for some time, and what the gateway then read itself lacked one.
+/// The list of the replica is the same afterwards.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn list_that_a_gateway_read_itself_is_replaced_once_control_lists_endpoints_again() {
+    let endpoints = [Endpoint::start([]).await, Endpoint::start([]).await];
+    let entries = [entry("e0", endpoints[0].addr), entry("e1", endpoints[1].addr)];
+    let (gateway, replicas) = start_with(list_of(endpoints[0].addr)).await;
+    replicas[0].list_endpoints(&entries);
+    wait_until(|| gateway.is_ready()).await;
+    let client = Client::new(gateway.addr());
+    wait_for_use(&client, &endpoints[1]).await;
+    replicas[0].set_listing(false);
+    sleep(SELF_READ).await;
+    let used = endpoints[1].received().len();
+    for _ in 0..20 {
+        assert_eq!(client.clone().call("/read/").await.status, 200);
+    }
+    assert_eq!(endpoints[1].received().len(), used, "the gateway does not read the list itself");
+    replicas[0].set_listing(true);
+    wait_for_use(&client, &endpoints[1]).await;
+}
+
+/// Calls until an endpoint has received one more request, which must be soon.
+async fn wait_for_use(client: &Client, endpoint: &Endpoint) {
+    let (used, started) = (endpoint.received().len(), Instant::now());
+    while endpoint.received().len() == used {
+        assert!(started.elapsed() < DRAINED, "not in use after {DRAINED:?}");
+        client.clone().call("/read/").await;
+        sleep(Duration::from_millis(20)).await;
+    }
+}
