Apply control's list of endpoints again after a gateway has read one itself

Cause: when no replica lists endpoints, a gateway reads the directory itself; when the same replica lists them again and its list is the same as before, nothing was applied, and the list that the gateway had read, in which the new service had no endpoint, stayed in use until the next change. Now control's list is applied again once it is recent after a time without one. list_that_a_gateway_read_itself_is_replaced_once_control_lists_endpoints_again failed before (4 of 4 runs).

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -253,11 +253,16 @@
                 .catalog_wanted
                 .send_if_modified(|it| std::mem::replace(it, catalog_wanted) != catalog_wanted);
         }
-        let catalog_source = self.catalog_source.and_then(|it| self.watched.get(&it));
-        if let Some(source) = catalog_source
+        let source = self.catalog_source.and_then(|it| Some((it, self.watched.get(&it)?)));
+        if let Some((replica, source)) = source
             && source.has_recent_list(now)
             && source.catalog.is_some()
         {
+            if discovery::is_control_silent(&self.shared) {
+                // The gateway may have applied a list that it read itself.
+                self.apply_catalog(replica);
+                self.apply_cold(replica);
+            }
             self.shared.catalog_updated_at.store(now.0, Ordering::Relaxed);
             self.shared.origins.lock().confirm_endpoints(source.heard_at);
         }
