--- a/crates/control/src/routing_configs.rs
+++ b/crates/control/src/routing_configs.rs
@@ -23,12 +23,22 @@
 
 /// The format of routing configuration documents.
 pub trait RoutingConfigFormat: Send + Sync {
-    /// Decodes a document.
+    /// Decodes a document that is to be published.
     ///
     /// # Errors
     ///
     /// A one-line description of why the document is invalid.
     fn decode(&self, document: &[u8]) -> Result<RoutingConfig, String>;
+
+    /// Decodes a committed document, which a replica of an older build may have accepted although [`Self::decode`] refuses
+    /// it.
+    ///
+    /// # Errors
+    ///
+    /// A one-line description of why the document is invalid.
+    fn decode_committed(&self, document: &[u8]) -> Result<RoutingConfig, String> {
+        self.decode(document)
+    }
 }
 
 /// The default format: [`RoutingConfig`] as JSON.
@@ -37,6 +47,11 @@
 
 impl RoutingConfigFormat for JsonFormat {
     fn decode(&self, document: &[u8]) -> Result<RoutingConfig, String> {
+        let text = str::from_utf8(document).map_err(|it| it.to_string())?;
+        serde_json::from_str(text).map_err(|it| it.to_string())
+    }
+
+    fn decode_committed(&self, document: &[u8]) -> Result<RoutingConfig, String> {
         serde_json::from_slice(document).map_err(|it| it.to_string())
     }
 }
@@ -246,7 +261,7 @@
     });
     let Some(document) = document else { return };
     let document = Compressed::from_compressed(document).decompress().map_err(|it| it.to_string());
-    match document.and_then(|it| shared.config_format.decode(&it)) {
+    match document.and_then(|it| shared.config_format.decode_committed(&it)) {
         Ok(config) => {
             tracing::info!(
                 event = "layout-committed",
