Answer a body that stalls with 408 instead of 400

An operator whose valid, also acknowledged, change made no progress for 5 s was answered with 400, at each of three replicas, and 400 ends a call for good (PROTOCOL). read_all gave a stall the reason of a malformed body, and the operators' API answered every failed read with 400.

read_all now returns ReadError, which tells a stall from a broken body. A broken body stays 400. Gateways, routers and the stand-in answer their callers as before.

The case of bodies_are_limited_in_size_and_time that expected Reason::BadRequest for a stall expects ReadError::Stalled, which is narrower; broken bodies no longer satisfy it.

--- a/crates/control/src/response.rs
+++ b/crates/control/src/response.rs
@@ -2,10 +2,9 @@
 
 use {
     derive_more::{Debug, Display},
-    edge::{Body, full},
+    edge::{Body, ReadError, full},
     http::{HeaderValue, Response, StatusCode, header},
     intent::{Answer, OperationError},
-    model::Reason,
     serde::Serialize,
     serde_json::{Value, json},
     std::net::SocketAddr,
@@ -37,7 +36,7 @@
     NotFound,
     /// The body could not be read.
     #[display("cannot read the request body: {_0}")]
-    Body(Reason),
+    Body(ReadError),
     /// Another replica is the leader. Carries the leader's admin address, if known.
     #[display("this replica is not the leader")]
     NotLeader(Option<SocketAddr>),
@@ -73,8 +72,9 @@
         RequestError::Unauthorized => (StatusCode::UNAUTHORIZED, "unauthorized"),
         RequestError::InvalidOperationId => (StatusCode::BAD_REQUEST, "operation-id"),
         RequestError::NotFound => (StatusCode::NOT_FOUND, "path"),
-        RequestError::Body(Reason::TooLarge) => (StatusCode::PAYLOAD_TOO_LARGE, "too-large"),
-        RequestError::Body(_) => (StatusCode::BAD_REQUEST, "body"),
+        RequestError::Body(ReadError::TooLarge) => (StatusCode::PAYLOAD_TOO_LARGE, "too-large"),
+        RequestError::Body(ReadError::Stalled) => (StatusCode::REQUEST_TIMEOUT, "body"),
+        RequestError::Body(ReadError::Broken) => (StatusCode::BAD_REQUEST, "body"),
         RequestError::NotLeader(_) => (StatusCode::MISDIRECTED_REQUEST, "leader"),
         RequestError::NoQuorum => (StatusCode::SERVICE_UNAVAILABLE, "no-quorum"),
         RequestError::InvalidDomain => (StatusCode::BAD_REQUEST, "domain"),
--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -2,6 +2,7 @@
 
 use {
     bytes::{Bytes, BytesMut},
+    derive_more::{Debug, Display, Error},
     http_body_util::{BodyExt, Empty, Full, combinators::UnsyncBoxBody},
     hyper::body::{Frame, SizeHint},
     model::Reason,
@@ -108,29 +109,51 @@
     Empty::new().map_err(|it: Infallible| match it {}).boxed_unsync()
 }
 
+/// Why a body could not be read.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Display, Error)]
+pub enum ReadError {
+    /// The body exceeds the limit.
+    #[display("too-large")]
+    TooLarge,
+    /// The body made no progress in time. Nothing is wrong with the part that arrived.
+    #[display("stalled")]
+    Stalled,
+    /// The body is malformed, or its connection failed.
+    #[display("bad-request")]
+    Broken,
+}
+
+impl From<ReadError> for Reason {
+    fn from(it: ReadError) -> Reason {
+        match it {
+            ReadError::TooLarge => Reason::TooLarge,
+            ReadError::Stalled | ReadError::Broken => Reason::BadRequest,
+        }
+    }
+}
+
 /// Reads a complete body of at most `limit` bytes. Each frame must arrive within `frame_timeout` of
 /// the previous one.
 ///
 /// # Errors
 ///
-/// Returns [`Reason::TooLarge`] if the body exceeds the limit, and [`Reason::BadRequest`] if
-/// reading it fails or times out.
+/// [`ReadError`].
 pub async fn read_all<B>(
     mut body: B,
     limit: usize,
     frame_timeout: Duration,
-) -> Result<Bytes, Reason>
+) -> Result<Bytes, ReadError>
 where
     B: hyper::body::Body<Data = Bytes> + Unpin,
 {
     let mut bytes = BytesMut::new();
     loop {
-        let frame = timeout(frame_timeout, body.frame()).await.map_err(|_| Reason::BadRequest)?;
+        let frame = timeout(frame_timeout, body.frame()).await.map_err(|_| ReadError::Stalled)?;
         let Some(frame) = frame else { return Ok(bytes.freeze()) };
-        let frame = frame.map_err(|_| Reason::BadRequest)?;
+        let frame = frame.map_err(|_| ReadError::Broken)?;
         let Some(data) = frame.data_ref() else { continue };
         if bytes.len() + data.len() > limit {
-            return Err(Reason::TooLarge);
+            return Err(ReadError::TooLarge);
         }
         bytes.extend_from_slice(data);
     }
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        body::{Body, read_all},
+        body::{Body, ReadError, read_all},
         error::{HttpError, HttpStep},
     },
     bytes::Bytes,
@@ -15,7 +15,6 @@
         client::legacy::{Client as PoolClient, connect::HttpConnector},
         rt::{TokioExecutor, TokioTimer},
     },
-    model::Reason,
     std::{net::SocketAddr, time::Duration},
     tokio::time::timeout,
 };
@@ -107,9 +106,9 @@
     }
 }
 
-fn body_error(reason: Reason) -> &'static str {
-    match reason {
-        Reason::TooLarge => "response body is too large",
-        _ => "response body is incomplete",
+fn body_error(error: ReadError) -> &'static str {
+    match error {
+        ReadError::TooLarge => "response body is too large",
+        ReadError::Stalled | ReadError::Broken => "response body is incomplete",
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use crate::{
     auth::Authenticator,
-    body::{Body, BodyError, discard, empty, full, paced, read_all},
+    body::{Body, BodyError, ReadError, discard, empty, full, paced, read_all},
     client::Client,
     directory::HttpDirectory,
     endpoint::{
--- a/crates/edge/tests/callers.rs
+++ b/crates/edge/tests/callers.rs
@@ -3,11 +3,13 @@
 
 use {
     bytes::Bytes,
-    edge::{Authenticator, Body, BodyError, Server, ServerLimits, ServerTls, full, read_all},
+    edge::{
+        Authenticator, Body, BodyError, ReadError, Server, ServerLimits, ServerTls, full, read_all,
+    },
     http::{HeaderMap, Request, Response, header},
     http_body_util::BodyExt,
     hyper::body::{Frame, Incoming},
-    model::{Config, Digest, Limits, Reason, Team, TeamId},
+    model::{Config, Digest, Limits, Team, TeamId},
     proptest::{collection::vec, prelude::*},
     rcgen::generate_simple_self_signed,
     rstest::rstest,
@@ -174,13 +176,13 @@
 }
 
 #[rstest]
-#[case::too_large(vec!["12345", "67890", "1"], Err(Reason::TooLarge))]
+#[case::too_large(vec!["12345", "67890", "1"], Err(ReadError::TooLarge))]
 #[case::within_limit(vec!["12345", "67890"], Ok("1234567890"))]
-#[case::stalled(vec!["12345", "stall"], Err(Reason::BadRequest))]
+#[case::stalled(vec!["12345", "stall"], Err(ReadError::Stalled))]
 #[tokio::test]
 async fn bodies_are_limited_in_size_and_time(
     #[case] parts: Vec<&'static str>,
-    #[case] expected: Result<&str, Reason>,
+    #[case] expected: Result<&str, ReadError>,
 ) {
     let (sender, receiver) = mpsc::unbounded_channel();
     let stalled = parts.contains(&"stall").then(|| sender.clone());
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -21,10 +21,10 @@
     bytes::Bytes,
     directory::BuildId,
     dispatch::{Assignment, DispatchRequest, EndpointHandle, Prompt},
-    edge::{Body, discard, read_all},
+    edge::{Body, ReadError, discard, read_all},
     http::{Request, Response, header, request},
     hyper::body::Incoming,
-    model::{Domain, MILLISECOND, Name, Reason, Time, hash64, mix2},
+    model::{Domain, MILLISECOND, Name, Time, hash64, mix2},
     parking_lot::Mutex,
     route::{Regions, RouteMatch, RouteTable, Team, allowed_regions},
     settings::Overload,
@@ -103,7 +103,7 @@
     let stall = Duration::from_millis(time_limit_ms(&admitted, &head));
     let body = match read_all(body, admitted.body_limit, stall).await {
         Ok(body) => body,
-        Err(reason) => return reject(&shared, &head, Rejection::from_body_error(reason)),
+        Err(err) => return reject(&shared, &head, Rejection::from_body_error(err)),
     };
     run(shared, admitted, parts, head, body, arrived).await
 }
@@ -549,10 +549,10 @@
 }
 
 impl Rejection {
-    fn from_body_error(reason: Reason) -> Rejection {
-        match reason {
-            Reason::TooLarge => Rejection::TooLarge,
-            _ => Rejection::BadBody,
+    fn from_body_error(err: ReadError) -> Rejection {
+        match err {
+            ReadError::TooLarge => Rejection::TooLarge,
+            ReadError::Stalled | ReadError::Broken => Rejection::BadBody,
         }
     }
 }
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -82,7 +82,7 @@
     let limit = shared.settings.limits.body_bytes;
     let body = read_all(body, limit, BODY_READ_TIMEOUT)
         .await
-        .map_err(|it| not_run(it, "request body is too large or incomplete"))?;
+        .map_err(|it| not_run(it.into(), "request body is too large or incomplete"))?;
     let permit = TeamPermit::acquire(shared, &team)?;
     let call = Call::new(&view, team, &parts, body, id, deadline)
         .map_err(|(reason, text)| not_run(reason, text))?;
