--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -30,6 +30,7 @@
     settings::Overload,
     smallvec::SmallVec,
     std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::time::timeout_at,
 };
 
 /// The share of its target time that a request may wait for capacity, in percent. The rest must
@@ -67,10 +68,12 @@
     let mut admission = admit(&shared, &head, &parts);
     let mut hold = holds.next(&shared, admission.as_ref().err());
     if hold.is_some() {
-        let stall = Duration::from_millis(MAX_DISCARD_MS);
-        let body = match read_all(body, MAX_HELD_BODY_BYTES, stall).await {
-            Ok(body) => body,
-            Err(_) => {
+        let limit = Duration::from_millis(MAX_DISCARD_MS);
+        let deadline = shared.clock.deadline(arrived + MAX_DISCARD_MS * MILLISECOND);
+        let read = read_all(body, MAX_HELD_BODY_BYTES, limit);
+        let body = match timeout_at(deadline, read).await {
+            Ok(Ok(body)) => body,
+            _ => {
                 let refusal = admission.err().unwrap_or_else(|| no_configuration(&shared));
                 return reject(&shared, &head, holds.refusal(&shared, refusal));
             }
@@ -100,8 +103,10 @@
             return reject(&shared, &head, holds.refusal(&shared, rejection));
         }
     };
-    let stall = Duration::from_millis(time_limit_ms(&admitted, &head));
-    let body = match read_all(body, admitted.body_limit, stall).await {
+    let limit_ms = time_limit_ms(&admitted, &head);
+    let deadline = shared.clock.deadline(arrived + limit_ms.saturating_mul(MILLISECOND));
+    let read = read_all(body, admitted.body_limit, Duration::from_millis(limit_ms));
+    let body = match timeout_at(deadline, read).await.unwrap_or(Err(ReadError::Stalled)) {
         Ok(body) => body,
         Err(err) => return reject(&shared, &head, Rejection::from_body_error(err)),
     };
@@ -552,7 +557,8 @@
     fn from_body_error(err: ReadError) -> Rejection {
         match err {
             ReadError::TooLarge => Rejection::TooLarge,
-            ReadError::Stalled | ReadError::Broken => Rejection::BadBody,
+            ReadError::Stalled => Rejection::BodyTimeout,
+            ReadError::Broken => Rejection::BadBody,
         }
     }
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -14,7 +14,7 @@
     derive_more::Debug,
     directory::Catalog,
     fanout::Group,
-    model::{Domain, MILLISECOND, Name, Time},
+    model::{MILLISECOND, Name, Time},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
--- a/crates/gateway/src/rejection.rs
+++ b/crates/gateway/src/rejection.rs
@@ -21,6 +21,8 @@
     TooLarge,
     #[display("request body was not received")]
     BadBody,
+    #[display("request body was not received in time")]
+    BodyTimeout,
     #[display("gateway is shutting down")]
     Stopping,
     #[display("no endpoint is known for the service")]
@@ -64,6 +66,7 @@
             Rejection::UnknownKey => "unknown-key",
             Rejection::TooLarge => "too-large",
             Rejection::BadBody => "bad-body",
+            Rejection::BodyTimeout => "body-timeout",
             Rejection::NoEndpoint => "no-endpoint",
             Rejection::NoCommonRegion => "no-common-region",
             Rejection::NoRegion => "no-region",
@@ -88,6 +91,7 @@
             Rejection::UnknownKey => StatusCode::UNAUTHORIZED,
             Rejection::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Rejection::BadBody => StatusCode::BAD_REQUEST,
+            Rejection::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Rejection::NoConfiguration { .. }
             | Rejection::Outdated
             | Rejection::Stopping
