Test that a folder that was emptied while open can be opened again

Callers saw: a control machine whose process does not start any more ("segment is missing or has no intact frame"), and after one more lost disk a configuration that cannot be read back (CONFIG). The data folder had been removed and made anew while the former process was still running.

A replica writes its metadata each 200 ms while the commit index advances, also while it hands over its vote after SIGTERM.

--- a/crates/store/tests/folder.rs
+++ b/crates/store/tests/folder.rs
@@ -123,3 +123,25 @@
     let (_store, _) = Store::open(OsFileSystem, folder.path()).unwrap();
     assert!(matches!(open(folder.path()), Err(StoreError::Locked { .. })));
 }
+
+/// A host whose disk is lost has an empty folder, possibly while the former process still writes. If that process leaves
+/// files behind which do not make up a folder, the next one cannot start.
+#[rstest]
+#[case::metadata(|it: &mut Store<OsFileSystem>| it.set_meta(b"later"))]
+#[case::snapshot(|it: &mut Store<OsFileSystem>| it.set_snapshot(1, b"state"))]
+fn a_folder_that_was_emptied_while_open_can_be_opened_as_a_new_one<F>(#[case] write: F)
+where
+    F: FnOnce(&mut Store<OsFileSystem>) -> Result<(), StoreError>,
+{
+    let folder = tempdir().unwrap();
+    let mut store = Store::open(OsFileSystem, folder.path()).unwrap().0;
+    store.set_meta(b"meta").unwrap();
+    store.append(1, b"record 1").unwrap();
+    store.sync().unwrap();
+    fs::remove_dir_all(folder.path()).unwrap();
+    fs::create_dir(folder.path()).unwrap();
+    let written = write(&mut store);
+    drop(store);
+    assert_eq!(open(folder.path()).unwrap(), Contents::default());
+    assert!(written.is_err(), "what was written is not in the folder");
+}
