Tell requests apart by method and host when they crash endpoints

Callers saw: a request that crashes endpoints was sent to them at each of its returns (30 of 30, 27 later than contact_ms after the third crash, 33 to 35 requests that must not be repeated lost beside it) while a sound one for another host had its path, team and body. And one that was quarantined kept sound requests of other hosts and methods away.

Cause: the fingerprint was made of path, team, body and prompt, so an answer to one request cleared the crashes of another.

Change: the fingerprint has the method and the host, which are the same for each return of a request however the host is spelled. Route and service stay out, since a configuration may rename, move or split the route between two returns. jf-router had the service in its fingerprint, and gets the method.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -229,6 +229,25 @@
     rejection.response()
 }
 
+/// Returns a hash of what a client sends again when it returns with a request. The route and the
+/// service are left out: a route may be renamed, moved or split among services meanwhile.
+fn fingerprint(
+    parts: &request::Parts,
+    head: &RequestHead,
+    team: Option<&Name>,
+    body: &Payload,
+) -> u64 {
+    let path = parts.uri.path_and_query().map_or("", |it| it.as_str());
+    // Hosts are compared without case, as in the search for the route.
+    let host = head.host.to_ascii_lowercase();
+    let team = team.map_or("", |it| it);
+    let texts = [parts.method.as_str(), &host, path, team];
+    let target = texts.iter().fold(0, |hash, it| mix2(hash, hash64(it.as_bytes())));
+    let prompt = head.prompt.iter().flat_map(|it| &it.parts);
+    let prompt = prompt.fold(0, |hash, it| mix2(hash, it.id));
+    mix2(mix2(target, hash64_parts(body.parts())), prompt)
+}
+
 /// A client request being proxied, across all of its attempts.
 pub(crate) struct Call {
     pub(crate) shared: Arc<Shared>,
@@ -281,12 +300,7 @@
     fn new(shared: Arc<Shared>, admitted: Admitted, request: ClientRequest) -> Call {
         let Admitted { found, team, priority, regions, version, .. } = admitted;
         let ClientRequest { parts, head, body, arrived, deadline } = request;
-        let path = parts.uri.path_and_query().map_or("", |it| it.as_str());
-        let team_name = team.as_deref().unwrap_or_default();
-        let request_hash = mix2(hash64(path.as_bytes()), hash64(team_name.as_bytes()));
-        let prompt = head.prompt.iter().flat_map(|it| &it.parts);
-        let prompt = prompt.fold(0, |hash, it| mix2(hash, it.id));
-        let fingerprint = mix2(mix2(request_hash, hash64_parts(body.parts())), prompt);
+        let fingerprint = fingerprint(&parts, &head, team.as_ref(), &body);
         let shared_parts = head.prompt.iter().flat_map(Prompt::shared).take(MAX_SUBJECT_PARTS);
         let part_subjects = shared_parts.map(|it| Subject::Part(it.id));
         let subjects =
@@ -553,12 +567,12 @@
 
     /// Records that the request was answered in full.
     pub(crate) fn record_answer(&self) {
-        quarantine::record_answer(&self.shared, &self.subjects);
+        quarantine::record_answer(&self.shared, self.head.id(), &self.subjects);
     }
 
     /// Records that an answer has begun and goes on.
     pub(crate) fn record_begun_answer(&self) {
-        quarantine::record_answer(&self.shared, &self.subjects[1..]);
+        quarantine::record_answer(&self.shared, self.head.id(), &self.subjects[1..]);
     }
 
     /// Returns the id of the endpoint of the last attempt.
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -24,6 +24,7 @@
 pub(crate) fn probe(call: &Call, pick: &Assignment) {
     let (shared, pick, subjects) = (call.shared.clone(), pick.clone(), call.subjects.clone());
     let request = call.head.id().to_owned();
+    let route = call.found.route.name.clone();
     let parts = call.head.prompt.as_ref().map(format_parts);
     let broke_at = shared.now();
     let service = call.found.service.name.clone();
@@ -45,6 +46,7 @@
                 subject = subjects.first().map(ToString::to_string),
                 endpoint = %pick.id,
                 request,
+                %route,
                 parts,
                 "gateway: endpoint crashed while running a request"
             );
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -83,11 +83,20 @@
 }
 
 /// Records that a request with these subjects was answered.
-pub(crate) fn record_answer(shared: &Shared, subjects: &[Subject]) {
+pub(crate) fn record_answer(shared: &Shared, request: &str, subjects: &[Subject]) {
     let mut quarantine = shared.quarantine.lock();
-    quarantine.record_answer(shared.now(), subjects);
+    let cleared = quarantine.record_answer(shared.now(), subjects);
     let has_news = quarantine.news_at() != Time::NEVER;
     drop(quarantine);
+    if let Some(subject) = cleared.first() {
+        tracing::info!(
+            event = "cleared",
+            request,
+            %subject,
+            subjects = cleared.len(),
+            "gateway: an answer contradicts crashes"
+        );
+    }
     if has_news {
         shared.crash_news.notify_one();
     }
--- a/crates/gateway/tests/common/client.rs
+++ b/crates/gateway/tests/common/client.rs
@@ -36,6 +36,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Client {
     addr: SocketAddr,
+    method: Option<String>,
+    host: String,
     attempt_id: String,
     key: Option<String>,
     deadline_ms: u64,
@@ -47,6 +49,8 @@
     pub(crate) fn new(addr: SocketAddr) -> Client {
         Client {
             addr,
+            method: None,
+            host: "h".to_owned(),
             attempt_id: "a1".to_owned(),
             key: Some(TEAM_KEY.to_owned()),
             deadline_ms: 4_000,
@@ -55,6 +59,17 @@
         }
     }
 
+    /// Sets the method. Without it, a request with a body is a POST, and one without a GET.
+    pub(crate) fn method(mut self, method: &str) -> Client {
+        self.method = Some(method.to_owned());
+        self
+    }
+
+    pub(crate) fn host(mut self, host: &str) -> Client {
+        self.host = host.to_owned();
+        self
+    }
+
     pub(crate) fn attempt(mut self, id: &str) -> Client {
         self.attempt_id = id.to_owned();
         self
@@ -97,11 +112,12 @@
 
     /// Returns the head of a request whose body has `body_bytes`.
     fn request_head(&self, path: &str, body_bytes: usize) -> String {
-        let method = if body_bytes == 0 { "GET" } else { "POST" };
+        let by_body = if body_bytes == 0 { "GET" } else { "POST" };
+        let method = self.method.as_deref().unwrap_or(by_body);
         let key = self.key.as_ref().map(|it| format!("team-key: {it}\r\n")).unwrap_or_default();
         format!(
-            "{method} {path} HTTP/1.1\r\nhost: h\r\nattempt-id: {}\r\ndeadline-ms: {}\r\n{key}{}content-length: {body_bytes}\r\n\r\n",
-            self.attempt_id, self.deadline_ms, self.headers,
+            "{method} {path} HTTP/1.1\r\nhost: {}\r\nattempt-id: {}\r\ndeadline-ms: {}\r\n{key}{}content-length: {body_bytes}\r\n\r\n",
+            self.host, self.attempt_id, self.deadline_ms, self.headers,
         )
     }
 
--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -1,9 +1,9 @@
-//! Model endpoints that crash when they begin to answer a prompt with a certain part.
+//! Model endpoints that crash when they begin to answer certain requests.
 
 use {
     super::{
         StaticList,
-        endpoint::{SIGNED, chunk, event, read_request},
+        endpoint::{ReceivedRequest, SIGNED, chunk, event, read_request},
     },
     directory::ListedEndpoint,
     model::Domain,
@@ -42,27 +42,51 @@
     Connection,
 }
 
+/// The requests that crash endpoints.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Trigger {
+    /// Those of which a part other than the last has this id.
+    Part(u64),
+    /// Those with this method.
+    Method(&'static str),
+}
+
+impl Trigger {
+    fn matches(self, request: &ReceivedRequest) -> bool {
+        match self {
+            Trigger::Part(part) => {
+                let parts = request.header("prompt-parts").unwrap_or_default();
+                let ids = parts.split(',').filter_map(|it| it.split_once(':'));
+                ids.map(|it| it.0).any(|it| it == format!("{part:x}"))
+            }
+            Trigger::Method(method) => request.head.starts_with(&format!("{method} ")),
+        }
+    }
+}
+
 #[derive(Default)]
 struct Record {
     crashes: Vec<Instant>,
-    /// The requests with the crashing part that reached an endpoint.
+    /// The requests that crash endpoints and reached one.
     arrivals: Vec<Instant>,
     listed: Vec<ListedEndpoint>,
+    /// Where the endpoints that start again are listed, with those of other services.
     list: Option<StaticList>,
+    others: Vec<ListedEndpoint>,
 }
 
 impl Record {
     fn publish(&self) {
         if let Some(list) = &self.list {
-            list.replace(&self.listed);
+            list.replace(&[self.listed.as_slice(), &self.others].concat());
         }
     }
 }
 
-/// Endpoints of the service `model`.
+/// Endpoints of one service.
 pub(crate) struct CrashingEndpoints {
     record: Arc<Mutex<Record>>,
-    crashing_part: watch::Sender<Option<u64>>,
+    trigger: watch::Sender<Option<Trigger>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -73,16 +97,25 @@
 }
 
 impl CrashingEndpoints {
+    /// Starts endpoints of the service `model`.
     pub(crate) async fn start(count: usize, framing: Framing) -> CrashingEndpoints {
+        CrashingEndpoints::start_service("model", count, framing).await
+    }
+
+    pub(crate) async fn start_service(
+        service: &str,
+        count: usize,
+        framing: Framing,
+    ) -> CrashingEndpoints {
         let record = Arc::new(Mutex::new(Record::default()));
-        let crashing_part = watch::Sender::new(None);
+        let trigger = watch::Sender::new(None);
         let mut tasks = Vec::new();
         for at in 0..count {
             let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("failed to bind");
             let addr = listener.local_addr().expect("no local address");
             record.lock().expect("record is poisoned").listed.push(ListedEndpoint {
-                id: format!("e{at}-0").into(),
-                service: "model".into(),
+                id: format!("{service}{at}-0").into(),
+                service: service.into(),
                 addr,
                 domain: Domain(format!("d{}", at % 3).as_str().into()),
                 slots: 64,
@@ -95,11 +128,11 @@
                 addr,
                 framing,
                 record: record.clone(),
-                crashing_part: crashing_part.subscribe(),
+                trigger: trigger.subscribe(),
             };
             tasks.push(tokio::spawn(endpoint.run(listener)));
         }
-        CrashingEndpoints { record, crashing_part, tasks }
+        CrashingEndpoints { record, trigger, tasks }
     }
 
     pub(crate) fn listed(&self) -> Vec<ListedEndpoint> {
@@ -108,18 +141,24 @@
 
     /// Lists the endpoints that start again.
     pub(crate) fn set_list(&self, list: StaticList) {
-        self.record.lock().expect("record is poisoned").list = Some(list);
+        self.set_list_with(list, &[]);
+    }
+
+    /// Lists the endpoints that start again, beside those of other services.
+    pub(crate) fn set_list_with(&self, list: StaticList, others: &[ListedEndpoint]) {
+        let mut record = self.record.lock().expect("record is poisoned");
+        (record.list, record.others) = (Some(list), others.to_vec());
     }
 
-    pub(crate) fn set_crashing_part(&self, part: Option<u64>) {
-        self.crashing_part.send_replace(part);
+    pub(crate) fn set_trigger(&self, trigger: Option<Trigger>) {
+        self.trigger.send_replace(trigger);
     }
 
     pub(crate) fn crashes(&self) -> Vec<Instant> {
         self.record.lock().expect("record is poisoned").crashes.clone()
     }
 
-    /// Returns when requests with the crashing part reached endpoints.
+    /// Returns when requests that crash endpoints reached them.
     pub(crate) fn arrivals(&self) -> Vec<Instant> {
         self.record.lock().expect("record is poisoned").arrivals.clone()
     }
@@ -130,7 +169,7 @@
     addr: SocketAddr,
     framing: Framing,
     record: Arc<Mutex<Record>>,
-    crashing_part: watch::Receiver<Option<u64>>,
+    trigger: watch::Receiver<Option<Trigger>>,
 }
 
 impl CrashingEndpoint {
@@ -145,7 +184,7 @@
                         let answer = Answer {
                             framing: self.framing,
                             record: self.record.clone(),
-                            crashing_part: self.crashing_part.clone(),
+                            trigger: self.trigger.clone(),
                             crashed: crashed.clone(),
                         };
                         tokio::spawn(answer.serve(socket));
@@ -156,7 +195,8 @@
             sleep(DOWNTIME).await;
             listener = TcpListener::bind(self.addr).await.expect("failed to bind again");
             let mut record = self.record.lock().expect("record is poisoned");
-            record.listed[self.at].id = format!("e{}-{incarnation}", self.at).into();
+            let listed = &mut record.listed[self.at];
+            listed.id = format!("{}{}-{incarnation}", listed.service, self.at).into();
             record.publish();
         }
     }
@@ -165,7 +205,7 @@
 struct Answer {
     framing: Framing,
     record: Arc<Mutex<Record>>,
-    crashing_part: watch::Receiver<Option<u64>>,
+    trigger: watch::Receiver<Option<Trigger>>,
     crashed: watch::Sender<bool>,
 }
 
@@ -185,9 +225,7 @@
     async fn answer(&self, socket: &mut TcpStream) {
         let Some(request) = read_request(socket).await else { return };
         let id = request.header("attempt-id").unwrap_or("-");
-        let parts = request.header("prompt-parts").unwrap_or_default();
-        let part = *self.crashing_part.borrow();
-        let crashes = part.is_some_and(|part| parts.contains(&format!("{part:x}:")));
+        let crashes = self.trigger.borrow().is_some_and(|it| it.matches(&request));
         if crashes {
             self.record.lock().expect("record is poisoned").arrivals.push(Instant::now());
         }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -11,7 +11,7 @@
 
 pub(crate) use {
     client::{Client, Connection, Response, read_response},
-    crashing::{CrashingEndpoints, EVENTS, Framing},
+    crashing::{CrashingEndpoints, EVENTS, Framing, Trigger},
     endpoint::{Behavior, Endpoint, ReceivedRequest, SIGNED, chunk, event, read_request},
     link::{Cut, Link, SWITCH_TIME},
     replica::{HEARTBEAT_INTERVAL, Liveness, OnRequest, Replica},
--- a/crates/gateway/tests/crashing_part.rs
+++ b/crates/gateway/tests/crashing_part.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use {
-    common::{Client, CrashingEndpoints, Fixture, Framing, event, layout, wait_until},
+    common::{Client, CrashingEndpoints, Fixture, Framing, Trigger, event, layout, wait_until},
     rstest::rstest,
     std::{
         net::SocketAddr,
@@ -120,7 +120,7 @@
     let crashing_from = started + Duration::from_secs(2);
     let until = crashing_from + Duration::from_secs(12);
     let sound = tokio::spawn(send_sound(addrs.clone(), path, until));
-    endpoints.set_crashing_part(Some(CRASHING_PART));
+    endpoints.set_trigger(Some(Trigger::Part(CRASHING_PART)));
     sleep_until(crashing_from).await;
     send_crashing(addrs, path, until).await;
     let sound = sound.await.expect("a client panicked");
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -9,6 +9,7 @@
     },
     derive_more::Debug,
     model::{MILLISECOND, SECOND, Time, hash64, mix2},
+    smallvec::SmallVec,
     std::{
         cmp::Reverse,
         collections::{BTreeMap, HashMap},
@@ -131,13 +132,16 @@
         is_new
     }
 
-    /// Records that a request with these subjects was answered.
-    pub fn record_answer(&mut self, now: Time, subjects: &[Subject]) {
+    /// Records that a request with these subjects was answered. Returns those whose crashes that
+    /// contradicts.
+    pub fn record_answer(&mut self, now: Time, subjects: &[Subject]) -> SmallVec<[Subject; 1]> {
+        let mut cleared = SmallVec::new();
         for subject in subjects {
             if let Some(evidence) = self.table.get_mut(subject) {
                 if evidence.add_answer(now) {
                     self.is_stale = true;
                     self.tell_answer(now, *subject);
+                    cleared.push(*subject);
                 }
             } else if matches!(subject, Subject::Part(_)) {
                 if self.answered.len() >= MAX_ANSWERED && !self.answered.contains_key(subject) {
@@ -146,6 +150,7 @@
                 self.answered.insert(*subject, now);
             }
         }
+        cleared
     }
 
     /// Returns whether a request with these subjects may be sent now. It is not sent yet.
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -107,7 +107,7 @@
         if !team.services.is_empty() && !team.services.contains(&target.service) {
             return Err((Reason::NotFound, "no such service for this team"));
         }
-        let fingerprint = fingerprint(&team, &target, &body);
+        let fingerprint = fingerprint(&parts.method, &team, &target, &body);
         let Target { service, image, path, chat, cost, prompt_tokens, idempotent } = target;
         let idempotency_key = idempotency_key.filter(|_| !idempotent);
         let (method, headers) = (parts.method.as_str().into(), forwarded_headers(&parts.headers));
@@ -216,7 +216,8 @@
 }
 
 /// Identifies requests that would crash engines in the same way: those with the same team, target and body.
-fn fingerprint(team: &Team, target: &Target, body: &Bytes) -> Digest {
-    let scope = format!("{}/{}/{:?}/{}", team.id, target.service, target.image, target.path);
+fn fingerprint(method: &Method, team: &Team, target: &Target, body: &Bytes) -> Digest {
+    let Target { service, image, path, .. } = target;
+    let scope = format!("{method} {}/{service}/{image:?}/{path}", team.id);
     Digest::of(scope.as_bytes()).chain(body)
 }
--- a/crates/router/tests/fleet/crash.rs
+++ b/crates/router/tests/fleet/crash.rs
@@ -3,10 +3,12 @@
 use {
     crate::{
         calls::join_all,
-        harness::{Fleet, assert_complete},
+        harness::{CallResult, Fleet, TOKEN, assert_complete},
     },
+    http::Request,
     standin::Fault,
-    std::collections::BTreeSet,
+    std::{collections::BTreeSet, time::Duration},
+    tokio::time::sleep,
 };
 
 #[tokio::test(flavor = "multi_thread")]
@@ -33,6 +35,34 @@
     assert_eq!((last.status, last.outcome.as_str()), (422, "not-run"), "{last:?}");
 }
 
+async fn call_store(fleet: &Fleet, method: &str) -> CallResult {
+    let request = Request::builder().method(method).uri("/s/auditstore/evidence/crash");
+    let request = request.header("authorization", format!("Bearer {TOKEN}"));
+    fleet.send(0, request.body(edge::empty()).unwrap()).await
+}
+
+/// A call to a plain service was refused while one with another method and the same path was
+/// quarantined, as both had one fingerprint.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_quarantined_call_does_not_block_one_with_another_method() {
+    let fleet = Fleet::start(1, 1).await;
+    let slow = Fault::Slow { factor: 100, for_ms: 10_000 };
+    fleet.stores.iter().for_each(|it| it.fault(slow));
+    let crash_stores = async {
+        // Each time while an attempt is running.
+        for _ in 0..6 {
+            sleep(Duration::from_millis(300)).await;
+            fleet.stores.iter().for_each(|it| it.fault(Fault::Crash { for_ms: 50 }));
+        }
+    };
+    tokio::join!(call_store(&fleet, "GET"), crash_stores);
+    let again = call_store(&fleet, "GET").await;
+    assert_eq!(again.status, 422, "the call is not quarantined: {again:?}");
+    fleet.stores.iter().for_each(|it| it.fault(Fault::Heal));
+    let other = call_store(&fleet, "PUT").await;
+    assert_eq!(other.status, 200, "{other:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn responses_are_complete_when_engines_crash() {
     let fleet = Fleet::start(3, 6).await;
