Resume streams of an only version while their holders are silent

Callers saw: six of seven gateways were killed at once, and of 60 streams that their clients resumed at the seventh 17 to 19 went on; the others were refused twice, though one version alone was ever listed and new streams began.

Cause: a lookup of a named stream ended as unknown as soon as a gateway that was asked was silent, before the lists were looked at, and gateways that were killed are asked for three seconds more. Evidence: the gateway that lived logged origin-found 17 times, each with the source own, never only-version.

Change: the own lists' proof counts beside silent gateways once replicas confirm it. All that a silent one may know else leads to the same version, but for a version that the own list lacks yet; gateways have their lists from replicas, so all of these can rule that out at once, or one of them 1.5 s later. A route that led to another service lately proves nothing.

In crates/origin/tests/fleet.rs a stream whose version the router does not list ends instead of living on: the random search had found a case in which it went on with no endpoint, on too. The simulated site's routers read the lists of replicas, and some of them are killed while clients come to the others.

--- a/crates/control/src/discovery.rs
+++ b/crates/control/src/discovery.rs
@@ -56,6 +56,7 @@
     let mut poll_interval = PollInterval::new(settings.interval_ms, settings.rate);
     let mut was_failing = false;
     loop {
+        let requested_at = shared.clock.now();
         let listed = directory.list().await;
         let failed = listed.is_err();
         if failed != was_failing {
@@ -77,9 +78,10 @@
         if let Ok(listing) = &listed {
             poll_interval.record_calls(listing.calls);
             record_domains(&shared, &listing.endpoints);
-            update_catalog(&shared, listing);
-            shared.origins.update_endpoints(shared.clock.now(), &listing.endpoints);
             let now = shared.clock.now();
+            // Before gateways are told: what this replica proves covers the lists of all of them.
+            shared.origins.update_endpoints(now, requested_at, &listing.endpoints);
+            update_catalog(&shared, listing);
             shared.discovery.cold.send_if_modified(|it| it.update(now, listing));
         }
         // The jitter only spreads the polls of the replicas over time.
--- a/crates/control/src/origins.rs
+++ b/crates/control/src/origins.rs
@@ -74,11 +74,16 @@
         KeptOrigins { origins: Mutex::new(Origins::replica(own)), counts: Mutex::default() }
     }
 
-    /// Records a list of endpoints that was read just now.
-    pub(crate) fn update_endpoints(&self, now: Time, endpoints: &[ListedEndpoint]) {
+    /// Records a list of endpoints that was requested at `requested_at`.
+    pub(crate) fn update_endpoints(
+        &self,
+        now: Time,
+        requested_at: Time,
+        endpoints: &[ListedEndpoint],
+    ) {
         let mut origins = self.origins.lock();
         origins.update_endpoints(now, endpoints);
-        origins.confirm_endpoints(now);
+        origins.confirm_endpoints(requested_at);
     }
 
     pub(crate) fn len(&self) -> usize {
--- a/crates/gateway/src/call/resumption.rs
+++ b/crates/gateway/src/call/resumption.rs
@@ -31,6 +31,10 @@
             Resolution::Unknown { retry_ms } => {
                 return Err(Rejection::UnknownOrigin { retry_ms });
             }
+            Resolution::Unconfirmed { retry_at } => {
+                let retry_ms = retry_at.since(self.shared.now()).div_ceil(MILLISECOND);
+                return Err(Rejection::UnknownOrigin { retry_ms });
+            }
             Resolution::Conflict => {
                 return Err(Rejection::AmbiguousOrigin { retry_ms: max_age_ms });
             }
@@ -69,12 +73,16 @@
         origins::begin(&self.shared, record, self.only_service()).await;
     }
 
-    /// Returns the hash of the only service that the route leads to, if there is only one.
+    /// Returns the hash of the only service that can have begun a stream of the route, if there is only
+    /// one.
     fn only_service(&self) -> Option<u64> {
-        match self.found.route.split.as_slice() {
-            [only] => Some(hash64(only.service.as_bytes())),
-            _ => None,
-        }
+        let route = &self.found.route;
+        let [only] = route.split.as_slice() else { return None };
+        let key = (route.host.clone(), route.prefix.clone());
+        let moved_at = self.shared.moved_routes.lock().get(&key).copied();
+        let expires_at = moved_at.map(|it| it + self.origin_ms().saturating_mul(MILLISECOND));
+        let is_moved = expires_at.is_some_and(|it| self.shared.now() < it);
+        (!is_moved).then(|| hash64(only.service.as_bytes()))
     }
 
     /// Returns how long the origin of a stream may be asked for, in milliseconds: as long as the
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -128,6 +128,7 @@
             started: clock.now(),
             instance_id: rand::random(),
             table: ArcSwapOption::empty(),
+            moved_routes: Mutex::default(),
             layout_history: Mutex::default(),
             regions: ArcSwap::default(),
             field_requests: Mutex::default(),
--- a/crates/gateway/src/layout.rs
+++ b/crates/gateway/src/layout.rs
@@ -21,6 +21,10 @@
 /// before it is ready.
 const SETTLE_DELAY: Duration = Duration::from_millis(1_000);
 
+/// How long it is known that a route led to another service, in milliseconds: the longest time for
+/// which the origin of a stream is kept.
+const MAX_MOVED_MS: u64 = 3_600_000;
+
 pub(crate) fn installed_version(shared: &Shared) -> Option<u64> {
     shared.table.load().as_ref().map(|it| it.config().version)
 }
@@ -133,7 +137,13 @@
     shared.layout_requests.lock().record_installed(now, layout.version, sender);
     *shared.layout_installed_at.lock() = Some(Instant::now());
     set_service_limits(shared, layout);
-    shared.table.store(Some(Arc::new(RouteTable::new(layout.clone()))));
+    let table = Arc::new(RouteTable::new(layout.clone()));
+    let before = shared.table.swap(Some(table.clone()));
+    if let Some(before) = before {
+        let mut moved_routes = shared.moved_routes.lock();
+        moved_routes.retain(|_, at| now < *at + MAX_MOVED_MS * MILLISECOND);
+        moved_routes.extend(table.moved_routes(&before).into_iter().map(|it| (it, now)));
+    }
     shared.progress.send_replace(());
     if installed.is_none() {
         let shared = shared.clone();
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -16,7 +16,7 @@
     },
     tokio::{
         sync::oneshot,
-        time::{sleep, timeout_at},
+        time::{sleep, sleep_until, timeout_at},
     },
 };
 
@@ -82,7 +82,8 @@
 
 /// Finds the origin of a stream, for a request with this deadline. Also returns how long that took,
 /// in microseconds. A gateway that has just started waits for its first list of endpoints, and
-/// asks again until it should know the others.
+/// asks again until it should know the others. One that can prove the origin only by newer lists than
+/// replicas have waits for these.
 pub(crate) async fn find(shared: &Shared, wanted: Wanted, deadline: Time) -> (Resolution, u64) {
     let started = shared.now();
     let share = deadline.since(started) * START_WAIT_PERCENT / 100;
@@ -91,22 +92,27 @@
         sleep(START_POLL).await;
     }
     loop {
-        let resolution = look_up(shared, wanted).await;
-        let settles_at = shared.origins.lock().settles_at();
-        let is_final = !matches!(resolution, Resolution::Unknown { .. });
-        if is_final || shared.now() >= settles_at.min(wait_until) {
-            return (resolution, shared.now().since(started));
-        }
-        sleep(START_POLL).await;
+        let resolution = look_up(shared, wanted, started).await;
+        let (now, settles_at) = (shared.now(), shared.origins.lock().settles_at());
+        let next = match resolution {
+            Resolution::Known { .. } | Resolution::Conflict => None,
+            Resolution::Unknown { .. } => {
+                (now < settles_at.min(wait_until)).then(|| shared.clock.deadline(now) + START_POLL)
+            }
+            Resolution::Unconfirmed { retry_at } => {
+                (retry_at <= wait_until).then(|| shared.clock.deadline(retry_at))
+            }
+        };
+        let Some(next) = next else { return (resolution, now.since(started)) };
+        sleep_until(next).await;
     }
 }
 
-async fn look_up(shared: &Shared, wanted: Wanted) -> Resolution {
-    let started = shared.now();
+async fn look_up(shared: &Shared, wanted: Wanted, began_by: Time) -> Resolution {
     let (sender, mut receiver) = oneshot::channel();
     let actions = {
         let mut origins = shared.origins.lock();
-        let (lookup, actions) = origins.look_up(started, wanted);
+        let (lookup, actions) = origins.look_up(shared.now(), wanted, began_by);
         shared.lookups.lock().insert(lookup, sender);
         actions
     };
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -100,6 +100,8 @@
     /// A random number that identifies this process among gateways.
     pub(crate) instance_id: u64,
     pub(crate) table: ArcSwapOption<RouteTable>,
+    /// The routes, by host and prefix, that have got requests of another service, and when.
+    pub(crate) moved_routes: Mutex<HashMap<(Name, Name), Time>>,
     /// The messages that update other gateways to the installed configuration.
     pub(crate) layout_history: Mutex<Option<Arc<ConfigHistory>>>,
     /// The region of each failure domain, from the settings.
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -3,7 +3,10 @@
 mod common;
 
 use {
-    common::{Behavior, Client, Endpoint, Fixture, ReceivedRequest, Response, layout, wait_until},
+    common::{
+        Behavior, Client, Endpoint, Fixture, KillableGateway, ReceivedRequest, Response, layout,
+        wait_until,
+    },
     gateway::Gateway,
     route::{Service, WeightedService},
     rstest::rstest,
@@ -169,6 +172,64 @@
     assert_eq!(endpoints.resumptions(), (STREAMS, 0));
 }
 
+/// Returns a fixture with six more gateways that can be killed, whose lists have had one version for
+/// longer than a stream may be resumed.
+async fn start_with_killable(endpoints: &Endpoints) -> (Fixture, Vec<KillableGateway>) {
+    let mut layout = layout(1);
+    layout.routes.iter_mut().for_each(|it| it.timeout_ms = 2_000);
+    let fixture = Fixture::start(&layout, &endpoints.listing()[..2]).await;
+    let mut killable = Vec::new();
+    for domain in ["d0", "d1", "d2", "d0", "d1", "d2"] {
+        killable.push(fixture.start_killable(domain).await);
+    }
+    let gateways: Vec<_> = killable.iter().map(|it| &it.gateway).collect();
+    wait_until_ready(&gateways).await;
+    sleep(Duration::from_millis(4_500)).await;
+    (fixture, killable)
+}
+
+/// Resumes all streams at one gateway at the same time. Returns how many went on.
+async fn resume_all(addr: SocketAddr) -> usize {
+    let resume = |at| async move { resume(addr, &format!("s{at}-1"), &format!("s{at}")).await };
+    let clients: Vec<_> = (0..STREAMS).map(|at| tokio::spawn(resume(at))).collect();
+    let mut resumed = 0;
+    for client in clients {
+        let response = client.await.expect("a client panicked");
+        resumed += usize::from(response.status == 200);
+    }
+    resumed
+}
+
+/// Streams were refused at the gateway that lived when most others were killed, as those that knew
+/// their version were silent, though only one version had ever been listed (review/13).
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn streams_of_an_only_version_go_on_after_most_gateways_were_killed() {
+    let endpoints = Endpoints::start(&Behavior::Events(0..3)).await;
+    let (fixture, killable) = start_with_killable(&endpoints).await;
+    for at in 0..STREAMS {
+        begin(killable[at % killable.len()].gateway.addr(), &format!("s{at}")).await;
+    }
+    killable.into_iter().for_each(KillableGateway::kill);
+    assert_eq!(resume_all(fixture.addr).await, STREAMS);
+    assert_eq!(endpoints.resumptions(), (STREAMS, 0));
+}
+
+/// A version that was listed just before the gateways were killed may have begun their streams.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn streams_keep_their_version_when_gateways_are_killed_right_after_another_was_listed() {
+    let endpoints = Endpoints::start(&Behavior::Events(0..3)).await;
+    let (fixture, killable) = start_with_killable(&endpoints).await;
+    fixture.set_endpoints(&endpoints.listing());
+    sleep(Duration::from_millis(80)).await;
+    for at in 0..STREAMS {
+        begin(killable[at % killable.len()].gateway.addr(), &format!("s{at}")).await;
+    }
+    killable.into_iter().for_each(KillableGateway::kill);
+    resume_all(fixture.addr).await;
+    let (resumptions, mixed) = endpoints.resumptions();
+    assert_eq!(mixed, 0, "of {resumptions} resumptions");
+}
+
 #[rstest]
 #[case::unknown_attempt("resumes: never-sent")]
 #[case::unnamed_attempt("x-other: 1")]
--- a/crates/origin/src/members.rs
+++ b/crates/origin/src/members.rs
@@ -46,6 +46,10 @@
         self.members.binary_search_by_key(&addr, |it| it.addr).is_ok()
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.members.len()
+    }
+
     /// Returns the other routers in the order of preference for a stream: the first of each domain
     /// by rendezvous hashing, then the second of each, and so on.
     pub(crate) fn ranked(&self, key: u64) -> impl Iterator<Item = SocketAddr> {
--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -12,7 +12,7 @@
     model::{Domain, MILLISECOND, Time},
     smallvec::SmallVec,
     std::{
-        collections::{BTreeMap, BTreeSet, VecDeque},
+        collections::{BTreeMap, VecDeque},
         net::SocketAddr,
     },
 };
@@ -24,8 +24,9 @@
 /// may know different members.
 const MAX_ASKED: usize = 6;
 
-/// The maximum number of replicas that are asked for an origin.
-const MAX_ASKED_REPLICAS: usize = 3;
+/// The maximum number of replicas that are asked for an origin. Two were told, and all of a usual
+/// group can prove together which version alone was listed.
+const MAX_ASKED_REPLICAS: usize = 5;
 
 /// When processes that have not answered are asked once more, in milliseconds after the first time.
 const RESEND_MS: u64 = 60;
@@ -101,6 +102,12 @@
         /// The time after which it may be known, in milliseconds.
         retry_ms: u64,
     },
+    /// The own list proves the origin, but a silent router may have had a newer list. Another lookup
+    /// may end with a proof.
+    Unconfirmed {
+        /// When the lists of replicas will be newer than that of any router that is gone.
+        retry_at: Time,
+    },
     /// The attempt began streams at several versions.
     Conflict,
 }
@@ -130,28 +137,40 @@
     addr: SocketAddr,
     is_replica: bool,
     is_silent: bool,
+    /// The only version that can have begun the stream, by its lists.
+    only: Option<BuildId>,
 }
 
 #[derive(Debug)]
 struct Lookup {
     wanted: Wanted,
+    /// When the stream had begun at the latest.
+    began_by: Time,
+    started_at: Time,
     asked: SmallVec<[Asked; MAX_ASKED + MAX_ASKED_REPLICAS]>,
     /// The origin with its source, if a process knows it.
     known: Option<(Origin, Source)>,
     /// Whether the attempt began streams at several versions.
     is_conflict: bool,
-    /// The only version that can have begun the stream, by the lists of each that was asked.
-    only: BTreeSet<BuildId>,
     /// When the silent ones are asked once more.
     resend_at: Time,
     give_up_at: Time,
 }
 
 impl Lookup {
-    /// Records that a process has answered. Returns whether it was asked.
-    fn record_answer(&mut self, from: SocketAddr) -> bool {
+    /// Records that a process has answered, with the only version that its lists prove. Returns
+    /// whether it was asked.
+    fn record_answer(&mut self, from: SocketAddr, only: Option<BuildId>) -> bool {
         let asked = self.asked.iter_mut().find(|it| it.addr == from);
-        asked.map(|it| it.is_silent = false).is_some()
+        asked.map(|it| (it.is_silent, it.only) = (false, only)).is_some()
+    }
+
+    /// Returns the version that alone can have begun the stream by the lists of those that were
+    /// asked, unless they differ.
+    fn only(&self) -> Option<BuildId> {
+        let mut builds = self.asked.iter().filter_map(|it| it.only);
+        let first = builds.next()?;
+        builds.all(|it| it == first).then_some(first)
     }
 
     fn set_known(&mut self, now: Time, origin: Origin, source: Source) {
@@ -161,7 +180,7 @@
     }
 
     fn is_ended(&self) -> bool {
-        let is_proved = self.wanted.key.is_none() && !self.only.is_empty();
+        let is_proved = self.wanted.key.is_none() && self.asked.iter().any(|it| it.only.is_some());
         self.is_conflict || is_proved || !self.asked.iter().any(|it| it.is_silent)
     }
 
@@ -330,9 +349,14 @@
         actions
     }
 
-    /// Looks up the origin of a stream. The lookup ends with an [`Action::Resolve`], at once or
-    /// later.
-    pub fn look_up(&mut self, now: Time, wanted: Wanted) -> (LookupId, Vec<Action>) {
+    /// Looks up the origin of a stream that had begun by `began_by`. The lookup ends with an
+    /// [`Action::Resolve`], at once or later.
+    pub fn look_up(
+        &mut self,
+        now: Time,
+        wanted: Wanted,
+        began_by: Time,
+    ) -> (LookupId, Vec<Action>) {
         self.last_lookup += 1;
         let id = LookupId(self.last_lookup);
         // Without a key, others can only add to what the own lists prove.
@@ -340,16 +364,18 @@
             Some(key) => Some(key.0),
             None => wanted.service.filter(|_| self.only_version(now, &wanted).is_err()),
         };
-        let asked = |is_replica| move |addr| Asked { addr, is_replica, is_silent: true };
+        let asked =
+            |is_replica| move |addr| Asked { addr, is_replica, is_silent: true, only: None };
         let routers = |key| self.members.ranked(key).take(MAX_ASKED).map(asked(false));
         let replicas = |key| self.replicas.ranked(key).take(MAX_ASKED_REPLICAS).map(asked(true));
         let asked = rank_key.into_iter().flat_map(|it| routers(it).chain(replicas(it))).collect();
         let mut lookup = Lookup {
             wanted,
+            began_by,
+            started_at: now,
             asked,
             known: None,
             is_conflict: false,
-            only: BTreeSet::new(),
             resend_at: now + RESEND_MS * MILLISECOND,
             give_up_at: now + GIVE_UP_MS * MILLISECOND,
         };
@@ -410,7 +436,7 @@
     fn on_known(&mut self, now: Time, from: SocketAddr, record: &Record) -> Vec<Action> {
         let mut is_answer = false;
         for lookup in self.lookups.values_mut().filter(|it| it.wanted.key == Some(record.key)) {
-            if lookup.record_answer(from) {
+            if lookup.record_answer(from, None) {
                 is_answer = true;
                 lookup.set_known(now, record.origin, Source::Peer(from));
             }
@@ -432,7 +458,7 @@
     ) -> Vec<Action> {
         let mut is_answer = false;
         for lookup in self.lookups.values_mut().filter(|it| it.wanted.key == Some(key)) {
-            is_answer |= lookup.record_answer(from);
+            is_answer |= lookup.record_answer(from, None);
         }
         // A router that is leaving hands its conflicts over.
         if is_answer || self.is_replica || self.members.contains(from) {
@@ -452,14 +478,31 @@
         wanted: Wanted,
         only: Option<BuildId>,
     ) -> Vec<Action> {
-        for lookup in self.lookups.values_mut().filter(|it| it.wanted == wanted) {
-            if lookup.record_answer(from) {
-                lookup.only.extend(only);
+        let mut asking: SmallVec<[LookupId; 1]> = SmallVec::new();
+        for (id, lookup) in self.lookups.iter_mut().filter(|it| it.1.wanted == wanted) {
+            if lookup.record_answer(from, only) {
+                asking.push(*id);
             }
         }
+        for id in asking {
+            self.shorten(now, id);
+        }
         self.end_lookups(now)
     }
 
+    /// Lets a lookup wait for silent routers only as long as a known origin does, once the lists of
+    /// replicas prove what those could tell.
+    fn shorten(&mut self, now: Time, id: LookupId) {
+        let Some(lookup) = self.lookups.get(&id) else { return };
+        let only = self.only_version(now, &lookup.wanted).ok();
+        if only.is_none_or(|it| !self.is_confirmed(lookup, it.build)) {
+            return;
+        }
+        if let Some(lookup) = self.lookups.get_mut(&id) {
+            lookup.give_up_at = lookup.give_up_at.min(now + CONFIRM_MS * MILLISECOND);
+        }
+    }
+
     /// Ends the lookups that need no more answers.
     fn end_lookups(&mut self, now: Time) -> Vec<Action> {
         let ended: Vec<_> = self.lookups.extract_if(.., |_, it| it.is_ended()).collect();
@@ -504,12 +547,24 @@
     fn only_version_by_peer(&self, now: Time, lookup: &Lookup) -> Option<Origin> {
         // Routers that were not heard of yet may know of a newer version.
         let is_settled = self.is_settled(now);
-        let mut only = lookup.only.iter();
-        let (service, build) = lookup.wanted.service.zip(only.next().copied())?;
-        let agrees = only.next().is_none() && self.builds.only_one_ever(service) == Some(build);
+        let (service, build) = lookup.wanted.service.zip(lookup.only())?;
+        let agrees = self.builds.only_one_ever(service) == Some(build);
         (agrees && is_settled).then_some(Origin { service, build })
     }
 
+    /// Returns whether no router that is silent now can have begun the stream at another version than
+    /// `build`, by the lists of replicas. Routers get their lists from replicas, so it is enough if
+    /// none of these has ever had another version. Otherwise one suffices that has read its list after
+    /// the stream had begun, as a version doesn't leave so soon, unless another one contradicts it.
+    fn is_confirmed(&self, lookup: &Lookup, build: BuildId) -> bool {
+        let replicas = || lookup.asked.iter().filter(|it| it.is_replica);
+        let agrees = |it: &&Asked| it.only == Some(build);
+        let is_contradicted = replicas().any(|it| !it.is_silent && !agrees(&it));
+        let agreeing = replicas().filter(agrees).count();
+        let have_read = lookup.started_at >= lookup.began_by + MAX_LIST_AGE_MS * MILLISECOND;
+        agreeing > 0 && !is_contradicted && (have_read || agreeing == self.replicas.len())
+    }
+
     /// Returns whether the other routers were heard of, or had time to be.
     fn is_settled(&self, now: Time) -> bool {
         self.has_members || self.settles_at() <= now
@@ -533,12 +588,22 @@
         if let Some(known) = known {
             return known;
         }
-        // A silent router may keep the origin, or know of a version that is not listed here yet.
         let is_router_silent = lookup.is_router_silent();
+        let own = self.only_version(now, &lookup.wanted);
         if key.is_some() && is_router_silent {
-            return Resolution::Unknown { retry_ms: MIN_RETRY_MS };
+            // What a silent router may know else is the same version: an earlier use of the id, or
+            // where the stream began.
+            let retry_at = lookup.began_by + MAX_LIST_AGE_MS * MILLISECOND;
+            return match own {
+                Ok(origin) if self.is_confirmed(lookup, origin.build) => {
+                    Resolution::Known { origin, source: Source::OnlyVersion }
+                }
+                Ok(_) if lookup.started_at < retry_at && self.replicas.len() > 0 => {
+                    Resolution::Unconfirmed { retry_at }
+                }
+                Ok(_) | Err(_) => Resolution::Unknown { retry_ms: MIN_RETRY_MS },
+            };
         }
-        let own = self.only_version(now, &lookup.wanted);
         let only = own.or_else(|err| self.only_version_by_peer(now, lookup).ok_or(err));
         match only {
             Ok(origin) => Resolution::Known { origin, source: Source::OnlyVersion },
--- a/crates/origin/tests/fleet.rs
+++ b/crates/origin/tests/fleet.rs
@@ -148,6 +148,12 @@
         self.routers[at].update_endpoints(self.now, &listed);
     }
 
+    /// Returns whether a router has a version in its list.
+    fn lists(&self, at: usize, version: BuildId) -> bool {
+        let listed = VERSIONS.iter().enumerate().filter(|it| self.listed[at] & (1 << it.0) != 0);
+        listed.map(|it| build(it.1)).any(|it| it == version)
+    }
+
     /// Confirms the lists of endpoints, as control does all the time.
     fn confirm(&mut self) {
         for (at, router) in self.routers.iter_mut().enumerate() {
@@ -235,7 +241,7 @@
     }
 
     fn look_up(&mut self, at: usize, wanted: Wanted) -> Resolution {
-        let (lookup, actions) = self.routers[at].look_up(self.now, wanted);
+        let (lookup, actions) = self.routers[at].look_up(self.now, wanted, self.now);
         self.perform(at, actions);
         while !self.results.contains_key(&(at, lookup)) {
             let deadline = self.routers[at].next_deadline();
@@ -270,6 +276,10 @@
                     if !lists_differ || source != Source::OnlyVersion {
                         assert_eq!(origin.build, build, "stream {at} goes on at another version");
                     }
+                    // Without an endpoint of its version, the stream ends here.
+                    if !fleet.lists(router, origin.build) {
+                        continue;
+                    }
                     began.insert(at, fleet.now);
                     fleet.streams[at].1 = origin.build;
                     fleet.tell(router, key, origin.build);
@@ -350,7 +360,7 @@
         // The first questions are all lost.
         let key = fleet.streams[0].0;
         let asker = asker % routers;
-        let (lookup, actions) = fleet.routers[asker].look_up(fleet.now, wanted(key));
+        let (lookup, actions) = fleet.routers[asker].look_up(fleet.now, wanted(key), fleet.now);
         let at_once = actions.into_iter().filter(|it| matches!(it, Action::Resolve { .. }));
         fleet.perform(asker, at_once.collect());
         fleet.advance(fleet.now + 300 * MILLISECOND);
@@ -415,7 +425,7 @@
 fn answer_of_a_router_that_was_not_asked_is_ignored() {
     let mut fleet = Fleet::new(2, 100, 1);
     let key = StreamKey(7);
-    let (lookup, _) = fleet.routers[0].look_up(fleet.now, wanted(key));
+    let (lookup, _) = fleet.routers[0].look_up(fleet.now, wanted(key), fleet.now);
     let origin = Origin { service: service(), build: build("v2") };
     let answer = Message::Known(Record { key, origin, keep_ms: MAX_AGE_MS });
     let actions = fleet.routers[0].receive(fleet.now, addr(500), answer.clone());
@@ -439,7 +449,8 @@
     origins.update_endpoints(Time(0), &[endpoint("v1")]);
     let mut retry_ms = |at| {
         origins.confirm_endpoints(Time(at * MILLISECOND));
-        let actions = origins.look_up(Time(at * MILLISECOND), wanted(StreamKey(7))).1;
+        let now = Time(at * MILLISECOND);
+        let actions = origins.look_up(now, wanted(StreamKey(7)), now).1;
         match actions[..] {
             [Action::Resolve { resolution: Resolution::Unknown { retry_ms }, .. }] => retry_ms,
             _ => panic!("expected a refusal, found {actions:?}"),
--- a/crates/origin/tests/outage.rs
+++ b/crates/origin/tests/outage.rs
@@ -134,7 +134,7 @@
 
     fn resume(&mut self, port: u16, key: StreamKey) -> Resolution {
         let gateway = self.processes.get_mut(&addr(port)).expect("no such gateway");
-        let (_, actions) = gateway.look_up(self.now, wanted(key));
+        let (_, actions) = gateway.look_up(self.now, wanted(key), self.now);
         let mut result = self.deliver(addr(port), actions);
         while result.is_none() {
             let gateway = self.processes.get_mut(&addr(port)).expect("no such gateway");
--- a/crates/origin/tests/site.rs
+++ b/crates/origin/tests/site.rs
@@ -10,6 +10,7 @@
     },
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
+    rstest::rstest,
     std::{
         collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
@@ -23,9 +24,13 @@
 const STEPS: usize = 60;
 const MAX_AGE_MS: u64 = 10_000;
 
-/// How often each process reads the directory, in milliseconds.
+/// How often each process reads the directory, or a replica's list, in milliseconds.
 const POLL_MS: u64 = 800;
 
+/// How long a version stays listed or unlisted at least while routers are down and not replaced, in
+/// milliseconds.
+const MIN_LISTED_MS: u64 = 5_000;
+
 /// How often routers tell replicas of streams that began before a second version, in milliseconds.
 const DUE_MS: u64 = 200;
 
@@ -73,6 +78,7 @@
     silent: HashSet<usize>,
     /// The versions in the directory, and in the last list of each process, as bits.
     directory: usize,
+    changed_at: Time,
     listed: Vec<usize>,
     poll_at: Vec<Time>,
     due_at: Time,
@@ -99,6 +105,7 @@
             processes: (0..all).map(|_| None).collect(),
             silent,
             directory,
+            changed_at: Time(0),
             listed: vec![0; all],
             poll_at: vec![Time(0); all],
             due_at: Time(0),
@@ -109,10 +116,27 @@
             knowing: HashMap::new(),
             reached: BTreeMap::new(),
         };
-        (0..all).for_each(|it| site.start(it));
+        // Routers get their first list from replicas.
+        (0..all).rev().for_each(|it| site.start(it));
         site
     }
 
+    fn change_versions(&mut self) {
+        self.directory = self.random.random_range(1..8);
+        self.changed_at = self.now;
+    }
+
+    /// Returns what a process reads: a replica the directory, a router the list of a replica, unless
+    /// all of these are down.
+    fn read(&mut self, at: usize) -> usize {
+        let up = (ROUTERS..ROUTERS + REPLICAS).filter(|it| self.processes[*it].is_some());
+        let up: Vec<_> = up.collect();
+        match at < ROUTERS && !up.is_empty() {
+            true => self.listed[up[self.random.random_range(0..up.len())]],
+            false => self.directory,
+        }
+    }
+
     fn count(&mut self, situation: &'static str) {
         *self.reached.entry(situation).or_default() += 1;
     }
@@ -131,7 +155,7 @@
     }
 
     fn poll(&mut self, at: usize) {
-        let (now, versions) = (self.now, self.directory);
+        let (now, versions) = (self.now, self.read(at));
         self.poll_at[at] = now + self.random.random_range(POLL_MS / 2..POLL_MS) * MILLISECOND;
         let Some(process) = &mut self.processes[at] else { return };
         // Routers are told of changes only.
@@ -152,8 +176,7 @@
         }
     }
 
-    /// Kills processes and starts them again after 1 to 2.6 s, not all at the same time.
-    fn kill(&mut self, killed: &[usize]) {
+    fn stop(&mut self, killed: &[usize]) {
         for at in killed {
             self.processes[*at] = None;
             self.results.retain(|it, _| it.0 != *at);
@@ -161,8 +184,13 @@
                 it.remove(at);
             });
         }
+    }
+
+    /// Kills processes and starts them again after 1 to 2.6 s, not all at the same time.
+    fn kill(&mut self, killed: &[usize]) {
+        self.stop(killed);
         if self.random.random_range(0..3) == 0 {
-            self.directory = self.random.random_range(1..8);
+            self.change_versions();
             self.count("versions changed while processes were down");
         }
         self.advance(1_000);
@@ -176,6 +204,38 @@
         self.members_at = self.now + ms * MILLISECOND;
     }
 
+    /// Kills some routers, and replicas now and then, while clients of theirs come to the others at
+    /// once. Versions may change shortly before.
+    fn kill_some(&mut self) {
+        let settled_at = self.changed_at + MIN_LISTED_MS * MILLISECOND;
+        self.advance(settled_at.since(self.now) / MILLISECOND);
+        if self.random.random_range(0..3) == 0 {
+            self.count("versions changed before some routers were killed");
+            self.change_versions();
+            let ms = self.random.random_range(1..1_200);
+            self.advance(ms);
+        }
+        let first = self.streams.len();
+        let killed_routers = self.random.random_range(1..ROUTERS);
+        for _ in 0..4 {
+            let router = self.random.random_range(0..killed_routers);
+            let key = StreamKey(self.random.random());
+            self.begin(router, key);
+        }
+        let killed_replicas = [0, 0, 0, 1, REPLICAS][self.random.random_range(0..5)];
+        let replicas = ROUTERS..ROUTERS + killed_replicas;
+        let killed: Vec<_> = (0..killed_routers).chain(replicas).collect();
+        self.stop(&killed);
+        self.count("some routers were killed");
+        for stream in first..self.streams.len() {
+            let ms = self.random.random_range(1..400);
+            self.advance(ms);
+            let router = self.random.random_range(killed_routers..ROUTERS);
+            self.check(router, stream);
+        }
+        self.kill(&killed);
+    }
+
     fn perform(&mut self, at: usize, actions: Vec<Action>) {
         for action in actions {
             match action {
@@ -256,22 +316,29 @@
     /// Resumes a stream, as a gateway does: it repeats lookups until it should know the others.
     fn resume(&mut self, router: usize, key: StreamKey) -> Resolution {
         let wanted = Wanted { key: Some(key), service: Some(service()), max_age_ms: MAX_AGE_MS };
-        let wait_until = self.now + 2_000 * MILLISECOND;
+        let came_at = self.now;
+        let wait_until = came_at + 2_000 * MILLISECOND;
         loop {
             let process = self.processes[router].as_mut().expect("the router is down");
             let settles_at = process.settles_at();
-            let (lookup, actions) = process.look_up(self.now, wanted);
+            let (lookup, actions) = process.look_up(self.now, wanted, came_at);
             self.perform(router, actions);
             while !self.results.contains_key(&(router, lookup)) {
                 self.advance(1);
             }
             let resolution = self.results[&(router, lookup)];
-            let is_final = !matches!(resolution, Resolution::Unknown { .. });
-            if is_final || self.now >= settles_at.min(wait_until) {
-                return resolution;
-            }
+            let next = match resolution {
+                Resolution::Known { .. } | Resolution::Conflict => None,
+                Resolution::Unknown { .. } => (self.now < settles_at.min(wait_until)).then_some(50),
+                Resolution::Unconfirmed { retry_at } => {
+                    self.count("a router waited for newer lists");
+                    let wait = retry_at.since(self.now).div_ceil(MILLISECOND);
+                    (retry_at <= wait_until).then_some(wait)
+                }
+            };
+            let Some(ms) = next else { return resolution };
             self.count("a lookup was repeated");
-            self.advance(50);
+            self.advance(ms);
         }
     }
 
@@ -295,13 +362,17 @@
                     Source::Own => "found at home",
                     Source::Peer(it) if usize::from(it.port()) > ROUTERS => "found at a replica",
                     Source::Peer(_) => "found at a router",
-                    Source::OnlyVersion => "only one version",
+                    Source::OnlyVersion => {
+                        let is_any_down = self.processes[..ROUTERS].iter().any(Option::is_none);
+                        let down = "only one version, while routers were down";
+                        if is_any_down { down } else { "only one version" }
+                    }
                 });
                 self.streams[stream].began = self.now;
                 self.tell(router, key, version);
                 self.advance(DELAY_MS);
             }
-            Resolution::Unknown { .. } => {
+            Resolution::Unknown { .. } | Resolution::Unconfirmed { .. } => {
                 self.count(if is_known { "refused, but known" } else { "refused, unknown" });
             }
             Resolution::Conflict => {
@@ -351,9 +422,10 @@
             }
             92..96 => {
                 self.count("versions changed");
-                self.directory = self.random.random_range(1..8);
+                self.change_versions();
             }
-            96..98 => self.set_members(),
+            96..97 => self.set_members(),
+            97..99 => self.kill_some(),
             _ => {
                 let ms = self.random.random_range(1..4_000);
                 self.advance(ms);
@@ -362,6 +434,86 @@
     }
 }
 
+/// Returns a site that has had one version for longer than a stream may last, with streams that
+/// began at the routers which are then killed: the first ones.
+fn site_with_killed_routers(killed: usize, seed: u64) -> (Site, Vec<StreamKey>) {
+    let mut site = Site::new(seed);
+    (site.directory, site.silent) = (1, HashSet::new());
+    site.set_members();
+    site.advance(MAX_AGE_MS + 2_000);
+    let keys: Vec<_> = (0..40).map(StreamKey).collect();
+    for key in &keys {
+        let router = site.random.random_range(0..killed);
+        site.begin(router, *key);
+    }
+    site.processes[..killed].fill_with(|| None);
+    (site, keys)
+}
+
+/// Streams of a service that had a single version were refused at the routers that lived, as those
+/// that kept their origins were silent (review/13).
+#[rstest]
+#[case::one(1)]
+#[case::half(3)]
+#[case::all_but_one(6)]
+fn streams_of_an_only_version_go_on_at_once_where_others_were_killed(#[case] killed: usize) {
+    let (mut site, keys) = site_with_killed_routers(killed, 7);
+    for key in keys {
+        let before = site.now;
+        let resolution = site.resume(ROUTERS - 1, key);
+        assert!(matches!(resolution, Resolution::Known { .. }), "{resolution:?}");
+        assert!(site.now <= before + 80 * MILLISECOND, "after {} us", site.now.since(before));
+    }
+}
+
+/// A replica that is down as well leaves the others to prove it, by lists that they have read since.
+#[test]
+fn streams_of_an_only_version_go_on_within_two_seconds_without_a_replica() {
+    let (mut site, keys) = site_with_killed_routers(6, 7);
+    site.processes[ROUTERS] = None;
+    for key in &keys[..4] {
+        let before = site.now;
+        let resolution = site.resume(ROUTERS - 1, *key);
+        assert!(matches!(resolution, Resolution::Known { .. }), "{resolution:?}");
+        assert!(site.now <= before + 2_000 * MILLISECOND, "after {} us", site.now.since(before));
+    }
+}
+
+/// A router may have had a newer list than the one that lives, and have begun streams by it.
+#[test]
+fn stream_of_a_version_that_the_own_list_lacks_does_not_go_on_at_another_one() {
+    let mut lagging = 0;
+    for seed in 0..40 {
+        let mut site = Site::new(seed);
+        (site.directory, site.silent) = (1, HashSet::new());
+        site.set_members();
+        site.advance(MAX_AGE_MS + 2_000);
+        site.directory = 3;
+        let ms = site.random.random_range(50..700);
+        site.advance(ms);
+        let Some(router) = (0..ROUTERS).find(|it| site.listed[*it] == 3) else { continue };
+        let Some(lives) = (0..ROUTERS).find(|it| site.listed[*it] == 1) else { continue };
+        lagging += 1;
+        let key = StreamKey(seed);
+        site.tell(router, key, 1);
+        (0..ROUTERS).filter(|it| *it != lives).for_each(|it| site.processes[it] = None);
+        site.in_transit.clear();
+        let resolution = site.resume(lives, key);
+        assert!(!matches!(resolution, Resolution::Known { .. }), "{resolution:?}");
+    }
+    assert!(lagging >= 5, "only {lagging} sites had lists that differ");
+}
+
+/// Without any replica nothing tells whether a router that is gone had a newer list.
+#[test]
+fn origin_is_unknown_while_routers_and_all_replicas_are_silent() {
+    let (mut site, keys) = site_with_killed_routers(6, 7);
+    site.processes[ROUTERS..].fill_with(|| None);
+    site.advance(100);
+    let resolution = site.resume(ROUTERS - 1, keys[0]);
+    assert!(matches!(resolution, Resolution::Unknown { .. }), "{resolution:?}");
+}
+
 #[test]
 fn no_stream_goes_on_at_another_version() {
     let mut reached: BTreeMap<&'static str, u64> = BTreeMap::new();
@@ -382,6 +534,10 @@
         "found at a router",
         "found at a replica",
         "only one version",
+        "only one version, while routers were down",
+        "a router waited for newer lists",
+        "some routers were killed",
+        "versions changed before some routers were killed",
         "refused, an id was used twice",
         "refused, unknown",
         "a lookup was repeated",
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -62,6 +62,25 @@
         Some(RouteMatch { route: route.clone(), service: service.clone() })
     }
 
+    /// Returns the routes, by host and prefix, some of whose requests went to other services by the
+    /// table `before`.
+    pub fn moved_routes(&self, before: &RouteTable) -> Vec<(Name, Name)> {
+        let (old_routes, new_routes) = (by_prefix(&before.config), by_prefix(&self.config));
+        let changed = self.config.routes.iter().filter(|it| {
+            find_covering(&old_routes, it).is_some_and(|old| !has_same_services(old, it))
+        });
+        // The requests of a route that is gone may go to one with a shorter prefix.
+        let inherited = before.config.routes.iter().filter_map(|old| {
+            let heir = find_covering(&new_routes, old)?;
+            (!has_same_services(old, heir)).then_some(heir)
+        });
+        let moved = changed.chain(inherited).map(|it| (it.host.clone(), it.prefix.clone()));
+        let mut moved: Vec<_> = moved.collect();
+        moved.sort_unstable();
+        moved.dedup();
+        moved
+    }
+
     /// Whether requests need a key, unless their route is open.
     pub fn requires_keys(&self) -> bool {
         !self.config.teams.is_empty()
@@ -79,6 +98,27 @@
     }
 }
 
+fn by_prefix(config: &RoutingConfig) -> HashMap<(&str, &str), &Route> {
+    config.routes.iter().map(|it| ((&*it.host, &*it.prefix), it)).collect()
+}
+
+/// Returns the route that the requests below the prefix of `route` go to. The search takes as many
+/// steps as the prefix has bytes, as a configuration may have very many routes.
+fn find_covering<'a>(
+    routes: &HashMap<(&str, &str), &'a Route>,
+    route: &Route,
+) -> Option<&'a Route> {
+    let prefixes = (0..=route.prefix.len()).rev().filter_map(|end| route.prefix.get(..end));
+    prefixes.filter_map(|it| routes.get(&(&*route.host, it)).copied()).next()
+}
+
+fn has_same_services(a: &Route, b: &Route) -> bool {
+    let has_all = |a: &Route, b: &Route| {
+        a.split.iter().all(|it| b.split.iter().any(|other| other.service == it.service))
+    };
+    has_all(a, b) && has_all(b, a)
+}
+
 fn pick_service(route: &Route, draw: u64) -> Option<&Name> {
     let total: u64 = route.split.iter().map(|it| u64::from(it.weight)).sum();
     if total == 0 {
--- a/crates/route/tests/config.rs
+++ b/crates/route/tests/config.rs
@@ -7,8 +7,8 @@
     model::Digest,
     proptest::prelude::*,
     route::{
-        ColdStart, ConfigError, PublishOutcome, PublishedConfig, Regions, RouteDelta, RouteTable,
-        RoutingConfig, WeightedService, allowed_regions,
+        ColdStart, ConfigError, PublishOutcome, PublishedConfig, Regions, Route, RouteDelta,
+        RouteTable, RoutingConfig, WeightedService, allowed_regions,
     },
     rstest::rstest,
     smallvec::smallvec,
@@ -56,6 +56,38 @@
     assert_eq!(allowed_regions(&names(route), &names(team)), expected.map(names));
 }
 
+/// Streams of a route must not be resumed at its service if they may have begun at another one.
+#[rstest]
+#[case::same(&[("/a", "s")], &[("/a", "s")], &[])]
+#[case::changed(&[("/a", "s")], &[("/a", "t")], &["/a"])]
+#[case::new(&[], &[("/a", "s")], &[])]
+#[case::gone(&[("/a", "s")], &[], &[])]
+#[case::new_below(&[("/a", "s")], &[("/a", "s"), ("/a/b", "t")], &["/a/b"])]
+#[case::new_below_with_the_same(&[("/a", "s")], &[("/a", "s"), ("/a/b", "s")], &[])]
+#[case::gone_below(&[("/a", "s"), ("/a/b", "t")], &[("/a", "s")], &["/a"])]
+#[case::new_beside(&[("/a", "s")], &[("/a", "s"), ("/b", "t")], &[])]
+fn routes_that_get_requests_of_another_service_are_found(
+    #[case] before: &[(&str, &str)],
+    #[case] after: &[(&str, &str)],
+    #[case] moved: &[&str],
+) {
+    let table = |routes: &[(&str, &str)]| {
+        let mut config = config(1);
+        let template = config.routes.swap_remove(0);
+        config.routes = routes
+            .iter()
+            .map(|(prefix, service)| {
+                let split = smallvec![WeightedService { service: (*service).into(), weight: 1 }];
+                Route { prefix: (*prefix).into(), split, ..template.clone() }
+            })
+            .collect();
+        RouteTable::new(config.into())
+    };
+    let found = table(after).moved_routes(&table(before));
+    let found: Vec<_> = found.iter().map(|it| &*it.1).collect();
+    assert_eq!(found, moved);
+}
+
 fn cold(start_ms: f64, rate: f64) -> Option<ColdStart> {
     Some(ColdStart { start_ms, rate })
 }
