Watch all parts of a prompt for crashes

Callers saw: a part that crashes endpoints behind 64 others was never found: 37 of 37 requests with it reached endpoints, 30 later than contact_ms after the fifth crash, and cut off what these streamed to others.

Cause: only the first 64 parts were subjects, a bound that a caller steps over. Evidence: with 60 parts before it the part is found, with 70 it isn't. On the same path, parts in a second line of the header, with ids of over 64 bits, or beside one that can't be read were not watched either.

Change: all parts but the last are watched, and what follows from their number is bounded: of a prompt with over 64 parts the ids are kept by crash and told to six gateways; a part becomes a subject once it was in two crashes, 256 at a time, those with the most crashes first; messages are limited per round; an answer adds 64 new parts to those that were answered lately. An answer that contradicts crashes is told by one gateway for all parts.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -19,7 +19,7 @@
     },
     ::quarantine::{Admission, Subject},
     directory::BuildId,
-    dispatch::{Assignment, DispatchRequest, EndpointHandle, Prompt},
+    dispatch::{Assignment, DispatchRequest, EndpointHandle},
     edge::{Body, Payload, ReadError, RequestSlot, discard},
     http::{Request, Response, header, request},
     hyper::body::Incoming,
@@ -49,9 +49,6 @@
 /// not run the request.
 const EXTRA_SENDS: u32 = 2;
 
-/// The maximum number of prompt parts of a request that are watched for crashes.
-const MAX_SUBJECT_PARTS: usize = 64;
-
 /// How long the rest of a rejected request is read, in milliseconds.
 const MAX_DISCARD_MS: u64 = 1_000;
 
@@ -243,8 +240,8 @@
     let team = team.map_or("", |it| it);
     let texts = [parts.method.as_str(), &host, path, team];
     let target = texts.iter().fold(0, |hash, it| mix2(hash, hash64(it.as_bytes())));
-    let prompt = head.prompt.iter().flat_map(|it| &it.parts);
-    let prompt = prompt.fold(0, |hash, it| mix2(hash, it.id));
+    let parts = head.prompt.iter().flat_map(|it| &it.parts).map(|it| it.id);
+    let prompt = parts.chain(head.unread_parts.iter().copied()).fold(0, mix2);
     mix2(mix2(target, hash64_parts(body.parts())), prompt)
 }
 
@@ -262,8 +259,7 @@
     pub(crate) arrived: Time,
     /// When the response must be complete.
     pub(crate) deadline: Time,
-    /// What the request has in common with others that may crash endpoints, itself first.
-    pub(crate) subjects: SmallVec<[Subject; 4]>,
+    fingerprint: u64,
     tried: SmallVec<[EndpointHandle; 2]>,
     /// The endpoints of `tried` that were only silent.
     silent: SmallVec<[EndpointHandle; 2]>,
@@ -301,10 +297,6 @@
         let Admitted { found, team, priority, regions, version, .. } = admitted;
         let ClientRequest { parts, head, body, arrived, deadline } = request;
         let fingerprint = fingerprint(&parts, &head, team.as_ref(), &body);
-        let shared_parts = head.prompt.iter().flat_map(Prompt::shared).take(MAX_SUBJECT_PARTS);
-        let part_subjects = shared_parts.map(|it| Subject::Part(it.id));
-        let subjects =
-            std::iter::once(Subject::Request(fingerprint)).chain(part_subjects).collect();
         let tried = SmallVec::new();
         Call {
             shared,
@@ -317,7 +309,7 @@
             body,
             arrived,
             deadline,
-            subjects,
+            fingerprint,
             tried,
             silent: SmallVec::new(),
             build: None,
@@ -381,7 +373,7 @@
         if self.left_ms() == 0 {
             return ExchangeEnd::Finished(Err(Failure::DeadlineExceeded));
         }
-        if !quarantine::admit(&self.shared, &self.subjects).await {
+        if !quarantine::admit(&self.shared, self.subjects()).await {
             return ExchangeEnd::Finished(Err(Failure::Quarantined));
         }
         let endpoint = attempt.pick().handle;
@@ -469,13 +461,13 @@
     }
 
     async fn place(&self, now: Time) -> PlacementResult {
-        quarantine::decided(&self.shared, &self.subjects).await;
+        quarantine::decided(&self.shared, self.subjects()).await;
         let finish_by = self.takes_late_answer().then_some(self.deadline);
         let wait_until = self.queue_deadline(now);
         let mut ask = DispatchRequest { finish_by, ..self.dispatch_request(wait_until) };
         let placement = tokio::select! {
             it = self.shared.acquire_slot(ask.clone()) => it,
-            () = quarantine::blocked(&self.shared, &self.subjects) => {
+            () = quarantine::blocked(&self.shared, self.subjects()) => {
                 return Err(Rejected { retry_ms: 0 });
             }
         };
@@ -518,6 +510,12 @@
         by_target.min(by_deadline)
     }
 
+    /// Returns what the request has in common with others that may crash endpoints, itself first.
+    pub(crate) fn subjects(&self) -> impl Iterator<Item = Subject> + Clone {
+        let parts = self.head.shared_parts().map(Subject::Part);
+        std::iter::once(Subject::Request(self.fingerprint)).chain(parts)
+    }
+
     /// Returns the milliseconds left until the deadline.
     pub(crate) fn left_ms(&self) -> u64 {
         self.deadline.since(self.shared.now()) / MILLISECOND
@@ -545,11 +543,11 @@
 
     /// Returns whether the request must not be sent because it may crash endpoints.
     pub(crate) fn is_quarantined(&self) -> bool {
-        matches!(quarantine::check(&self.shared, &self.subjects), Admission::Blocked { .. })
+        matches!(quarantine::check(&self.shared, self.subjects()), Admission::Blocked { .. })
     }
 
     fn quarantine_rejection(&self) -> Option<Rejection> {
-        match quarantine::check(&self.shared, &self.subjects) {
+        match quarantine::check(&self.shared, self.subjects()) {
             Admission::Allowed | Admission::Trial(_) | Admission::Undecided { .. } => None,
             Admission::Blocked { subject, retry_at } => {
                 let retry_ms = retry_at.since(self.shared.now()) / MILLISECOND;
@@ -567,12 +565,12 @@
 
     /// Records that the request was answered in full.
     pub(crate) fn record_answer(&self) {
-        quarantine::record_answer(&self.shared, self.head.id(), &self.subjects);
+        quarantine::record_answer(&self.shared, self.head.id(), self.subjects());
     }
 
     /// Records that an answer has begun and goes on.
     pub(crate) fn record_begun_answer(&self) {
-        quarantine::record_answer(&self.shared, self.head.id(), &self.subjects[1..]);
+        quarantine::record_answer(&self.shared, self.head.id(), self.subjects().skip(1));
     }
 
     /// Returns the id of the endpoint of the last attempt.
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{call::Call, detour, evacuations, shared::Shared},
-    dispatch::{Assignment, Prompt},
+    dispatch::Assignment,
     model::Name,
     std::{fmt::Write, io, sync::Arc, time::Duration},
     tokio::{
@@ -18,14 +18,18 @@
 /// The timeout of a probe's connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The maximum number of parts of a prompt in a line of the log.
+const MAX_LOGGED_PARTS: usize = 64;
+
 /// Records a crash against a request if its endpoint refuses connections, of another gateway too if
 /// one can tell. A connection that was merely reset says nothing, nor does an endpoint that cannot be
 /// reached, nor one that refuses only this gateway.
 pub(crate) fn probe(call: &Call, pick: &Assignment) {
-    let (shared, pick, subjects) = (call.shared.clone(), pick.clone(), call.subjects.clone());
+    let (shared, pick) = (call.shared.clone(), pick.clone());
+    let subjects: Vec<_> = call.subjects().collect();
     let request = call.head.id().to_owned();
     let route = call.found.route.name.clone();
-    let parts = call.head.prompt.as_ref().map(format_parts);
+    let parts = format_parts(call.head.shared_parts());
     let broke_at = shared.now();
     let service = call.found.service.name.clone();
     tokio::spawn(async move {
@@ -69,12 +73,19 @@
     is_refused && detour::is_refused(shared, pick).await.unwrap_or(true)
 }
 
-/// Returns the ids of the parts of a prompt that other prompts may share.
-fn format_parts(prompt: &Prompt) -> String {
+/// Returns the ids of the first parts, and how many more there are.
+fn format_parts<I>(mut parts: I) -> String
+where
+    I: Iterator<Item = u64>,
+{
     let mut text = String::new();
-    for part in prompt.shared() {
+    for part in parts.by_ref().take(MAX_LOGGED_PARTS) {
         let separator = if text.is_empty() { "" } else { "," };
-        let _ = write!(text, "{separator}{:x}", part.id);
+        let _ = write!(text, "{separator}{part:x}");
+    }
+    let left = parts.count();
+    if left > 0 {
+        let _ = write!(text, " and {left} more");
     }
     text
 }
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -5,7 +5,7 @@
     derive_more::Debug,
     dispatch::{Assignment, Prompt, PromptPart},
     http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header, request, response},
-    model::{Name, SECOND},
+    model::{Name, SECOND, hash64},
     smallvec::SmallVec,
 };
 
@@ -18,6 +18,8 @@
     #[debug(skip)]
     pub(crate) key: Option<HeaderValue>,
     pub(crate) prompt: Option<Prompt>,
+    /// The ids of the parts of a prompt that can't be read as a whole, but for the last.
+    pub(crate) unread_parts: Box<[u64]>,
     /// Whether the client resumes a stream after an event.
     pub(crate) is_resumption: bool,
     /// The attempt that brought the first event of the stream that the client resumes.
@@ -30,7 +32,19 @@
         let text = |name: &HeaderName| headers.get(name).and_then(|it| it.to_str().ok());
         let host = parts.uri.host().or_else(|| text(&header::HOST)).unwrap_or_default();
         let tokens = text(&names.prompt_tokens).map(parse_token_count);
-        let prompt = text(&names.prompt_parts).and_then(parse_prompt_parts);
+        // A list may be divided among several lines.
+        let lines = || headers.get_all(&names.prompt_parts).iter();
+        let parts = || lines().flat_map(|it| it.as_bytes().split(|it| *it == b','));
+        let prompt: Option<SmallVec<[PromptPart; 4]>> = parts().map(parse_prompt_part).collect();
+        let prompt = prompt.filter(|it| !it.is_empty());
+        let unread_parts = match prompt {
+            Some(_) => Box::default(),
+            None => {
+                let mut ids: Vec<_> = parts().map(part_id).collect();
+                ids.pop();
+                ids.into()
+            }
+        };
         RequestHead {
             host: strip_port(host).to_owned(),
             attempt_id: headers.get(&names.attempt_id).cloned(),
@@ -42,9 +56,16 @@
                 tokens: tokens.unwrap_or_else(|| parts.iter().map(|it| it.tokens).sum()),
                 parts,
             }),
+            unread_parts,
         }
     }
 
+    /// Returns the ids of the parts of the prompt that other prompts may share.
+    pub(crate) fn shared_parts(&self) -> impl Iterator<Item = u64> + Clone {
+        let parts = self.prompt.iter().flat_map(Prompt::shared).map(|it| it.id);
+        parts.chain(self.unread_parts.iter().copied())
+    }
+
     /// Returns the attempt id as text, or `-` if there is none.
     pub(crate) fn id(&self) -> &str {
         self.attempt_id.as_ref().and_then(|it| it.to_str().ok()).unwrap_or("-")
@@ -64,14 +85,23 @@
     numbers.fold(0, u32::saturating_add)
 }
 
-/// Parses the parts of a prompt. A single invalid part makes the whole prompt unknown, since its
-/// order would be wrong without that part.
-fn parse_prompt_parts(text: &str) -> Option<SmallVec<[PromptPart; 4]>> {
-    let part = |it: &str| {
-        let (id, tokens) = it.trim().split_once(':')?;
-        Some(PromptPart { id: u64::from_str_radix(id, 16).ok()?, tokens: tokens.parse().ok()? })
-    };
-    text.split(',').map(part).collect()
+/// Parses a part of a prompt. A single invalid part makes the whole prompt unknown, since its order
+/// would be wrong without that part.
+fn parse_prompt_part(bytes: &[u8]) -> Option<PromptPart> {
+    let (id, tokens) = str::from_utf8(bytes).ok()?.trim().split_once(':')?;
+    let is_hex = !id.is_empty() && id.bytes().all(|it| it.is_ascii_hexdigit());
+    is_hex.then(|| tokens.parse().ok())?.map(|tokens| PromptPart { id: part_id(bytes), tokens })
+}
+
+/// Returns the id of a part of a prompt: its number if that fits, else a hash of its digits.
+fn part_id(bytes: &[u8]) -> u64 {
+    let id = bytes.split(|it| *it == b':').next().unwrap_or_default().trim_ascii();
+    let id = String::from_utf8_lossy(id).to_ascii_lowercase();
+    let digits = id.trim_start_matches('0');
+    if digits.is_empty() {
+        return 0;
+    }
+    u64::from_str_radix(digits, 16).unwrap_or_else(|_| hash64(digits.as_bytes()))
 }
 
 /// Values of the headers that the gateway sets on a forwarded request.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -38,15 +38,21 @@
 const INITIAL_TIME: u64 = 3 * SECOND;
 
 /// Returns whether a request with these subjects may be sent now. It is not sent yet.
-pub(crate) fn check(shared: &Shared, subjects: &[Subject]) -> Admission {
+pub(crate) fn check<I>(shared: &Shared, subjects: I) -> Admission
+where
+    I: IntoIterator<Item = Subject> + Clone,
+{
     shared.quarantine.lock().check(shared.now(), subjects)
 }
 
 /// Waits until no verdict on a request with these subjects is due, and returns whether it may be
 /// sent. It must be sent at once.
-pub(crate) async fn admit(shared: &Shared, subjects: &[Subject]) -> bool {
+pub(crate) async fn admit<I>(shared: &Shared, subjects: I) -> bool
+where
+    I: IntoIterator<Item = Subject> + Clone,
+{
     loop {
-        let admission = shared.quarantine.lock().admit(shared.now(), subjects);
+        let admission = shared.quarantine.lock().admit(shared.now(), subjects.clone());
         match admission {
             Admission::Allowed => return true,
             Admission::Trial(subject) => {
@@ -55,25 +61,31 @@
                 return true;
             }
             Admission::Blocked { .. } => return false,
-            Admission::Undecided { .. } => decided(shared, subjects).await,
+            Admission::Undecided { .. } => decided(shared, subjects.clone()).await,
         }
     }
 }
 
 /// Waits until no verdict on a request with these subjects is due.
-pub(crate) async fn decided(shared: &Shared, subjects: &[Subject]) {
-    while let Admission::Undecided { until } = check(shared, subjects) {
+pub(crate) async fn decided<I>(shared: &Shared, subjects: I)
+where
+    I: IntoIterator<Item = Subject> + Clone,
+{
+    while let Admission::Undecided { until } = check(shared, subjects.clone()) {
         let poll = shared.now() + DECISION_POLL_MS * MILLISECOND;
         sleep_until(shared.clock.deadline(until.min(poll))).await;
     }
 }
 
 /// Waits until a request with these subjects must not be sent.
-pub(crate) async fn blocked(shared: &Shared, subjects: &[Subject]) {
+pub(crate) async fn blocked<I>(shared: &Shared, subjects: I)
+where
+    I: IntoIterator<Item = Subject> + Clone,
+{
     let mut convicted = shared.convicted.subscribe();
     loop {
         convicted.mark_unchanged();
-        if matches!(check(shared, subjects), Admission::Blocked { .. }) {
+        if matches!(check(shared, subjects.clone()), Admission::Blocked { .. }) {
             return;
         }
         if convicted.changed().await.is_err() {
@@ -83,7 +95,10 @@
 }
 
 /// Records that a request with these subjects was answered.
-pub(crate) fn record_answer(shared: &Shared, request: &str, subjects: &[Subject]) {
+pub(crate) fn record_answer<I>(shared: &Shared, request: &str, subjects: I)
+where
+    I: IntoIterator<Item = Subject>,
+{
     let mut quarantine = shared.quarantine.lock();
     let cleared = quarantine.record_answer(shared.now(), subjects);
     let has_news = quarantine.news_at() != Time::NEVER;
@@ -122,11 +137,15 @@
             continue;
         }
         next_send = now + NEWS_INTERVAL_MS * MILLISECOND;
-        let messages = shared.quarantine.lock().take_news(now);
-        let peers = peers(&shared);
-        for message in &messages {
-            for peer in &peers {
-                send(&shared, *peer, message).await;
+        let (messages, (collectors, parts)) = {
+            let mut quarantine = shared.quarantine.lock();
+            (quarantine.take_news(now), quarantine.take_parts(now))
+        };
+        for (peers, messages) in [(peers(&shared), messages), (collectors, parts)] {
+            for message in &messages {
+                for peer in &peers {
+                    send(&shared, *peer, message).await;
+                }
             }
         }
     }
--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -45,8 +45,8 @@
 /// The requests that crash endpoints.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(crate) enum Trigger {
-    /// Those of which a part other than the last has this id.
-    Part(u64),
+    /// Those of which a part has this id.
+    Part(&'static str),
     /// Those with this method.
     Method(&'static str),
 }
@@ -55,9 +55,9 @@
     fn matches(self, request: &ReceivedRequest) -> bool {
         match self {
             Trigger::Part(part) => {
-                let parts = request.header("prompt-parts").unwrap_or_default();
-                let ids = parts.split(',').filter_map(|it| it.split_once(':'));
-                ids.map(|it| it.0).any(|it| it == format!("{part:x}"))
+                let lines = request.head.lines().filter_map(|it| it.strip_prefix("prompt-parts: "));
+                let parts = lines.flat_map(|it| it.split(',')).filter_map(|it| it.split_once(':'));
+                parts.map(|it| it.0).any(|it| it == part)
             }
             Trigger::Method(method) => request.head.starts_with(&format!("{method} ")),
         }
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -14,7 +14,7 @@
 const MAX_CRASHES: usize = 32;
 
 /// How long evidence is kept after the last crash or trial, in microseconds.
-const RETENTION: u64 = 600 * SECOND;
+pub(crate) const RETENTION: u64 = 600 * SECOND;
 
 /// How long a convicted subject is blocked before its first trial, in microseconds. A trial may cost
 /// an endpoint and all that it runs.
@@ -163,7 +163,7 @@
     }
 
     pub(crate) fn report(&self, now: Time, subject: Subject) -> Report {
-        let age_ms = |at: Time| u32::try_from(now.since(at) / MILLISECOND).unwrap_or(u32::MAX);
+        let age_ms = |at: Time| age_ms(now, at);
         Report {
             subject,
             crashes: self.crashes.iter().map(|it| (it.incarnation, age_ms(it.at))).collect(),
@@ -181,3 +181,8 @@
         mix2(subject.hash(), mix2(crashes, u64::from(self.trials)))
     }
 }
+
+/// Returns how long ago something was, in milliseconds.
+pub(crate) fn age_ms(now: Time, at: Time) -> u32 {
+    u32::try_from(now.since(at) / MILLISECOND).unwrap_or(u32::MAX)
+}
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -9,6 +9,8 @@
 //! gets, with another subject that explains the crashes, or with a trial that succeeds; it is
 //! forgotten if neither a crash nor a trial has happened for a long time.
 
+mod answered;
+mod crashed_prompts;
 mod evidence;
 mod message;
 mod quarantine;
--- a/crates/quarantine/src/message.rs
+++ b/crates/quarantine/src/message.rs
@@ -41,7 +41,7 @@
 }
 
 /// A message between routers. Encoded by `bincode`, so the order of the variants and fields is the
-/// wire format.
+/// wire format. Readers drop a message with a variant that they do not know.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Debug)]
 pub enum Message {
     /// Asks for evidence if the receiver's differs from that with this digest.
@@ -50,4 +50,14 @@
     Answer(u64, Vec<Report>),
     /// Evidence.
     Tell(Vec<Report>),
+    /// Parts of long prompts under which a run of an endpoint crashed. Unknown to readers of commit
+    /// 0d4d3b9.
+    Crashed {
+        /// Identifies the run of the endpoint.
+        incarnation: u64,
+        /// How long ago it crashed, in milliseconds.
+        age_ms: u32,
+        /// The ids of the parts.
+        parts: Vec<u64>,
+    },
 }
--- a/crates/quarantine/src/subject.rs
+++ b/crates/quarantine/src/subject.rs
@@ -20,6 +20,14 @@
 }
 
 impl Subject {
+    /// Returns the id of the part, if it is one.
+    pub(crate) fn part(self) -> Option<u64> {
+        match self {
+            Subject::Request(_) => None,
+            Subject::Part(id) => Some(id),
+        }
+    }
+
     /// Returns the fewest crashes that may convict the subject. A request that merely ran during a
     /// crash has one. A part is in many requests, so it meets crashes of other causes more often.
     pub(crate) fn min_crashes(self) -> usize {
--- a/crates/quarantine/tests/fleet.rs
+++ b/crates/quarantine/tests/fleet.rs
@@ -8,7 +8,7 @@
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
     rstest::rstest,
-    std::{cmp::Reverse, collections::BinaryHeap, net::SocketAddr},
+    std::{cmp::Reverse, collections::BinaryHeap, net::SocketAddr, rc::Rc},
 };
 
 /// How long routers may take to agree, in microseconds.
@@ -30,6 +30,9 @@
 /// From when the part crashes endpoints.
 const CRASHES_FROM: Time = Time(2 * SECOND);
 
+/// The minimum time between two rounds of news of a router, in microseconds.
+const NEWS_INTERVAL: u64 = 100 * MILLISECOND;
+
 /// How often a router compares its evidence with that of another one, in microseconds.
 const COMPARE_INTERVAL: u64 = 500 * MILLISECOND;
 
@@ -56,6 +59,10 @@
     sound_at_first: bool,
     /// Whether a router is killed each second and starts again.
     restarts: bool,
+    /// The number of further parts of each prompt.
+    further_parts: u64,
+    /// Whether each prompt has further parts of its own.
+    own_parts: bool,
     seconds: u64,
     seed: u64,
 }
@@ -105,7 +112,8 @@
 
 struct Request {
     router: usize,
-    subjects: [Subject; 3],
+    crashing: bool,
+    subjects: Rc<[Subject]>,
     endpoint: usize,
     attempts: u32,
     repeated: bool,
@@ -247,21 +255,26 @@
                 let own = self.random.random();
                 let part = Subject::Part(self.random.random_range(0..COMMON_PARTS));
                 let part = if crashing { CRASHING_PART } else { part };
-                let subjects = [Subject::Request(own), FIRST_PART, part];
-                self.submit(subjects, repeated);
+                let first = if self.plan.own_parts { own } else { COMMON_PARTS };
+                let further = (0..self.plan.further_parts).map(|it| first.wrapping_add(it));
+                let subjects = [Subject::Request(own), FIRST_PART].into_iter();
+                let subjects = subjects.chain(further.map(Subject::Part)).chain([part]);
+                self.submit(crashing, subjects.collect(), repeated);
             }
             Event::Run { request } => self.run_request(request),
             Event::Begin { request, incarnation } => self.begin(request, incarnation),
             Event::Establish { request, incarnation } => {
-                let Request { router, subjects, endpoint, .. } = self.requests[request];
+                let Request { router, endpoint, .. } = self.requests[request];
                 if self.endpoints[endpoint].incarnation == incarnation {
-                    self.routers[router].record_answer(now, &subjects);
+                    let subjects = &self.requests[request].subjects;
+                    self.routers[router].record_answer(now, subjects.iter());
                     self.schedule_news(router);
                 }
             }
             Event::Notice { request, incarnation, at } => {
-                let Request { router, subjects, .. } = self.requests[request];
-                self.routers[router].record_crash(now, &subjects, incarnation, at);
+                let Request { router, subjects, .. } = &self.requests[request];
+                let router = *router;
+                self.routers[router].record_crash(now, subjects.iter(), incarnation, at);
                 self.schedule_news(router);
             }
             Event::Deliver { from, to, message } => {
@@ -277,6 +290,15 @@
                         self.send(router, peer, message.clone());
                     }
                 }
+                let (collectors, messages) = self.routers[router].take_parts(now);
+                for message in messages {
+                    for peer in collectors.iter().map(|it| usize::from(it.port()) - 1) {
+                        self.send(router, peer, message.clone());
+                    }
+                }
+                if self.routers[router].news_at() <= now {
+                    self.schedule(NEWS_INTERVAL, Event::News { router });
+                }
             }
             Event::Compare { router } => {
                 let others = self.plan.routers - 1;
@@ -297,22 +319,23 @@
         }
     }
 
-    fn submit(&mut self, subjects: [Subject; 3], repeated: bool) {
+    fn submit(&mut self, crashing: bool, subjects: Rc<[Subject]>, repeated: bool) {
         let router = self.random.random_range(0..self.plan.routers);
-        let is_blocked =
-            matches!(self.routers[router].check(self.now, &subjects), Admission::Blocked { .. });
-        if subjects[2] != CRASHING_PART {
+        let admission = self.routers[router].check(self.now, subjects.iter());
+        let is_blocked = matches!(admission, Admission::Blocked { .. });
+        if !crashing {
             self.outcome.sound.push((self.now, !is_blocked));
         }
         if !is_blocked {
-            let request = Request { router, subjects, endpoint: 0, attempts: 0, repeated };
+            let request =
+                Request { router, crashing, subjects, endpoint: 0, attempts: 0, repeated };
             self.requests.push(request);
             self.schedule(5 * MILLISECOND, Event::Run { request: self.requests.len() - 1 });
         }
     }
 
     fn run_request(&mut self, request: usize) {
-        let Request { router, subjects, .. } = self.requests[request];
+        let Request { router, crashing, .. } = self.requests[request];
         let up: Vec<_> = (0..self.endpoints.len())
             .filter(|it| self.endpoints[*it].down_until <= self.now)
             .filter(|it| !self.is_separated(router, *it))
@@ -320,7 +343,7 @@
         if up.is_empty() {
             return;
         }
-        match self.routers[router].admit(self.now, &subjects) {
+        match self.routers[router].admit(self.now, self.requests[request].subjects.iter()) {
             Admission::Allowed | Admission::Trial(_) => {}
             Admission::Blocked { .. } => return,
             Admission::Undecided { until } => {
@@ -330,7 +353,7 @@
         }
         self.schedule_news(router);
         let endpoint = up[self.random.random_range(0..up.len())];
-        if subjects[2] == CRASHING_PART && self.is_in_touch(router) {
+        if crashing && self.is_in_touch(router) {
             self.outcome.arrivals.push(self.now);
         }
         self.requests[request].endpoint = endpoint;
@@ -342,11 +365,11 @@
     }
 
     fn begin(&mut self, request: usize, incarnation: u64) {
-        let Request { subjects, endpoint, .. } = self.requests[request];
+        let Request { crashing, endpoint, .. } = self.requests[request];
         if self.endpoints[endpoint].incarnation != incarnation {
             return;
         }
-        if subjects[2] != CRASHING_PART || self.now < CRASHES_FROM {
+        if !crashing || self.now < CRASHES_FROM {
             self.endpoints[endpoint].waiting.retain(|it| *it != request);
             self.schedule(250 * MILLISECOND, Event::Establish { request, incarnation });
             return;
@@ -360,10 +383,10 @@
         for request in hit {
             let notice = Event::Notice { request, incarnation: id, at: self.now };
             self.schedule(5 * MILLISECOND, notice);
-            let Request { attempts, subjects, repeated, .. } = self.requests[request];
+            let Request { attempts, crashing, repeated, .. } = self.requests[request];
             if attempts < 2 {
                 self.schedule(6 * MILLISECOND, Event::Run { request });
-            } else if !repeated && subjects[2] == CRASHING_PART {
+            } else if !repeated && crashing {
                 self.schedule(200 * MILLISECOND, Event::Send { crashing: true, repeated: true });
             }
         }
@@ -400,6 +423,8 @@
     cut_s: None,
     sound_at_first: false,
     restarts: false,
+    further_parts: 0,
+    own_parts: false,
     seconds: 30,
     seed: 1,
 };
@@ -413,6 +438,29 @@
     ..SMALL
 };
 
+/// A fleet before prompts with as many parts as fit into a head, each with some of its own.
+const LONG: Plan =
+    Plan { further_parts: 1_300, own_parts: true, sound_rate: 20, seconds: 20, ..SMALL };
+
+/// The parts of prompts beyond the 64th were not watched, so that one that crashes endpoints was
+/// never found behind them (review/15).
+#[rstest]
+#[case::common_parts(Plan { further_parts: 70, ..SMALL })]
+#[case::many_common_parts(Plan { further_parts: 1_300, sound_rate: 40, seconds: 20, ..SMALL })]
+#[case::own_parts(LONG)]
+#[case::datagrams_lost(Plan { loss: 20, ..LONG })]
+#[case::domain_cut_off(Plan { cut_s: Some((1, 8)), ..LONG })]
+#[case::restarts(Plan { restarts: true, ..LONG })]
+#[case::sound_at_first(Plan { sound_at_first: true, ..LONG })]
+#[case::one_router(Plan { routers: 1, ..LONG })]
+#[case::large(Plan { further_parts: 70, own_parts: true, sound_rate: 100, ..LARGE })]
+#[case::large_common_parts(Plan { further_parts: 70, sound_rate: 100, seconds: 15, ..LARGE })]
+fn part_that_crashes_endpoints_is_stopped_behind_many_others(#[case] plan: Plan) {
+    if let Err(err) = check(plan) {
+        panic!("{err}");
+    }
+}
+
 #[rstest]
 #[case::small(SMALL)]
 #[case::one_router(Plan { routers: 1, ..SMALL })]
@@ -456,6 +504,37 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 8, ..ProptestConfig::default() })]
+
+    /// Long prompts, with parts of their own or in common.
+    #[test]
+    fn part_that_crashes_endpoints_is_stopped_behind_many_others_in_any_fleet(
+        routers in 1_usize..10,
+        endpoints in 6_usize..30,
+        crashing_rate in 1_u64..12,
+        sound_rate in 20_u64..60,
+        loss in 0_u32..20,
+        further_parts in 64_u64..400,
+        own_parts: bool,
+        seed: u64,
+    ) {
+        let plan = Plan {
+            routers,
+            endpoints,
+            crashing_rate,
+            sound_rate,
+            loss,
+            further_parts,
+            own_parts,
+            seconds: 20,
+            seed,
+            ..SMALL
+        };
+        check(plan).map_err(TestCaseError::fail)?;
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
 
@@ -481,6 +560,8 @@
             cut_s,
             sound_at_first: false,
             restarts,
+            further_parts: 0,
+            own_parts: false,
             seconds: 20,
             seed,
         };
--- a/crates/quarantine/tests/verdicts.rs
+++ b/crates/quarantine/tests/verdicts.rs
@@ -57,7 +57,7 @@
 fn served_request_clears_its_crash_record() {
     let (mut quarantine, now) = (quarantine(), at_ms(0));
     quarantine.record_crash(now, &[REQUEST], 1, now);
-    quarantine.record_answer(now, &[REQUEST]);
+    quarantine.record_answer(now, [REQUEST]);
     quarantine.record_crash(now + 1, &[REQUEST], 2, now + 1);
     assert!(!is_blocked(&mut quarantine, now + 1, REQUEST));
 }
@@ -67,7 +67,7 @@
     let mut quarantine = quarantine();
     for at in 0..3 {
         crash(&mut quarantine, &[Subject::Request(at), FIRST_PART, PART], at * 300, 1);
-        quarantine.record_answer(at_ms(at * 300 + 250), &[FIRST_PART]);
+        quarantine.record_answer(at_ms(at * 300 + 250), [FIRST_PART]);
     }
     let admission = quarantine.check(at_ms(900), &[PART]);
     assert_eq!(
@@ -90,7 +90,7 @@
 #[test]
 fn endpoints_that_end_at_one_moment_do_not_convict_a_part_that_was_answered() {
     let mut quarantine = quarantine();
-    quarantine.record_answer(at_ms(0), &[PART]);
+    quarantine.record_answer(at_ms(0), [PART]);
     for endpoint in 1..8 {
         let now = at_ms(endpoint);
         quarantine.record_crash(now, &[PART], endpoint, now);
@@ -102,7 +102,7 @@
 #[test]
 fn part_that_was_sound_is_tried_soon() {
     let mut quarantine = quarantine();
-    quarantine.record_answer(at_ms(0), &[PART]);
+    quarantine.record_answer(at_ms(0), [PART]);
     let last_crash = crash(&mut quarantine, &[PART], 100, 3);
     assert!(!is_blocked(&mut quarantine, last_crash + SECOND, PART));
     let last_crash = crash(&mut quarantine, &[PART], 700, 6);
@@ -150,7 +150,7 @@
     let last = crash(&mut quarantine, &[PART], 0, 3) + SECOND;
     assert!(is_blocked(&mut quarantine, last, PART));
     // The request was sent before the verdict.
-    quarantine.record_answer(last, &[PART]);
+    quarantine.record_answer(last, [PART]);
     assert_eq!(quarantine.check(last, &[PART]), Admission::Allowed);
 }
 
@@ -172,7 +172,7 @@
     let trial_at = last_crash + pause_s * SECOND;
     assert!(is_blocked(&mut quarantine, trial_at.saturating_sub(MILLISECOND), PART));
     assert_eq!(quarantine.admit(trial_at, &[PART]), Admission::Trial(PART));
-    quarantine.record_answer(trial_at + SECOND, &[PART]);
+    quarantine.record_answer(trial_at + SECOND, [PART]);
     assert_eq!(quarantine.check(trial_at + SECOND, &[PART]), Admission::Allowed);
 }
 
@@ -232,7 +232,7 @@
 fn router_that_knows_an_answer_tells_those_that_know_only_crashes() {
     let (mut informed, mut cut) = (quarantine(), Quarantine::new(addr(2)));
     crash(&mut cut, &[FIRST_PART], 0, 3);
-    informed.record_answer(at_ms(5_000), &[FIRST_PART]);
+    informed.record_answer(at_ms(5_000), [FIRST_PART]);
     let now = at_ms(10_000);
     let crashes = cut.take_news(now);
     assert!(matches!(crashes[..], [Message::Tell(_)]));
