Bound the search for routes that moved

By reading: the search for the route that covers a prefix hashed the prefix at each of its lengths, so a configuration with a prefix of some megabytes would have kept a gateway busy for minutes. It now looks only at the lengths that occur. moved_routes_are_found_beside_a_very_long_prefix covers it.

--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -4,7 +4,10 @@
     crate::config::{Route, RoutingConfig, Service, Team},
     derive_more::Debug,
     model::{Digest, Name},
-    std::{collections::HashMap, sync::Arc},
+    std::{
+        collections::{BTreeSet, HashMap},
+        sync::Arc,
+    },
 };
 
 /// The route and the service of a request.
@@ -65,13 +68,13 @@
     /// Returns the routes, by host and prefix, some of whose requests went to other services by the
     /// table `before`.
     pub fn moved_routes(&self, before: &RouteTable) -> Vec<(Name, Name)> {
-        let (old_routes, new_routes) = (by_prefix(&before.config), by_prefix(&self.config));
+        let (old_routes, new_routes) = (Prefixes::new(&before.config), Prefixes::new(&self.config));
         let changed = self.config.routes.iter().filter(|it| {
-            find_covering(&old_routes, it).is_some_and(|old| !has_same_services(old, it))
+            old_routes.find_covering(it).is_some_and(|old| !has_same_services(old, it))
         });
         // The requests of a route that is gone may go to one with a shorter prefix.
         let inherited = before.config.routes.iter().filter_map(|old| {
-            let heir = find_covering(&new_routes, old)?;
+            let heir = new_routes.find_covering(old)?;
             (!has_same_services(old, heir)).then_some(heir)
         });
         let moved = changed.chain(inherited).map(|it| (it.host.clone(), it.prefix.clone()));
@@ -98,18 +101,26 @@
     }
 }
 
-fn by_prefix(config: &RoutingConfig) -> HashMap<(&str, &str), &Route> {
-    config.routes.iter().map(|it| ((&*it.host, &*it.prefix), it)).collect()
+/// The routes of a configuration by host and prefix. There may be very many, and very long prefixes.
+struct Prefixes<'a> {
+    routes: HashMap<(&'a str, &'a str), &'a Route>,
+    /// The lengths of the prefixes.
+    lengths: BTreeSet<usize>,
 }
 
-/// Returns the route that the requests below the prefix of `route` go to. The search takes as many
-/// steps as the prefix has bytes, as a configuration may have very many routes.
-fn find_covering<'a>(
-    routes: &HashMap<(&str, &str), &'a Route>,
-    route: &Route,
-) -> Option<&'a Route> {
-    let prefixes = (0..=route.prefix.len()).rev().filter_map(|end| route.prefix.get(..end));
-    prefixes.filter_map(|it| routes.get(&(&*route.host, it)).copied()).next()
+impl<'a> Prefixes<'a> {
+    fn new(config: &'a RoutingConfig) -> Prefixes<'a> {
+        let routes = config.routes.iter().map(|it| ((&*it.host, &*it.prefix), it)).collect();
+        let lengths = config.routes.iter().map(|it| it.prefix.len()).collect();
+        Prefixes { routes, lengths }
+    }
+
+    /// Returns the route that the requests below the prefix of `route` go to.
+    fn find_covering(&self, route: &Route) -> Option<&'a Route> {
+        let lengths = self.lengths.range(..=route.prefix.len()).rev();
+        let prefixes = lengths.filter_map(|it| route.prefix.get(..*it));
+        prefixes.filter_map(|it| self.routes.get(&(&*route.host, it)).copied()).next()
+    }
 }
 
 fn has_same_services(a: &Route, b: &Route) -> bool {
--- a/crates/route/tests/config.rs
+++ b/crates/route/tests/config.rs
@@ -88,6 +88,20 @@
     assert_eq!(found, moved);
 }
 
+/// A search over all lengths of a prefix would take minutes.
+#[test]
+fn moved_routes_are_found_beside_a_very_long_prefix() {
+    let table = |service: &str| {
+        let mut config = config(1);
+        let mut route = config.routes.swap_remove(0);
+        route.prefix = "/".repeat(4 << 20).as_str().into();
+        route.split = smallvec![WeightedService { service: service.into(), weight: 1 }];
+        config.routes = vec![route];
+        RouteTable::new(config.into())
+    };
+    assert_eq!(table("t").moved_routes(&table("s")).len(), 1);
+}
+
 fn cold(start_ms: f64, rate: f64) -> Option<ColdStart> {
     Some(ColdStart { start_ms, rate })
 }
