--- a/crates/quarantine/tests/long_prompts.rs
+++ b/crates/quarantine/tests/long_prompts.rs
@@ -4,7 +4,7 @@
     model::{MILLISECOND, SECOND, Time},
     quarantine::{Admission, Message, Quarantine, Subject},
     rstest::rstest,
-    std::net::SocketAddr,
+    std::{collections::HashSet, net::SocketAddr},
 };
 
 const PART: Subject = Subject::Part(0xbad);
@@ -182,6 +182,45 @@
     assert!(quarantine.take_parts(now).1.is_empty());
 }
 
+/// More parts have two crashes than become subjects at a time, and one has three.
+#[rstest]
+fn parts_with_the_most_crashes_become_subjects_first(
+    #[values(0xb0, 0xb1, 0xb2, 0xb3, 0xb4, 0xb5, 0xb6, 0xb7)] part: u64,
+) {
+    let mut quarantine = quarantine(1);
+    let part = Subject::Part(part);
+    for (id, incarnation) in [(1, 1), (1, 2), (2, 3)] {
+        let now = at_ms(incarnation * 500);
+        quarantine.record_crash(now, &request(id, MAX_PARTS, 7, part), incarnation, now);
+        quarantine.take_news(now);
+    }
+    assert!(is_blocked(&mut quarantine, at_ms(3_000), &[part]));
+}
+
+#[test]
+fn news_of_many_subjects_are_told_a_part_at_a_time() {
+    let mut quarantine = quarantine(3);
+    let now = at_ms(0);
+    for id in 1..=20 {
+        quarantine.record_crash(now, &request(id, 64, 7, PART), id, now);
+    }
+    let (mut rounds, mut told) = (0, HashSet::new());
+    while quarantine.news_at() <= now {
+        let news = quarantine.take_news(now);
+        assert!((1..=16).contains(&news.len()), "{} messages", news.len());
+        for message in news {
+            let Message::Tell(reports) = message else { panic!("{message:?}") };
+            if rounds == 0 && told.is_empty() {
+                assert_eq!(reports[0].subject, PART, "the one with the most crashes comes first");
+            }
+            told.extend(reports.into_iter().map(|it| it.subject));
+        }
+        rounds += 1;
+    }
+    // One for each request, one for each of its own parts, and the common part.
+    assert_eq!((told.len(), rounds > 1), (20 + 20 * 63 + 1, true));
+}
+
 /// Lets routers tell each other all news.
 fn exchange(now: Time, routers: &mut [Quarantine]) {
     for _ in 0..40 {
@@ -230,9 +269,11 @@
 
 /// The sound parts of a long chat come with the one that crashes endpoints, and are answered
 /// elsewhere. More of them have as many crashes than become subjects at a time.
-#[test]
-fn common_parts_that_are_answered_do_not_hide_the_one_that_crashes_endpoints() {
-    let mut routers = fleet(3);
+#[rstest]
+fn common_parts_that_are_answered_do_not_hide_the_one_that_crashes_endpoints(
+    #[values(0xb0, 0xb1, 0xb2, 0xb3, 0xb4, 0xb5, 0xb6, 0xb7)] part: u64,
+) {
+    let (part, mut routers) = (Subject::Part(part), fleet(3));
     let chat = |id, last| {
         let common = (0..1_000).map(|it| Subject::Part(0x5c1e_0000 + it));
         let own = [Subject::Request(id)].into_iter();
@@ -243,14 +284,14 @@
     }
     for id in 1..=3 {
         let now = at_ms(id * 1_000);
-        routers[id as usize % 2].record_crash(now, &chat(100 + id, PART), id, now);
+        routers[id as usize % 2].record_crash(now, &chat(100 + id, part), id, now);
         exchange(now + 10 * MILLISECOND, &mut routers);
         let answered_at = now + 300 * MILLISECOND;
         routers[2].record_answer(answered_at, chat(200 + id, Subject::Part(id)));
         exchange(answered_at + 10 * MILLISECOND, &mut routers);
     }
     for router in &mut routers {
-        assert!(is_blocked(router, at_ms(4_000), &chat(300, PART)));
+        assert!(is_blocked(router, at_ms(4_000), &chat(300, part)));
         assert_eq!(router.check(at_ms(4_000), &chat(301, Subject::Part(9))), Admission::Allowed);
     }
 }
@@ -262,7 +303,9 @@
     let mut quarantine = quarantine(1);
     for id in 0..200 {
         let now = at_ms(id * 10);
-        quarantine.record_answer(now, [OTHER_PART]);
+        if id % 20 == 0 {
+            quarantine.record_answer(now, [OTHER_PART]);
+        }
         quarantine.record_answer(now, request(id, MAX_PARTS, 0, Subject::Part(1)));
     }
     for id in 1..=3 {
