Record answers to all parts that are kept with a crash

A sound chat with over 64 parts was blocked after a part next to them had crashed endpoints, although it was answered: an answer added only 64 parts to the memory of answers, so that the others became subjects in turn.

Parts that are kept with a crash are recorded as answered without that limit. They are counted in a table now, so that an answer costs one lookup a part, and half as many are kept.

--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -40,7 +40,8 @@
         let unread_parts = match prompt {
             Some(_) => Box::default(),
             None => {
-                let mut ids: Vec<_> = parts().map(part_id).collect();
+                let named = parts().filter(|it| !it.trim_ascii().is_empty());
+                let mut ids: Vec<_> = named.map(part_id).collect();
                 ids.pop();
                 ids.into()
             }
--- a/crates/quarantine/src/answered.rs
+++ b/crates/quarantine/src/answered.rs
@@ -27,10 +27,12 @@
         self.current.remove(&part).or(previous)
     }
 
-    /// Records an answer to a prompt with these parts.
-    pub(crate) fn record<I>(&mut self, now: Time, parts: I)
+    /// Records an answer to a prompt with these parts. Those that are suspected are always kept, as the
+    /// answer contradicts their crashes.
+    pub(crate) fn record<I, F>(&mut self, now: Time, parts: I, is_suspected: F)
     where
         I: IntoIterator<Item = u64>,
+        F: Fn(u64) -> bool,
     {
         let mut added = 0;
         for part in parts {
@@ -38,7 +40,7 @@
                 *at = now;
                 continue;
             }
-            if self.previous.remove(&part).is_none() {
+            if self.previous.remove(&part).is_none() && !is_suspected(part) {
                 if added >= MAX_ADDED {
                     continue;
                 }
--- a/crates/quarantine/src/crashed_prompts.rs
+++ b/crates/quarantine/src/crashed_prompts.rs
@@ -8,7 +8,7 @@
     crate::evidence::{Crash, RETENTION},
     derive_more::Debug,
     model::Time,
-    std::collections::VecDeque,
+    std::collections::{HashMap, VecDeque, hash_map::Entry},
 };
 
 /// The maximum number of crashes whose parts are kept, the latest ones.
@@ -19,7 +19,7 @@
 const MAX_CRASH_PARTS: usize = 131_072;
 
 /// The maximum number of parts that are kept for all crashes. The oldest crashes are dropped first.
-const MAX_PARTS: usize = 4 * MAX_CRASH_PARTS;
+const MAX_PARTS: usize = 2 * MAX_CRASH_PARTS;
 
 /// The parts under which one run of an endpoint crashed.
 #[derive(Debug)]
@@ -40,6 +40,9 @@
 #[derive(Default, Debug)]
 pub(crate) struct CrashedPrompts {
     prompts: VecDeque<CrashedPrompt>,
+    /// The number of crashes of each part.
+    #[debug(skip)]
+    counts: HashMap<u64, u16>,
 }
 
 impl CrashedPrompts {
@@ -58,11 +61,14 @@
         new.sort_unstable();
         new.dedup();
         new.truncate(MAX_CRASH_PARTS - prompt.parts.len());
+        for part in &new {
+            *self.counts.entry(*part).or_default() += 1;
+        }
         prompt.parts.extend(&new);
         prompt.parts.sort_unstable();
         self.prompts.push_back(prompt);
         while self.prompts.len() > MAX_CRASHES || self.len() > MAX_PARTS {
-            self.prompts.pop_front();
+            self.drop_first();
         }
         new
     }
@@ -73,17 +79,18 @@
     where
         F: Fn(u64) -> Option<Time>,
     {
-        let mut all: Vec<_> = self.prompts.iter().flat_map(|it| &it.parts).copied().collect();
-        all.sort_unstable();
-        let repeated = all.chunk_by(|a, b| a == b).filter(|it| it.len() > 1);
-        let with_crashes = repeated.map(|it| {
-            let (crashes, part) = (it.len(), it[0]);
-            let later = |at| self.crashes(part).filter(|it| it.at > at).count();
-            (answered(part).map_or(crashes, later), part)
+        let repeated = self.counts.iter().filter(|it| *it.1 > 1);
+        let with_crashes = repeated.map(|(part, count)| {
+            let later = |at| self.crashes(*part).filter(|it| it.at > at).count();
+            (answered(*part).map_or(usize::from(*count), later), *part)
         });
         with_crashes.filter(|it| it.0 > 1).collect()
     }
 
+    pub(crate) fn contains(&self, part: u64) -> bool {
+        self.counts.contains_key(&part)
+    }
+
     /// Returns the crashes under a part.
     pub(crate) fn crashes(&self, part: u64) -> impl Iterator<Item = Crash> {
         self.prompts.iter().filter(move |it| it.contains(part)).map(|it| it.crash)
@@ -94,7 +101,21 @@
     }
 
     pub(crate) fn expire(&mut self, now: Time) {
-        self.prompts.retain(|it| now < it.crash.at + RETENTION);
+        // The order is that in which the crashes became known, which is nearly that of their times.
+        while self.prompts.front().is_some_and(|it| now >= it.crash.at + RETENTION) {
+            self.drop_first();
+        }
+    }
+
+    fn drop_first(&mut self) {
+        for part in self.prompts.pop_front().into_iter().flat_map(|it| it.parts) {
+            if let Entry::Occupied(mut count) = self.counts.entry(part) {
+                *count.get_mut() -= 1;
+                if *count.get() == 0 {
+                    count.remove();
+                }
+            }
+        }
     }
 
     /// Returns the number of parts that are kept, of all crashes.
--- a/crates/quarantine/src/message.rs
+++ b/crates/quarantine/src/message.rs
@@ -6,6 +6,9 @@
     serde::{Deserialize, Serialize},
 };
 
+/// The size of the reports in one message, in bytes, so that it fits into a packet.
+const MAX_MESSAGE_BYTES: usize = 1_200;
+
 /// An answer that a router knows of.
 #[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
 pub struct AnswerReport {
@@ -61,3 +64,20 @@
         parts: Vec<u64>,
     },
 }
+
+/// Divides reports among messages.
+pub(crate) fn pack<I>(reports: I) -> impl Iterator<Item = Vec<Report>>
+where
+    I: Iterator<Item = Report>,
+{
+    let mut reports = reports.peekable();
+    std::iter::from_fn(move || {
+        let mut packed = vec![reports.next()?];
+        let mut bytes = packed[0].encoded_len();
+        while let Some(next) = reports.next_if(|it| bytes + it.encoded_len() <= MAX_MESSAGE_BYTES) {
+            bytes += next.encoded_len();
+            packed.push(next);
+        }
+        Some(packed)
+    })
+}
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -5,7 +5,7 @@
         answered::Answered,
         crashed_prompts::CrashedPrompts,
         evidence::{Crash, Evidence, age_ms},
-        message::{Message, Report},
+        message::{Message, Report, pack},
         subject::Subject,
         verdict::{Verdict, Verdicts, convict},
     },
@@ -62,9 +62,6 @@
 /// The maximum number of subjects in the evidence that routers compare.
 const MAX_COMPARED: usize = 24;
 
-/// The size of the reports in one message, in bytes, so that it fits into a packet.
-const MAX_MESSAGE_BYTES: usize = 1_200;
-
 /// Whether a request may be sent.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Admission {
@@ -185,7 +182,8 @@
                 parts.push(part);
             }
         }
-        self.answered.record(now, parts);
+        let prompts = &self.prompts;
+        self.answered.record(now, parts, |it| prompts.contains(it));
         cleared
     }
 
@@ -489,23 +487,6 @@
     subjects.into_iter().map(|it| *Borrow::<Subject>::borrow(&it))
 }
 
-/// Divides reports among messages.
-fn pack<I>(reports: I) -> impl Iterator<Item = Vec<Report>>
-where
-    I: Iterator<Item = Report>,
-{
-    let mut reports = reports.peekable();
-    std::iter::from_fn(move || {
-        let mut packed = vec![reports.next()?];
-        let mut bytes = packed[0].encoded_len();
-        while let Some(next) = reports.next_if(|it| bytes + it.encoded_len() <= MAX_MESSAGE_BYTES) {
-            bytes += next.encoded_len();
-            packed.push(next);
-        }
-        Some(packed)
-    })
-}
-
 /// Returns the routers that are told the parts of long prompts, by a hash of their addresses so that
 /// all choose the same ones.
 fn collectors(own: SocketAddr, members: &[SocketAddr]) -> Vec<SocketAddr> {
--- a/crates/quarantine/tests/long_prompts.rs
+++ b/crates/quarantine/tests/long_prompts.rs
@@ -139,7 +139,7 @@
         quarantine.record_crash(now, &request(id, 3_000, 7, PART), 1_000 + id, now);
         quarantine.take_news(now);
         let (subjects, parts) = quarantine.sizes();
-        assert!(subjects <= 4_096 && parts <= 524_288, "{subjects} subjects, {parts} parts");
+        assert!(subjects <= 4_096 && parts <= 262_144, "{subjects} subjects, {parts} parts");
     }
     let (_, parts) = quarantine.sizes();
     assert!(parts >= 2 * MAX_PARTS);
@@ -197,6 +197,26 @@
     assert!(is_blocked(&mut quarantine, at_ms(3_000), &[part]));
 }
 
+/// Those that became subjects first turn out to be sound, and no other crash follows.
+#[rstest]
+fn an_answer_makes_room_for_other_suspects(
+    #[values(0xb0, 0xb1, 0xb2, 0xb3, 0xb4, 0xb5, 0xb6, 0xb7)] part: u64,
+) {
+    let mut quarantine = quarantine(1);
+    let common = (0..2_500).map(|it| Subject::Part(0x5c1e_0000 + it));
+    let sound: Vec<_> = common.collect();
+    let crashing = [sound.as_slice(), &[Subject::Part(part)]].concat();
+    for incarnation in 1..=3 {
+        let now = at_ms(incarnation * 500);
+        quarantine.record_crash(now, &crashing, incarnation, now);
+    }
+    quarantine.take_news(at_ms(1_500));
+    quarantine.record_answer(at_ms(1_600), &sound);
+    quarantine.take_news(at_ms(1_700));
+    assert!(is_blocked(&mut quarantine, at_ms(3_000), &crashing));
+    assert_eq!(quarantine.check(at_ms(3_000), &sound), Admission::Allowed);
+}
+
 #[test]
 fn news_of_many_subjects_are_told_a_part_at_a_time() {
     let mut quarantine = quarantine(3);
