--- a/crates/origin/src/lib.rs
+++ b/crates/origin/src/lib.rs
@@ -9,6 +9,7 @@
 //! taken to be the only version listed only if no other one can have begun the stream.
 
 mod builds;
+mod lookup;
 mod members;
 mod message;
 mod origins;
--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         builds::Builds,
+        lookup::{Asked, CONFIRM_MS, Lookup, MAX_ASKED, MAX_ASKED_REPLICAS, MAX_LIST_AGE_MS},
         members::Members,
         message::{Message, Origin, Record, StreamKey, Wanted},
         table::{Entry, MAX_KEEP_MS, Table, Untold},
@@ -20,25 +21,12 @@
 /// The number of other routers that are told the origin of a stream, and of replicas, if any.
 const COPIES: usize = 2;
 
-/// The maximum number of routers that are asked for an origin. It is more than are told, as routers
-/// may know different members.
-const MAX_ASKED: usize = 6;
-
-/// The maximum number of replicas that are asked for an origin. Two were told, and all of a usual
-/// group can prove together which version alone was listed.
-const MAX_ASKED_REPLICAS: usize = 5;
-
 /// When processes that have not answered are asked once more, in milliseconds after the first time.
 const RESEND_MS: u64 = 60;
 
 /// When a lookup ends without an answer of all that were asked, in milliseconds after its start.
 const GIVE_UP_MS: u64 = 250;
 
-/// How long a known origin waits for the other answers, in milliseconds. One of them may tell that
-/// the attempt began streams at several versions. Routers and replicas that are dead or of an older
-/// build never answer.
-const CONFIRM_MS: u64 = 60;
-
 /// The maximum number of origins in a message, so that it fits into a packet.
 const MAX_RECORDS: usize = 32;
 
@@ -60,11 +48,6 @@
 /// How long after the first list of endpoints other routers may not be known yet, in milliseconds.
 const SETTLE_MS: u64 = 2_000;
 
-/// How long ago a list of endpoints that proves something was confirmed at most, in milliseconds.
-/// Replicas read the list every 0.8 s and confirm it to routers every second, and gateways that were
-/// killed take at least 1 s to serve again.
-const MAX_LIST_AGE_MS: u64 = 1_500;
-
 /// The shortest retry delay that a caller is told, in milliseconds.
 const MIN_RETRY_MS: u64 = 1_000;
 
@@ -131,65 +114,6 @@
     },
 }
 
-/// A process that was asked for an origin.
-#[derive(Clone, Copy, Debug)]
-struct Asked {
-    addr: SocketAddr,
-    is_replica: bool,
-    is_silent: bool,
-    /// The only version that can have begun the stream, by its lists.
-    only: Option<BuildId>,
-}
-
-#[derive(Debug)]
-struct Lookup {
-    wanted: Wanted,
-    /// When the stream had begun at the latest.
-    began_by: Time,
-    started_at: Time,
-    asked: SmallVec<[Asked; MAX_ASKED + MAX_ASKED_REPLICAS]>,
-    /// The origin with its source, if a process knows it.
-    known: Option<(Origin, Source)>,
-    /// Whether the attempt began streams at several versions.
-    is_conflict: bool,
-    /// When the silent ones are asked once more.
-    resend_at: Time,
-    give_up_at: Time,
-}
-
-impl Lookup {
-    /// Records that a process has answered, with the only version that its lists prove. Returns
-    /// whether it was asked.
-    fn record_answer(&mut self, from: SocketAddr, only: Option<BuildId>) -> bool {
-        let asked = self.asked.iter_mut().find(|it| it.addr == from);
-        asked.map(|it| (it.is_silent, it.only) = (false, only)).is_some()
-    }
-
-    /// Returns the version that alone can have begun the stream by the lists of those that were
-    /// asked, unless they differ.
-    fn only(&self) -> Option<BuildId> {
-        let mut builds = self.asked.iter().filter_map(|it| it.only);
-        let first = builds.next()?;
-        builds.all(|it| it == first).then_some(first)
-    }
-
-    fn set_known(&mut self, now: Time, origin: Origin, source: Source) {
-        let (known, _) = *self.known.get_or_insert((origin, source));
-        self.is_conflict |= known != origin;
-        self.give_up_at = self.give_up_at.min(now + CONFIRM_MS * MILLISECOND);
-    }
-
-    fn is_ended(&self) -> bool {
-        let is_proved = self.wanted.key.is_none() && self.asked.iter().any(|it| it.only.is_some());
-        self.is_conflict || is_proved || !self.asked.iter().any(|it| it.is_silent)
-    }
-
-    /// Returns whether a router that may keep the origin has not answered.
-    fn is_router_silent(&self) -> bool {
-        self.asked.iter().any(|it| it.is_silent && !it.is_replica)
-    }
-}
-
 /// The origins of streams, as one router or replica knows them.
 #[derive(Debug)]
 pub struct Origins {
@@ -495,7 +419,7 @@
     fn shorten(&mut self, now: Time, id: LookupId) {
         let Some(lookup) = self.lookups.get(&id) else { return };
         let only = self.only_version(now, &lookup.wanted).ok();
-        if only.is_none_or(|it| !self.is_confirmed(lookup, it.build)) {
+        if only.is_none_or(|it| !lookup.is_confirmed(it.build, self.replicas.len())) {
             return;
         }
         if let Some(lookup) = self.lookups.get_mut(&id) {
@@ -552,19 +476,6 @@
         (agrees && is_settled).then_some(Origin { service, build })
     }
 
-    /// Returns whether no router that is silent now can have begun the stream at another version than
-    /// `build`, by the lists of replicas. Routers get their lists from replicas, so it is enough if
-    /// none of these has ever had another version. Otherwise one suffices that has read its list after
-    /// the stream had begun, as a version doesn't leave so soon, unless another one contradicts it.
-    fn is_confirmed(&self, lookup: &Lookup, build: BuildId) -> bool {
-        let replicas = || lookup.asked.iter().filter(|it| it.is_replica);
-        let agrees = |it: &&Asked| it.only == Some(build);
-        let is_contradicted = replicas().any(|it| !it.is_silent && !agrees(&it));
-        let agreeing = replicas().filter(agrees).count();
-        let have_read = lookup.started_at >= lookup.began_by + MAX_LIST_AGE_MS * MILLISECOND;
-        agreeing > 0 && !is_contradicted && (have_read || agreeing == self.replicas.len())
-    }
-
     /// Returns whether the other routers were heard of, or had time to be.
     fn is_settled(&self, now: Time) -> bool {
         self.has_members || self.settles_at() <= now
@@ -593,9 +504,9 @@
         if key.is_some() && is_router_silent {
             // What a silent router may know else is the same version: an earlier use of the id, or
             // where the stream began.
-            let retry_at = lookup.began_by + MAX_LIST_AGE_MS * MILLISECOND;
+            let retry_at = lookup.confirmed_at();
             return match own {
-                Ok(origin) if self.is_confirmed(lookup, origin.build) => {
+                Ok(origin) if lookup.is_confirmed(origin.build, self.replicas.len()) => {
                     Resolution::Known { origin, source: Source::OnlyVersion }
                 }
                 Ok(_) if lookup.started_at < retry_at && self.replicas.len() > 0 => {
